--- /dev/null
+++ b/hawthornkeel/src/cli/mod.rs
@@ -0,0 +1,1 @@
+//! Command line: parsing, commands and exit codes.
--- /dev/null
+++ b/hawthornkeel/src/control/mod.rs
@@ -0,0 +1,1 @@
+//! Control role: drives the replicated log and serves the other instances.
--- /dev/null
+++ b/hawthornkeel/src/disk/mod.rs
@@ -0,0 +1,1 @@
+//! Data folder: write-ahead log, snapshots and the lock.
--- /dev/null
+++ b/hawthornkeel/src/entry/mod.rs
@@ -0,0 +1,1 @@
+//! Entry role: serves callers.
--- /dev/null
+++ b/hawthornkeel/src/http/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP towards callers and operators: bounded reading, answers and refusals.
--- /dev/null
+++ b/hawthornkeel/src/lib.rs
@@ -0,0 +1,12 @@
+//! Edges of the hawthornkeel serving system: HTTP, QUIC, disk, clock, roles and command line.
+
+#![deny(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)]
+
+pub mod cli;
+pub mod control;
+pub mod disk;
+pub mod entry;
+pub mod http;
+pub mod logging;
+pub mod peer;
+pub mod target;
--- /dev/null
+++ b/hawthornkeel/src/logging.rs
@@ -0,0 +1,1 @@
+//! Log output: one key=value line an event.
--- /dev/null
+++ b/hawthornkeel/src/main.rs
@@ -0,0 +1,3 @@
+//! Entry point of the `hawthornkeel` command.
+
+fn main() {}
--- /dev/null
+++ b/hawthornkeel/src/peer/mod.rs
@@ -0,0 +1,1 @@
+//! QUIC between instances.
--- /dev/null
+++ b/hawthornkeel/src/target/mod.rs
@@ -0,0 +1,1 @@
+//! HTTP towards targets: calls, streams and connections.
--- /dev/null
+++ b/hawthornkeel_config/src/settings.rs
@@ -0,0 +1,174 @@
+//! Settings of one process, one struct a section.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::WorkspaceName;
+use indexmap::IndexMap;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Settings of one process.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Settings {
+    /// Who this instance is.
+    pub instance: Instance,
+    /// Entry role: serves callers.
+    pub entry: Entry,
+    /// Control role: keeps the replicated state.
+    pub control: Control,
+    /// Connections between instances.
+    pub peers: Peers,
+    /// The platform's list of instances.
+    pub platform: Platform,
+    /// Workspace of each caller's key, by the key's SHA-256 in hexadecimal.
+    pub keys: IndexMap<String, WorkspaceName>,
+    /// Log output.
+    pub log: Log,
+}
+
+/// Who this instance is.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Instance {
+    /// Unique name.
+    pub name: InstanceName,
+    /// Data centre that the instance runs in.
+    pub data_centre: CentreName,
+    /// Address of the operators' and metrics endpoint.
+    pub admin: Option<SocketAddr>,
+}
+
+/// Entry role: serves callers.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Entry {
+    /// Whether the instance has this role.
+    pub enabled: bool,
+    /// Address that callers reach through the balancer.
+    pub listen: Option<SocketAddr>,
+    /// Request head, in bytes at most.
+    pub max_head: usize,
+    /// Open caller connections, at most.
+    pub max_connections: usize,
+    /// Time for a caller to send a whole request, in milliseconds.
+    pub receive_ms: u64,
+    /// Time that a planned stop waits for the balancer to notice, in milliseconds.
+    pub drain_ms: u64,
+    /// Time after which a planned stop ends what still runs, in milliseconds.
+    pub stop_ms: u64,
+}
+
+impl Default for Entry {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            listen: None,
+            max_head: 16 * 1024,
+            max_connections: 4096,
+            receive_ms: 10_000,
+            drain_ms: 5_000,
+            stop_ms: 30_000,
+        }
+    }
+}
+
+/// Control role: keeps the replicated state.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Control {
+    /// Whether the instance has this role.
+    pub enabled: bool,
+    /// Data folder.
+    pub data: PathBuf,
+    /// Names of the instances that form the first group of voters.
+    pub founders: Vec<InstanceName>,
+    /// Shortest time without a leader before an election, in milliseconds.
+    pub election_ms: u64,
+    /// Time between the leader's heartbeats, in milliseconds.
+    pub heartbeat_ms: u64,
+    /// Log entries between snapshots.
+    pub snapshot_entries: u64,
+    /// Time for which claims are remembered, in seconds.
+    pub claim_window_s: u64,
+}
+
+impl Default for Control {
+    fn default() -> Self {
+        Self {
+            enabled: false,
+            data: PathBuf::from("data"),
+            founders: Vec::new(),
+            election_ms: 600,
+            heartbeat_ms: 100,
+            snapshot_entries: 20_000,
+            claim_window_s: 86_400,
+        }
+    }
+}
+
+/// Connections between instances.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Peers {
+    /// Address of this instance for its peers, over UDP.
+    pub listen: Option<SocketAddr>,
+    /// File of this instance's certificate, in PEM.
+    pub certificate: Option<PathBuf>,
+    /// File of this instance's private key, in PEM.
+    pub key: Option<PathBuf>,
+    /// File of the certificates that sign peers' certificates, in PEM.
+    pub authority: Option<PathBuf>,
+    /// The other instances.
+    #[serde(rename = "peer")]
+    pub peers: Vec<Peer>,
+}
+
+/// Another instance.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Peer {
+    /// Name, which its certificate carries too.
+    pub name: InstanceName,
+    /// Address over UDP.
+    pub address: SocketAddr,
+    /// Data centre that it runs in.
+    pub data_centre: CentreName,
+    /// Whether it has the control role.
+    #[serde(default)]
+    pub control: bool,
+}
+
+/// The platform's list of instances.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Platform {
+    /// Address of the list's HTTP endpoint.
+    pub address: Option<SocketAddr>,
+    /// Path of the list.
+    pub path: String,
+    /// Time between polls, in milliseconds.
+    pub poll_ms: u64,
+}
+
+impl Default for Platform {
+    fn default() -> Self {
+        Self { address: None, path: "/instances".to_owned(), poll_ms: 1_000 }
+    }
+}
+
+/// Log output.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Log {
+    /// Filter directives, such as `info` or `hawthornkeel=debug`.
+    pub filter: String,
+}
+
+impl Default for Log {
+    fn default() -> Self {
+        Self { filter: "info".to_owned() }
+    }
+}
--- /dev/null
+++ b/hawthornkeel_core/src/names.rs
@@ -0,0 +1,91 @@
+//! Names of things: shared immutable strings, one type for each kind of thing.
+
+use std::borrow::Borrow;
+use std::fmt;
+use std::sync::Arc;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Defines a name type around a shared immutable string.
+macro_rules! name_type {
+    ($(#[$doc:meta])* $name:ident) => {
+        $(#[$doc])*
+        #[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+        #[serde(transparent)]
+        pub struct $name(Arc<str>);
+
+        impl $name {
+            /// Creates a name from `text`.
+            pub fn new(text: &str) -> Self {
+                Self(Arc::from(text))
+            }
+
+            /// Returns the name as text.
+            pub fn as_str(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Borrow<str> for $name {
+            fn borrow(&self) -> &str {
+                &self.0
+            }
+        }
+
+        impl Default for $name {
+            fn default() -> Self {
+                Self::new("")
+            }
+        }
+
+        impl fmt::Display for $name {
+            fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+                f.write_str(&self.0)
+            }
+        }
+
+        impl From<&str> for $name {
+            fn from(text: &str) -> Self {
+                Self::new(text)
+            }
+        }
+    };
+}
+
+name_type! {
+    /// Name of an instance: one process of the system.
+    InstanceName
+}
+name_type! {
+    /// Name of a data centre.
+    CentreName
+}
+name_type! {
+    /// Name of a target: a model engine or a plain service that runs stages.
+    TargetName
+}
+name_type! {
+    /// Name of a pool of interchangeable targets.
+    PoolName
+}
+name_type! {
+    /// Name of a workspace: a customer's share of the system.
+    WorkspaceName
+}
+name_type! {
+    /// Name of a pipeline.
+    PipelineName
+}
+name_type! {
+    /// Name of a stage, unique in its pipeline.
+    StageName
+}
+name_type! {
+    /// Name of a model that engines of a pool have loaded.
+    ModelName
+}
+name_type! {
+    /// Name of an operator, as given with an order.
+    OperatorName
+}
--- /dev/null
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -0,0 +1,1 @@
+//! Replicated log: elections, replication, snapshots and membership.
--- /dev/null
+++ b/hawthornkeel_core/src/request/mod.rs
@@ -0,0 +1,1 @@
+//! Progress of one request through its pipeline.
--- /dev/null
+++ b/hawthornkeel_core/src/time.rs
@@ -0,0 +1,85 @@
+//! Points in time as the core sees them.
+
+use std::fmt;
+use std::ops::Add;
+use std::time::Duration;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Point on a process's monotonic clock, in microseconds since an origin of the process's choice.
+///
+/// Values of different processes are not comparable.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
+pub struct Instant {
+    micros: u64,
+}
+
+impl Instant {
+    /// Origin of the clock.
+    pub const ZERO: Self = Self { micros: 0 };
+
+    /// Creates the point `micros` microseconds after the origin.
+    pub const fn from_micros(micros: u64) -> Self {
+        Self { micros }
+    }
+
+    /// Creates the point `millis` milliseconds after the origin.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self { micros: millis.saturating_mul(1000) }
+    }
+
+    /// Returns the microseconds since the origin.
+    pub const fn as_micros(self) -> u64 {
+        self.micros
+    }
+
+    /// Returns the time since `earlier`, or zero where `earlier` is later than `self`.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_micros(self.micros.saturating_sub(earlier.micros))
+    }
+}
+
+impl Add<Duration> for Instant {
+    type Output = Self;
+
+    fn add(self, duration: Duration) -> Self {
+        let micros = u64::try_from(duration.as_micros()).unwrap_or(u64::MAX);
+        Self { micros: self.micros.saturating_add(micros) }
+    }
+}
+
+impl fmt::Display for Instant {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}.{:06}s", self.micros / 1_000_000, self.micros % 1_000_000)
+    }
+}
+
+/// Point on the wall clock, in milliseconds since the Unix epoch.
+///
+/// Used only where a point must be meaningful to more than one process, such as the expiry of a
+/// claim; the leader's clock stamps it into the log, so that all replicas read the same value.
+#[derive(
+    Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize,
+)]
+#[serde(transparent)]
+pub struct WallTime {
+    millis: u64,
+}
+
+impl WallTime {
+    /// Creates the point `millis` milliseconds after the Unix epoch.
+    pub const fn from_millis(millis: u64) -> Self {
+        Self { millis }
+    }
+
+    /// Returns the milliseconds since the Unix epoch.
+    pub const fn as_millis(self) -> u64 {
+        self.millis
+    }
+
+    /// Returns the time since `earlier`, or zero where `earlier` is later than `self`.
+    pub fn since(self, earlier: Self) -> Duration {
+        Duration::from_millis(self.millis.saturating_sub(earlier.millis))
+    }
+}
