--- a/hawthornkeel_core/src/lease/holder.rs
+++ b/hawthornkeel_core/src/lease/holder.rs
@@ -21,6 +21,8 @@
     next_ask: Instant,
     /// Time until which the lease is held.
     until: Instant,
+    /// Number of times that the lease was won.
+    term: u64,
     /// Time from which grants of earlier holders can no longer be in use.
     clear: Instant,
 }
@@ -38,6 +40,7 @@
             refused: false,
             next_ask: now,
             until: Instant::ZERO,
+            term: 0,
             clear: Instant::ZERO,
         }
     }
@@ -52,6 +55,16 @@
         &self.voters
     }
 
+    /// Returns the number of times that the lease was won.
+    pub fn term(&self) -> u64 {
+        self.term
+    }
+
+    /// Returns the settings of the lease.
+    pub fn settings(&self) -> &LeaseSettings {
+        &self.settings
+    }
+
     /// Tells whether the lease is held.
     pub fn holds(&self, now: Instant) -> bool {
         now < self.until
@@ -106,6 +119,7 @@
             return false;
         }
         if !self.holds(now) {
+            self.term += 1;
             self.clear = now + self.settings.stretched(self.settings.grant);
         }
         self.until = until;
--- a/hawthornkeel_core/src/lease/message.rs
+++ b/hawthornkeel_core/src/lease/message.rs
@@ -80,6 +80,15 @@
     Unknown,
 }
 
+/// Why a target is suspected to have turned cold.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Doubt {
+    /// A connection broke: an answer of the same incarnation clears the doubt.
+    Restart,
+    /// The target turned slow or failed: it has to prove itself again.
+    Overload,
+}
+
 /// Message between an entry and the issuer of a data centre.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum GrantMessage {
@@ -89,6 +98,8 @@
         centre: CentreName,
         /// Member that holds the lease.
         issuer: MemberId,
+        /// Number of times that the member has won the lease.
+        term: u64,
     },
     /// Asks for one call to a target.
     Request {
@@ -112,15 +123,6 @@
         /// Time from the sending of the request until the call must have ended.
         lasts: Duration,
     },
-    /// Tells that no slot is free now.
-    Busy {
-        /// Number of the request.
-        number: u64,
-        /// Target that was asked for.
-        target: TargetName,
-        /// Time after which to ask again.
-        after: Duration,
-    },
     /// Gives a grant back.
     Release {
         /// Identity of the grant.
@@ -141,12 +143,14 @@
         /// Incarnation that is warm.
         incarnation: Option<Incarnation>,
     },
-    /// Tells the issuer that a target may have turned cold.
+    /// Tells the issuer, and the issuer the entries, that a target may have turned cold.
     Suspect {
         /// Target that may be cold.
         target: TargetName,
         /// Incarnation that was known before.
         incarnation: Option<Incarnation>,
+        /// Why it is suspected.
+        doubt: Doubt,
     },
     /// Tells a new issuer that an incarnation of a target is warm.
     Vouch {
--- a/hawthornkeel_core/src/lease/mod.rs
+++ b/hawthornkeel_core/src/lease/mod.rs
@@ -8,11 +8,14 @@
 pub mod holder;
 pub mod issuer;
 pub mod message;
+pub(crate) mod record;
 pub mod settings;
 pub mod voter;
 
 pub use holder::Holder;
 pub use issuer::Issuer;
+pub use issuer::IssuerOutput;
+pub use message::Doubt;
 pub use message::GrantMessage;
 pub use message::MemberId;
 pub use message::VoteMessage;
--- /dev/null
+++ b/hawthornkeel_core/src/routing/budget.rs
@@ -0,0 +1,35 @@
+//! Budget of repeated calls, as a share of first calls.
+
+/// Token bucket that first calls fill and repeated calls empty.
+#[derive(Clone, Debug)]
+pub struct Budget {
+    share: f64,
+    burst: f64,
+    tokens: f64,
+}
+
+impl Budget {
+    /// Creates a full budget of `burst` calls that gains `share` with each first call.
+    pub fn new(share: f64, burst: f64) -> Self {
+        Self { share, burst, tokens: burst }
+    }
+
+    /// Takes note of a first call.
+    pub fn earn(&mut self) {
+        self.tokens = (self.tokens + self.share).min(self.burst);
+    }
+
+    /// Spends a repeated call; returns whether the budget allows it.
+    pub fn spend(&mut self) -> bool {
+        if self.tokens < 1.0 {
+            return false;
+        }
+        self.tokens -= 1.0;
+        true
+    }
+
+    /// Gives back a repeated call that was not made.
+    pub fn refund(&mut self) {
+        self.tokens = (self.tokens + 1.0).min(self.burst);
+    }
+}
--- /dev/null
+++ b/hawthornkeel_core/src/routing/fair.rs
@@ -0,0 +1,130 @@
+//! Queue of waiting calls, served by weighted fair shares of their workspaces.
+
+use std::collections::VecDeque;
+
+use indexmap::IndexMap;
+
+use crate::ids::CallId;
+use crate::names::WorkspaceName;
+use crate::routing::types::StageRequest;
+use crate::time::Instant;
+
+/// Call that waits for a target.
+#[derive(Clone, Debug)]
+pub(crate) struct Waiting {
+    pub request: StageRequest,
+    /// Time at which the stage's answer is needed.
+    pub latest: Instant,
+    /// Time at which the wait ends in a refusal.
+    pub until: Instant,
+}
+
+/// Waiting calls of one workspace.
+#[derive(Debug)]
+struct Lane {
+    weight: f64,
+    /// Virtual time at which the lane's last served call ends.
+    finish: f64,
+    calls: VecDeque<Waiting>,
+}
+
+/// Start-time fair queue: serves the lane with the lowest start tag.
+#[derive(Debug, Default)]
+pub(crate) struct FairQueue {
+    lanes: IndexMap<WorkspaceName, Lane>,
+    clock: f64,
+    len: usize,
+    expiry: Option<Instant>,
+}
+
+impl FairQueue {
+    /// Returns the number of waiting calls.
+    pub fn len(&self) -> usize {
+        self.len
+    }
+
+    /// Returns the earliest time at which a wait may end.
+    pub fn expiry(&self) -> Option<Instant> {
+        self.expiry
+    }
+
+    /// Returns the calls that are served before a new one of a workspace.
+    pub fn ahead(&self, workspace: &WorkspaceName, weight: f64) -> f64 {
+        let own = self.lanes.get(workspace).map_or(0, |l| l.calls.len()) as f64;
+        let rounds = (own + 1.0) / weight;
+        let others = self.lanes.iter().filter(|(name, _)| *name != workspace);
+        own + others.map(|(_, l)| (l.calls.len() as f64).min(rounds * l.weight)).sum::<f64>()
+    }
+
+    /// Adds a call behind those of its workspace with the same or a higher priority.
+    pub fn push(&mut self, waiting: Waiting, weight: f64) {
+        let clock = self.clock;
+        self.expiry = Some(self.expiry.map_or(waiting.until, |e| e.min(waiting.until)));
+        let name = waiting.request.workspace.clone();
+        let new = || Lane { weight, finish: clock, calls: VecDeque::new() };
+        let lane = self.lanes.entry(name).or_insert_with(new);
+        lane.weight = weight;
+        let priority = waiting.request.priority;
+        let after = lane.calls.iter().rposition(|w| w.request.priority >= priority);
+        lane.calls.insert(after.map_or(0, |i| i + 1), waiting);
+        self.len += 1;
+    }
+
+    /// Returns the lane to be served next, but for those in `skip`, with its first call.
+    pub fn next(&self, skip: &[usize]) -> Option<(usize, &Waiting)> {
+        let mut best: Option<(usize, f64, &Waiting)> = None;
+        for (index, lane) in self.lanes.values().enumerate() {
+            let Some(first) = lane.calls.front() else {
+                continue;
+            };
+            let start = lane.finish.max(self.clock);
+            let lower = best.as_ref().is_none_or(|(_, tag, _)| start < *tag);
+            if lower && !skip.contains(&index) {
+                best = Some((index, start, first));
+            }
+        }
+        best.map(|(index, _, waiting)| (index, waiting))
+    }
+
+    /// Removes the first call of a lane and charges the lane for it.
+    pub fn serve(&mut self, index: usize) -> Option<Waiting> {
+        let (_, lane) = self.lanes.get_index_mut(index)?;
+        let waiting = lane.calls.pop_front()?;
+        let start = lane.finish.max(self.clock);
+        lane.finish = start + 1.0 / lane.weight;
+        self.clock = start;
+        self.len -= 1;
+        Some(waiting)
+    }
+
+    /// Removes a call, without a charge.
+    pub fn remove(&mut self, call: CallId) -> Option<Waiting> {
+        for lane in self.lanes.values_mut() {
+            let Some(at) = lane.calls.iter().position(|w| w.request.call == call) else {
+                continue;
+            };
+            self.len -= 1;
+            return lane.calls.remove(at);
+        }
+        None
+    }
+
+    /// Removes and returns the calls whose wait has ended, and lanes that are no longer needed.
+    pub fn expire(&mut self, now: Instant) -> Vec<Waiting> {
+        if self.expiry.is_none_or(|e| now < e) {
+            return Vec::new();
+        }
+        let mut expired = Vec::new();
+        for lane in self.lanes.values_mut() {
+            let (old, kept) = lane.calls.drain(..).partition(|w| w.until <= now);
+            lane.calls = kept;
+            let old: VecDeque<Waiting> = old;
+            expired.extend(old);
+        }
+        self.len -= expired.len();
+        let clock = self.clock;
+        self.lanes.retain(|_, l| !l.calls.is_empty() || l.finish > clock);
+        self.expiry = self.lanes.values().flat_map(|l| l.calls.iter().map(|w| w.until)).min();
+        expired
+    }
+}
--- /dev/null
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -0,0 +1,113 @@
+//! What the end of a call tells about its target.
+
+use crate::lease::Doubt;
+use crate::lease::message::GrantOutcome;
+use crate::names::TargetName;
+use crate::routing::router::Found;
+use crate::routing::router::Router;
+use crate::routing::target::Warmth;
+use crate::routing::types::CallOutcome;
+use crate::routing::types::Permit;
+use crate::time::Instant;
+
+impl Router {
+    /// Takes back the permit of a call that has ended.
+    pub fn finished(&mut self, now: Instant, permit: Permit, outcome: CallOutcome) {
+        if let CallOutcome::Answered { .. } = outcome {
+            self.stage_done(permit.call.request, usize::from(permit.call.stage.0));
+        }
+        let doubt = self.take_outcome(now, &permit, outcome);
+        if let Some(grant) = permit.grant {
+            self.release(&permit.target, grant, grant_outcome(outcome));
+        }
+        if let Some(doubt) = doubt {
+            self.suspect(now, &permit.target, doubt, true);
+        }
+        if let Some(mut found) = self.find(&permit.target) {
+            found.refresh(now);
+        }
+    }
+
+    /// Notes that the target closed or broke a connection outside of a call.
+    pub fn connection_lost(&mut self, now: Instant, target: &TargetName) {
+        self.suspect_restart(now, target);
+    }
+
+    /// Takes a target for restarted and so possibly cold.
+    pub(crate) fn suspect_restart(&mut self, now: Instant, target: &TargetName) {
+        self.suspect(now, target, Doubt::Restart, true);
+    }
+
+    /// Takes the outcome into the target's and the pool's state; returns a doubt, if it raises one.
+    fn take_outcome(
+        &mut self,
+        now: Instant,
+        permit: &Permit,
+        outcome: CallOutcome,
+    ) -> Option<Doubt> {
+        let Found { pool, index, settings: set } = self.find(&permit.target)?;
+        let most = f64::from(pool.config.warm_limit);
+        let usual = pool.median().as_micros() as f64;
+        let (_, target) = pool.targets.get_index_mut(index)?;
+        let running = target.running;
+        target.running = running.saturating_sub(1);
+        match outcome {
+            CallOutcome::Answered { latency, incarnation, .. } => {
+                pool.times.record(latency);
+                let step = target.measure(latency, usual);
+                target.limit.answered(running);
+                target.proof = permit.grant.clone();
+                let other = target.answered(now, incarnation);
+                let doubt = doubt(target.warmth, other, step);
+                if let Some(prefix) = permit.prefix {
+                    pool.remember(prefix, &permit.target, 0);
+                }
+                doubt
+            }
+            CallOutcome::Refused => {
+                let light = target.refused(now, most);
+                (light && target.warmth == Warmth::Warm).then_some(Doubt::Overload)
+            }
+            CallOutcome::ConnectFailed | CallOutcome::Reset => {
+                target.limit.failed(now);
+                target.failed(now, true, set);
+                Some(Doubt::Restart)
+            }
+            CallOutcome::TimedOut => {
+                pool.times.record(now.since(permit.given));
+                target.limit.failed(now);
+                target.failed(now, false, set);
+                None
+            }
+            CallOutcome::Truncated | CallOutcome::Failed => {
+                target.limit.failed(now);
+                target.failed(now, false, set);
+                None
+            }
+            CallOutcome::Cancelled => None,
+        }
+    }
+}
+
+/// Returns the doubt that an answer raises.
+fn doubt(warmth: Warmth, other: bool, step: bool) -> Option<Doubt> {
+    match (warmth, other, step) {
+        (Warmth::Warm, true, _) => Some(Doubt::Restart),
+        (Warmth::Warm, _, true) => Some(Doubt::Overload),
+        _ => None,
+    }
+}
+
+/// Returns what the issuer is told of a call.
+///
+/// After a reset the target's process is gone or has dropped the call. After a time-out or a
+/// cancellation the call may still run, so its slot stays taken until the grant expires.
+fn grant_outcome(outcome: CallOutcome) -> GrantOutcome {
+    match outcome {
+        CallOutcome::Answered { incarnation, .. } => GrantOutcome::Answered { incarnation },
+        CallOutcome::Refused => GrantOutcome::Unused,
+        CallOutcome::ConnectFailed => GrantOutcome::Failed,
+        CallOutcome::Reset | CallOutcome::Truncated | CallOutcome::Failed => GrantOutcome::Failed,
+        CallOutcome::TimedOut | CallOutcome::Cancelled => GrantOutcome::Unknown,
+    }
+}
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -1,11 +1,26 @@
 //! Choice of a target for a stage: load, limits, cold targets, data centres, retries.
 
+pub(crate) mod admit;
+pub mod budget;
+pub(crate) mod choose;
+pub(crate) mod cold;
+pub(crate) mod fair;
+pub(crate) mod finish;
+pub mod limit;
+pub(crate) mod pool;
 pub mod router;
 pub mod settings;
+pub mod subset;
+pub(crate) mod target;
+pub mod times;
 pub mod types;
 
+pub use router::EntryInfo;
+pub use router::GrantOutput;
 pub use router::Router;
+pub use router::TargetStatus;
 pub use settings::RouterSettings;
+pub use target::Warmth;
 pub use types::Admission;
 pub use types::CallOutcome;
 pub use types::Decision;
--- /dev/null
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -0,0 +1,201 @@
+//! State that an entry keeps of one pool.
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::document::Pool;
+use crate::names::TargetName;
+use crate::routing::budget::Budget;
+use crate::routing::fair::FairQueue;
+use crate::routing::settings::RouterSettings;
+use crate::routing::subset;
+use crate::routing::target::Hot;
+use crate::routing::target::Target;
+use crate::routing::times::Times;
+use crate::time::Instant;
+
+/// Prompt prefixes whose place is remembered, at most.
+const PREFIXES: usize = 4096;
+/// Hedges allowed beyond the share after a quiet time.
+const HEDGE_BURST: f64 = 2.0;
+/// Share of a target's limit for the entries of its own data centre, while there are others.
+const NEAR_SHARE: f64 = 0.75;
+
+/// Time between two calls that measure a pool which seems too slow for any deadline.
+const TRY_PAUSE: Duration = Duration::from_millis(250);
+
+/// Target that probably holds a prompt prefix.
+#[derive(Clone, Debug)]
+struct Place {
+    target: TargetName,
+    sequence: u64,
+}
+
+/// State that an entry keeps of one pool.
+#[derive(Debug)]
+pub(crate) struct PoolState {
+    pub config: Pool,
+    pub targets: IndexMap<TargetName, Target>,
+    /// What a choice reads, in the order of `targets`.
+    pub hot: Vec<Hot>,
+    /// Sum of the targets' capacities.
+    pub capacity: u64,
+    pub queue: FairQueue,
+    pub times: Times,
+    pub retries: Budget,
+    pub hedges: Budget,
+    /// Admitted requests that still need this pool.
+    pub committed: u64,
+    /// Time at which a target that is left alone may open again.
+    pub reopen: Option<Instant>,
+    /// Last time that a call asked for the pool.
+    pub wanted: Option<Instant>,
+    /// Time from which a call is let through although measured times are too long.
+    pub try_at: Instant,
+    places: IndexMap<u64, Place>,
+    oldest: usize,
+}
+
+impl PoolState {
+    /// Creates a pool without targets.
+    pub fn new(config: Pool, set: &RouterSettings) -> Self {
+        Self {
+            config,
+            targets: IndexMap::new(),
+            hot: Vec::new(),
+            capacity: 0,
+            queue: FairQueue::default(),
+            times: Times::default(),
+            retries: Budget::new(set.retry_share, set.retry_burst),
+            hedges: Budget::new(set.hedge_share, HEDGE_BURST),
+            committed: 0,
+            reopen: None,
+            wanted: None,
+            try_at: Instant::ZERO,
+            places: IndexMap::new(),
+            oldest: 0,
+        }
+    }
+
+    /// Returns the median time of a call, or zero while none was measured.
+    pub fn median(&self) -> Duration {
+        self.times.median().unwrap_or_default()
+    }
+
+    /// Tells whether a call may go although measured times are too long: one in a pause.
+    pub fn may_try(&mut self, now: Instant) -> bool {
+        if now < self.try_at {
+            return false;
+        }
+        self.try_at = now + TRY_PAUSE;
+        true
+    }
+
+    /// Returns the expected time until `calls` more calls have been taken up.
+    pub fn wait_for(&self, calls: f64) -> Duration {
+        let slots = (self.capacity as f64).max(1.0);
+        self.median().mul_f64((calls / slots).min(1e6))
+    }
+
+    /// Returns the own share of a target's limit.
+    pub fn share(&self, near: bool, near_entries: usize, far_entries: usize) -> f64 {
+        let limit = f64::from(self.config.warm_limit);
+        let (part, entries) = match (near, near_entries, far_entries) {
+            (true, n, 0) => (1.0, n),
+            (true, n, _) => (NEAR_SHARE, n),
+            (false, 0, f) => (1.0, f),
+            (false, _, f) => (1.0 - NEAR_SHARE, f),
+        };
+        (limit * part / entries.max(1) as f64).max(1.0)
+    }
+
+    /// Adds a target.
+    pub fn insert(&mut self, target: Target) {
+        let name = target.info.name.clone();
+        if self.targets.insert(name, target).is_none() {
+            self.hot.push(Hot::default());
+        }
+    }
+
+    /// Removes the target at `index`.
+    pub fn remove(&mut self, index: usize) -> Option<Target> {
+        let (_, target) = self.targets.swap_remove_index(index)?;
+        if index < self.hot.len() {
+            let hot = self.hot.swap_remove(index);
+            self.capacity -= u64::from(hot.capacity);
+        }
+        Some(target)
+    }
+
+    /// Brings what a choice reads of the target at `index` up to date.
+    pub fn refresh(&mut self, now: Instant, index: usize, set: &RouterSettings) {
+        let latency = self.median().as_micros() as f64;
+        let (Some((_, target)), Some(hot)) =
+            (self.targets.get_index(index), self.hot.get_mut(index))
+        else {
+            return;
+        };
+        self.capacity -= u64::from(hot.capacity);
+        *hot = target.hot(now, &self.config, latency, set);
+        self.capacity += u64::from(hot.capacity);
+        if now < target.down_until {
+            let reopen = target.down_until;
+            self.reopen = Some(self.reopen.map_or(reopen, |r| r.min(reopen)));
+        }
+    }
+
+    /// Brings what a choice reads of all targets up to date.
+    pub fn refresh_all(&mut self, now: Instant, set: &RouterSettings) {
+        self.reopen = None;
+        for index in 0..self.targets.len() {
+            self.refresh(now, index, set);
+        }
+    }
+
+    /// Opens targets whose time of being left alone has passed.
+    pub fn reopen(&mut self, now: Instant, set: &RouterSettings) {
+        if self.reopen.is_some_and(|at| at <= now) {
+            self.refresh_all(now, set);
+        }
+    }
+
+    /// Adds targets to the subset until the entry knows `wanted` of them, near ones first.
+    pub fn top_up(&mut self, own: u64, wanted: usize) {
+        let known = self.targets.values().filter(|t| t.known).count();
+        let missing = wanted.saturating_sub(known);
+        if missing == 0 {
+            return;
+        }
+        let key = |t: &Target| (t.near, subset::rank(own, subset::name_hash(t.info.name.as_str())));
+        let mut rest: Vec<&mut Target> = self.targets.values_mut().filter(|t| !t.known).collect();
+        rest.sort_by_cached_key(|t| std::cmp::Reverse(key(t)));
+        for target in rest.into_iter().take(missing) {
+            target.known = true;
+        }
+    }
+
+    /// Returns the position of the target that probably holds `prefix`.
+    pub fn place(&self, prefix: u64) -> Option<usize> {
+        let place = self.places.get(&prefix)?;
+        self.targets.get_index_of(&place.target)
+    }
+
+    /// Remembers that a target probably holds `prefix`; a hint older than the last is ignored.
+    pub fn remember(&mut self, prefix: u64, target: &TargetName, sequence: u64) {
+        let place = Place { target: target.clone(), sequence };
+        if let Some(old) = self.places.get_mut(&prefix) {
+            if old.target != *target || old.sequence <= sequence {
+                *old = place;
+            }
+            return;
+        }
+        if self.places.len() < PREFIXES {
+            self.places.insert(prefix, place);
+            return;
+        }
+        self.oldest = (self.oldest + 1) % PREFIXES;
+        self.places.swap_remove_index(self.oldest);
+        self.places.insert(prefix, place);
+    }
+}
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -1,9 +1,9 @@
-//! Router of one entry instance.
+//! Router of one entry instance: its state and what changes it from outside.
 
-use std::time::Duration;
+use indexmap::IndexMap;
 
 use crate::document::Document;
-use crate::ids::CallId;
+use crate::document::Workspace;
 use crate::ids::RequestId;
 use crate::lease::GrantMessage;
 use crate::lease::LeaseSettings;
@@ -11,16 +11,16 @@
 use crate::names::CentreName;
 use crate::names::PoolName;
 use crate::names::TargetName;
+use crate::names::WorkspaceName;
+use crate::routing::admit::Admitted;
+use crate::routing::admit::WorkspaceState;
+use crate::routing::pool::PoolState;
 use crate::routing::settings::RouterSettings;
-use crate::routing::types::Admission;
-use crate::routing::types::CallOutcome;
-use crate::routing::types::Decision;
+use crate::routing::subset;
+use crate::routing::subset::Ranked;
+use crate::routing::target::Target;
+use crate::routing::target::Warmth;
 use crate::routing::types::LoadReport;
-use crate::routing::types::Permit;
-use crate::routing::types::Ready;
-use crate::routing::types::Reason;
-use crate::routing::types::RequestPlan;
-use crate::routing::types::StageRequest;
 use crate::routing::types::TargetInfo;
 use crate::time::Instant;
 
@@ -44,85 +44,280 @@
     pub message: GrantMessage,
 }
 
+/// Member that issues grants for a data centre.
+#[derive(Clone, Debug)]
+pub(crate) struct KnownIssuer {
+    pub id: MemberId,
+    pub term: u64,
+}
+
+/// Target that was found by its name.
+pub(crate) struct Found<'a> {
+    pub pool: &'a mut PoolState,
+    pub index: usize,
+    pub settings: &'a RouterSettings,
+}
+
+impl Found<'_> {
+    /// Returns the target's state.
+    pub fn target(&mut self) -> Option<&mut Target> {
+        self.pool.targets.get_index_mut(self.index).map(|(_, target)| target)
+    }
+
+    /// Brings what choices read of the target up to date.
+    pub fn refresh(&mut self, now: Instant) {
+        self.pool.refresh(now, self.index, self.settings);
+    }
+}
+
+/// State of a target as operators see it.
+#[derive(Clone, Debug, PartialEq)]
+pub struct TargetStatus {
+    /// Whether there is proof that the target bears full load.
+    pub warmth: Warmth,
+    /// Calls of this entry in flight.
+    pub running: u32,
+    /// Calls of this entry allowed at once while the target is warm.
+    pub limit: u32,
+    /// Whether the target may get new work.
+    pub takes_work: bool,
+    /// Whether the target fails and gets nothing but probes.
+    pub down: bool,
+}
+
 /// Router of one entry instance: chooses targets, keeps limits, budgets and waiting calls.
 #[derive(Debug)]
 pub struct Router {
-    settings: RouterSettings,
-    lease: LeaseSettings,
-    own: EntryInfo,
+    pub(crate) settings: RouterSettings,
+    pub(crate) lease: LeaseSettings,
+    pub(crate) own: EntryInfo,
+    pub(crate) entries: Vec<EntryInfo>,
+    pub(crate) pools: IndexMap<PoolName, PoolState>,
+    /// Pool of each target.
+    pub(crate) homes: IndexMap<TargetName, PoolName>,
+    pub(crate) taken_out: Vec<CentreName>,
+    pub(crate) workspaces: IndexMap<WorkspaceName, WorkspaceState>,
+    pub(crate) requests: IndexMap<RequestId, Admitted>,
+    pub(crate) issuers: IndexMap<CentreName, KnownIssuer>,
+    pub(crate) outputs: Vec<GrantOutput>,
+    pub(crate) next_request: u64,
+    pub(crate) next_scan: Instant,
+    /// Rises with each choice, so that equal targets take turns.
+    pub(crate) turn: u64,
 }
 
 impl Router {
     /// Creates a router that knows no target.
     pub fn new(settings: RouterSettings, lease: LeaseSettings, own: EntryInfo) -> Self {
-        Self { settings, lease, own }
+        Self {
+            turn: settings.seed,
+            settings,
+            lease,
+            entries: vec![own.clone()],
+            own,
+            pools: IndexMap::new(),
+            homes: IndexMap::new(),
+            taken_out: Vec::new(),
+            workspaces: IndexMap::new(),
+            requests: IndexMap::new(),
+            issuers: IndexMap::new(),
+            outputs: Vec::new(),
+            next_request: 0,
+            next_scan: Instant::ZERO,
+        }
     }
 
-    /// Takes the document's pools and workspaces; limits that stay the same are kept.
-    pub fn apply_document(&mut self, _document: &Document) {}
+    /// Takes the document's pools and workspaces; what was measured of pools that stay is kept.
+    ///
+    /// Targets of pools that are new are known from the next list on.
+    pub fn apply_document(&mut self, document: &Document) {
+        self.pools.retain(|name, _| document.pool(name.as_str()).is_some());
+        self.homes.retain(|_, pool| self.pools.contains_key(pool));
+        for pool in &document.pools {
+            let settings = &self.settings;
+            let new = || PoolState::new(pool.clone(), settings);
+            let state = self.pools.entry(pool.name.clone()).or_insert_with(new);
+            state.config = pool.clone();
+        }
+        for state in self.workspaces.values_mut() {
+            state.apply(&Workspace::default());
+        }
+        for workspace in &document.workspaces {
+            let state = self.workspaces.entry(workspace.name.clone()).or_default();
+            state.apply(workspace);
+        }
+        self.bound_limits();
+    }
 
-    /// Takes the platform's list of targets, which lags.
-    pub fn update_targets(&mut self, _now: Instant, _list: &[TargetInfo]) {}
+    /// Takes the platform's list of targets, which lags: absence alone stops nothing.
+    pub fn update_targets(&mut self, now: Instant, list: &[TargetInfo]) {
+        for target in self.pools.values_mut().flat_map(|p| p.targets.values_mut()) {
+            target.listed = false;
+        }
+        for info in list {
+            self.take_listed(now, info);
+        }
+        self.drop_absent(now);
+        self.choose_subset();
+        self.refresh_all(now);
+    }
 
-    /// Takes the live entries of the fleet, this one among them.
-    pub fn set_entries(&mut self, _now: Instant, _entries: &[EntryInfo]) {}
+    /// Takes the live entries of the fleet, this one among them or not.
+    pub fn set_entries(&mut self, now: Instant, entries: &[EntryInfo]) {
+        self.entries = entries.to_vec();
+        if !entries.iter().any(|e| e.id.name == self.own.id.name) {
+            self.entries.push(self.own.clone());
+        }
+        self.choose_subset();
+        self.refresh_all(now);
+    }
 
     /// Takes the data centres that get no new work.
-    pub fn set_taken_out(&mut self, _now: Instant, _centres: &[CentreName]) {}
+    pub fn set_taken_out(&mut self, now: Instant, centres: &[CentreName]) {
+        self.taken_out = centres.to_vec();
+        for target in self.pools.values_mut().flat_map(|p| p.targets.values_mut()) {
+            target.taken_out = centres.contains(&target.info.centre);
+        }
+        self.refresh_all(now);
+    }
 
     /// Takes a target's load report.
-    pub fn report_load(&mut self, _now: Instant, _target: &TargetName, _report: LoadReport) {}
-
-    /// Takes a hint that a target may have a prompt prefix in its cache.
-    pub fn cache_hint(&mut self, _now: Instant, _target: &TargetName, _prefix: u64, _seq: u64) {}
-
-    /// Notes that the target closed or broke a connection outside of a call.
-    pub fn connection_lost(&mut self, _now: Instant, _target: &TargetName) {}
+    pub fn report_load(&mut self, now: Instant, target: &TargetName, report: LoadReport) {
+        let Some(mut found) = self.find(target) else {
+            return;
+        };
+        let most = f64::from(found.pool.config.warm_limit);
+        let restarted = found.target().is_some_and(|t| t.take_report(now, &report, most));
+        found.refresh(now);
+        if restarted {
+            self.suspect_restart(now, target);
+        }
+    }
 
-    /// Decides whether a request may start.
-    pub fn admit(&mut self, _now: Instant, _plan: &RequestPlan) -> Admission {
-        Admission::Admitted
+    /// Takes a hint that a target may have a prompt prefix in its cache; hints may be late.
+    pub fn cache_hint(&mut self, _now: Instant, target: &TargetName, prefix: u64, sequence: u64) {
+        if let Some(found) = self.find(target) {
+            found.pool.remember(prefix, target, sequence);
+        }
     }
 
-    /// Notes the end of an admitted request, however it ended.
-    pub fn leave(&mut self, _now: Instant, _request: RequestId) {}
+    /// Returns the state of a target as operators see it.
+    pub fn status(&self, target: &TargetName) -> Option<TargetStatus> {
+        let state = self.pools.get(self.homes.get(target)?)?.targets.get(target)?;
+        Some(TargetStatus {
+            warmth: state.warmth,
+            running: state.running,
+            limit: state.limit.calls(),
+            takes_work: state.takes_work(),
+            down: state.is_down(),
+        })
+    }
 
-    /// Chooses a target for a call.
-    pub fn choose(&mut self, _now: Instant, _request: &StageRequest) -> Decision {
-        let (settings, own) = (&self.settings, &self.own);
-        let _ = (settings, own, &self.lease);
-        let retry_after = Duration::from_secs(1);
-        Decision::Refuse { reason: Reason::NoTarget, retry_after, candidates: 0 }
+    /// Returns the number of targets of a pool that this entry sends to.
+    pub fn known_targets(&self, pool: &PoolName) -> usize {
+        self.pools.get(pool).map_or(0, |p| p.targets.values().filter(|t| t.known).count())
     }
 
-    /// Takes back the permit of a call that has ended.
-    pub fn finished(&mut self, _now: Instant, _permit: Permit, _outcome: CallOutcome) {}
+    /// Returns the pool of a target, its position there and the settings.
+    pub(crate) fn find(&mut self, target: &TargetName) -> Option<Found<'_>> {
+        let pool = self.pools.get_mut(self.homes.get(target)?)?;
+        let index = pool.targets.get_index_of(target)?;
+        Some(Found { pool, index, settings: &self.settings })
+    }
 
-    /// Removes a waiting call; returns whether it waited.
-    pub fn cancel(&mut self, _now: Instant, _call: CallId) -> bool {
-        false
+    /// Takes one target of the list.
+    fn take_listed(&mut self, now: Instant, info: &TargetInfo) {
+        let near = info.centre == self.own.centre;
+        let taken_out = self.taken_out.contains(&info.centre);
+        if self.homes.get(&info.name).is_some_and(|home| *home != info.pool) {
+            self.forget(&info.name);
+        }
+        let Some(pool) = self.pools.get_mut(&info.pool) else {
+            return;
+        };
+        self.homes.insert(info.name.clone(), info.pool.clone());
+        if !pool.targets.contains_key(&info.name) {
+            pool.insert(Target::new(now, info.clone(), near));
+        }
+        if let Some(target) = pool.targets.get_mut(&info.name) {
+            target.take_info(now, info, near);
+            target.taken_out = taken_out;
+        }
     }
 
-    /// Returns the waiting calls that can be sent, or are refused, by now.
-    pub fn take_ready(&mut self, _now: Instant) -> Vec<Ready> {
-        Vec::new()
+    /// Drops targets that are neither listed nor heard for long.
+    fn drop_absent(&mut self, now: Instant) {
+        let age = self.settings.drop_after;
+        let all = self.pools.values().flat_map(|p| p.targets.values());
+        let gone = all.filter(|t| !t.listed && t.running == 0 && now.since(t.heard) >= age);
+        let names: Vec<TargetName> = gone.map(|t| t.info.name.clone()).collect();
+        for name in names {
+            self.forget(&name);
+        }
     }
 
-    /// Returns the time at which `take_ready` and `take_messages` are to be called at the latest.
-    pub fn next_wake(&self, now: Instant) -> Instant {
-        now + Duration::from_millis(100)
+    /// Removes a target.
+    fn forget(&mut self, name: &TargetName) {
+        if let Some(found) = self.find(name) {
+            found.pool.remove(found.index);
+        }
+        self.homes.swap_remove(name);
     }
 
-    /// Takes a message of an issuer.
-    pub fn handle_grant(&mut self, _now: Instant, _message: &GrantMessage) {}
+    /// Chooses which targets this entry sends to.
+    fn choose_subset(&mut self) {
+        let own_hash = subset::name_hash(self.own.id.name.as_str());
+        let mut centres: IndexMap<CentreName, Vec<Ranked>> = IndexMap::new();
+        for pool in self.pools.values_mut() {
+            for target in pool.targets.values_mut() {
+                let centre = &target.info.centre;
+                if !centres.contains_key(centre) {
+                    centres.insert(centre.clone(), ranked(&self.entries, centre));
+                }
+                let entries = centres.get(centre).map_or(&[][..], |e| e.as_slice());
+                let own = Ranked { hash: own_hash, near: target.near };
+                let hash = subset::name_hash(target.info.name.as_str());
+                target.known = subset::knows(own, hash, entries, self.settings.target_entries);
+            }
+            pool.top_up(own_hash, self.settings.pool_targets);
+        }
+        self.bound_limits();
+    }
 
-    /// Returns the messages for issuers.
-    pub fn take_messages(&mut self, _now: Instant) -> Vec<GrantOutput> {
-        Vec::new()
+    /// Sets the own shares of the targets' limits.
+    fn bound_limits(&mut self) {
+        let places = self.settings.target_entries;
+        for pool in self.pools.values_mut() {
+            for index in 0..pool.targets.len() {
+                let Some((_, target)) = pool.targets.get_index(index) else {
+                    continue;
+                };
+                let centre = &target.info.centre;
+                let near = self.entries.iter().filter(|e| e.centre == *centre).count();
+                let (near, far) = subset::split(places, near, self.entries.len() - near);
+                let share = pool.share(target.near, near, far);
+                let most = f64::from(pool.config.warm_limit);
+                if let Some((_, target)) = pool.targets.get_index_mut(index) {
+                    target.share = share;
+                    target.bound(most);
+                }
+            }
+        }
     }
 
-    /// Returns the time after which a hedge of a call to `pool` is worth it, once measured.
-    pub fn hedge_after(&self, _pool: &PoolName) -> Option<Duration> {
-        None
+    /// Brings what choices read of all targets up to date.
+    pub(crate) fn refresh_all(&mut self, now: Instant) {
+        for pool in self.pools.values_mut() {
+            pool.refresh_all(now, &self.settings);
+        }
     }
 }
+
+/// Returns the entries as the ranking for targets of `centre` sees them.
+fn ranked(entries: &[EntryInfo], centre: &CentreName) -> Vec<Ranked> {
+    let one = |e: &EntryInfo| Ranked {
+        hash: subset::name_hash(e.id.name.as_str()),
+        near: e.centre == *centre,
+    };
+    entries.iter().map(one).collect()
+}
--- /dev/null
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -0,0 +1,328 @@
+//! State that an entry keeps of one target.
+
+use std::time::Duration;
+
+use crate::document::Pool;
+use crate::ids::Incarnation;
+use crate::lease::LeaseSettings;
+use crate::lease::message::GrantId;
+use crate::routing::limit::Limit;
+use crate::routing::settings::RouterSettings;
+use crate::routing::types::Liveness;
+use crate::routing::types::LoadReport;
+use crate::routing::types::TargetInfo;
+use crate::time::Instant;
+
+/// Weight of a new sample in the short average of call times.
+const SHORT_WEIGHT: f64 = 0.3;
+/// Weight of a new sample in the long average of call times.
+const LONG_WEIGHT: f64 = 0.03;
+/// Ratio of the short average to the long one, and to the pool's, that counts as a step.
+const STEP_RATIO: f64 = 4.0;
+/// Consecutive failures after which a target gets nothing but probes.
+const DOWN_AFTER: u32 = 2;
+/// Multiple of the own share that a limit may reach at a target that reports no load.
+const UNREPORTED_FACTOR: f64 = 2.0;
+/// Time for which a target that refused a call is left alone.
+const REFUSED_PAUSE: Duration = Duration::from_millis(20);
+/// Consecutive refusals at light load after which a target is taken for cold.
+const REFUSALS_MAX: u32 = 3;
+/// Age of a load report up to which it tells that a target's load is light.
+const REPORT_AGE: Duration = Duration::from_secs(2);
+/// Part of a grant's time after which a request for one gets a new number.
+const RENUMBER_PART: u32 = 4;
+/// Share of a call's time that an idle target is expected to take.
+const IDLE_SHARE: f64 = 0.5;
+
+/// Whether a target bears full load, as far as this entry has proof.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Warmth {
+    /// No proof yet: calls need grants.
+    Cold,
+    /// There was proof, but the target may have turned cold since: calls need grants.
+    Suspect,
+    /// Proved by an own call and the issuer: calls need no grant.
+    Warm,
+}
+
+/// Grant in hand.
+#[derive(Clone, Debug)]
+pub(crate) struct Grant {
+    pub id: GrantId,
+    pub got: Instant,
+    pub until: Instant,
+}
+
+/// Grant request that was sent.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Pending {
+    pub number: u64,
+    pub sent: Instant,
+}
+
+/// What a choice reads of a target: kept apart, so that a scan over many targets is quick.
+#[derive(Clone, Copy, Debug, Default)]
+pub(crate) struct Hot {
+    /// Expected time of a call, in microseconds.
+    pub score: f32,
+    /// Calls that the target is expected to bear for this entry.
+    pub capacity: u32,
+    pub open: bool,
+    pub near: bool,
+    pub cold: bool,
+}
+
+/// State that an entry keeps of one target.
+#[derive(Debug)]
+pub(crate) struct Target {
+    pub info: TargetInfo,
+    pub near: bool,
+    /// Whether this entry is among those that send to the target.
+    pub known: bool,
+    /// Whether the platform's list has the target.
+    pub listed: bool,
+    /// Last time that the target was listed or gave a sign of itself.
+    pub heard: Instant,
+    /// Whether the target itself said that it is leaving.
+    pub leaving: bool,
+    /// Whether operators have taken out the target's data centre.
+    pub taken_out: bool,
+    pub warmth: Warmth,
+    pub incarnation: Option<Incarnation>,
+    /// Incarnation before the present one, whose late reports don't count.
+    pub retired: Option<Incarnation>,
+    pub sequence: Option<u64>,
+    /// Grant of the last answered call, until the target is suspected.
+    pub proof: Option<GrantId>,
+    pub running: u32,
+    pub limit: Limit,
+    /// Own share of the target's limit.
+    pub share: f64,
+    pub short: f64,
+    pub long: f64,
+    /// Calls of other entries, by the last load report.
+    pub others: f64,
+    pub reported: Option<Instant>,
+    pub failures: u32,
+    pub refusals: u32,
+    pub down_until: Instant,
+    pub grants: Vec<Grant>,
+    pub pending: Option<Pending>,
+    pub ask_after: Instant,
+}
+
+impl Target {
+    /// Creates the state of a target that is not yet proved warm.
+    pub fn new(now: Instant, info: TargetInfo, near: bool) -> Self {
+        Self {
+            info,
+            near,
+            known: true,
+            listed: true,
+            heard: now,
+            leaving: false,
+            taken_out: false,
+            warmth: Warmth::Cold,
+            incarnation: None,
+            retired: None,
+            sequence: None,
+            proof: None,
+            running: 0,
+            limit: Limit::new(1.0, 1.0),
+            share: 1.0,
+            short: 0.0,
+            long: 0.0,
+            others: 0.0,
+            reported: None,
+            failures: 0,
+            refusals: 0,
+            down_until: Instant::ZERO,
+            grants: Vec::new(),
+            pending: None,
+            ask_after: Instant::ZERO,
+        }
+    }
+
+    /// Takes what the platform's list says of the target.
+    pub fn take_info(&mut self, now: Instant, info: &TargetInfo, near: bool) {
+        self.info = info.clone();
+        self.near = near;
+        self.listed = true;
+        self.heard = now;
+    }
+
+    /// Takes a load report; returns whether it shows that the target has restarted.
+    pub fn take_report(&mut self, now: Instant, report: &LoadReport, most: f64) -> bool {
+        self.heard = now;
+        let late = report.incarnation.is_some() && report.incarnation == self.retired;
+        if late {
+            return false;
+        }
+        let new = report.incarnation.is_some()
+            && self.incarnation.is_some()
+            && report.incarnation != self.incarnation;
+        let lower = report.sequence.is_some() && report.sequence < self.sequence;
+        self.sequence = report.sequence;
+        self.leaving = report.leaving || (self.leaving && !new);
+        let all = f64::from(report.running) + f64::from(report.waiting);
+        self.others = (all - f64::from(self.running)).max(0.0);
+        self.reported = Some(now);
+        self.bound(most);
+        if new {
+            self.retired = self.incarnation;
+            self.incarnation = report.incarnation;
+        }
+        new || (lower && report.incarnation.is_none())
+    }
+
+    /// Bounds the own limit by what the target bears in all and others are known to use.
+    pub fn bound(&mut self, most: f64) {
+        let spare = match self.reported {
+            Some(_) => most - self.others,
+            None => self.share * UNREPORTED_FACTOR,
+        };
+        self.limit.set_bounds(self.share, spare.min(most));
+    }
+
+    /// Tells whether the target may get new work at all.
+    pub fn takes_work(&self) -> bool {
+        let leaving = self.leaving || self.info.liveness == Liveness::Leaving;
+        self.known && !leaving && !self.taken_out
+    }
+
+    /// Tells whether the target fails and gets nothing but probes.
+    pub fn is_down(&self) -> bool {
+        self.failures >= DOWN_AFTER
+    }
+
+    /// Tells whether a call can be sent now.
+    pub fn is_open(&self, now: Instant) -> bool {
+        if !self.takes_work() || now < self.down_until {
+            return false;
+        }
+        match self.warmth {
+            Warmth::Warm if self.is_down() => self.running == 0,
+            Warmth::Warm => self.running < self.limit.calls(),
+            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.until),
+        }
+    }
+
+    /// Returns what a choice reads of the target.
+    pub fn hot(&self, now: Instant, pool: &Pool, latency: f64, set: &RouterSettings) -> Hot {
+        let latency = if self.short > 0.0 { self.short } else { latency };
+        let fresh = self.reported.is_some_and(|at| now.since(at) < set.report_age);
+        let others = if fresh { self.others } else { 0.0 };
+        let load = (f64::from(self.running) + others) / f64::from(pool.warm_limit.max(1));
+        let far = if self.near { 0.0 } else { set.far_penalty.as_micros() as f64 };
+        let cold = self.warmth != Warmth::Warm;
+        Hot {
+            score: (latency * (IDLE_SHARE + load) + far) as f32,
+            capacity: self.capacity(),
+            open: self.is_open(now),
+            near: self.near,
+            cold,
+        }
+    }
+
+    /// Returns the calls that the target is expected to bear for this entry, also when down.
+    fn capacity(&self) -> u32 {
+        let proved = self.warmth == Warmth::Warm && !self.is_down();
+        match (self.takes_work(), proved) {
+            (false, _) => 0,
+            (true, true) => self.limit.calls().max(self.limit.share() as u32),
+            (true, false) => self.limit.share() as u32,
+        }
+    }
+
+    /// Takes the time of an answered call; returns whether it shows a step against the pool.
+    pub fn measure(&mut self, latency: Duration, pool_micros: f64) -> bool {
+        let micros = latency.as_micros() as f64;
+        if self.long == 0.0 {
+            self.short = micros;
+            self.long = micros;
+            return false;
+        }
+        self.short += (micros - self.short) * SHORT_WEIGHT;
+        self.long += (micros - self.long) * LONG_WEIGHT;
+        self.short > self.long * STEP_RATIO && self.short > pool_micros * STEP_RATIO
+    }
+
+    /// Takes an answer; returns whether it came from another incarnation than the known one.
+    pub fn answered(&mut self, now: Instant, incarnation: Option<Incarnation>) -> bool {
+        self.heard = now;
+        self.failures = 0;
+        self.refusals = 0;
+        self.down_until = Instant::ZERO;
+        let other = self.incarnation.is_some() && incarnation != self.incarnation;
+        if other {
+            self.retired = self.incarnation;
+        }
+        self.incarnation = incarnation;
+        other
+    }
+
+    /// Takes a failure; once there are `DOWN_AFTER` in a row, the target is left alone a while.
+    pub fn failed(&mut self, now: Instant, at_once: bool, set: &RouterSettings) {
+        self.failures = self.failures.saturating_add(1);
+        if at_once {
+            self.failures = self.failures.max(DOWN_AFTER);
+        }
+        if !self.is_down() {
+            return;
+        }
+        let doublings = (self.failures - DOWN_AFTER).min(16);
+        let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
+        self.down_until = now + pause;
+    }
+
+    /// Takes a refusal; returns whether it shows that the target bears less than it did.
+    pub fn refused(&mut self, now: Instant, most: f64) -> bool {
+        self.heard = now;
+        self.limit.refused(now);
+        self.refusals = self.refusals.saturating_add(1);
+        self.down_until = self.down_until.max(now + REFUSED_PAUSE);
+        let reported = self.reported.is_some_and(|at| now.since(at) < REPORT_AGE);
+        let light = self.others + f64::from(self.running) < most / 2.0;
+        self.refusals >= REFUSALS_MAX && reported && light
+    }
+
+    /// Tells whether a grant would be of use now.
+    pub fn wants_grant(&self, now: Instant) -> bool {
+        let proved = self.warmth == Warmth::Warm;
+        self.takes_work() && !proved && now >= self.down_until && self.grants.is_empty()
+    }
+
+    /// Returns the number of a grant request that is due now: a new one, or one sent again.
+    ///
+    /// A request that is sent again keeps its number and the time of its first sending, from which
+    /// the grant's time counts.
+    pub fn due_request(
+        &mut self,
+        now: Instant,
+        lease: &LeaseSettings,
+        next: &mut u64,
+    ) -> Option<u64> {
+        if now < self.ask_after {
+            return None;
+        }
+        self.ask_after = now + lease.resend;
+        let old = |p: &Pending| now.since(p.sent) >= lease.grant / RENUMBER_PART;
+        self.pending.take_if(|p| old(p));
+        let pending = self.pending.get_or_insert_with(|| {
+            *next += 1;
+            Pending { number: *next, sent: now }
+        });
+        Some(pending.number)
+    }
+
+    /// Takes the target for possibly cold; returns whether it was taken for warm before.
+    pub fn suspect(&mut self) -> bool {
+        let was_warm = self.warmth == Warmth::Warm;
+        if was_warm {
+            self.warmth = Warmth::Suspect;
+        }
+        self.proof = None;
+        self.limit.restart();
+        was_warm
+    }
+}
--- a/hawthornkeel_core/src/routing/types.rs
+++ b/hawthornkeel_core/src/routing/types.rs
@@ -208,8 +208,8 @@
     pub until: Instant,
     /// Grant that the call is made under, where the target is cold.
     pub grant: Option<GrantId>,
-    /// Whether the call was a hedge.
-    pub(crate) hedge: bool,
+    /// Hash of the prompt's prefix, where the stage has one.
+    pub(crate) prefix: Option<u64>,
 }
 
 /// Decision about a call.
