--- /dev/null
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -0,0 +1,398 @@
+//! Way of requests through an entry, and the messages between entries.
+
+use std::time::Duration;
+
+use hawthornkeel_core::ids::AttemptNumber;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::ids::StageIndex;
+use hawthornkeel_core::lease::GrantMessage;
+use hawthornkeel_core::lease::VoteMessage;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::routing::Admission;
+use hawthornkeel_core::routing::CallOutcome;
+use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::LoadReport;
+use hawthornkeel_core::routing::Repeat;
+use hawthornkeel_core::routing::RequestPlan;
+use hawthornkeel_core::routing::StageRequest;
+use hawthornkeel_core::time::Instant;
+use rand::Rng;
+
+use crate::entry::Policy;
+use crate::entry::voters;
+use crate::sites::CENTRES;
+use crate::sites::DEADLINE;
+use crate::sites::POOLS;
+use crate::sites::centre;
+use crate::sites::workspace as workspace_name;
+use crate::stats::End;
+use crate::world::Event;
+use crate::world::Request;
+use crate::world::World;
+
+/// Calls for a stage, at most.
+const ATTEMPTS: u16 = 3;
+/// Lag of a load report.
+const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Pause between load reports.
+const REPORT_PAUSE: Duration = Duration::from_millis(500);
+
+impl World {
+    /// Takes a caller's request at one of the entries that can be reached.
+    pub fn submit(&mut self, workspace: usize, arrived: Instant) {
+        let cut = self.cut.clone();
+        let reachable = |e: &usize| {
+            let entry = &self.entries[*e];
+            entry.alive && cut.as_ref() != Some(&entry.centre)
+        };
+        let open: Vec<usize> = (0..self.entries.len()).filter(reachable).collect();
+        let deadline = arrived + DEADLINE;
+        if open.is_empty() || self.now >= deadline {
+            return self.end_unserved(workspace, arrived);
+        }
+        let entry = open[self.rng.random_range(0..open.len())];
+        self.next_id += 1;
+        let id = RequestId(u128::from(self.next_id));
+        let request = Request {
+            entry,
+            workspace,
+            arrived,
+            deadline,
+            stage: 0,
+            attempt: 0,
+            excluded: Vec::new(),
+            ran: false,
+            held: [0.0; POOLS.len()],
+        };
+        if let Policy::Ours(ours) = &mut self.entries[entry].policy {
+            let plan = RequestPlan {
+                request: id,
+                workspace: workspace_name(workspace).as_str().into(),
+                pools: POOLS.iter().map(|p| p.name.into()).collect(),
+                deadline,
+                floor: floor_from(0),
+            };
+            if let Admission::Refused { reason, .. } = ours.router.admit(self.now, &plan) {
+                *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
+                return self.close(&request, End::Refused);
+            }
+        }
+        self.requests.insert(id, request);
+        self.start_call(id);
+    }
+
+    /// Asks the entry's policy for a target.
+    fn start_call(&mut self, id: RequestId) {
+        let Some(request) = self.requests.get(&id) else {
+            return;
+        };
+        let (stage, entry, deadline) = (request.stage, request.entry, request.deadline);
+        let call = call_id(id, request);
+        let asked = stage_request(call, request, &self.targets);
+        match &mut self.entries[entry].policy {
+            Policy::Plain(plain) => {
+                if let Some(target) = plain.choose(stage, call, deadline) {
+                    self.dispatch(id, target, None);
+                }
+            }
+            Policy::Ours(ours) => {
+                let decision = ours.router.choose(self.now, &asked);
+                self.decided(id, decision);
+            }
+        }
+        self.pump(entry);
+    }
+
+    /// Acts on a decision of our router.
+    fn decided(&mut self, id: RequestId, decision: Decision) {
+        match decision {
+            Decision::Send { target, permit, reason, .. } => {
+                *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
+                let found = self.targets.iter().position(|t| t.info.name == target);
+                if let Some(index) = found {
+                    self.dispatch(id, index, Some(permit));
+                }
+            }
+            Decision::Wait { reason, .. } => {
+                *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
+            }
+            Decision::Refuse { reason, .. } => {
+                *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
+                if let Some(request) = self.drop_request(id) {
+                    self.close(&request, End::Refused);
+                }
+            }
+        }
+    }
+
+    /// Removes a request from its entry.
+    pub fn drop_request(&mut self, id: RequestId) -> Option<Request> {
+        let request = self.requests.swap_remove(&id)?;
+        if let Policy::Ours(ours) = &mut self.entries[request.entry].policy {
+            ours.router.cancel(self.now, call_id(id, &request));
+            ours.router.leave(self.now, id);
+        }
+        Some(request)
+    }
+
+    /// Takes the end of a call; one that has ended before is ignored.
+    pub fn call_ended(&mut self, number: u64, outcome: CallOutcome) {
+        let Some(call) = self.calls.swap_remove(&number) else {
+            return;
+        };
+        let answered = matches!(outcome, CallOutcome::Answered { .. });
+        let target = &mut self.targets[call.target];
+        if call.ran && target.incarnation == call.incarnation {
+            target.end(answered);
+        }
+        let busy = if call.ran { self.now.since(call.started).as_secs_f64() } else { 0.0 };
+        self.stats.busy[call.stage] += busy;
+        let entry = &mut self.entries[call.entry];
+        let alive = entry.alive && entry.id.boot == call.boot;
+        if alive {
+            match (&mut entry.policy, call.permit) {
+                (Policy::Ours(ours), Some(permit)) => {
+                    ours.router.finished(self.now, permit, outcome);
+                }
+                (Policy::Plain(plain), _) => plain.finished(call.stage, call.target),
+                _ => {}
+            }
+        }
+        let waits = self.requests.get(&call.request).is_some_and(|r| r.stage == call.stage);
+        if !alive || !waits || !answered {
+            self.stats.wasted[call.stage] += busy;
+        }
+        if alive && waits {
+            self.advance(call.request, call.target, answered, busy, outcome);
+        }
+        self.pump(call.entry);
+    }
+
+    /// Takes a request to its next stage, attempt or end.
+    fn advance(&mut self, id: RequestId, target: usize, ok: bool, busy: f64, out: CallOutcome) {
+        let late = self.requests.get(&id).is_some_and(|r| self.now >= r.deadline);
+        let Some(request) = self.requests.get_mut(&id) else {
+            return;
+        };
+        let end = if ok {
+            request.held[request.stage] += busy;
+            request.stage += 1;
+            (request.attempt, request.ran) = (0, false);
+            request.excluded.clear();
+            (request.stage == POOLS.len()).then_some(End::Answered)
+        } else {
+            let ran = !matches!(out, CallOutcome::Refused | CallOutcome::ConnectFailed);
+            request.ran |= ran;
+            request.attempt += 1;
+            request.excluded.push(target);
+            let most =
+                if ran || self.run.kind == crate::entry::PolicyKind::Plain { ATTEMPTS } else { 50 };
+            (request.attempt >= most).then_some(End::Failed)
+        };
+        let end = if late { Some(End::Late) } else { end };
+        match end {
+            Some(end) => {
+                if let Some(request) = self.drop_request(id) {
+                    self.close(&request, end);
+                }
+            }
+            None => self.start_call(id),
+        }
+    }
+
+    /// Takes what an entry's policy has ready, and sends its messages.
+    fn pump(&mut self, entry: usize) {
+        if !self.entries[entry].alive {
+            return;
+        }
+        match &mut self.entries[entry].policy {
+            Policy::Plain(plain) => {
+                for (call, target) in plain.take_ready(self.now) {
+                    match target {
+                        Some(target) if self.requests.contains_key(&call.request) => {
+                            self.dispatch(call.request, target, None);
+                        }
+                        Some(target) => {
+                            if let Policy::Plain(p) = &mut self.entries[entry].policy {
+                                p.finished(usize::from(call.stage.0), target);
+                            }
+                        }
+                        None => {
+                            if let Some(request) = self.drop_request(call.request) {
+                                self.close(&request, End::Late);
+                            }
+                        }
+                    }
+                }
+            }
+            Policy::Ours(ours) => {
+                let ready = ours.router.take_ready(self.now);
+                let messages = ours.router.take_messages(self.now);
+                for one in ready {
+                    self.decided(one.call.request, one.decision);
+                }
+                for out in messages {
+                    let to = self.entries.iter().position(|e| e.id == out.issuer);
+                    if let Some(to) = to {
+                        self.stats.grant_messages += 1;
+                        self.send(
+                            entry,
+                            to,
+                            Event::ToIssuer { from: entry, to, message: out.message },
+                        );
+                    }
+                }
+            }
+        }
+    }
+
+    /// Sends a message between entries, unless they can't reach each other.
+    fn send(&mut self, from: usize, to: usize, event: Event) {
+        let (a, b) = (&self.entries[from].centre, &self.entries[to].centre);
+        if self.linked(a, b) {
+            self.at(self.now + self.delay(a, b), event);
+        }
+    }
+
+    /// Does an entry's periodic work.
+    pub fn tick(&mut self, entry: usize) {
+        self.pump(entry);
+        let now = self.now;
+        if !self.entries[entry].alive {
+            return;
+        }
+        let Policy::Ours(ours) = &mut self.entries[entry].policy else {
+            return;
+        };
+        let ask = ours.holder.tick(now);
+        let outputs = ours.issuer.tick(now, &ours.holder);
+        let announce = ask.as_ref().and_then(|_| ours.issuer.announce(now, &ours.holder));
+        if let Some(message) = ask {
+            let own = entry % CENTRES;
+            for to in voters(own) {
+                let (centre, message) = (centre(own), message.clone());
+                self.stats.lease_messages += 1;
+                self.send(entry, to, Event::Vote { from: entry, to, centre, message });
+            }
+        }
+        self.send_outputs(entry, outputs);
+        if let Some(message) = announce {
+            for to in 0..self.entries.len() {
+                let message = message.clone();
+                self.stats.lease_messages += 1;
+                self.send(entry, to, Event::ToEntry { to, message });
+            }
+        }
+    }
+
+    /// Sends an issuer's messages.
+    fn send_outputs(&mut self, from: usize, outputs: Vec<hawthornkeel_core::lease::IssuerOutput>) {
+        for out in outputs {
+            let to = self.entries.iter().position(|e| e.id == out.to);
+            if let Some(to) = to {
+                self.stats.grant_messages += 1;
+                self.send(from, to, Event::ToEntry { to, message: out.message });
+            }
+        }
+    }
+
+    /// Takes a message of the lease.
+    pub fn vote(&mut self, from: usize, to: usize, centre: CentreName, message: VoteMessage) {
+        let now = self.now;
+        let entry = &mut self.entries[to];
+        let (true, Policy::Ours(ours)) = (entry.alive, &mut entry.policy) else {
+            return;
+        };
+        if let VoteMessage::Reply { .. } = message {
+            ours.holder.handle(now, &message);
+            return;
+        }
+        let voter = ours.voters.iter_mut().find(|(c, _)| *c == centre);
+        if let Some(reply) = voter.and_then(|(_, v)| v.handle(now, &message)) {
+            self.stats.lease_messages += 1;
+            self.send(to, from, Event::Vote { from: to, to: from, centre, message: reply });
+        }
+    }
+
+    /// Takes an entry's message at the issuer.
+    pub fn to_issuer(&mut self, from: usize, to: usize, message: GrantMessage) {
+        let sender = self.entries[from].id.clone();
+        let entry = &mut self.entries[to];
+        if let (true, Policy::Ours(ours)) = (entry.alive, &mut entry.policy) {
+            let outputs = ours.issuer.handle(self.now, &ours.holder, &sender, &message);
+            self.send_outputs(to, outputs);
+        }
+    }
+
+    /// Takes an issuer's message at an entry.
+    pub fn to_entry(&mut self, to: usize, message: GrantMessage) {
+        let entry = &mut self.entries[to];
+        if let (true, Policy::Ours(ours)) = (entry.alive, &mut entry.policy) {
+            ours.router.handle_grant(self.now, &message);
+            self.pump(to);
+        }
+    }
+
+    /// Lets a target report its load to all entries.
+    pub fn report(&mut self, target: usize) {
+        let t = &self.targets[target];
+        let (running, incarnation) = (t.running, Some(t.incarnation));
+        let report = LoadReport { incarnation, running, ..LoadReport::default() };
+        let up = self.now >= t.dead_until;
+        for entry in 0..self.entries.len() {
+            if up && self.linked(&self.entries[entry].centre, &self.targets[target].info.centre) {
+                self.at(self.now + REPORT_LAG, Event::Heard { entry, target, report });
+            }
+        }
+        self.at(self.now + REPORT_PAUSE, Event::Report { target });
+    }
+
+    /// Takes a load report at an entry.
+    pub fn heard(&mut self, entry: usize, target: usize, report: LoadReport) {
+        let name = self.targets[target].info.name.clone();
+        if let Policy::Ours(ours) = &mut self.entries[entry].policy {
+            ours.router.report_load(self.now, &name, report);
+        }
+    }
+
+    /// Takes the loss of a target's connections at an entry.
+    pub fn lost(&mut self, entry: usize, target: usize) {
+        let name = self.targets[target].info.name.clone();
+        if let Policy::Ours(ours) = &mut self.entries[entry].policy {
+            ours.router.connection_lost(self.now, &name);
+        }
+    }
+}
+
+/// Returns the identity of a request's present call.
+fn call_id(request: RequestId, of: &Request) -> CallId {
+    let (stage, attempt) = (StageIndex(of.stage as u16), AttemptNumber(of.attempt));
+    CallId { request, stage, attempt }
+}
+
+/// Returns the shortest time that the stages from `stage` on take.
+fn floor_from(stage: usize) -> Duration {
+    POOLS.iter().skip(stage).map(|p| p.time / 2).sum()
+}
+
+/// Returns what the router is asked.
+fn stage_request(call: CallId, of: &Request, targets: &[crate::target::Target]) -> StageRequest {
+    let repeat = match (of.attempt, of.ran) {
+        (0, _) => Repeat::First,
+        (_, true) => Repeat::MayHaveRun,
+        (_, false) => Repeat::NotRun,
+    };
+    StageRequest {
+        call,
+        workspace: workspace_name(of.workspace).as_str().into(),
+        pool: POOLS[of.stage].name.into(),
+        deadline: of.deadline,
+        floor: POOLS[of.stage].time / 2,
+        remaining: floor_from(of.stage + 1),
+        later: POOLS.iter().skip(of.stage + 1).map(|p| p.name.into()).collect(),
+        excluded: of.excluded.iter().map(|t| targets[*t].info.name.clone()).collect(),
+        repeat,
+        ..StageRequest::default()
+    }
+}
