--- a/hawthornkeel_core/benches/policy/entry.rs
+++ b/hawthornkeel_core/benches/policy/entry.rs
@@ -1,5 +1,6 @@
 //! Entry instance: our router with its part in the lease, or the baseline.
 
+use hawthornkeel_core::ids::Incarnation;
 use hawthornkeel_core::lease::Holder;
 use hawthornkeel_core::lease::Issuer;
 use hawthornkeel_core::lease::LeaseSettings;
@@ -12,6 +13,7 @@
 use hawthornkeel_core::routing::RouterSettings;
 use hawthornkeel_core::routing::TargetInfo;
 use hawthornkeel_core::time::Instant;
+use indexmap::IndexMap;
 
 use crate::plain::Plain;
 use crate::sites::CENTRES;
@@ -47,6 +49,8 @@
     pub centre: CentreName,
     pub alive: bool,
     pub policy: Policy,
+    /// Incarnation that the entry's connections to each target lead to.
+    pub connected: IndexMap<usize, Incarnation>,
 }
 
 /// Returns the name of an entry.
@@ -79,7 +83,7 @@
             PolicyKind::Plain => Policy::Plain(Plain::new(index)),
             PolicyKind::Ours => Policy::Ours(Box::new(start_ours(now, index, boot, list))),
         };
-        Self { id: own.id, centre: own.centre, alive: true, policy }
+        Self { id: own.id, centre: own.centre, alive: true, policy, connected: IndexMap::new() }
     }
 }
 
--- a/hawthornkeel_core/benches/policy/flow.rs
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -74,6 +74,9 @@
                 floor: floor_from(0),
             };
             if let Admission::Refused { reason, .. } = ours.router.admit(self.now, &plan) {
+                if World::counts(arrived) {
+                    *self.stats.refusals.entry((reason.as_str(), 9, 0)).or_default() += 1;
+                }
                 *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
                 return self.close(&request, End::Refused);
             }
@@ -118,6 +121,11 @@
                 *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
             }
             Decision::Refuse { reason, .. } => {
+                if World::counts(self.requests.get(&id).map_or(Instant::ZERO, |r| r.arrived)) {
+                    let stage = self.requests.get(&id).map_or(0, |r| r.stage);
+                    let attempt = self.requests.get(&id).map_or(0, |r| r.attempt);
+                    *self.stats.refusals.entry((reason.as_str(), stage, attempt)).or_default() += 1;
+                }
                 *self.stats.reasons.entry(reason.as_str()).or_default() += 1;
                 if let Some(request) = self.drop_request(id) {
                     self.close(&request, End::Refused);
@@ -359,6 +367,7 @@
     /// Takes the loss of a target's connections at an entry.
     pub fn lost(&mut self, entry: usize, target: usize) {
         let name = self.targets[target].info.name.clone();
+        self.entries[entry].connected.swap_remove(&target);
         if let Policy::Ours(ours) = &mut self.entries[entry].policy {
             ours.router.connection_lost(self.now, &name);
         }
--- a/hawthornkeel_core/benches/policy/main.rs
+++ b/hawthornkeel_core/benches/policy/main.rs
@@ -1,7 +1,7 @@
 //! Our policy beside a plain baseline on stand-in targets, on a virtual clock.
 //!
 //! Prints attainment, cost by stage and service by second, and fails on bounds taken from the
-//! stated targets. `cargo bench -p hawthornkeel_core --bench policy [-- SEED]`.
+//! stated targets. `cargo bench -p hawthornkeel_core --bench policy [-- SEED [LOAD]]`.
 
 mod entry;
 mod faults;
@@ -65,6 +65,7 @@
     if std::env::var_os("POLICY_DETAIL").is_some() {
         println!("      ours {:?}", ours.reasons);
         println!("      refused {} late {} failed {}", ours.refused, ours.late, ours.failed);
+        println!("      {:?}", ours.refusals);
         println!("      by workspace {:?}", ours.by_workspace);
     }
     check(load, fault, &ours)
@@ -126,14 +127,15 @@
 }
 
 fn main() -> ExitCode {
-    let given = std::env::args().skip(1).find_map(|a| a.parse().ok());
-    let seed = given.unwrap_or(SEED);
+    let numbers: Vec<u64> = std::env::args().skip(1).filter_map(|a| a.parse().ok()).collect();
+    let seed = numbers.first().copied().unwrap_or(SEED);
+    let only = numbers.get(1).map(|percent| *percent as f64 / 100.0);
     println!(
         "seed {seed}; columns: attained, answers/bearable, wasted, worst second, time to level, cold falls"
     );
     println!("load fault                   | ours                                        | plain");
     let mut broken = Vec::new();
-    for load in LOADS {
+    for load in LOADS.into_iter().filter(|l| only.is_none_or(|o| o == *l)) {
         for fault in Fault::ALL {
             broken.extend(compare(load, fault, seed));
         }
--- a/hawthornkeel_core/benches/policy/stats.rs
+++ b/hawthornkeel_core/benches/policy/stats.rs
@@ -1,7 +1,5 @@
 //! What a run measures.
 
-use std::time::Duration;
-
 use hawthornkeel_core::time::Instant;
 
 use crate::sites::POOLS;
@@ -26,9 +24,9 @@
     /// Requests that arrived and those of them answered in full, by second of arrival.
     pub offered_by: Vec<u64>,
     pub answered_by: Vec<u64>,
-    /// Times from a restart of a target to its full limit in use or its end as cold.
-    pub warm_times: Vec<Duration>,
     pub reasons: std::collections::BTreeMap<&'static str, u64>,
+    /// Refusals by reason, stage and attempt; admission counts as stage 9.
+    pub refusals: std::collections::BTreeMap<(&'static str, usize, u16), u64>,
     pub grant_messages: u64,
     pub lease_messages: u64,
     pub by_workspace: Vec<(u64, u64)>,
--- a/hawthornkeel_core/benches/policy/target.rs
+++ b/hawthornkeel_core/benches/policy/target.rs
@@ -27,6 +27,8 @@
     Refused,
     /// The target answers with an error at once.
     Failed,
+    /// The connection leads to a process that is gone.
+    Broken,
     /// There is no process.
     Gone,
     /// The target fell over: this call and all that ran are lost.
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -29,6 +29,7 @@
 use crate::stats::End;
 use crate::stats::Stats;
 use crate::stats::second;
+use crate::target::Taken;
 use crate::target::Target;
 
 /// Load before the measure, for warming up, as a share of what targets bear.
@@ -131,6 +132,9 @@
         for spec in POOLS {
             targets.extend((0..spec.count).map(|i| Target::new(spec, &centre(i), i)));
         }
+        if run.kind == PolicyKind::Plain {
+            targets.iter_mut().for_each(|t| t.answers = t.spec.warm_after);
+        }
         let list: Vec<TargetInfo> = targets.iter().map(|t| t.info.clone()).collect();
         let entry = |i| Entry::start(Instant::ZERO, i, 0, run.kind, &list);
         Self {
@@ -241,11 +245,27 @@
         let from = self.entries[entry].centre.clone();
         let to = self.targets[target].info.centre.clone();
         let (linked, round) = (self.linked(&from, &to), self.delay(&from, &to) * 2);
-        let taken =
-            if linked { Some(self.targets[target].take(self.now, &mut self.rng)) } else { None };
+        let taken = match linked {
+            true if self.connect(entry, target) => {
+                Some(self.targets[target].take(self.now, &mut self.rng))
+            }
+            true => Some(Taken::Broken),
+            false => None,
+        };
         use_taken(self, id, entry, stage, target, permit, taken, round);
     }
 
+    /// Uses an entry's connection to a target, or makes one; returns whether it holds.
+    fn connect(&mut self, entry: usize, target: usize) -> bool {
+        let present = self.targets[target].incarnation;
+        let connected = &mut self.entries[entry].connected;
+        let known = *connected.entry(target).or_insert(present);
+        if known != present {
+            connected.swap_remove(&target);
+        }
+        known == present
+    }
+
     /// Ends a call with a reset wherever it runs at a target that lost its process.
     pub fn reset_calls(&mut self, target: usize, incarnation: Incarnation) {
         let lost = self.calls.iter().filter(|(_, c)| c.target == target);
@@ -282,10 +302,9 @@
     stage: usize,
     target: usize,
     permit: Option<Permit>,
-    taken: Option<crate::target::Taken>,
+    taken: Option<Taken>,
     round: Duration,
 ) {
-    use crate::target::Taken;
     let before = world.targets[target].incarnation;
     world.next_id += 1;
     let (call, boot) = (world.next_id, world.entries[entry].id.boot);
@@ -302,7 +321,7 @@
         Some(Taken::Refused) => (QUICK + round, CallOutcome::Refused),
         Some(Taken::Failed) => (QUICK + round, CallOutcome::Failed),
         Some(Taken::Gone) => (round, CallOutcome::ConnectFailed),
-        Some(Taken::FellOver) => (round, CallOutcome::Reset),
+        Some(Taken::FellOver | Taken::Broken) => (round, CallOutcome::Reset),
     };
     world.at(world.now + after, Event::End { call, outcome });
     if taken == Some(Taken::FellOver) {
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -167,7 +167,7 @@
     if pool.targets.is_empty() {
         return refuse(Reason::NoTarget, RETRY_AFTER_MIN, 0);
     }
-    let ahead = pool.queue.ahead(&request.workspace, weight);
+    let ahead = pool.queue.ahead(request, weight);
     let wait = pool.wait_for(ahead);
     let until = before(latest, work);
     if now + wait > until {
@@ -228,8 +228,15 @@
 
 /// Tells whether a call has time enough for a cold target.
 fn may_use_cold(pool: &PoolState, now: Instant, request: &StageRequest, latest: Instant) -> bool {
-    let high = pool.times.high().unwrap_or(request.floor).max(request.floor);
-    request.repeat != Repeat::Hedge && now + high * COLD_SLACK <= latest
+    if request.repeat == Repeat::Hedge {
+        return false;
+    }
+    let no_warm = pool.hot.iter().all(|h| h.cold || h.capacity == 0);
+    let needed = match pool.times.high() {
+        Some(high) if !no_warm => high * COLD_SLACK,
+        _ => pool.median(),
+    };
+    now + needed.max(request.floor) <= latest
 }
 
 /// Finds the best open targets, starting at a position that changes from call to call.
--- a/hawthornkeel_core/src/routing/fair.rs
+++ b/hawthornkeel_core/src/routing/fair.rs
@@ -28,6 +28,18 @@
     calls: VecDeque<Waiting>,
 }
 
+impl Lane {
+    /// Returns the position of a new call: by priority, then by deadline, then by arrival.
+    fn position(&self, request: &StageRequest) -> usize {
+        let before = |w: &Waiting| {
+            let other = &w.request;
+            other.priority > request.priority
+                || (other.priority == request.priority && other.deadline <= request.deadline)
+        };
+        self.calls.iter().rposition(before).map_or(0, |i| i + 1)
+    }
+}
+
 /// Start-time fair queue: serves the lane with the lowest start tag.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
@@ -48,15 +60,16 @@
         self.expiry
     }
 
-    /// Returns the calls that are served before a new one of a workspace.
-    pub fn ahead(&self, workspace: &WorkspaceName, weight: f64) -> f64 {
-        let own = self.lanes.get(workspace).map_or(0, |l| l.calls.len()) as f64;
+    /// Returns the calls that are served before a new one.
+    pub fn ahead(&self, request: &StageRequest, weight: f64) -> f64 {
+        let lane = self.lanes.get(&request.workspace);
+        let own = lane.map_or(0, |l| l.position(request)) as f64;
         let rounds = (own + 1.0) / weight;
-        let others = self.lanes.iter().filter(|(name, _)| *name != workspace);
+        let others = self.lanes.iter().filter(|(name, _)| **name != request.workspace);
         own + others.map(|(_, l)| (l.calls.len() as f64).min(rounds * l.weight)).sum::<f64>()
     }
 
-    /// Adds a call behind those of its workspace with the same or a higher priority.
+    /// Adds a call to those of its workspace, by priority and then by deadline.
     pub fn push(&mut self, waiting: Waiting, weight: f64) {
         let clock = self.clock;
         self.expiry = Some(self.expiry.map_or(waiting.until, |e| e.min(waiting.until)));
@@ -64,9 +77,8 @@
         let new = || Lane { weight, finish: clock, calls: VecDeque::new() };
         let lane = self.lanes.entry(name).or_insert_with(new);
         lane.weight = weight;
-        let priority = waiting.request.priority;
-        let after = lane.calls.iter().rposition(|w| w.request.priority >= priority);
-        lane.calls.insert(after.map_or(0, |i| i + 1), waiting);
+        let position = lane.position(&waiting.request);
+        lane.calls.insert(position, waiting);
         self.len += 1;
     }
 
--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -53,7 +53,9 @@
         target.running = running.saturating_sub(1);
         match outcome {
             CallOutcome::Answered { latency, incarnation, .. } => {
-                pool.times.record(latency);
+                if permit.grant.is_none() || pool.times.median().is_none() {
+                    pool.times.record(latency);
+                }
                 let step = target.measure(latency, usual);
                 target.limit.answered(running);
                 target.proof = permit.grant.clone();
