--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -25,10 +25,8 @@
 const UNREPORTED_FACTOR: f64 = 2.0;
 /// Time for which a target that refused a call is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
-/// Consecutive refusals at light load after which a target is taken for cold.
-const REFUSALS_MAX: u32 = 3;
-/// Age of a load report up to which it tells that a target's load is light.
-const REPORT_AGE: Duration = Duration::from_secs(2);
+/// Time of refusals only, at light load, after which a target is taken for cold.
+const REFUSED_SPAN: Duration = Duration::from_secs(2);
 /// Part of a grant's time after which a request for one gets a new number.
 const RENUMBER_PART: u32 = 4;
 /// Share of a call's time that an idle target is expected to take.
@@ -104,7 +102,8 @@
     pub others: f64,
     pub reported: Option<Instant>,
     pub failures: u32,
-    pub refusals: u32,
+    /// First refusal since the last answer.
+    pub refused_since: Option<Instant>,
     pub down_until: Instant,
     pub grants: Vec<Grant>,
     pub pending: Option<Pending>,
@@ -135,7 +134,7 @@
             others: 0.0,
             reported: None,
             failures: 0,
-            refusals: 0,
+            refused_since: None,
             down_until: Instant::ZERO,
             grants: Vec::new(),
             pending: None,
@@ -251,7 +250,7 @@
     pub fn answered(&mut self, now: Instant, incarnation: Option<Incarnation>) -> bool {
         self.heard = now;
         self.failures = 0;
-        self.refusals = 0;
+        self.refused_since = None;
         self.down_until = Instant::ZERO;
         let other = self.incarnation.is_some() && incarnation != self.incarnation;
         if other {
@@ -279,11 +278,11 @@
     pub fn refused(&mut self, now: Instant, most: f64) -> bool {
         self.heard = now;
         self.limit.refused(now);
-        self.refusals = self.refusals.saturating_add(1);
+        let since = *self.refused_since.get_or_insert(now);
         self.down_until = self.down_until.max(now + REFUSED_PAUSE);
-        let reported = self.reported.is_some_and(|at| now.since(at) < REPORT_AGE);
+        let reported = self.reported.is_some_and(|at| at.since(since) >= REFUSED_SPAN);
         let light = self.others + f64::from(self.running) < most / 2.0;
-        self.refusals >= REFUSALS_MAX && reported && light
+        reported && light
     }
 
     /// Tells whether a grant would be of use now.
