--- a/hawthornkeel_core/benches/policy/flow.rs
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -193,7 +193,9 @@
             let ran = !matches!(out, CallOutcome::Refused | CallOutcome::ConnectFailed);
             request.ran |= ran;
             request.attempt += 1;
-            request.excluded.push(target);
+            if out != CallOutcome::Refused {
+                request.excluded.push(target);
+            }
             let most =
                 if ran || self.run.kind == crate::entry::PolicyKind::Plain { ATTEMPTS } else { 50 };
             (request.attempt >= most).then_some(End::Failed)
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fair;
 pub(crate) mod finish;
 pub mod limit;
+pub(crate) mod pick;
 pub(crate) mod pool;
 pub mod router;
 pub mod settings;
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -41,7 +41,10 @@
     pub hot: Vec<Hot>,
     /// Sum of the targets' capacities.
     pub capacity: u64,
+    /// Calls that wait, but for those in `repeats`.
     pub queue: FairQueue,
+    /// Calls that wait and may have run before.
+    pub repeats: FairQueue,
     pub times: Times,
     pub retries: Budget,
     pub hedges: Budget,
@@ -66,6 +69,7 @@
             hot: Vec::new(),
             capacity: 0,
             queue: FairQueue::default(),
+            repeats: FairQueue::default(),
             times: Times::default(),
             retries: Budget::new(set.retry_share, set.retry_burst),
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -29,6 +29,8 @@
 const REFUSED_SPAN: Duration = Duration::from_secs(2);
 /// Part of a grant's time after which a request for one gets a new number.
 const RENUMBER_PART: u32 = 4;
+/// Time after a failure or a pause during which only first calls probe a target.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Share of a call's time that an idle target is expected to take.
 const IDLE_SHARE: f64 = 0.5;
 
@@ -65,6 +67,8 @@
     pub score: f32,
     /// Calls that the target is expected to bear for this entry.
     pub capacity: u32,
+    /// Time from which a repeated call may go, where the target failed last.
+    pub retry_at: Instant,
     pub open: bool,
     pub near: bool,
     pub cold: bool,
@@ -105,6 +109,8 @@
     /// First refusal since the last answer.
     pub refused_since: Option<Instant>,
     pub down_until: Instant,
+    /// Time from which a repeated call may go, where the target failed last.
+    pub retry_at: Instant,
     pub grants: Vec<Grant>,
     pub pending: Option<Pending>,
     pub ask_after: Instant,
@@ -136,6 +142,7 @@
             failures: 0,
             refused_since: None,
             down_until: Instant::ZERO,
+            retry_at: Instant::ZERO,
             grants: Vec::new(),
             pending: None,
             ask_after: Instant::ZERO,
@@ -217,6 +224,7 @@
         Hot {
             score: (latency * (IDLE_SHARE + load) + far) as f32,
             capacity: self.capacity(),
+            retry_at: self.retry_at,
             open: self.is_open(now),
             near: self.near,
             cold,
@@ -252,6 +260,7 @@
         self.failures = 0;
         self.refused_since = None;
         self.down_until = Instant::ZERO;
+        self.retry_at = Instant::ZERO;
         let other = self.incarnation.is_some() && incarnation != self.incarnation;
         if other {
             self.retired = self.incarnation;
@@ -266,12 +275,12 @@
         if at_once {
             self.failures = self.failures.max(DOWN_AFTER);
         }
-        if !self.is_down() {
-            return;
+        if self.is_down() {
+            let doublings = (self.failures - DOWN_AFTER).min(16);
+            let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
+            self.down_until = now + pause;
         }
-        let doublings = (self.failures - DOWN_AFTER).min(16);
-        let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
-        self.down_until = now + pause;
+        self.retry_at = self.down_until.max(now) + RETRY_PAUSE;
     }
 
     /// Takes a refusal; returns whether it shows that the target bears less than it did.
