Entries yield at full targets, leave headroom, and repeat calls in another data centre

Cause: limits above the own share stayed there while other entries were refused, so calls of one entry were refused up to 40 times at 80% load after a slowdown; repeated calls went to a second target of the data centre that had just gone.

--- a/hawthornkeel_core/benches/policy/entry.rs
+++ b/hawthornkeel_core/benches/policy/entry.rs
@@ -43,14 +43,22 @@
     Plain(Plain),
 }
 
+/// Connections of an entry to a target.
+#[derive(Clone, Copy, Debug)]
+pub struct Connected {
+    /// Process that they lead to.
+    pub incarnation: Incarnation,
+    pub open: usize,
+}
+
 /// Entry instance.
 pub struct Entry {
     pub id: MemberId,
     pub centre: CentreName,
     pub alive: bool,
     pub policy: Policy,
-    /// Incarnation that the entry's connections to each target lead to.
-    pub connected: IndexMap<usize, Incarnation>,
+    /// Connections to each target.
+    pub connected: IndexMap<usize, Connected>,
 }
 
 /// Returns the name of an entry.
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::entry::Connected;
 use crate::entry::Entry;
 use crate::entry::PolicyKind;
 use crate::faults::Fault;
@@ -255,15 +256,22 @@
         use_taken(self, id, entry, stage, target, permit, taken, round);
     }
 
-    /// Uses an entry's connection to a target, or makes one; returns whether it holds.
+    /// Uses an idle connection of an entry to a target, or makes one; returns whether it holds.
+    ///
+    /// Idle connections to a process that is gone break once they are used.
     fn connect(&mut self, entry: usize, target: usize) -> bool {
         let present = self.targets[target].incarnation;
+        let calls = self.calls.values().filter(|c| c.entry == entry && c.target == target);
+        let used = calls.count();
         let connected = &mut self.entries[entry].connected;
-        let known = *connected.entry(target).or_insert(present);
-        if known != present {
-            connected.swap_remove(&target);
+        let known = connected.entry(target).or_insert(Connected { incarnation: present, open: 0 });
+        if known.open > used {
+            let holds = known.incarnation == present;
+            known.open -= usize::from(!holds);
+            return holds;
         }
-        known == present
+        *known = Connected { incarnation: present, open: used + 1 };
+        true
     }
 
     /// Ends a call with a reset wherever it runs at a target that lost its process.
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -1,8 +1,8 @@
 //! Comparison of a pool's targets for a call.
 
-use crate::names::TargetName;
 use crate::routing::pool::PoolState;
 use crate::routing::settings::RouterSettings;
+use crate::routing::target::Target;
 use crate::routing::types::Decision;
 use crate::routing::types::Permit;
 use crate::routing::types::Reason;
@@ -87,15 +87,36 @@
 }
 
 /// Returns the positions of excluded targets; none where nothing else takes work.
+///
+/// A repeated call also leaves out the data centres of the targets that it was sent to before, as
+/// long as others take work.
 fn excluded(pool: &PoolState, request: &StageRequest) -> Vec<usize> {
     if request.excluded.is_empty() {
         return Vec::new();
     }
-    let position = |t: &TargetName| pool.targets.get_index_of(t);
-    let found: Vec<usize> = request.excluded.iter().filter_map(position).collect();
-    let mut others = pool.targets.values().enumerate().filter(|(i, _)| !found.contains(i));
-    let left = others.any(|(_, t)| t.takes_work());
-    if left || request.repeat == Repeat::Hedge { found } else { Vec::new() }
+    let names = &request.excluded;
+    let tried: Vec<&Target> = names.iter().filter_map(|t| pool.targets.get(t)).collect();
+    let same_target = |t: &Target| names.contains(&t.info.name);
+    let same_centre = |t: &Target| tried.iter().any(|o| o.info.centre == t.info.centre);
+    let wide = leave_out(pool, same_centre);
+    if !wide.is_empty() && request.repeat == Repeat::MayHaveRun {
+        return wide;
+    }
+    let narrow = leave_out(pool, same_target);
+    if !narrow.is_empty() || request.repeat != Repeat::Hedge {
+        return narrow;
+    }
+    names.iter().filter_map(|t| pool.targets.get_index_of(t)).collect()
+}
+
+/// Returns the positions of targets that `out` tells to leave out; none where no other takes work.
+fn leave_out(pool: &PoolState, out: impl Fn(&Target) -> bool) -> Vec<usize> {
+    let usable = |t: &Target| !out(t) && t.takes_work() && !t.is_down();
+    if !pool.targets.values().any(usable) {
+        return Vec::new();
+    }
+    let all = pool.targets.values().enumerate();
+    all.filter(|(_, t)| out(t)).map(|(i, _)| i).collect()
 }
 
 /// Tells whether a call has time enough for a cold target.
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -21,6 +21,10 @@
 const STEP_RATIO: f64 = 4.0;
 /// Consecutive failures after which a target gets nothing but probes.
 const DOWN_AFTER: u32 = 2;
+/// Part of what a target bears that entries above their own shares leave to others.
+const FULL_SHARE: f64 = 0.95;
+/// Factor on the own use above the share at a target that is reported full.
+const YIELD_FACTOR: f64 = 0.9;
 /// Multiple of the own share that a limit may reach at a target that reports no load.
 const UNREPORTED_FACTOR: f64 = 2.0;
 /// Time for which a target that refused a call is left alone.
@@ -183,11 +187,14 @@
 
     /// Bounds the own limit by what the target bears in all and others are known to use.
     pub fn bound(&mut self, most: f64) {
-        let spare = match self.reported {
-            Some(_) => most - self.others,
+        let own = f64::from(self.running);
+        let spare = most * FULL_SHARE - self.others - own;
+        let cap = match self.reported {
+            Some(_) if spare > 0.0 => own + spare,
+            Some(_) => own * YIELD_FACTOR,
             None => self.share * UNREPORTED_FACTOR,
         };
-        self.limit.set_bounds(self.share, spare.min(most));
+        self.limit.set_bounds(self.share, cap.min(most));
     }
 
     /// Tells whether the target may get new work at all.
