--- a/hawthornkeel_core/src/routing/budget.rs
+++ b/hawthornkeel_core/src/routing/budget.rs
@@ -19,13 +19,18 @@
         self.tokens = (self.tokens + self.share).min(self.burst);
     }
 
+    /// Tells whether a repeated call is allowed now.
+    pub fn allows(&self) -> bool {
+        self.tokens >= 1.0
+    }
+
     /// Spends a repeated call; returns whether the budget allows it.
     pub fn spend(&mut self) -> bool {
-        if self.tokens < 1.0 {
-            return false;
+        let allowed = self.allows();
+        if allowed {
+            self.tokens -= 1.0;
         }
-        self.tokens -= 1.0;
-        true
+        allowed
     }
 
     /// Gives back a repeated call that was not made.
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -109,7 +109,9 @@
 /// Refuses the calls whose wait has ended.
 fn expire(pool: &PoolState, now: Instant, queue: &mut FairQueue, ready: &mut Vec<Ready>) {
     for waiting in queue.expire(now) {
-        let decision = refuse(Reason::Deadline, pool.median(), 0);
+        let unpaid = waiting.request.repeat == Repeat::MayHaveRun && !pool.retries.allows();
+        let reason = if unpaid { Reason::RetryBudget } else { Reason::Deadline };
+        let decision = refuse(reason, pool.median(), 0);
         ready.push(Ready { call: waiting.request.call, decision });
     }
 }
@@ -140,7 +142,7 @@
     }
 }
 
-/// Takes the call from its budget; fails with the budget that is used up.
+/// Counts a first call and takes a hedge from its budget; a retry is taken when it is sent.
 fn spend(pool: &mut PoolState, repeat: Repeat) -> Result<(), Reason> {
     match repeat {
         Repeat::First => {
@@ -148,9 +150,7 @@
             pool.hedges.earn();
             Ok(())
         }
-        Repeat::NotRun => Ok(()),
-        Repeat::MayHaveRun if pool.retries.spend() => Ok(()),
-        Repeat::MayHaveRun => Err(Reason::RetryBudget),
+        Repeat::NotRun | Repeat::MayHaveRun => Ok(()),
         Repeat::Hedge if pool.hedges.spend() => Ok(()),
         Repeat::Hedge => Err(Reason::HedgeBudget),
     }
--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -61,6 +61,7 @@
                 target.proof = permit.grant.clone();
                 let other = target.answered(now, incarnation);
                 let doubt = doubt(target.warmth, other, step);
+                pool.answered();
                 if let Some(prefix) = permit.prefix {
                     pool.remember(prefix, &permit.target, 0);
                 }
@@ -73,17 +74,20 @@
             CallOutcome::ConnectFailed | CallOutcome::Reset => {
                 target.limit.failed(now);
                 target.failed(now, true, set);
+                pool.failed(now);
                 Some(Doubt::Restart)
             }
             CallOutcome::TimedOut => {
                 pool.times.record(now.since(permit.given));
                 target.limit.failed(now);
                 target.failed(now, false, set);
+                pool.failed(now);
                 None
             }
             CallOutcome::Truncated | CallOutcome::Failed => {
                 target.limit.failed(now);
                 target.failed(now, false, set);
+                pool.failed(now);
                 None
             }
             CallOutcome::Cancelled => None,
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -56,9 +56,12 @@
     turn: usize,
     set: &RouterSettings,
 ) -> Option<Decision> {
+    let retry = request.repeat == Repeat::MayHaveRun;
+    if retry && (now < pool.retry_at || !pool.retries.allows()) {
+        return None;
+    }
     let excluded = excluded(pool, request);
     let cold = may_use_cold(pool, now, request, latest);
-    let retry = request.repeat == Repeat::MayHaveRun;
     let view = View { now, excluded: &excluded, turn, cold, retry };
     let scan = scan(pool, &view);
     let pick = pick(pool, request, &scan, &excluded)?;
@@ -82,6 +85,9 @@
         grant,
         prefix: request.prefix,
     };
+    if retry {
+        pool.retries.spend();
+    }
     pool.refresh(now, pick.index, set);
     Some(Decision::Send { target: name, address, permit, reason, candidates: scan.candidates })
 }
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -25,6 +25,11 @@
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Failed calls in a row, over all targets, after which the pool as a whole fails.
+const FAILS_AFTER: u32 = 3;
+/// Time after a failure during which repeated calls wait while the pool as a whole fails.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Target that probably holds a prompt prefix.
 #[derive(Clone, Debug)]
 struct Place {
@@ -52,6 +57,10 @@
     pub committed: u64,
     /// Time at which a target that is left alone may open again.
     pub reopen: Option<Instant>,
+    /// Failed calls since the last answer of any target.
+    failures: u32,
+    /// Time from which repeated calls may go, while the pool as a whole fails.
+    pub retry_at: Instant,
     /// Last time that a call asked for the pool.
     pub wanted: Option<Instant>,
     /// Time from which a call is let through although measured times are too long.
@@ -75,6 +84,8 @@
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
             committed: 0,
             reopen: None,
+            failures: 0,
+            retry_at: Instant::ZERO,
             wanted: None,
             try_at: Instant::ZERO,
             places: IndexMap::new(),
@@ -87,6 +98,20 @@
         self.times.median().unwrap_or_default()
     }
 
+    /// Takes an answer of any target.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+        self.retry_at = Instant::ZERO;
+    }
+
+    /// Takes a failed call; while the pool as a whole fails, only first calls probe it.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILS_AFTER {
+            self.retry_at = now + RETRY_PAUSE;
+        }
+    }
+
     /// Tells whether a call may go although measured times are too long: one in a pause.
     pub fn may_try(&mut self, now: Instant) -> bool {
         if now < self.try_at {
