--- a/hawthornkeel_core/benches/policy/flow.rs
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -12,13 +12,16 @@
 use hawthornkeel_core::routing::Admission;
 use hawthornkeel_core::routing::CallOutcome;
 use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::EntryInfo;
 use hawthornkeel_core::routing::LoadReport;
 use hawthornkeel_core::routing::Repeat;
 use hawthornkeel_core::routing::RequestPlan;
 use hawthornkeel_core::routing::StageRequest;
+use hawthornkeel_core::routing::TargetInfo;
 use hawthornkeel_core::time::Instant;
 use rand::Rng;
 
+use crate::entry::Entry;
 use crate::entry::Policy;
 use crate::entry::voters;
 use crate::sites::CENTRES;
@@ -35,6 +38,8 @@
 const ATTEMPTS: u16 = 3;
 /// Lag of a load report.
 const REPORT_LAG: Duration = Duration::from_millis(500);
+/// Pause between lists of targets and entries.
+const LIST_PAUSE: Duration = Duration::from_secs(1);
 /// Pause between load reports.
 const REPORT_PAUSE: Duration = Duration::from_millis(500);
 
@@ -307,6 +312,20 @@
         }
     }
 
+    /// Tells an entry the platform's list and the entries that it can reach.
+    pub fn list(&mut self, entry: usize) {
+        let centre = self.entries[entry].centre.clone();
+        let seen = |e: &&Entry| e.alive && self.linked(&e.centre, &centre);
+        let info = |e: &Entry| EntryInfo { id: e.id.clone(), centre: e.centre.clone() };
+        let entries: Vec<EntryInfo> = self.entries.iter().filter(seen).map(info).collect();
+        let targets: Vec<TargetInfo> = self.targets.iter().map(|t| t.info.clone()).collect();
+        if let Policy::Ours(ours) = &mut self.entries[entry].policy {
+            ours.router.set_entries(self.now, &entries);
+            ours.router.update_targets(self.now, &targets);
+        }
+        self.at(self.now + LIST_PAUSE, Event::List { entry });
+    }
+
     /// Takes a message of the lease.
     pub fn vote(&mut self, from: usize, to: usize, centre: CentreName, message: VoteMessage) {
         let now = self.now;
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -104,6 +104,7 @@
     Vote { from: usize, to: usize, centre: CentreName, message: VoteMessage },
     ToIssuer { from: usize, to: usize, message: GrantMessage },
     ToEntry { to: usize, message: GrantMessage },
+    List { entry: usize },
     Fault { on: bool },
 }
 
@@ -163,6 +164,7 @@
         self.at(FAULT_AT + self.run.fault.lasts(), Event::Fault { on: false });
         for entry in 0..self.entries.len() {
             self.at(Instant::from_millis(entry as u64), Event::Tick { entry });
+            self.at(Instant::from_millis(1_000 + 100 * entry as u64), Event::List { entry });
         }
         for target in 0..self.targets.len() {
             self.at(Instant::from_millis(7 * target as u64), Event::Report { target });
@@ -210,6 +212,7 @@
                 self.at(self.now + TICK, Event::Tick { entry });
             }
             Event::Report { target } => self.report(target),
+            Event::List { entry } => self.list(entry),
             Event::Heard { entry, target, report } => self.heard(entry, target, report),
             Event::Lost { entry, target } => self.lost(entry, target),
             Event::Vote { from, to, centre, message } => self.vote(from, to, centre, message),
--- a/hawthornkeel_core/src/routing/limit.rs
+++ b/hawthornkeel_core/src/routing/limit.rs
@@ -23,7 +23,7 @@
 impl Limit {
     /// Creates a limit that starts at one call and grows quickly up to `share`.
     pub fn new(share: f64, cap: f64) -> Self {
-        Self { value: 1.0, share: share.max(1.0), cap: cap.max(1.0), cut_at: None }
+        Self { value: 1.0, share, cap: cap.max(share), cut_at: None }
     }
 
     /// Returns the calls allowed at once.
@@ -37,10 +37,13 @@
     }
 
     /// Sets the own share and the most that the target bears for this entry.
+    ///
+    /// Without a share the limit is zero while the cap is below one call.
     pub fn set_bounds(&mut self, share: f64, cap: f64) {
-        self.share = share.max(1.0);
-        self.cap = cap.max(self.share);
-        self.value = self.value.min(self.cap);
+        self.share = share;
+        self.cap = cap.max(share);
+        let lowest = if self.cap < 1.0 { 0.0 } else { 1.0 };
+        self.value = self.value.min(self.cap).max(lowest);
     }
 
     /// Starts again at one call.
@@ -53,7 +56,7 @@
     pub fn answered(&mut self, running: u32) {
         if self.value < self.share {
             self.value = (self.value + 1.0).min(self.share);
-        } else if f64::from(running) + 1.0 >= self.value {
+        } else if self.value >= 1.0 && f64::from(running) + 1.0 >= self.value {
             self.value = (self.value + 1.0 / self.value).min(self.cap);
         }
     }
@@ -74,6 +77,6 @@
             return;
         }
         self.cut_at = Some(now);
-        self.value = (self.value * factor).max(1.0);
+        self.value = (self.value * factor).max(self.cap.min(1.0));
     }
 }
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod pool;
 pub mod router;
 pub mod settings;
+pub mod shares;
 pub mod subset;
 pub(crate) mod target;
 pub mod times;
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -5,10 +5,14 @@
 use indexmap::IndexMap;
 
 use crate::document::Pool;
+use crate::names::CentreName;
 use crate::names::TargetName;
 use crate::routing::budget::Budget;
 use crate::routing::fair::FairQueue;
+use crate::routing::router::EntryInfo;
 use crate::routing::settings::RouterSettings;
+use crate::routing::shares;
+use crate::routing::shares::CentreCount;
 use crate::routing::subset;
 use crate::routing::target::Hot;
 use crate::routing::target::Target;
@@ -19,9 +23,6 @@
 const PREFIXES: usize = 4096;
 /// Hedges allowed beyond the share after a quiet time.
 const HEDGE_BURST: f64 = 2.0;
-/// Share of a target's limit for the entries of its own data centre, while there are others.
-const NEAR_SHARE: f64 = 0.75;
-
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -127,16 +128,41 @@
         self.median().mul_f64((calls / slots).min(1e6))
     }
 
-    /// Returns the own share of a target's limit.
-    pub fn share(&self, near: bool, near_entries: usize, far_entries: usize) -> f64 {
-        let limit = f64::from(self.config.warm_limit);
-        let (part, entries) = match (near, near_entries, far_entries) {
-            (true, n, 0) => (1.0, n),
-            (true, n, _) => (NEAR_SHARE, n),
-            (false, 0, f) => (1.0, f),
-            (false, _, f) => (1.0 - NEAR_SHARE, f),
+    /// Counts the entries and the usable targets by data centre.
+    fn counts(&self, entries: &[EntryInfo]) -> IndexMap<CentreName, CentreCount> {
+        let mut counts: IndexMap<CentreName, CentreCount> = IndexMap::new();
+        for entry in entries {
+            counts.entry(entry.centre.clone()).or_default().entries += 1;
+        }
+        for target in self.targets.values() {
+            let count = counts.entry(target.info.centre.clone()).or_default();
+            count.targets += usize::from(target.serves());
+        }
+        counts
+    }
+
+    /// Works out this entry's shares of the targets' limits.
+    pub fn share_out(&mut self, own: &EntryInfo, entries: &[EntryInfo], places: usize) {
+        let counts = self.counts(entries);
+        let Some(entry) = counts.get_index_of(&own.centre) else {
+            return;
         };
-        (limit * part / entries.max(1) as f64).max(1.0)
+        let list: Vec<CentreCount> = counts.values().copied().collect();
+        let hash = subset::name_hash(own.id.name.as_str());
+        let most = f64::from(self.config.warm_limit);
+        let mut parts: Vec<Option<f64>> = vec![None; list.len()];
+        for target in self.targets.values_mut() {
+            let Some(centre) = counts.get_index_of(&target.info.centre) else {
+                continue;
+            };
+            let Some(part) = parts.get_mut(centre) else {
+                continue;
+            };
+            let part = *part.get_or_insert_with(|| shares::share(&list, centre, entry, places));
+            let rank = subset::rank(hash, subset::name_hash(target.info.name.as_str()));
+            target.share = shares::round(part * most, rank);
+            target.bound(most);
+        }
     }
 
     /// Adds a target.
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -284,24 +284,11 @@
         self.bound_limits();
     }
 
-    /// Sets the own shares of the targets' limits.
+    /// Works out the own shares of the targets' limits.
     fn bound_limits(&mut self) {
         let places = self.settings.target_entries;
         for pool in self.pools.values_mut() {
-            for index in 0..pool.targets.len() {
-                let Some((_, target)) = pool.targets.get_index(index) else {
-                    continue;
-                };
-                let centre = &target.info.centre;
-                let near = self.entries.iter().filter(|e| e.centre == *centre).count();
-                let (near, far) = subset::split(places, near, self.entries.len() - near);
-                let share = pool.share(target.near, near, far);
-                let most = f64::from(pool.config.warm_limit);
-                if let Some((_, target)) = pool.targets.get_index_mut(index) {
-                    target.share = share;
-                    target.bound(most);
-                }
-            }
+            pool.share_out(&self.own, &self.entries, places);
         }
     }
 
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -192,7 +192,7 @@
         let cap = match self.reported {
             Some(_) if spare > 0.0 => own + spare,
             Some(_) => own * YIELD_FACTOR,
-            None => self.share * UNREPORTED_FACTOR,
+            None => (self.share * UNREPORTED_FACTOR).max(1.0),
         };
         self.limit.set_bounds(self.share, cap.min(most));
     }
@@ -203,6 +203,12 @@
         self.known && !leaving && !self.taken_out
     }
 
+    /// Tells whether the target takes work and answers, whichever entry it is known to.
+    pub fn serves(&self) -> bool {
+        let leaving = self.leaving || self.info.liveness == Liveness::Leaving;
+        !leaving && !self.taken_out && !self.is_down()
+    }
+
     /// Tells whether the target fails and gets nothing but probes.
     pub fn is_down(&self) -> bool {
         self.failures >= DOWN_AFTER
