--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -22,7 +22,7 @@
 /// Consecutive failures after which a target gets nothing but probes.
 const DOWN_AFTER: u32 = 2;
 /// Part of what a target bears that entries above their own shares leave to others.
-const FULL_SHARE: f64 = 0.95;
+const FULL_SHARE: f64 = 1.0;
 /// Factor on the own use above the share at a target that is reported full.
 const YIELD_FACTOR: f64 = 0.9;
 /// Multiple of the own share that a limit may reach at a target that reports no load.
