Later stages serve the earliest deadline; calls that can't be sent are passed over

Cause: weights held a large workspace back at the last stage after work was spent on its requests, and a call without time for a cold target kept all behind it from one.

--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -5,6 +5,7 @@
 use crate::ids::CallId;
 use crate::names::PoolName;
 use crate::routing::fair::FairQueue;
+use crate::routing::fair::Passed;
 use crate::routing::fair::Waiting;
 use crate::routing::pick::send;
 use crate::routing::pool::PoolState;
@@ -125,19 +126,19 @@
     turn: &mut u64,
     set: &RouterSettings,
 ) {
-    let mut skip = Vec::new();
+    let mut passed = Passed::default();
     while pool.hot.iter().any(|h| h.open) {
-        let Some((lane, waiting)) = queue.next(&skip) else {
+        let Some((place, waiting)) = queue.next(&passed) else {
             return;
         };
         *turn = turn.wrapping_add(1);
         let call = waiting.request.call;
         let sent = send(pool, now, &waiting.request, waiting.latest, *turn as usize, set);
         let Some(decision) = sent else {
-            skip.push(lane);
+            passed.add(place);
             continue;
         };
-        queue.serve(lane);
+        queue.serve(place);
         ready.push(Ready { call, decision });
     }
 }
--- a/hawthornkeel_core/src/routing/fair.rs
+++ b/hawthornkeel_core/src/routing/fair.rs
@@ -19,6 +19,29 @@
     pub until: Instant,
 }
 
+/// Calls of a lane that are passed over for one that can be sent, at most.
+const PASSED_MAX: usize = 16;
+
+/// Place of a waiting call.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(crate) struct Place {
+    lane: usize,
+    position: usize,
+}
+
+/// Calls at the head of each lane that can't be sent now.
+#[derive(Debug, Default)]
+pub(crate) struct Passed {
+    lanes: IndexMap<usize, usize>,
+}
+
+impl Passed {
+    /// Passes over the call at a place.
+    pub fn add(&mut self, place: Place) {
+        self.lanes.insert(place.lane, place.position + 1);
+    }
+}
+
 /// Waiting calls of one workspace.
 #[derive(Debug)]
 struct Lane {
@@ -40,6 +63,14 @@
     }
 }
 
+/// Returns the lane of a call: its workspace at the first stage, and one for all at later stages.
+///
+/// Admission has held workspaces to their shares by then, and work was spent on the request, so
+/// that the earliest deadline goes first.
+fn lane_of(request: &StageRequest) -> WorkspaceName {
+    if request.call.stage.0 == 0 { request.workspace.clone() } else { WorkspaceName::default() }
+}
+
 /// Start-time fair queue: serves the lane with the lowest start tag.
 #[derive(Debug, Default)]
 pub(crate) struct FairQueue {
@@ -62,10 +93,10 @@
 
     /// Returns the calls that are served before a new one.
     pub fn ahead(&self, request: &StageRequest, weight: f64) -> f64 {
-        let lane = self.lanes.get(&request.workspace);
-        let own = lane.map_or(0, |l| l.position(request)) as f64;
+        let key = lane_of(request);
+        let own = self.lanes.get(&key).map_or(0, |l| l.position(request)) as f64;
         let rounds = (own + 1.0) / weight;
-        let others = self.lanes.iter().filter(|(name, _)| **name != request.workspace);
+        let others = self.lanes.iter().filter(|(name, _)| **name != key);
         own + others.map(|(_, l)| (l.calls.len() as f64).min(rounds * l.weight)).sum::<f64>()
     }
 
@@ -73,7 +104,7 @@
     pub fn push(&mut self, waiting: Waiting, weight: f64) {
         let clock = self.clock;
         self.expiry = Some(self.expiry.map_or(waiting.until, |e| e.min(waiting.until)));
-        let name = waiting.request.workspace.clone();
+        let name = lane_of(&waiting.request);
         let new = || Lane { weight, finish: clock, calls: VecDeque::new() };
         let lane = self.lanes.entry(name).or_insert_with(new);
         lane.weight = weight;
@@ -82,26 +113,26 @@
         self.len += 1;
     }
 
-    /// Returns the lane to be served next, but for those in `skip`, with its first call.
-    pub fn next(&self, skip: &[usize]) -> Option<(usize, &Waiting)> {
-        let mut best: Option<(usize, f64, &Waiting)> = None;
-        for (index, lane) in self.lanes.values().enumerate() {
-            let Some(first) = lane.calls.front() else {
+    /// Returns the place to be served next and its call, but for those passed over.
+    pub fn next(&self, passed: &Passed) -> Option<(Place, &Waiting)> {
+        let mut best: Option<(Place, f64, &Waiting)> = None;
+        for (lane, state) in self.lanes.values().enumerate() {
+            let position = passed.lanes.get(&lane).copied().unwrap_or(0);
+            let Some(call) = state.calls.get(position).filter(|_| position < PASSED_MAX) else {
                 continue;
             };
-            let start = lane.finish.max(self.clock);
-            let lower = best.as_ref().is_none_or(|(_, tag, _)| start < *tag);
-            if lower && !skip.contains(&index) {
-                best = Some((index, start, first));
+            let start = state.finish.max(self.clock);
+            if best.as_ref().is_none_or(|(_, tag, _)| start < *tag) {
+                best = Some((Place { lane, position }, start, call));
             }
         }
-        best.map(|(index, _, waiting)| (index, waiting))
+        best.map(|(place, _, waiting)| (place, waiting))
     }
 
-    /// Removes the first call of a lane and charges the lane for it.
-    pub fn serve(&mut self, index: usize) -> Option<Waiting> {
-        let (_, lane) = self.lanes.get_index_mut(index)?;
-        let waiting = lane.calls.pop_front()?;
+    /// Removes the call at a place and charges its lane.
+    pub fn serve(&mut self, place: Place) -> Option<Waiting> {
+        let (_, lane) = self.lanes.get_index_mut(place.lane)?;
+        let waiting = lane.calls.remove(place.position)?;
         let start = lane.finish.max(self.clock);
         lane.finish = start + 1.0 / lane.weight;
         self.clock = start;
