--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -71,6 +71,8 @@
     pub deadline: Instant,
     pub stage: usize,
     pub attempt: u16,
+    /// Attempts at the stage that may have run.
+    pub runs: u16,
     pub excluded: Vec<usize>,
     pub ran: bool,
     /// Busy time whose result the request has, by stage.
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -7,6 +7,7 @@
 use crate::routing::fair::FairQueue;
 use crate::routing::fair::Passed;
 use crate::routing::fair::Waiting;
+use crate::routing::pick::may_use_cold;
 use crate::routing::pick::send;
 use crate::routing::pool::PoolState;
 use crate::routing::router::Router;
@@ -94,6 +95,7 @@
         let mut queue = std::mem::take(&mut pool.queue);
         for waiting in [&mut repeats, &mut queue] {
             expire(pool, now, waiting, ready);
+            serve_cold(pool, now, waiting, ready, &self.settings);
             serve(pool, now, waiting, ready, &mut self.turn, &self.settings);
         }
         pool.repeats = repeats;
@@ -117,6 +119,30 @@
     }
 }
 
+/// Sends the calls that have most time left to cold targets that there are grants for.
+fn serve_cold(
+    pool: &mut PoolState,
+    now: Instant,
+    queue: &mut FairQueue,
+    ready: &mut Vec<Ready>,
+    set: &RouterSettings,
+) {
+    while pool.hot.iter().any(|h| h.open && h.cold) {
+        let Some((place, waiting)) = queue.latest() else {
+            return;
+        };
+        let call = waiting.request.call;
+        if !may_use_cold(pool, now, &waiting.request, waiting.latest) {
+            return;
+        }
+        let Some(decision) = send(pool, now, &waiting.request, waiting.latest, 0, set) else {
+            return;
+        };
+        queue.serve(place);
+        ready.push(Ready { call, decision });
+    }
+}
+
 /// Sends waiting calls as long as targets are open.
 fn serve(
     pool: &mut PoolState,
--- a/hawthornkeel_core/src/routing/fair.rs
+++ b/hawthornkeel_core/src/routing/fair.rs
@@ -129,6 +129,15 @@
         best.map(|(place, _, waiting)| (place, waiting))
     }
 
+    /// Returns the call that has most time left, by the ends of the lanes.
+    pub fn latest(&self) -> Option<(Place, &Waiting)> {
+        let ends = self.lanes.values().enumerate().filter_map(|(lane, state)| {
+            let call = state.calls.back()?;
+            Some((Place { lane, position: state.calls.len() - 1 }, call))
+        });
+        ends.max_by_key(|(_, waiting)| waiting.latest)
+    }
+
     /// Removes the call at a place and charges its lane.
     pub fn serve(&mut self, place: Place) -> Option<Waiting> {
         let (_, lane) = self.lanes.get_index_mut(place.lane)?;
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -126,7 +126,12 @@
 }
 
 /// Tells whether a call has time enough for a cold target.
-fn may_use_cold(pool: &PoolState, now: Instant, request: &StageRequest, latest: Instant) -> bool {
+pub(crate) fn may_use_cold(
+    pool: &PoolState,
+    now: Instant,
+    request: &StageRequest,
+    latest: Instant,
+) -> bool {
     if request.repeat == Repeat::Hedge {
         return false;
     }
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -27,7 +27,7 @@
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
 /// Failed calls in a row, over all targets, after which the pool as a whole fails.
-const FAILS_AFTER: u32 = 3;
+const FAILS_AFTER: u32 = 2;
 /// Time after a failure during which repeated calls wait while the pool as a whole fails.
 const RETRY_PAUSE: Duration = Duration::from_millis(500);
 
