--- a/hawthornkeel_core/benches/policy/flow.rs
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -346,7 +346,7 @@
     }
 
     /// Takes an entry's message at the issuer.
-    pub fn to_issuer(&mut self, from: usize, to: usize, message: GrantMessage) {
+    pub fn issuer_hears(&mut self, from: usize, to: usize, message: GrantMessage) {
         let sender = self.entries[from].id.clone();
         let entry = &mut self.entries[to];
         if let (true, Policy::Ours(ours)) = (entry.alive, &mut entry.policy) {
@@ -356,7 +356,7 @@
     }
 
     /// Takes an issuer's message at an entry.
-    pub fn to_entry(&mut self, to: usize, message: GrantMessage) {
+    pub fn entry_hears(&mut self, to: usize, message: GrantMessage) {
         let entry = &mut self.entries[to];
         if let (true, Policy::Ours(ours)) = (entry.alive, &mut entry.policy) {
             ours.router.handle_grant(self.now, &message);
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -218,8 +218,8 @@
             Event::Heard { entry, target, report } => self.heard(entry, target, report),
             Event::Lost { entry, target } => self.lost(entry, target),
             Event::Vote { from, to, centre, message } => self.vote(from, to, centre, message),
-            Event::ToIssuer { from, to, message } => self.to_issuer(from, to, message),
-            Event::ToEntry { to, message } => self.to_entry(to, message),
+            Event::ToIssuer { from, to, message } => self.issuer_hears(from, to, message),
+            Event::ToEntry { to, message } => self.entry_hears(to, message),
             Event::Fault { on } => self.fault(on),
         }
     }
--- a/hawthornkeel_core/src/routing/cold.rs
+++ b/hawthornkeel_core/src/routing/cold.rs
@@ -105,7 +105,8 @@
         let Some(pending) = state.pending.take_if(|p| p.number == number) else {
             return;
         };
-        state.grants.push(Grant { id: grant.clone(), got: now, until: pending.sent + lasts });
+        let (use_by, until) = (pending.sent + lasts / 2, pending.sent + lasts);
+        state.grants.push(Grant { id: grant.clone(), got: now, use_by, until });
         found.refresh(now);
     }
 
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -68,7 +68,7 @@
     let (_, target) = pool.targets.get_index_mut(pick.index)?;
     let (mut until, mut grant) = (latest, None);
     if pick.reason == Reason::ColdGrant {
-        let held = target.grants.iter().position(|g| now < g.until)?;
+        let held = target.grants.iter().position(|g| now < g.use_by)?;
         let used = target.grants.swap_remove(held);
         until = until.min(used.until);
         grant = Some(used.id);
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -54,6 +54,9 @@
 pub(crate) struct Grant {
     pub id: GrantId,
     pub got: Instant,
+    /// Time until which a call may be sent: half of the grant's time is left for it then.
+    pub use_by: Instant,
+    /// Time at which the call must have ended.
     pub until: Instant,
 }
 
@@ -222,7 +225,7 @@
         match self.warmth {
             Warmth::Warm if self.is_down() => self.running == 0,
             Warmth::Warm => self.running < self.limit.calls(),
-            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.until),
+            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.use_by),
         }
     }
 
--- /dev/null
+++ b/hawthornkeel_core/tests/cold_ramp.rs
@@ -0,0 +1,71 @@
+//! Over all entries, a cold target never gets more calls than it bears, and soon gets its full load.
+
+mod cold_site;
+
+use rstest::rstest;
+
+use cold_site::COLD_LIMIT;
+use cold_site::ENTRIES;
+use cold_site::Faults;
+use cold_site::Links;
+use cold_site::Site;
+
+/// Time until leases are won and grants of earlier holders have run out.
+const SETTLED: u64 = 4_500;
+
+const BAD_LINKS: Links = Links { lost: 10, doubled: 10, late: 5 };
+
+#[rstest]
+fn quiet_site_warms_its_target(#[values(true, false)] named: bool) {
+    let mut site = Site::new(1, Faults { named, ..Faults::default() });
+    site.play(SETTLED + 6_000);
+    assert!(!site.is_cold());
+    assert_eq!(site.warm_entries(), ENTRIES);
+    assert_eq!(site.most_cold, COLD_LIMIT, "what the target bears is used");
+}
+
+#[test]
+fn cold_target_reaches_full_load_soon() {
+    let mut site = Site::new(2, Faults { named: true, ..Faults::default() });
+    site.play(SETTLED + 6_000);
+    site.restart_target();
+    let from = site.now;
+    while site.is_cold() {
+        site.play(site.now + 10);
+        assert!(site.now - from < 5_000, "still cold after {} answers", site.answers);
+    }
+    // 12 answers of 160 ms, two at a time, take 960 ms.
+    assert!(site.now - from < 2_000, "{} ms", site.now - from);
+}
+
+#[rstest]
+#[case::links(Faults { links: BAD_LINKS, ..Faults::default() })]
+#[case::restarts(Faults { restart: 2_000, ..Faults::default() })]
+#[case::deaths(Faults { kill: 4_000, ..Faults::default() })]
+#[case::freezes(Faults { freeze: 2_000, ..Faults::default() })]
+#[case::cuts(Faults { cut: 3_000, ..Faults::default() })]
+#[case::all(Faults { links: BAD_LINKS, kill: 8_000, freeze: 6_000, cut: 6_000, restart: 2_000, named: false })]
+fn sum_over_entries_stays_within_the_cold_limit(
+    #[case] faults: Faults,
+    #[values(true, false)] named: bool,
+) {
+    let (mut calls, mut restarts) = (0, 0);
+    for seed in 0..10 {
+        let mut site = Site::new(seed, Faults { named, ..faults });
+        site.play(40_000);
+        calls += site.total;
+        restarts += site.restarts;
+    }
+    assert!(calls > 200, "{calls} calls and {restarts} restarts");
+}
+
+#[test]
+fn grant_of_a_dead_entry_counts_until_it_expires() {
+    let mut site = Site::new(3, Faults { named: true, ..Faults::default() });
+    site.play(SETTLED);
+    for entry in (0..ENTRIES).cycle().take(20) {
+        site.kill(entry, 50);
+        site.play(site.now + 40);
+    }
+    assert!(site.most_cold <= COLD_LIMIT);
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/cold_site/mod.rs
@@ -0,0 +1,431 @@
+//! Small site of the cold-target tests: entries with lossy links before one target.
+#![allow(dead_code)]
+
+use std::time::Duration;
+
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::document::Pool;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::Incarnation;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::lease::GrantMessage;
+use hawthornkeel_core::lease::Holder;
+use hawthornkeel_core::lease::Issuer;
+use hawthornkeel_core::lease::LeaseSettings;
+use hawthornkeel_core::lease::MemberId;
+use hawthornkeel_core::lease::VoteMessage;
+use hawthornkeel_core::lease::Voter;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::routing::CallOutcome;
+use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::EntryInfo;
+use hawthornkeel_core::routing::Permit;
+use hawthornkeel_core::routing::Router;
+use hawthornkeel_core::routing::RouterSettings;
+use hawthornkeel_core::routing::StageRequest;
+use hawthornkeel_core::routing::TargetInfo;
+use hawthornkeel_core::routing::Warmth;
+use hawthornkeel_core::time::Instant;
+use indexmap::IndexMap;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+pub const ENTRIES: usize = 4;
+pub const VOTERS: usize = 3;
+pub const COLD_LIMIT: u32 = 2;
+pub const WARM_AFTER: u32 = 12;
+pub const WARM_LIMIT: u32 = 8;
+const STEP: u64 = 2;
+const TARGET: &str = "t";
+
+/// Share of messages that are lost, doubled and late, in a hundred.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Links {
+    pub lost: u32,
+    pub doubled: u32,
+    pub late: u32,
+}
+
+/// What goes wrong, as one in so many steps; zero for never.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Faults {
+    pub links: Links,
+    pub kill: u32,
+    pub freeze: u32,
+    pub cut: u32,
+    pub restart: u32,
+    /// Whether answers name the target's incarnation.
+    pub named: bool,
+}
+
+enum Message {
+    Vote(usize, VoteMessage),
+    Grant(MemberId, GrantMessage),
+    Lost,
+    End(u64, CallOutcome),
+}
+
+struct Flight {
+    due: u64,
+    to: usize,
+    boot: Option<u64>,
+    message: Message,
+}
+
+struct Entry {
+    id: MemberId,
+    router: Router,
+    holder: Holder,
+    issuer: Issuer,
+    voter: Voter,
+    offset: u64,
+    frozen_until: u64,
+    dead_until: u64,
+    cut_until: u64,
+    /// Incarnation that the entry's connections lead to.
+    connected: Option<u64>,
+    permits: IndexMap<u64, Permit>,
+}
+
+/// Site at one point in time, in milliseconds.
+pub struct Site {
+    pub now: u64,
+    pub faults: Faults,
+    rng: ChaCha8Rng,
+    entries: Vec<Entry>,
+    flights: Vec<Flight>,
+    /// Calls at the target: number, end, and whether they count as answers.
+    running: IndexMap<u64, u64>,
+    pub incarnation: u64,
+    pub answers: u32,
+    pub most_cold: u32,
+    pub restarts: u32,
+    pub total: u64,
+    next: u64,
+}
+
+fn settings() -> LeaseSettings {
+    LeaseSettings {
+        period: Duration::from_millis(600),
+        renew: Duration::from_millis(200),
+        grant: Duration::from_millis(2_000),
+        resend: Duration::from_millis(50),
+        unused: Duration::from_millis(100),
+        ..LeaseSettings::default()
+    }
+}
+
+fn document() -> Document {
+    let pool = Pool {
+        name: "p".into(),
+        warm_limit: WARM_LIMIT,
+        cold_limit: COLD_LIMIT,
+        warm_after: WARM_AFTER,
+        ..Pool::default()
+    };
+    Document { pools: vec![pool], ..Document::default() }
+}
+
+fn name(index: usize) -> InstanceName {
+    InstanceName::new(&format!("e{index}"))
+}
+
+fn start(index: usize, boot: u64, offset: u64, millis: u64) -> Entry {
+    let now = Instant::from_millis(offset + millis);
+    let id = MemberId { name: name(index), boot };
+    let info = |i: usize| EntryInfo { id: MemberId { name: name(i), boot: 0 }, centre: "a".into() };
+    let own = EntryInfo { id: id.clone(), centre: "a".into() };
+    let mut router = Router::new(RouterSettings::default(), settings(), own);
+    router.apply_document(&document());
+    router.set_entries(now, &(0..ENTRIES).map(info).collect::<Vec<_>>());
+    let (name_, pool, centre) = (TARGET.into(), "p".into(), "a".into());
+    let target = TargetInfo { name: name_, pool, centre, ..TargetInfo::default() };
+    router.update_targets(now, &[target]);
+    let mut issuer = Issuer::new("a".into());
+    issuer.apply_document(&document());
+    Entry {
+        holder: Holder::new(now, id.clone(), (0..VOTERS).map(name).collect(), settings()),
+        voter: Voter::new(now, name(index), settings()),
+        id,
+        router,
+        issuer,
+        offset,
+        frozen_until: 0,
+        dead_until: 0,
+        cut_until: 0,
+        connected: None,
+        permits: IndexMap::new(),
+    }
+}
+
+impl Site {
+    /// Creates a site whose entries have just started and whose target is cold.
+    pub fn new(seed: u64, faults: Faults) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let entries =
+            (0..ENTRIES).map(|i| start(i, 0, rng.random_range(0..1_000_000), 0)).collect();
+        Self {
+            now: 0,
+            faults,
+            rng,
+            entries,
+            flights: Vec::new(),
+            running: IndexMap::new(),
+            incarnation: 1,
+            answers: 0,
+            most_cold: 0,
+            restarts: 0,
+            total: 0,
+            next: 0,
+        }
+    }
+
+    /// Plays until `millis`, with each entry sending whatever it may.
+    pub fn play(&mut self, millis: u64) {
+        while self.now < millis {
+            self.now += STEP;
+            self.disturb();
+            self.deliver();
+            for entry in 0..ENTRIES {
+                self.work(entry);
+            }
+        }
+    }
+
+    /// Returns how many entries take the target for warm.
+    pub fn warm_entries(&self) -> usize {
+        let warm =
+            |e: &&Entry| e.router.status(&TARGET.into()).is_some_and(|s| s.warmth == Warmth::Warm);
+        self.entries.iter().filter(warm).count()
+    }
+
+    /// Tells whether the target bears only its cold limit.
+    pub fn is_cold(&self) -> bool {
+        self.answers < WARM_AFTER
+    }
+
+    /// Restarts the target without warning: connections to it break.
+    pub fn restart_target(&mut self) {
+        self.restarts += 1;
+        self.incarnation += 1;
+        self.answers = 0;
+        let lost: Vec<u64> = self.running.drain(..).map(|(call, _)| call).collect();
+        self.flights.retain(|f| !matches!(f.message, Message::End(c, _) if lost.contains(&c)));
+        for to in 0..ENTRIES {
+            let boot = Some(self.entries[to].id.boot);
+            for call in &lost {
+                let message = Message::End(*call, CallOutcome::Reset);
+                self.flights.push(Flight { due: self.now + 2, to, boot, message });
+            }
+            self.flights.push(Flight { due: self.now + 2, to, boot, message: Message::Lost });
+        }
+    }
+
+    /// Ends an entry's process and starts it again after `pause`.
+    pub fn kill(&mut self, index: usize, pause: u64) {
+        let boot = self.rng.random();
+        let offset = self.rng.random_range(0..1_000_000);
+        self.entries[index] = start(index, boot, offset, self.now + pause);
+        self.entries[index].dead_until = self.now + pause;
+    }
+
+    fn one_in(&mut self, steps: u32) -> bool {
+        steps > 0 && self.rng.random_range(0..steps) == 0
+    }
+
+    fn disturb(&mut self) {
+        let faults = self.faults;
+        for index in 0..ENTRIES {
+            if self.one_in(faults.kill) {
+                let pause = self.rng.random_range(100..2_000);
+                self.kill(index, pause);
+            }
+            if self.one_in(faults.freeze) {
+                self.entries[index].frozen_until = self.now + self.rng.random_range(50..4_000);
+            }
+            if self.one_in(faults.cut) {
+                self.entries[index].cut_until = self.now + self.rng.random_range(200..5_000);
+            }
+        }
+        if self.one_in(faults.restart) {
+            self.restart_target();
+        }
+    }
+
+    fn clock(&self, index: usize) -> Instant {
+        Instant::from_millis(self.entries[index].offset + self.now)
+    }
+
+    fn send(&mut self, from: usize, to: usize, make: impl Fn() -> Message) {
+        let cut = |e: &Entry, now| now < e.cut_until;
+        if from != to && (cut(&self.entries[from], self.now) || cut(&self.entries[to], self.now)) {
+            return;
+        }
+        let links = self.faults.links;
+        let draw = self.rng.random_range(0..100);
+        let copies = match draw {
+            d if d < links.lost => 0,
+            d if d < links.lost + links.doubled => 2,
+            _ => 1,
+        };
+        for _ in 0..copies {
+            let late = self.rng.random_range(0..100) < links.late;
+            let delay =
+                if late { self.rng.random_range(100..3_000) } else { self.rng.random_range(1..6) };
+            self.flights.push(Flight { due: self.now + delay, to, boot: None, message: make() });
+        }
+    }
+
+    fn deliver(&mut self) {
+        let now = self.now;
+        let (due, later) = self.flights.drain(..).partition(|f| f.due <= now);
+        self.flights = later;
+        let due: Vec<Flight> = due;
+        for mut flight in due {
+            let entry = &self.entries[flight.to];
+            if now < entry.frozen_until {
+                flight.due = entry.frozen_until;
+                self.flights.push(flight);
+                continue;
+            }
+            self.finish_at_target(&flight);
+            let entry = &self.entries[flight.to];
+            if now >= entry.dead_until && flight.boot.is_none_or(|b| b == entry.id.boot) {
+                self.receive(flight.to, flight.message);
+            }
+        }
+        // Calls of entries that died or froze end at the target all the same.
+        let ended: Vec<u64> =
+            self.running.iter().filter(|(_, end)| **end <= now).map(|(c, _)| *c).collect();
+        for call in ended {
+            self.running.swap_remove(&call);
+            self.answers += 1;
+        }
+    }
+
+    fn finish_at_target(&mut self, flight: &Flight) {
+        if let Message::End(call, CallOutcome::Answered { .. }) = &flight.message
+            && self.running.swap_remove(call).is_some()
+        {
+            self.answers += 1;
+        }
+    }
+
+    fn receive(&mut self, to: usize, message: Message) {
+        let now = self.clock(to);
+        let entry = &mut self.entries[to];
+        match message {
+            Message::Vote(from, message) => {
+                entry.holder.handle(now, &message);
+                if let Some(reply) = entry.voter.handle(now, &message) {
+                    self.send(to, from, || Message::Vote(to, reply.clone()));
+                }
+            }
+            Message::Grant(from, message) => {
+                entry.router.handle_grant(now, &message);
+                let out = entry.issuer.handle(now, &entry.holder, &from, &message);
+                self.send_grants(to, out.into_iter().map(|o| (o.to, o.message)).collect());
+            }
+            Message::Lost => {
+                entry.connected = None;
+                entry.router.connection_lost(now, &TARGET.into());
+            }
+            Message::End(call, outcome) => {
+                if let Some(permit) = entry.permits.swap_remove(&call) {
+                    entry.router.finished(now, permit, outcome);
+                }
+            }
+        }
+    }
+
+    fn send_grants(&mut self, from: usize, messages: Vec<(MemberId, GrantMessage)>) {
+        let own = self.entries[from].id.clone();
+        for (member, message) in messages {
+            if let Some(to) = self.entries.iter().position(|e| e.id == member) {
+                self.send(from, to, || Message::Grant(own.clone(), message.clone()));
+            }
+        }
+    }
+
+    fn work(&mut self, index: usize) {
+        let entry = &self.entries[index];
+        if self.now < entry.dead_until || self.now < entry.frozen_until {
+            return;
+        }
+        let now = self.clock(index);
+        if index < VOTERS {
+            let entry = &mut self.entries[index];
+            let ask = entry.holder.tick(now);
+            let mut out = entry.issuer.tick(now, &entry.holder);
+            let announce = ask.as_ref().and_then(|_| entry.issuer.announce(now, &entry.holder));
+            for message in announce {
+                let all = self.entries.iter().map(|e| e.id.clone());
+                out.extend(all.map(|to| hawthornkeel_core::lease::IssuerOutput {
+                    to,
+                    message: message.clone(),
+                }));
+            }
+            self.send_grants(index, out.into_iter().map(|o| (o.to, o.message)).collect());
+            if let Some(ask) = ask {
+                (0..VOTERS)
+                    .for_each(|to| self.send(index, to, || Message::Vote(index, ask.clone())));
+            }
+        }
+        while self.call(index) {}
+        let out = self.entries[index].router.take_messages(now);
+        self.send_grants(index, out.into_iter().map(|o| (o.issuer, o.message)).collect());
+    }
+
+    /// Makes one call, where the router sends it; returns whether it did.
+    fn call(&mut self, index: usize) -> bool {
+        self.next += 1;
+        let (number, now) = (self.next, self.clock(index));
+        let request = StageRequest {
+            call: CallId { request: RequestId(u128::from(number)), ..CallId::default() },
+            workspace: "w".into(),
+            pool: "p".into(),
+            deadline: now + Duration::from_secs(8),
+            ..StageRequest::default()
+        };
+        let router = &mut self.entries[index].router;
+        let Decision::Send { permit, .. } = router.choose(now, &request) else {
+            router.cancel(now, request.call);
+            return false;
+        };
+        self.entries[index].permits.insert(number, permit);
+        self.take(index, number);
+        true
+    }
+
+    /// Lets the target take a call, over a connection that leads to its present process or not.
+    fn take(&mut self, index: usize, number: u64) {
+        let entry = &mut self.entries[index];
+        let boot = Some(entry.id.boot);
+        let connected = *entry.connected.get_or_insert(self.incarnation);
+        if connected != self.incarnation {
+            let message = Message::End(number, CallOutcome::Reset);
+            self.flights.push(Flight { due: self.now + 2, to: index, boot, message });
+            return;
+        }
+        let cold = self.is_cold();
+        let length = self.rng.random_range(20..300);
+        self.total += 1;
+        self.running.insert(number, self.now + length);
+        if cold {
+            let running = self.running.len() as u32;
+            self.most_cold = self.most_cold.max(running);
+            assert!(
+                running <= COLD_LIMIT,
+                "{running} calls at the cold target at {} ms, the last by {}",
+                self.now,
+                self.entries[index].id
+            );
+        }
+        let latency = Duration::from_millis(length);
+        let incarnation = self.faults.named.then_some(Incarnation(self.incarnation));
+        let outcome = CallOutcome::Answered { latency, tokens: 0, incarnation };
+        let message = Message::End(number, outcome);
+        self.flights.push(Flight { due: self.now + length, to: index, boot, message });
+    }
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/fair_share.rs
@@ -0,0 +1,107 @@
+//! Waiting calls are served by the weights of their workspaces, and only as long as they can be.
+
+mod common;
+
+use std::time::Duration;
+
+use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::Permit;
+use hawthornkeel_core::routing::Reason;
+use hawthornkeel_core::routing::Router;
+use hawthornkeel_core::routing::RouterSettings;
+use hawthornkeel_core::time::Instant;
+
+use common::answered;
+use common::at;
+use common::document;
+use common::request;
+use common::target;
+use common::warm_router;
+
+/// Serves waiting calls one after another and returns how many of the first `count` were small.
+fn small_of(
+    router: &mut Router,
+    mut running: Vec<Permit>,
+    small_from: u128,
+    count: usize,
+) -> usize {
+    let (mut now, mut small) = (at(0), 0);
+    for _ in 0..count {
+        now = now + Duration::from_millis(1);
+        router.finished(now, running.remove(0), answered());
+        for ready in router.take_ready(now) {
+            let Decision::Send { permit, .. } = ready.decision else {
+                panic!("refused: {ready:?}");
+            };
+            small += usize::from(ready.call.request.0 >= small_from);
+            running.push(permit);
+        }
+    }
+    small
+}
+
+/// Fills the target and lets `large` calls of one workspace wait before `small` of another.
+fn contended(large: u128, small: u128) -> (Router, Vec<Permit>) {
+    let document = document(4, &[("large", 3), ("small", 1)]);
+    let mut router = warm_router(&document, &[target("t", "a")], RouterSettings::default());
+    let mut running = Vec::new();
+    for number in 0..large + small {
+        let workspace = if number < large { "large" } else { "small" };
+        if let Decision::Send { permit, .. } = router.choose(at(0), &request(number, workspace)) {
+            running.push(permit);
+        }
+    }
+    assert_eq!(running.len(), 4, "the target's limit is in use");
+    (router, running)
+}
+
+#[test]
+fn large_workspace_does_not_starve_a_small_one() {
+    let (mut router, running) = contended(150, 40);
+    let small = small_of(&mut router, running, 150, 40);
+    assert!((9..=11).contains(&small), "{small} of 40 for a weight of 1 in 4");
+}
+
+#[test]
+fn lone_workspace_gets_everything() {
+    let (mut router, running) = contended(60, 0);
+    assert_eq!(small_of(&mut router, running, 0, 40), 40);
+}
+
+#[test]
+fn call_that_can_not_be_served_in_time_is_refused_at_once() {
+    let (mut router, _running) = contended(400, 0);
+    let decision = router.choose(at(0), &request(999, "large"));
+    let Decision::Refuse { reason, retry_after, .. } = decision else {
+        panic!("{decision:?}");
+    };
+    assert_eq!(reason, Reason::Deadline);
+    assert!(retry_after >= Duration::from_secs(1), "{retry_after:?}");
+}
+
+#[test]
+fn small_workspace_waits_less_than_a_large_one() {
+    let (mut router, _running) = contended(150, 0);
+    let mut soon = request(999, "small");
+    soon.deadline = at(1_000);
+    let decision = router.choose(at(0), &soon);
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+}
+
+#[test]
+fn waiting_call_is_refused_when_its_time_is_over() {
+    let (mut router, _running) = contended(8, 0);
+    let end: Instant = at(8_000);
+    let ready = router.take_ready(end);
+    assert_eq!(ready.len(), 4);
+    let refused = |d: &Decision| matches!(d, Decision::Refuse { reason: Reason::Deadline, .. });
+    assert!(ready.iter().all(|r| refused(&r.decision)));
+}
+
+#[test]
+fn cancelled_call_leaves_the_queue() {
+    let (mut router, _running) = contended(5, 0);
+    assert!(router.cancel(at(1), request(4, "large").call));
+    assert!(!router.cancel(at(1), request(4, "large").call));
+    assert!(router.take_ready(at(8_000)).is_empty());
+}
