Answers without an incarnation prove a target warm only to the entry that got them

Ruled out: counting over all entries and clearing on a reported loss (a frozen or cut-off entry can't report).

--- a/hawthornkeel_core/src/lease/message.rs
+++ b/hawthornkeel_core/src/lease/message.rs
@@ -73,6 +73,8 @@
     Answered {
         /// Incarnation that the answer named.
         incarnation: Option<Incarnation>,
+        /// Times that the entry has seen connections to the target break.
+        losses: u32,
     },
     /// The call failed and no longer runs at the target.
     Failed,
--- a/hawthornkeel_core/src/lease/record.rs
+++ b/hawthornkeel_core/src/lease/record.rs
@@ -32,6 +32,15 @@
     repeat: bool,
 }
 
+/// Answers that one entry got of a target that doesn't name its incarnation.
+///
+/// Another entry's answers may be those of an earlier process, and nobody could tell.
+#[derive(Clone, Copy, Debug, Default)]
+struct Seen {
+    losses: u32,
+    answers: u32,
+}
+
 /// Request that waits for a slot.
 #[derive(Clone, Copy, Debug)]
 struct Waiter {
@@ -70,10 +79,10 @@
     pool: PoolName,
     incarnation: Option<Incarnation>,
     answers: u32,
+    /// Answers without an incarnation, by entry.
+    seen: IndexMap<MemberId, Seen>,
     /// Whether a vouch stands in for answers of the incarnation.
     vouched: bool,
-    /// Whether a connection broke since the last answer.
-    doubted: bool,
     /// Rises when answers of calls made before no longer count.
     epoch: u64,
     in_use: IndexMap<u64, InUse>,
@@ -162,13 +171,19 @@
             return None;
         }
         let in_use = self.in_use.shift_remove(&number)?;
+        let entry = in_use.entry.clone();
         let mut released = Released { entry: in_use.entry, incarnation: None, warm: false };
         match outcome {
-            GrantOutcome::Answered { incarnation } if in_use.epoch == self.epoch => {
+            GrantOutcome::Answered { incarnation: Some(incarnation), .. }
+                if in_use.epoch == self.epoch =>
+            {
                 self.answered(incarnation);
-                released.incarnation = incarnation;
+                released.incarnation = Some(incarnation);
                 released.warm = self.vouched || self.answers >= warm_after;
             }
+            GrantOutcome::Answered { incarnation: None, losses } if in_use.epoch == self.epoch => {
+                released.warm = self.answered_unnamed(entry, losses) >= warm_after;
+            }
             GrantOutcome::Failed => self.forget(),
             _ => {}
         }
@@ -176,25 +191,33 @@
     }
 
     /// Counts an answer; one of another incarnation starts the count again.
-    fn answered(&mut self, incarnation: Option<Incarnation>) {
-        let same = self.incarnation == incarnation;
-        let proved = incarnation.is_some() || !self.doubted;
-        let counted = self.answers > 0 || self.vouched;
-        if counted && (!same || !proved) {
+    fn answered(&mut self, incarnation: Incarnation) {
+        let same = self.incarnation == Some(incarnation);
+        if !same && (self.answers > 0 || self.vouched) {
             self.forget();
         }
-        self.incarnation = incarnation;
-        self.doubted = false;
+        self.incarnation = Some(incarnation);
         self.answers = self.answers.saturating_add(1);
     }
 
+    /// Counts an answer without an incarnation; returns the entry's count since its last loss.
+    fn answered_unnamed(&mut self, entry: MemberId, losses: u32) -> u32 {
+        let seen = self.seen.entry(entry).or_default();
+        if seen.losses != losses {
+            *seen = Seen { losses, answers: 0 };
+        }
+        seen.answers = seen.answers.saturating_add(1);
+        seen.answers
+    }
+
     /// Takes the suspicion of an entry.
     pub fn suspect(&mut self, incarnation: Option<Incarnation>, doubt: Doubt) {
         let other = incarnation.is_some() && incarnation != self.incarnation;
         match doubt {
             _ if other => {}
-            Doubt::Restart if self.incarnation.is_some() => self.doubted = true,
-            Doubt::Restart | Doubt::Overload => self.forget(),
+            // An answer that names its incarnation tells by itself whether there was a restart.
+            Doubt::Restart => self.seen.clear(),
+            Doubt::Overload => self.forget(),
         }
     }
 
@@ -210,6 +233,7 @@
     /// Starts the count of answers again.
     fn forget(&mut self) {
         self.answers = 0;
+        self.seen.clear();
         self.vouched = false;
         self.epoch += 1;
     }
--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -18,7 +18,8 @@
         }
         let doubt = self.take_outcome(now, &permit, outcome);
         if let Some(grant) = permit.grant {
-            self.release(&permit.target, grant, grant_outcome(outcome));
+            let losses = self.losses(&permit.target);
+            self.release(&permit.target, grant, grant_outcome(outcome, losses));
         }
         if let Some(doubt) = doubt {
             self.suspect(now, &permit.target, doubt, true);
@@ -28,6 +29,11 @@
         }
     }
 
+    /// Returns how often a target was suspected.
+    fn losses(&mut self, target: &TargetName) -> u32 {
+        self.find(target).and_then(|mut f| f.target().map(|t| t.losses)).unwrap_or_default()
+    }
+
     /// Notes that the target closed or broke a connection outside of a call.
     pub fn connection_lost(&mut self, now: Instant, target: &TargetName) {
         self.suspect_restart(now, target);
@@ -108,9 +114,9 @@
 ///
 /// After a reset the target's process is gone or has dropped the call. After a time-out or a
 /// cancellation the call may still run, so its slot stays taken until the grant expires.
-fn grant_outcome(outcome: CallOutcome) -> GrantOutcome {
+fn grant_outcome(outcome: CallOutcome, losses: u32) -> GrantOutcome {
     match outcome {
-        CallOutcome::Answered { incarnation, .. } => GrantOutcome::Answered { incarnation },
+        CallOutcome::Answered { incarnation, .. } => GrantOutcome::Answered { incarnation, losses },
         CallOutcome::Refused => GrantOutcome::Unused,
         CallOutcome::ConnectFailed => GrantOutcome::Failed,
         CallOutcome::Reset | CallOutcome::Truncated | CallOutcome::Failed => GrantOutcome::Failed,
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -103,6 +103,8 @@
     pub sequence: Option<u64>,
     /// Grant of the last answered call, until the target is suspected.
     pub proof: Option<GrantId>,
+    /// Times that the target was suspected.
+    pub losses: u32,
     pub running: u32,
     pub limit: Limit,
     /// Own share of the target's limit.
@@ -139,6 +141,7 @@
             retired: None,
             sequence: None,
             proof: None,
+            losses: 0,
             running: 0,
             limit: Limit::new(1.0, 1.0),
             share: 1.0,
@@ -341,6 +344,7 @@
 
     /// Takes the target for possibly cold; returns whether it was taken for warm before.
     pub fn suspect(&mut self) -> bool {
+        self.losses = self.losses.wrapping_add(1);
         let was_warm = self.warmth == Warmth::Warm;
         if was_warm {
             self.warmth = Warmth::Suspect;
--- a/hawthornkeel_core/tests/cold_site/mod.rs
+++ b/hawthornkeel_core/tests/cold_site/mod.rs
@@ -359,7 +359,7 @@
             let ask = entry.holder.tick(now);
             let mut out = entry.issuer.tick(now, &entry.holder);
             let announce = ask.as_ref().and_then(|_| entry.issuer.announce(now, &entry.holder));
-            for message in announce {
+            if let Some(message) = announce {
                 let all = self.entries.iter().map(|e| e.id.clone());
                 out.extend(all.map(|to| hawthornkeel_core::lease::IssuerOutput {
                     to,
