--- /dev/null
+++ b/hawthornkeel_core/benches/decision.rs
@@ -0,0 +1,110 @@
+//! Cost of one decision against the number of targets that an entry knows.
+//!
+//! `cargo bench -p hawthornkeel_core --bench decision`; the goal is under 5 us at 1,500 targets.
+
+#[path = "../tests/common/mod.rs"]
+mod common;
+
+use std::hint::black_box;
+use std::time::Duration;
+
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use criterion::criterion_group;
+use criterion::criterion_main;
+use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::LoadReport;
+use hawthornkeel_core::routing::Router;
+use hawthornkeel_core::routing::RouterSettings;
+use hawthornkeel_core::routing::TargetInfo;
+
+use common::answered;
+use common::at;
+use common::document;
+use common::request;
+use common::sent;
+use common::target;
+use common::warm_router;
+
+/// Numbers of targets in the pool.
+const SIZES: [usize; 3] = [10, 100, 1_500];
+
+/// Creates a router with warm targets, three in four of them near.
+fn router(size: usize) -> Router {
+    let place = |i: usize| if i % 4 == 3 { "b" } else { "a" };
+    let targets: Vec<TargetInfo> = (0..size).map(|i| target(&format!("t{i}"), place(i))).collect();
+    warm_router(&document(16, &[("w", 1)]), &targets, RouterSettings::default())
+}
+
+/// Measures a call that is sent and answered.
+fn send(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_and_finish");
+    for size in SIZES {
+        let mut router = router(size);
+        let call = request(1, "w");
+        group.bench_function(BenchmarkId::from_parameter(size), |b| {
+            b.iter(|| {
+                let permit = sent(router.choose(at(1), black_box(&call)));
+                router.finished(at(1), permit, answered());
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Measures a call with a prompt prefix and one tried target.
+fn send_again(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_with_prefix_and_excluded");
+    for size in SIZES {
+        let mut router = router(size);
+        let mut call = request(1, "w");
+        (call.prefix, call.excluded) = (Some(7), vec!["t0".into()]);
+        group.bench_function(BenchmarkId::from_parameter(size), |b| {
+            b.iter(|| {
+                let permit = sent(router.choose(at(1), black_box(&call)));
+                router.finished(at(1), permit, answered());
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Measures a call that has to wait, and its cancellation.
+fn wait(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_and_wait");
+    for size in SIZES {
+        let mut router = router(size);
+        let mut number = 10;
+        while let Decision::Send { .. } = router.choose(at(1), &request(number, "w")) {
+            number += 1;
+        }
+        let call = request(1, "w");
+        group.bench_function(BenchmarkId::from_parameter(size), |b| {
+            b.iter(|| {
+                let decision = router.choose(at(1), black_box(&call));
+                assert!(matches!(decision, Decision::Wait { .. }));
+                router.cancel(at(1), call.call);
+            });
+        });
+    }
+    group.finish();
+}
+
+/// Measures one load report.
+fn report(criterion: &mut Criterion) {
+    let mut router = router(1_500);
+    let load = LoadReport { running: 3, ..LoadReport::default() };
+    criterion.bench_function("load_report", |b| {
+        b.iter(|| router.report_load(at(1), black_box(&"t7".into()), load));
+    });
+}
+
+criterion_group! {
+    name = decisions;
+    config = Criterion::default()
+        .measurement_time(Duration::from_secs(2))
+        .warm_up_time(Duration::from_millis(500))
+        .sample_size(50);
+    targets = send, send_again, wait, report
+}
+criterion_main!(decisions);
--- a/hawthornkeel_core/tests/common/mod.rs
+++ b/hawthornkeel_core/tests/common/mod.rs
@@ -131,10 +131,17 @@
         router.handle_grant(now, &GrantMessage::Granted { number, grant, target, lasts });
     }
     let mut permits = Vec::new();
-    match router.choose(now, &probe) {
-        Decision::Send { permit, .. } => permits.push(permit),
-        _ => {
-            router.cancel(now, probe.call);
+    loop {
+        match router.choose(now, &probe) {
+            Decision::Send { permit, .. } if permit.grant.is_some() => permits.push(permit),
+            Decision::Send { permit, .. } => {
+                permits.push(permit);
+                break;
+            }
+            _ => {
+                router.cancel(now, probe.call);
+                break;
+            }
         }
     }
     for permit in permits {
