--- a/hawthornkeel_core/benches/decision.rs
+++ b/hawthornkeel_core/benches/decision.rs
@@ -2,6 +2,8 @@
 //!
 //! `cargo bench -p hawthornkeel_core --bench decision`; the goal is under 5 us at 1,500 targets.
 
+#![allow(missing_docs)]
+
 #[path = "../tests/common/mod.rs"]
 mod common;
 
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -12,6 +12,7 @@
 use crate::routing::pool::PoolState;
 use crate::routing::router::Router;
 use crate::routing::settings::RouterSettings;
+use crate::routing::target::Class;
 use crate::routing::types::Decision;
 use crate::routing::types::Ready;
 use crate::routing::types::Reason;
@@ -127,10 +128,10 @@
     ready: &mut Vec<Ready>,
     set: &RouterSettings,
 ) {
-    while pool.hot.iter().any(|h| h.open && h.cold) {
-        let Some((place, waiting)) = queue.latest() else {
+    while let Some((place, waiting)) = queue.latest() {
+        if !pool.hot.iter().any(|h| h.class == Class::Cold) {
             return;
-        };
+        }
         let call = waiting.request.call;
         if !may_use_cold(pool, now, &waiting.request, waiting.latest) {
             return;
@@ -153,10 +154,10 @@
     set: &RouterSettings,
 ) {
     let mut passed = Passed::default();
-    while pool.hot.iter().any(|h| h.open) {
-        let Some((place, waiting)) = queue.next(&passed) else {
+    while let Some((place, waiting)) = queue.next(&passed) {
+        if pool.hot.iter().all(|h| h.class == Class::Closed) {
             return;
-        };
+        }
         *turn = turn.wrapping_add(1);
         let call = waiting.request.call;
         let sent = send(pool, now, &waiting.request, waiting.latest, *turn as usize, set);
--- a/hawthornkeel_core/src/routing/cold.rs
+++ b/hawthornkeel_core/src/routing/cold.rs
@@ -16,6 +16,7 @@
 use crate::routing::router::GrantOutput;
 use crate::routing::router::KnownIssuer;
 use crate::routing::router::Router;
+use crate::routing::target::Class;
 use crate::routing::target::Grant;
 use crate::routing::target::Target;
 use crate::routing::target::Warmth;
@@ -215,7 +216,7 @@
     next: &mut u64,
 ) -> Vec<Ask> {
     let mut asks = Vec::new();
-    let near_room = pool.hot.iter().any(|h| h.near && h.open);
+    let near_room = pool.hot.iter().any(|h| h.near && h.class != Class::Closed);
     let in_hand = |t: &Target| !t.near && (t.pending.is_some() || !t.grants.is_empty());
     let mut far_busy = near_room && pool.targets.values().any(in_hand);
     for target in pool.targets.values_mut() {
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -2,7 +2,8 @@
 
 use crate::routing::pool::PoolState;
 use crate::routing::settings::RouterSettings;
-use crate::routing::target::Target;
+use crate::routing::target::Class;
+use crate::routing::target::Hot;
 use crate::routing::types::Decision;
 use crate::routing::types::Permit;
 use crate::routing::types::Reason;
@@ -27,26 +28,81 @@
 #[derive(Clone, Copy, Debug)]
 struct View<'a> {
     now: Instant,
-    /// Positions of targets that are not to be chosen.
-    excluded: &'a [usize],
+    /// Positions of targets that were tried before.
+    tried: &'a [usize],
     /// Position at which the scan starts, by its remainder.
     turn: usize,
     /// Whether cold targets may be chosen.
     cold: bool,
-    /// Whether the call repeats one that may have run: it isn't used to probe failing targets.
-    retry: bool,
+    repeat: Repeat,
 }
 
-/// Best open targets of a scan.
-#[derive(Clone, Copy, Debug, Default)]
+/// Which targets a pass leaves out, for a call that was tried before.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Tier {
+    /// Those in data centres of tried targets.
+    OtherCentre,
+    /// Tried targets.
+    OtherTarget,
+    /// None.
+    Any,
+}
+
+/// Best open targets of a pass.
+#[derive(Clone, Copy, Debug)]
 struct Scan {
-    near: Option<(usize, f32)>,
-    far: Option<(usize, f32)>,
-    cold: Option<(usize, f32)>,
+    near: (usize, f32),
+    far: (usize, f32),
+    cold: (usize, f32),
     any_near: bool,
+    usable: bool,
     candidates: u32,
 }
 
+impl Default for Scan {
+    fn default() -> Self {
+        let none = (usize::MAX, f32::INFINITY);
+        let (any_near, usable, candidates) = (false, false, 0);
+        Self { near: none, far: none, cold: none, any_near, usable, candidates }
+    }
+}
+
+impl Scan {
+    /// Compares a part of the targets, the first of which is at position `from`.
+    ///
+    /// Targets that are not to be kept are left out as if they were not there; those that are
+    /// barred take work, but not this call now.
+    fn add(
+        &mut self,
+        part: &[Hot],
+        from: usize,
+        keep: impl Fn(usize, &Hot) -> bool,
+        bar: impl Fn(usize, &Hot) -> bool,
+    ) {
+        for (offset, hot) in part.iter().enumerate() {
+            let index = from + offset;
+            if !keep(index, hot) {
+                continue;
+            }
+            self.any_near |= hot.near & hot.usable;
+            self.usable |= hot.usable;
+            if bar(index, hot) {
+                continue;
+            }
+            let best = match hot.class {
+                Class::Closed => continue,
+                Class::Near => &mut self.near,
+                Class::Far => &mut self.far,
+                Class::Cold => &mut self.cold,
+            };
+            self.candidates += 1;
+            if hot.score < best.1 {
+                *best = (index, hot.score);
+            }
+        }
+    }
+}
+
 /// Sends a call to the best open target; `None` where there is none.
 pub(crate) fn send(
     pool: &mut PoolState,
@@ -60,11 +116,12 @@
     if retry && (now < pool.retry_at || !pool.retries.allows()) {
         return None;
     }
-    let excluded = excluded(pool, request);
+    let names = request.excluded.iter();
+    let tried: Vec<usize> = names.filter_map(|t| pool.targets.get_index_of(t)).collect();
     let cold = may_use_cold(pool, now, request, latest);
-    let view = View { now, excluded: &excluded, turn, cold, retry };
+    let view = View { now, tried: &tried, turn, cold, repeat: request.repeat };
     let scan = scan(pool, &view);
-    let pick = pick(pool, request, &scan, &excluded)?;
+    let pick = pick(pool, request, &scan, &tried)?;
     let (_, target) = pool.targets.get_index_mut(pick.index)?;
     let (mut until, mut grant) = (latest, None);
     if pick.reason == Reason::ColdGrant {
@@ -92,39 +149,6 @@
     Some(Decision::Send { target: name, address, permit, reason, candidates: scan.candidates })
 }
 
-/// Returns the positions of excluded targets; none where nothing else takes work.
-///
-/// A repeated call also leaves out the data centres of the targets that it was sent to before, as
-/// long as others take work.
-fn excluded(pool: &PoolState, request: &StageRequest) -> Vec<usize> {
-    if request.excluded.is_empty() {
-        return Vec::new();
-    }
-    let names = &request.excluded;
-    let tried: Vec<&Target> = names.iter().filter_map(|t| pool.targets.get(t)).collect();
-    let same_target = |t: &Target| names.contains(&t.info.name);
-    let same_centre = |t: &Target| tried.iter().any(|o| o.info.centre == t.info.centre);
-    let wide = leave_out(pool, same_centre);
-    if !wide.is_empty() && request.repeat == Repeat::MayHaveRun {
-        return wide;
-    }
-    let narrow = leave_out(pool, same_target);
-    if !narrow.is_empty() || request.repeat != Repeat::Hedge {
-        return narrow;
-    }
-    names.iter().filter_map(|t| pool.targets.get_index_of(t)).collect()
-}
-
-/// Returns the positions of targets that `out` tells to leave out; none where no other takes work.
-fn leave_out(pool: &PoolState, out: impl Fn(&Target) -> bool) -> Vec<usize> {
-    let usable = |t: &Target| !out(t) && t.takes_work() && !t.is_down();
-    if !pool.targets.values().any(usable) {
-        return Vec::new();
-    }
-    let all = pool.targets.values().enumerate();
-    all.filter(|(_, t)| out(t)).map(|(i, _)| i).collect()
-}
-
 /// Tells whether a call has time enough for a cold target.
 pub(crate) fn may_use_cold(
     pool: &PoolState,
@@ -135,7 +159,7 @@
     if request.repeat == Repeat::Hedge {
         return false;
     }
-    let no_warm = pool.hot.iter().all(|h| h.cold || h.capacity == 0);
+    let no_warm = !pool.hot.iter().any(|h| h.warm);
     let needed = match pool.times.high() {
         Some(high) if !no_warm => high * COLD_SLACK,
         _ => pool.median(),
@@ -143,49 +167,84 @@
     now + needed.max(request.floor) <= latest
 }
 
-/// Finds the best open targets, starting at a position that changes from call to call.
+/// Finds the best open targets of the first tier that has any which take work.
 fn scan(pool: &PoolState, view: &View<'_>) -> Scan {
+    if view.tried.is_empty() {
+        return pass(pool, view, Tier::Any);
+    }
+    let tiers: &[Tier] = match view.repeat {
+        Repeat::MayHaveRun => &[Tier::OtherCentre, Tier::OtherTarget, Tier::Any],
+        Repeat::First | Repeat::NotRun => &[Tier::OtherTarget, Tier::Any],
+        Repeat::Hedge => &[Tier::OtherTarget],
+    };
+    let mut last = Scan::default();
+    for tier in tiers {
+        last = pass(pool, view, *tier);
+        if last.usable {
+            return last;
+        }
+    }
+    last
+}
+
+/// Finds the best open targets of a tier, starting at a position that changes from call to call.
+fn pass(pool: &PoolState, view: &View<'_>, tier: Tier) -> Scan {
     let mut scan = Scan::default();
     let split = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
     let (head, tail) = pool.hot.split_at(split);
-    let tail = tail.iter().enumerate().map(|(i, h)| (i + split, h));
-    for (index, hot) in tail.chain(head.iter().enumerate()) {
-        scan.any_near |= hot.near && hot.capacity > 0;
-        let barred = (hot.cold && !view.cold) || (view.retry && view.now < hot.retry_at);
-        if !hot.open || barred || view.excluded.contains(&index) {
-            continue;
-        }
-        scan.candidates += 1;
-        let best = match (hot.cold, hot.near) {
-            (true, _) => &mut scan.cold,
-            (false, true) => &mut scan.near,
-            (false, false) => &mut scan.far,
-        };
-        if best.is_none_or(|(_, score)| hot.score < score) {
-            *best = Some((index, hot.score));
-        }
+    if tier == Tier::Any && view.repeat != Repeat::MayHaveRun && view.cold {
+        scan.add(tail, split, |_, _| true, |_, _| false);
+        scan.add(head, 0, |_, _| true, |_, _| false);
+        return scan;
     }
+    let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
+    let centres: Vec<u16> = view.tried.iter().filter_map(centre).collect();
+    let keep = |index: usize, hot: &Hot| match tier {
+        Tier::OtherCentre => !centres.contains(&hot.centre),
+        Tier::OtherTarget => !view.tried.contains(&index),
+        Tier::Any => true,
+    };
+    let retry = view.repeat == Repeat::MayHaveRun;
+    let bar = |index: usize, hot: &Hot| {
+        (hot.class == Class::Cold && !view.cold)
+            || (retry && hot.failing && rests(pool, view, index))
+    };
+    scan.add(tail, split, keep, bar);
+    scan.add(head, 0, keep, bar);
     scan
 }
 
+/// Tells whether a failing target is left to first calls.
+fn rests(pool: &PoolState, view: &View<'_>, index: usize) -> bool {
+    let target = pool.targets.get_index(index);
+    target.is_some_and(|(_, t)| view.now < t.retry_at)
+}
+
 /// Picks one of the best open targets: cold ones first, since a grant is short-lived.
-fn pick(pool: &PoolState, request: &StageRequest, scan: &Scan, excluded: &[usize]) -> Option<Pick> {
-    if let Some((index, _)) = scan.cold {
-        return Some(Pick { index, reason: Reason::ColdGrant });
+fn pick(pool: &PoolState, request: &StageRequest, scan: &Scan, tried: &[usize]) -> Option<Pick> {
+    let found = |best: (usize, f32)| best.0 != usize::MAX;
+    if found(scan.cold) {
+        return Some(Pick { index: scan.cold.0, reason: Reason::ColdGrant });
     }
-    let (index, score, reason) = match (scan.near, scan.far) {
-        (Some((_, near)), Some((far, score))) if score * FAR_ADVANTAGE < near => {
-            (far, score, Reason::FarBetter)
-        }
-        (Some((near, score)), _) => (near, score, Reason::Near),
-        (None, Some((far, score))) if scan.any_near => (far, score, Reason::NearFull),
-        (None, Some((far, score))) => (far, score, Reason::NearGone),
-        (None, None) => return None,
+    let ((near, near_score), (far, far_score)) = (scan.near, scan.far);
+    let (index, score, reason) = if found(scan.near) && near_score <= far_score * FAR_ADVANTAGE {
+        (near, near_score, Reason::Near)
+    } else if !found(scan.far) {
+        return None;
+    } else if found(scan.near) {
+        (far, far_score, Reason::FarBetter)
+    } else if scan.any_near {
+        (far, far_score, Reason::NearFull)
+    } else {
+        (far, far_score, Reason::NearGone)
     };
-    let place = request.prefix.and_then(|p| pool.place(p)).filter(|i| !excluded.contains(i));
+    let place = request.prefix.and_then(|p| pool.place(p)).filter(|i| !tried.contains(i));
     let held = place.and_then(|i| pool.hot.get(i).map(|h| (i, h)));
     match held {
-        Some((place, hot)) if hot.open && !hot.cold && hot.score <= score * PREFIX_FACTOR => {
+        Some((place, hot))
+            if matches!(hot.class, Class::Near | Class::Far)
+                && hot.score <= score * PREFIX_FACTOR =>
+        {
             Some(Pick { index: place, reason: Reason::Prefix })
         }
         _ => Some(Pick { index, reason }),
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::document::Pool;
 use crate::names::CentreName;
@@ -43,6 +44,8 @@
 pub(crate) struct PoolState {
     pub config: Pool,
     pub targets: IndexMap<TargetName, Target>,
+    /// Data centres that targets have been in; their positions are their numbers.
+    centres: IndexSet<CentreName>,
     /// What a choice reads, in the order of `targets`.
     pub hot: Vec<Hot>,
     /// Sum of the targets' capacities.
@@ -76,6 +79,7 @@
         Self {
             config,
             targets: IndexMap::new(),
+            centres: IndexSet::new(),
             hot: Vec::new(),
             capacity: 0,
             queue: FairQueue::default(),
@@ -166,7 +170,9 @@
     }
 
     /// Adds a target.
-    pub fn insert(&mut self, target: Target) {
+    pub fn insert(&mut self, mut target: Target) {
+        let (centre, _) = self.centres.insert_full(target.info.centre.clone());
+        target.centre = u16::try_from(centre).unwrap_or(u16::MAX);
         let name = target.info.name.clone();
         if self.targets.insert(name, target).is_none() {
             self.hot.push(Hot::default());
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -229,7 +229,11 @@
     fn take_listed(&mut self, now: Instant, info: &TargetInfo) {
         let near = info.centre == self.own.centre;
         let taken_out = self.taken_out.contains(&info.centre);
-        if self.homes.get(&info.name).is_some_and(|home| *home != info.pool) {
+        let moved = |f: Found<'_>| {
+            let known = f.pool.targets.get(&info.name);
+            known.is_some_and(|t| t.info.pool != info.pool || t.info.centre != info.centre)
+        };
+        if self.find(&info.name).is_some_and(moved) {
             self.forget(&info.name);
         }
         let Some(pool) = self.pools.get_mut(&info.pool) else {
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -67,24 +67,45 @@
     pub sent: Instant,
 }
 
-/// What a choice reads of a target: kept apart, so that a scan over many targets is quick.
+/// How a target can be chosen now.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub(crate) enum Class {
+    /// Not at all.
+    #[default]
+    Closed,
+    /// Warm and of the own data centre.
+    Near,
+    /// Warm and of another data centre.
+    Far,
+    /// Cold, with a grant in hand.
+    Cold,
+}
+
+/// What a choice reads of a target: small and kept apart, so that a scan of many is quick.
 #[derive(Clone, Copy, Debug, Default)]
 pub(crate) struct Hot {
     /// Expected time of a call, in microseconds.
     pub score: f32,
     /// Calls that the target is expected to bear for this entry.
-    pub capacity: u32,
-    /// Time from which a repeated call may go, where the target failed last.
-    pub retry_at: Instant,
-    pub open: bool,
+    pub capacity: u16,
+    /// Number of the data centre in the pool.
+    pub centre: u16,
+    pub class: Class,
     pub near: bool,
-    pub cold: bool,
+    /// Whether the target takes work and is proved warm.
+    pub warm: bool,
+    /// Whether the target takes work and isn't down.
+    pub usable: bool,
+    /// Whether the last call failed.
+    pub failing: bool,
 }
 
 /// State that an entry keeps of one target.
 #[derive(Debug)]
 pub(crate) struct Target {
     pub info: TargetInfo,
+    /// Number of the data centre in the pool.
+    pub centre: u16,
     pub near: bool,
     /// Whether this entry is among those that send to the target.
     pub known: bool,
@@ -130,6 +151,7 @@
     pub fn new(now: Instant, info: TargetInfo, near: bool) -> Self {
         Self {
             info,
+            centre: 0,
             near,
             known: true,
             listed: true,
@@ -239,14 +261,25 @@
         let others = if fresh { self.others } else { 0.0 };
         let load = (f64::from(self.running) + others) / f64::from(pool.warm_limit.max(1));
         let far = if self.near { 0.0 } else { set.far_penalty.as_micros() as f64 };
-        let cold = self.warmth != Warmth::Warm;
         Hot {
             score: (latency * (IDLE_SHARE + load) + far) as f32,
-            capacity: self.capacity(),
-            retry_at: self.retry_at,
-            open: self.is_open(now),
+            capacity: u16::try_from(self.capacity()).unwrap_or(u16::MAX),
+            centre: self.centre,
+            class: self.class(now),
             near: self.near,
-            cold,
+            warm: self.takes_work() && self.warmth == Warmth::Warm,
+            usable: self.takes_work() && !self.is_down(),
+            failing: self.failures > 0,
+        }
+    }
+
+    /// Returns how the target can be chosen now.
+    fn class(&self, now: Instant) -> Class {
+        match (self.is_open(now), self.warmth, self.near) {
+            (false, _, _) => Class::Closed,
+            (true, Warmth::Warm, true) => Class::Near,
+            (true, Warmth::Warm, false) => Class::Far,
+            (true, Warmth::Cold | Warmth::Suspect, _) => Class::Cold,
         }
     }
 
