--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -12,7 +12,6 @@
 use crate::routing::pool::PoolState;
 use crate::routing::router::Router;
 use crate::routing::settings::RouterSettings;
-use crate::routing::target::Class;
 use crate::routing::types::Decision;
 use crate::routing::types::Ready;
 use crate::routing::types::Reason;
@@ -129,7 +128,7 @@
     set: &RouterSettings,
 ) {
     while let Some((place, waiting)) = queue.latest() {
-        if !pool.hot.iter().any(|h| h.class == Class::Cold) {
+        if pool.scores.cold.count == 0 {
             return;
         }
         let call = waiting.request.call;
@@ -155,7 +154,7 @@
 ) {
     let mut passed = Passed::default();
     while let Some((place, waiting)) = queue.next(&passed) {
-        if pool.hot.iter().all(|h| h.class == Class::Closed) {
+        if pool.scores.open() == 0 {
             return;
         }
         *turn = turn.wrapping_add(1);
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -10,6 +10,7 @@
 pub(crate) mod pick;
 pub(crate) mod pool;
 pub mod router;
+pub(crate) mod scores;
 pub mod settings;
 pub mod shares;
 pub mod subset;
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -159,9 +159,8 @@
     if request.repeat == Repeat::Hedge {
         return false;
     }
-    let no_warm = !pool.hot.iter().any(|h| h.warm);
     let needed = match pool.times.high() {
-        Some(high) if !no_warm => high * COLD_SLACK,
+        Some(high) if pool.warm > 0 => high * COLD_SLACK,
         _ => pool.median(),
     };
     now + needed.max(request.floor) <= latest
@@ -169,8 +168,8 @@
 
 /// Finds the best open targets of the first tier that has any which take work.
 fn scan(pool: &PoolState, view: &View<'_>) -> Scan {
-    if view.tried.is_empty() {
-        return pass(pool, view, Tier::Any);
+    if view.tried.is_empty() && view.repeat != Repeat::MayHaveRun {
+        return quick_scan(pool, view);
     }
     let tiers: &[Tier] = match view.repeat {
         Repeat::MayHaveRun => &[Tier::OtherCentre, Tier::OtherTarget, Tier::Any],
@@ -187,16 +186,26 @@
     last
 }
 
+/// Finds the best open targets of all.
+fn quick_scan(pool: &PoolState, view: &View<'_>) -> Scan {
+    let start = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
+    let scores = &pool.scores;
+    let none = Scan::default();
+    Scan {
+        near: scores.near.lowest(start).unwrap_or(none.near),
+        far: scores.far.lowest(start).unwrap_or(none.far),
+        cold: scores.cold.lowest(start).filter(|_| view.cold).unwrap_or(none.cold),
+        any_near: pool.near_usable > 0,
+        usable: true,
+        candidates: scores.open(),
+    }
+}
+
 /// Finds the best open targets of a tier, starting at a position that changes from call to call.
 fn pass(pool: &PoolState, view: &View<'_>, tier: Tier) -> Scan {
     let mut scan = Scan::default();
     let split = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
     let (head, tail) = pool.hot.split_at(split);
-    if tier == Tier::Any && view.repeat != Repeat::MayHaveRun && view.cold {
-        scan.add(tail, split, |_, _| true, |_, _| false);
-        scan.add(head, 0, |_, _| true, |_, _| false);
-        return scan;
-    }
     let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
     let centres: Vec<u16> = view.tried.iter().filter_map(centre).collect();
     let keep = |index: usize, hot: &Hot| match tier {
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -11,6 +11,7 @@
 use crate::routing::budget::Budget;
 use crate::routing::fair::FairQueue;
 use crate::routing::router::EntryInfo;
+use crate::routing::scores::Scores;
 use crate::routing::settings::RouterSettings;
 use crate::routing::shares;
 use crate::routing::shares::CentreCount;
@@ -48,6 +49,11 @@
     centres: IndexSet<CentreName>,
     /// What a choice reads, in the order of `targets`.
     pub hot: Vec<Hot>,
+    pub scores: Scores,
+    /// Near targets that take work and aren't down.
+    pub near_usable: u32,
+    /// Targets that take work and are proved warm.
+    pub warm: u32,
     /// Sum of the targets' capacities.
     pub capacity: u64,
     /// Calls that wait, but for those in `repeats`.
@@ -81,6 +87,9 @@
             targets: IndexMap::new(),
             centres: IndexSet::new(),
             hot: Vec::new(),
+            scores: Scores::default(),
+            near_usable: 0,
+            warm: 0,
             capacity: 0,
             queue: FairQueue::default(),
             repeats: FairQueue::default(),
@@ -176,6 +185,7 @@
         let name = target.info.name.clone();
         if self.targets.insert(name, target).is_none() {
             self.hot.push(Hot::default());
+            self.scores.push();
         }
     }
 
@@ -184,7 +194,8 @@
         let (_, target) = self.targets.swap_remove_index(index)?;
         if index < self.hot.len() {
             let hot = self.hot.swap_remove(index);
-            self.capacity -= u64::from(hot.capacity);
+            self.scores.swap_remove(index);
+            self.uncount(&hot);
         }
         Some(target)
     }
@@ -197,13 +208,30 @@
         else {
             return;
         };
-        self.capacity -= u64::from(hot.capacity);
+        let old = *hot;
         *hot = target.hot(now, &self.config, latency, set);
-        self.capacity += u64::from(hot.capacity);
+        let new = *hot;
         if now < target.down_until {
             let reopen = target.down_until;
             self.reopen = Some(self.reopen.map_or(reopen, |r| r.min(reopen)));
         }
+        self.uncount(&old);
+        self.count(&new);
+        self.scores.set(index, &new);
+    }
+
+    /// Adds a target to the sums.
+    fn count(&mut self, hot: &Hot) {
+        self.capacity += u64::from(hot.capacity);
+        self.near_usable += u32::from(hot.near && hot.usable);
+        self.warm += u32::from(hot.warm);
+    }
+
+    /// Takes a target out of the sums.
+    fn uncount(&mut self, hot: &Hot) {
+        self.capacity -= u64::from(hot.capacity);
+        self.near_usable -= u32::from(hot.near && hot.usable);
+        self.warm -= u32::from(hot.warm);
     }
 
     /// Brings what a choice reads of all targets up to date.
