--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -168,8 +168,14 @@
 
 /// Finds the best open targets of the first tier that has any which take work.
 fn scan(pool: &PoolState, view: &View<'_>) -> Scan {
+    let quick = quick_scan(pool, view);
     if view.tried.is_empty() && view.repeat != Repeat::MayHaveRun {
-        return quick_scan(pool, view);
+        return quick;
+    }
+    let bests = [quick.near.0, quick.far.0, quick.cold.0];
+    let mut found = bests.into_iter().filter_map(|i| pool.hot.get(i).map(|h| (i, h))).peekable();
+    if found.peek().is_some() && found.all(|(i, h)| is_fresh(pool, view, i, h)) {
+        return quick;
     }
     let tiers: &[Tier] = match view.repeat {
         Repeat::MayHaveRun => &[Tier::OtherCentre, Tier::OtherTarget, Tier::Any],
@@ -186,6 +192,15 @@
     last
 }
 
+/// Tells whether no tier leaves a target out and nothing bars it.
+fn is_fresh(pool: &PoolState, view: &View<'_>, index: usize, hot: &Hot) -> bool {
+    let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
+    let retry = view.repeat == Repeat::MayHaveRun;
+    let same = |i: &usize| *i == index || (retry && centre(i) == Some(hot.centre));
+    let barred = retry && hot.failing;
+    !barred && !view.tried.iter().any(same)
+}
+
 /// Finds the best open targets of all.
 fn quick_scan(pool: &PoolState, view: &View<'_>) -> Scan {
     let start = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
