--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -53,7 +53,7 @@
     ) -> Option<Doubt> {
         let Found { pool, index, settings: set } = self.find(&permit.target)?;
         let most = f64::from(pool.config.warm_limit);
-        let usual = pool.median().as_micros() as f64;
+        let usual = pool.recent;
         let (_, target) = pool.targets.get_index_mut(index)?;
         let running = target.running;
         target.running = running.saturating_sub(1);
@@ -67,7 +67,7 @@
                 target.proof = permit.grant.clone();
                 let other = target.answered(now, incarnation);
                 let doubt = doubt(target.warmth, other, step);
-                pool.answered();
+                pool.answered(latency);
                 if let Some(prefix) = permit.prefix {
                     pool.remember(prefix, &permit.target, 0);
                 }
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -28,6 +28,8 @@
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Weight of a new sample in the average of the last calls.
+const RECENT_WEIGHT: f64 = 0.1;
 /// Failed calls in a row, over all targets, after which the pool as a whole fails.
 const FAILS_AFTER: u32 = 2;
 /// Time after a failure during which repeated calls wait while the pool as a whole fails.
@@ -61,6 +63,8 @@
     /// Calls that wait and may have run before.
     pub repeats: FairQueue,
     pub times: Times,
+    /// Average of the last calls of all targets, in microseconds.
+    pub recent: f64,
     pub retries: Budget,
     pub hedges: Budget,
     /// Admitted requests that still need this pool.
@@ -94,6 +98,7 @@
             queue: FairQueue::default(),
             repeats: FairQueue::default(),
             times: Times::default(),
+            recent: 0.0,
             retries: Budget::new(set.retry_share, set.retry_burst),
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
             committed: 0,
@@ -113,7 +118,11 @@
     }
 
     /// Takes an answer of any target.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, latency: Duration) {
+        let micros = latency.as_micros() as f64;
+        let first = self.recent == 0.0;
+        self.recent =
+            if first { micros } else { self.recent + (micros - self.recent) * RECENT_WEIGHT };
         self.failures = 0;
         self.retry_at = Instant::ZERO;
     }
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -29,8 +29,12 @@
 const UNREPORTED_FACTOR: f64 = 2.0;
 /// Time for which a target that refused a call is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
-/// Time of refusals only, at light load, after which a target is taken for cold.
+/// Length of a run of refusals, at light load, after which a target is taken for cold.
 const REFUSED_SPAN: Duration = Duration::from_secs(2);
+/// Refusals of such a run, at least.
+const REFUSED_COUNT: u32 = 10;
+/// Time without a refusal that ends a run.
+const REFUSED_GAP: Duration = Duration::from_millis(500);
 /// Part of a grant's time after which a request for one gets a new number.
 const RENUMBER_PART: u32 = 4;
 /// Time after a failure or a pause during which only first calls probe a target.
@@ -49,6 +53,24 @@
     Warm,
 }
 
+/// Run of refusals without an answer.
+#[derive(Clone, Copy, Debug)]
+pub(crate) struct Refusals {
+    first: Instant,
+    last: Instant,
+    count: u32,
+    /// Highest load that was reported meanwhile, in calls.
+    busiest: f64,
+    reports: u32,
+}
+
+impl Refusals {
+    /// Starts a run.
+    fn new(now: Instant) -> Self {
+        Self { first: now, last: now, count: 0, busiest: 0.0, reports: 0 }
+    }
+}
+
 /// Grant in hand.
 #[derive(Clone, Debug)]
 pub(crate) struct Grant {
@@ -136,8 +158,8 @@
     pub others: f64,
     pub reported: Option<Instant>,
     pub failures: u32,
-    /// First refusal since the last answer.
-    pub refused_since: Option<Instant>,
+    /// Refusals since the last answer.
+    pub refusals: Option<Refusals>,
     pub down_until: Instant,
     /// Time from which a repeated call may go, where the target failed last.
     pub retry_at: Instant,
@@ -172,7 +194,7 @@
             others: 0.0,
             reported: None,
             failures: 0,
-            refused_since: None,
+            refusals: None,
             down_until: Instant::ZERO,
             retry_at: Instant::ZERO,
             grants: Vec::new(),
@@ -205,6 +227,10 @@
         let all = f64::from(report.running) + f64::from(report.waiting);
         self.others = (all - f64::from(self.running)).max(0.0);
         self.reported = Some(now);
+        if let Some(run) = &mut self.refusals {
+            run.busiest = run.busiest.max(all);
+            run.reports = run.reports.saturating_add(1);
+        }
         self.bound(most);
         if new {
             self.retired = self.incarnation;
@@ -310,7 +336,7 @@
     pub fn answered(&mut self, now: Instant, incarnation: Option<Incarnation>) -> bool {
         self.heard = now;
         self.failures = 0;
-        self.refused_since = None;
+        self.refusals = None;
         self.down_until = Instant::ZERO;
         self.retry_at = Instant::ZERO;
         let other = self.incarnation.is_some() && incarnation != self.incarnation;
@@ -336,14 +362,21 @@
     }
 
     /// Takes a refusal; returns whether it shows that the target bears less than it did.
+    ///
+    /// Single refusals are usual at a full target whose reports lag; only a run of them, during
+    /// which all reports show light load, is a sign.
     pub fn refused(&mut self, now: Instant, most: f64) -> bool {
         self.heard = now;
         self.limit.refused(now);
-        let since = *self.refused_since.get_or_insert(now);
         self.down_until = self.down_until.max(now + REFUSED_PAUSE);
-        let reported = self.reported.is_some_and(|at| at.since(since) >= REFUSED_SPAN);
-        let light = self.others + f64::from(self.running) < most / 2.0;
-        reported && light
+        let run = self.refusals.get_or_insert(Refusals::new(now));
+        if now.since(run.last) > REFUSED_GAP {
+            *run = Refusals::new(now);
+        }
+        run.last = now;
+        run.count = run.count.saturating_add(1);
+        let long = run.count >= REFUSED_COUNT && now.since(run.first) >= REFUSED_SPAN;
+        long && run.reports > 0 && run.busiest < most / 2.0
     }
 
     /// Tells whether a grant would be of use now.
