Retry burst of 40 and admission up to 0.8 of the spare time for a greedy workspace

Cause: when a data centre goes, an entry loses up to 40 calls at once, more than the budget's burst.

--- a/hawthornkeel_core/src/routing/admit.rs
+++ b/hawthornkeel_core/src/routing/admit.rs
@@ -13,7 +13,7 @@
 use crate::time::Instant;
 
 /// Share of the spare time that waits may fill for a workspace above its fair share.
-const GREEDY_SHARE: f64 = 0.7;
+const GREEDY_SHARE: f64 = 0.8;
 /// Shortest time that a refused caller is told to wait.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 /// Longest time that a refused caller is told to wait.
--- a/hawthornkeel_core/src/routing/settings.rs
+++ b/hawthornkeel_core/src/routing/settings.rs
@@ -44,7 +44,7 @@
             drop_after: Duration::from_secs(30),
             far_penalty: Duration::from_millis(3),
             retry_share: 0.1,
-            retry_burst: 20.0,
+            retry_burst: 40.0,
             hedge_share: 0.01,
             target_entries: 8,
             pool_targets: 8,
