--- a/hawthornkeel_core/tests/cold_ramp.rs
+++ b/hawthornkeel_core/tests/cold_ramp.rs
@@ -38,13 +38,26 @@
     assert!(site.now - from < 2_000, "{} ms", site.now - from);
 }
 
+/// All faults but cancelled calls.
+const ALL: Faults = Faults {
+    links: BAD_LINKS,
+    kill: 8_000,
+    freeze: 6_000,
+    cut: 6_000,
+    restart: 2_000,
+    cancel: 0,
+    named: false,
+};
+
 #[rstest]
 #[case::links(Faults { links: BAD_LINKS, ..Faults::default() })]
 #[case::restarts(Faults { restart: 2_000, ..Faults::default() })]
 #[case::deaths(Faults { kill: 4_000, ..Faults::default() })]
 #[case::freezes(Faults { freeze: 2_000, ..Faults::default() })]
 #[case::cuts(Faults { cut: 3_000, ..Faults::default() })]
-#[case::all(Faults { links: BAD_LINKS, kill: 8_000, freeze: 6_000, cut: 6_000, restart: 2_000, named: false })]
+#[case::cancelled(Faults { cancel: 5, restart: 4_000, ..Faults::default() })]
+#[case::all(ALL)]
+#[case::all_and_cancelled(Faults { cancel: 20, ..ALL })]
 fn sum_over_entries_stays_within_the_cold_limit(
     #[case] faults: Faults,
     #[values(true, false)] named: bool,
@@ -56,16 +69,21 @@
         calls += site.total;
         restarts += site.restarts;
     }
-    assert!(calls > 200, "{calls} calls and {restarts} restarts");
+    // A cancelled call keeps its slot until its grant expires, so there are fewer of them.
+    let least = if faults.cancel > 0 { 100 } else { 200 };
+    assert!(calls > least, "{calls} calls and {restarts} restarts");
 }
 
 #[test]
 fn grant_of_a_dead_entry_counts_until_it_expires() {
     let mut site = Site::new(3, Faults { named: true, ..Faults::default() });
+    site.length = 700..900;
     site.play(SETTLED);
-    for entry in (0..ENTRIES).cycle().take(20) {
-        site.kill(entry, 50);
-        site.play(site.now + 40);
+    for _ in 0..40 {
+        site.restart_target();
+        site.play(site.now + 600);
+        site.kill(ENTRIES - 1, 20);
+        site.play(site.now + 600);
     }
-    assert!(site.most_cold <= COLD_LIMIT);
+    assert_eq!(site.most_cold, COLD_LIMIT);
 }
--- a/hawthornkeel_core/tests/cold_site/mod.rs
+++ b/hawthornkeel_core/tests/cold_site/mod.rs
@@ -1,6 +1,7 @@
 //! Small site of the cold-target tests: entries with lossy links before one target.
 #![allow(dead_code)]
 
+use std::ops::Range;
 use std::time::Duration;
 
 use hawthornkeel_core::document::Document;
@@ -55,6 +56,8 @@
     pub freeze: u32,
     pub cut: u32,
     pub restart: u32,
+    /// Calls that their callers give up while the target goes on, as one in so many.
+    pub cancel: u32,
     /// Whether answers name the target's incarnation.
     pub named: bool,
 }
@@ -102,6 +105,8 @@
     pub most_cold: u32,
     pub restarts: u32,
     pub total: u64,
+    /// Time that a call takes at the target.
+    pub length: Range<u64>,
     next: u64,
 }
 
@@ -177,6 +182,7 @@
             most_cold: 0,
             restarts: 0,
             total: 0,
+            length: 20..300,
             next: 0,
         }
     }
@@ -409,7 +415,8 @@
             return;
         }
         let cold = self.is_cold();
-        let length = self.rng.random_range(20..300);
+        let length = self.rng.random_range(self.length.clone());
+        let cancelled = self.one_in(self.faults.cancel);
         self.total += 1;
         self.running.insert(number, self.now + length);
         if cold {
@@ -422,6 +429,10 @@
                 self.entries[index].id
             );
         }
+        if cancelled {
+            let message = Message::End(number, CallOutcome::Cancelled);
+            self.flights.push(Flight { due: self.now + length / 4, to: index, boot, message });
+        }
         let latency = Duration::from_millis(length);
         let incarnation = self.faults.named.then_some(Incarnation(self.incarnation));
         let outcome = CallOutcome::Answered { latency, tokens: 0, incarnation };
--- a/hawthornkeel_core/tests/lease_safety.rs
+++ b/hawthornkeel_core/tests/lease_safety.rs
@@ -218,3 +218,25 @@
     assert!(member.holder.holds(Instant::from_millis(2_099)));
     assert!(!member.holder.holds(Instant::from_millis(2_100)), "counted from the sending");
 }
+
+#[test]
+fn lease_is_safe_between_clocks_that_run_apart() {
+    let names: Vec<InstanceName> = vec!["slow".into(), "fast".into()];
+    let mut slow = Member::new(0, 1, 0, 0.0, 0.995, &names[..1]);
+    let mut fast = Member::new(1, 2, 0, 0.0, 1.005, &names);
+    let ask = slow.holder.tick(slow.now(3_000)).unwrap();
+    let reply = fast.voter.handle(fast.now(3_000), &ask).unwrap();
+    let VoteMessage::Reply { holder, round, given, .. } = reply else { panic!("{reply:?}") };
+    let own = VoteMessage::Reply { holder, voter: names[0].clone(), round, given };
+    assert!(slow.holder.handle(slow.now(3_000), &own));
+    let rival = MemberId { name: names[1].clone(), boot: 2 };
+    for now in 3_000..6_000 {
+        let ask = VoteMessage::Ask { holder: rival.clone(), round: 1 };
+        let reply = fast.voter.handle(fast.now(now), &ask);
+        if matches!(reply, Some(VoteMessage::Reply { given: true, .. })) {
+            assert!(!slow.holder.holds(slow.now(now)), "voted for another at {now} ms");
+            return;
+        }
+    }
+    panic!("the vote was never free again");
+}
--- a/hawthornkeel_core/tests/retry_budget.rs
+++ b/hawthornkeel_core/tests/retry_budget.rs
@@ -81,9 +81,6 @@
     for number in 0..4 {
         let permit = sent(router.choose(at(1), &request(number, "w")));
         router.finished(at(1), permit, CallOutcome::Failed);
-        if router.take_ready(at(1)).is_empty() && number == 3 {
-            break;
-        }
     }
     let mut again = request(0, "w");
     again.repeat = Repeat::MayHaveRun;
@@ -109,6 +106,25 @@
     panic!("the repeated call was never sent");
 }
 
+#[test]
+fn failures_in_a_row_hold_repeated_calls_back_from_untried_targets() {
+    let mut router = router(RouterSettings::default());
+    for number in 0..2 {
+        let permit = sent(router.choose(at(1), &request(number, "w")));
+        assert_eq!(permit.target.as_str(), "t0");
+        router.finished(at(1), permit, CallOutcome::Failed);
+    }
+    let mut again = request(0, "w");
+    (again.repeat, again.excluded) = (Repeat::MayHaveRun, vec!["t0".into()]);
+    let decision = router.choose(at(2), &again);
+    assert!(matches!(decision, Decision::Wait { .. }), "{decision:?}");
+    let permit = sent(router.choose(at(3), &request(5, "w")));
+    assert_eq!(permit.target.as_str(), "t1", "a first call tries the pool");
+    router.finished(at(103), permit, answered());
+    let ready = router.take_ready(at(104));
+    assert!(ready.iter().any(|r| r.call == again.call), "{ready:?}");
+}
+
 #[test]
 fn hedges_stay_within_their_share() {
     let set = RouterSettings { hedge_share: 0.02, ..RouterSettings::default() };
