--- a/hawthornkeel_core/benches/slopes.rs
+++ b/hawthornkeel_core/benches/slopes.rs
@@ -93,9 +93,14 @@
 }
 
 fn main() {
+    println!("workspaces | bytes of a router");
+    for count in [0, WORKSPACES, 10 * WORKSPACES] {
+        let many = document(count);
+        println!("{count:>10} | {:>17}", growth(|| router(&[], &[], &many)));
+    }
     let entries: Vec<EntryInfo> = (0..ENTRIES).map(entry).collect();
     let few = document(0);
-    println!("listed targets | bytes of a router | time of a list | time of an entry list");
+    println!("\nlisted targets | bytes of a router | time of a list | time of an entry list");
     for count in [0, 3_000, 6_000, 12_000] {
         let list: Vec<TargetInfo> = (0..count).map(target).collect();
         let bytes = growth(|| router(&list, &entries, &few));
@@ -104,11 +109,6 @@
         let entered = timed(|| one.set_entries(Instant::ZERO, &entries));
         println!("{count:>14} | {bytes:>17} | {listed:>14.2?} | {entered:>21.2?}");
     }
-    println!("\nworkspaces | bytes of a router");
-    for count in [0, WORKSPACES, 10 * WORKSPACES] {
-        let many = document(count);
-        println!("{count:>10} | {:>17}", growth(|| router(&[], &[], &many)));
-    }
     println!("\nadmitted requests | time of admit and leave");
     let many = document(WORKSPACES);
     let mut one = router(&[], &[], &many);
