State machine of one request, from admission to its final answer

Cause: a request's attempts, claims and final answer have to be decided in one place without I/O. Ruled out: claiming before a target is chosen (a queued request whose entry dies would end as unknown though it never ran); cancelling a claimed call when its caller leaves (its answer would be lost for the resend); treating a refusal by the service as proof that it did not run. Change: Run takes inputs and returns actions; stage calls carry request, stage and attempt, and an answer to another call changes nothing. A claim precedes the dispatch of a stage that may not be repeated; a release is recorded before the caller hears not-run. Conclusion: the entry role can be driven by it.

--- a/hawthornkeel_core/src/request/mod.rs
+++ b/hawthornkeel_core/src/request/mod.rs
@@ -1,1 +1,6 @@
 //! Progress of one request through its pipeline.
+
+pub mod event;
+pub mod failure;
+pub mod refusal;
+pub mod run;
--- /dev/null
+++ b/hawthornkeel_core/tests/request_run.rs
@@ -0,0 +1,224 @@
+//! Progress of a request: retries, claims and what a refusal says.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornkeel_core::document::Pipeline;
+use hawthornkeel_core::document::Stage;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::request::event::Action;
+use hawthornkeel_core::request::event::ClaimFailure;
+use hawthornkeel_core::request::event::Input;
+use hawthornkeel_core::request::failure::CallFailure;
+use hawthornkeel_core::request::refusal::Ran;
+use hawthornkeel_core::request::refusal::RefusalCode;
+use hawthornkeel_core::request::run::Profile;
+use hawthornkeel_core::request::run::Run;
+use hawthornkeel_core::state::command::ClaimOutcome;
+use hawthornkeel_core::state::command::Settlement;
+use hawthornkeel_core::time::Instant;
+use rstest::rstest;
+
+const NOW: Instant = Instant::from_millis(1_000);
+
+fn stage(name: &str, idempotent: bool) -> Stage {
+    let max_attempts = if idempotent { 3 } else { 1 };
+    Stage { name: name.into(), idempotent, max_attempts, floor_ms: 10, ..Stage::default() }
+}
+
+fn run(stages: Vec<Stage>, key: Option<&str>) -> Run {
+    let pipeline = Pipeline { name: "release".into(), stages, ..Pipeline::default() };
+    Run::new(Profile {
+        id: RequestId(7),
+        instance: "entry-1".into(),
+        workspace: "makers".into(),
+        pipeline: Arc::new(pipeline),
+        key: key.map(Arc::from),
+        digest: 1,
+        deadline: NOW + Duration::from_secs(8),
+    })
+}
+
+/// Brings a request up to the dispatch of its first stage.
+fn dispatch(run: &mut Run, claimed: bool) -> Vec<Action> {
+    run.handle(NOW, Input::Started);
+    let actions = run.handle(NOW, Input::Routed);
+    if !claimed {
+        return actions;
+    }
+    assert!(matches!(actions[..], [Action::Claim(_)]), "claims before dispatch: {actions:?}");
+    run.handle(NOW, Input::Claimed(ClaimOutcome::Granted))
+}
+
+fn fail(run: &mut Run, actions: &[Action], failure: CallFailure) -> Vec<Action> {
+    let Some(Action::Dispatch { call, .. }) = actions.last() else {
+        panic!("no dispatch in {actions:?}");
+    };
+    run.handle(NOW, Input::Failed { call: *call, failure, received: 0 })
+}
+
+fn answer(run: &mut Run, actions: &[Action], text: &'static str) -> Vec<Action> {
+    let Some(Action::Dispatch { call, .. }) = actions.last() else {
+        panic!("no dispatch in {actions:?}");
+    };
+    run.handle(NOW, Input::Answered { call: *call, answer: Bytes::from(text) })
+}
+
+fn refusal(actions: &[Action]) -> (RefusalCode, Ran) {
+    let found = actions.iter().find_map(|a| match a {
+        Action::Refuse(r) => Some((r.code, r.ran)),
+        _ => None,
+    });
+    found.unwrap_or_else(|| panic!("no refusal in {actions:?}"))
+}
+
+#[test]
+fn stages_run_in_order() {
+    let mut run = run(vec![stage("read", true), stage("draft", true)], None);
+    let first = dispatch(&mut run, false);
+    assert_eq!(answer(&mut run, &first, "a").len(), 1);
+    let second = run.handle(NOW, Input::Routed);
+    let last = answer(&mut run, &second, "b");
+    assert_eq!(last, vec![Action::Finish(Bytes::from("b"))]);
+    assert!(run.ended());
+}
+
+#[test]
+fn answer_to_older_attempt_is_ignored() {
+    let mut run = run(vec![stage("read", true)], None);
+    let first = dispatch(&mut run, false);
+    fail(&mut run, &first, CallFailure::Silent);
+    run.handle(NOW, Input::Routed);
+    assert_eq!(answer(&mut run, &first, "late"), vec![]);
+    assert!(!run.ended());
+}
+
+#[test]
+fn idempotent_stage_is_retried_up_to_its_limit() {
+    let mut run = run(vec![stage("read", true)], None);
+    let mut actions = dispatch(&mut run, false);
+    for _ in 0..2 {
+        let next = fail(&mut run, &actions, CallFailure::Reset);
+        assert!(matches!(next[..], [Action::Route { .. }]));
+        actions = run.handle(NOW, Input::Routed);
+    }
+    let last = fail(&mut run, &actions, CallFailure::Reset);
+    assert_eq!(refusal(&last), (RefusalCode::StageFailed, Ran::Unknown));
+}
+
+#[rstest]
+#[case(CallFailure::Silent)]
+#[case(CallFailure::Reset)]
+#[case(CallFailure::Truncated)]
+#[case(CallFailure::Crossed)]
+#[case(CallFailure::Refused)]
+#[case(CallFailure::Status(500))]
+fn claimed_call_that_may_have_run_is_never_repeated(#[case] failure: CallFailure) {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    let actions = dispatch(&mut run, true);
+    let last = fail(&mut run, &actions, failure);
+    assert_eq!(refusal(&last), (RefusalCode::OutcomeUnknown, Ran::Unknown));
+    assert!(matches!(&last[0], Action::SettleLater(s) if s.settlement == Settlement::Unknown));
+    assert!(run.ended());
+}
+
+#[test]
+fn unsent_claimed_call_is_sent_elsewhere_under_the_same_claim() {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    let actions = dispatch(&mut run, true);
+    let next = fail(&mut run, &actions, CallFailure::NotSent);
+    assert!(matches!(next[..], [Action::Route { .. }]));
+    let again = run.handle(NOW, Input::Routed);
+    assert!(matches!(again[..], [Action::Dispatch { .. }]));
+    let recorded = answer(&mut run, &again, "signed");
+    let Action::Settle(settle) = &recorded[0] else { panic!("{recorded:?}") };
+    assert_eq!(settle.claimant.attempt.0, 0, "settles the attempt that claimed");
+}
+
+#[test]
+fn release_is_recorded_before_the_caller_hears_not_run() {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    let actions = dispatch(&mut run, true);
+    fail(&mut run, &actions, CallFailure::NotSent);
+    let released = run.handle(NOW, Input::NotRouted { retry_after: None });
+    let [Action::Settle(settle)] = &released[..] else { panic!("{released:?}") };
+    assert_eq!(settle.settlement, Settlement::Released);
+    let last = run.handle(NOW, Input::Settled);
+    assert_eq!(refusal(&last), (RefusalCode::NoCapacity, Ran::NotRun));
+}
+
+#[test]
+fn undecided_claim_is_refused_and_never_dispatched() {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    run.handle(NOW, Input::Started);
+    run.handle(NOW, Input::Routed);
+    let last = run.handle(NOW, Input::NotClaimed(ClaimFailure::Undecided));
+    assert_eq!(refusal(&last), (RefusalCode::NoQuorum, Ran::NotRun));
+    assert!(matches!(&last[1], Action::SettleLater(s) if s.settlement == Settlement::Released));
+    assert_eq!(run.handle(NOW, Input::Claimed(ClaimOutcome::Granted)), vec![]);
+}
+
+#[rstest]
+#[case(ClaimOutcome::Unknown, RefusalCode::OutcomeUnknown, Ran::Unknown)]
+#[case(ClaimOutcome::DoneDropped, RefusalCode::OutcomeUnknown, Ran::Done)]
+#[case(ClaimOutcome::Mismatch, RefusalCode::KeyReused, Ran::NotRun)]
+fn resend_is_told_the_truth(
+    #[case] outcome: ClaimOutcome,
+    #[case] code: RefusalCode,
+    #[case] ran: Ran,
+) {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    run.handle(NOW, Input::Started);
+    run.handle(NOW, Input::Routed);
+    let last = run.handle(NOW, Input::Claimed(outcome));
+    assert_eq!(refusal(&last), (code, ran));
+}
+
+#[test]
+fn resend_replays_the_recorded_answer() {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    run.handle(NOW, Input::Started);
+    run.handle(NOW, Input::Routed);
+    let last = run.handle(NOW, Input::Claimed(ClaimOutcome::Done(Bytes::from("signed"))));
+    assert_eq!(last, vec![Action::Unroute, Action::Finish(Bytes::from("signed"))]);
+}
+
+#[test]
+fn late_answer_of_a_claimed_call_is_recorded() {
+    let mut run = run(vec![stage("sign", false)], Some("k"));
+    let actions = dispatch(&mut run, true);
+    let told = run.handle(NOW, Input::DeadlinePassed);
+    assert_eq!(refusal(&told), (RefusalCode::OutcomeUnknown, Ran::Unknown));
+    let late = answer(&mut run, &actions, "signed");
+    assert!(matches!(&late[..], [Action::SettleLater(s)]
+        if s.settlement == Settlement::Done(Bytes::from("signed"))));
+}
+
+#[test]
+fn caller_leaving_cancels_only_what_may_be_repeated() {
+    let mut repeatable = run(vec![stage("read", true)], None);
+    dispatch(&mut repeatable, false);
+    let actions = repeatable.handle(NOW, Input::CallerLeft);
+    assert!(matches!(actions[0], Action::Cancel(_)));
+
+    let mut claimed = run(vec![stage("sign", false)], Some("k"));
+    dispatch(&mut claimed, true);
+    assert_eq!(claimed.handle(NOW, Input::CallerLeft), vec![]);
+    assert!(!claimed.ended());
+}
+
+#[test]
+fn request_without_time_is_refused_before_any_dispatch() {
+    let mut run = run(vec![stage("read", true)], None);
+    let late = NOW + Duration::from_millis(7_995);
+    let last = run.handle(late, Input::Started);
+    assert_eq!(refusal(&last), (RefusalCode::DeadlineUnreachable, Ran::NotRun));
+}
+
+#[test]
+fn missing_key_is_refused_where_a_stage_may_not_be_repeated() {
+    let mut run = run(vec![stage("sign", false)], None);
+    let last = run.handle(NOW, Input::Started);
+    assert_eq!(refusal(&last), (RefusalCode::KeyRequired, Ran::NotRun));
+}
