State machine for claims, documents, data centres and fencing numbers

Cause: control, entries and the log need one deterministic state to apply commands to. Change: State::apply and State::published with modules for claims, documents, centres, fences, the history of operations and the clock. Claims: ClaimOutcome gains Released (the claimant gave the claim up before, so a delayed claim isn't granted) and Full (no room: nothing recorded, not run). The window of claims is a constant: as a setting of each process it could differ between replicas, which would then reach different states, so Control::claim_window_s is gone. Ruled out: taking the highest stamp seen as the time. One leader with a clock a year ahead would expire all claims and stop the time for a year; adding up differences, at most an hour each, does neither.

--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -92,8 +92,6 @@
     pub heartbeat_ms: u64,
     /// Log entries between snapshots.
     pub snapshot_entries: u64,
-    /// Time for which claims are remembered, in seconds.
-    pub claim_window_s: u64,
 }
 
 impl Default for Control {
@@ -105,7 +103,6 @@
             election_ms: 600,
             heartbeat_ms: 100,
             snapshot_entries: 20_000,
-            claim_window_s: 86_400,
         }
     }
 }
--- a/hawthornkeel_core/src/state/command.rs
+++ b/hawthornkeel_core/src/state/command.rs
@@ -168,6 +168,10 @@
     Unknown,
     /// The key was used with another request body.
     Mismatch,
+    /// The claimant has released this claim before: it may not dispatch.
+    Released,
+    /// No room for another claim: nothing was recorded.
+    Full,
 }
 
 /// Outcome of a settlement.
@@ -195,7 +199,7 @@
     pub operator: OperatorName,
     /// Operation number of its submission.
     pub operation: OperationNumber,
-    /// Version in force.
+    /// Version that it was accepted under.
     pub version: Version,
     /// SHA-256 of its text in hexadecimal.
     pub hash: Arc<str>,
--- a/hawthornkeel_core/src/state/mod.rs
+++ b/hawthornkeel_core/src/state/mod.rs
@@ -1,4 +1,90 @@
 //! Replicated state: claims, the environment document, data centres and fencing numbers.
+//!
+//! Every replica applies the same commands in log order and reaches the same state: time is read
+//! only from the commands' stamps and nothing is drawn at random.
 
+pub mod centres;
+pub mod claims;
+pub mod clock;
 pub mod command;
+pub mod documents;
+pub mod fences;
+pub mod history;
 pub mod published;
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::LogIndex;
+use crate::state::centres::Centres;
+use crate::state::claims::Claims;
+use crate::state::clock::Clock;
+use crate::state::command::Command;
+use crate::state::command::Outcome;
+use crate::state::command::Stamped;
+use crate::state::documents::Documents;
+use crate::state::fences::Fences;
+use crate::state::published::Published;
+
+/// Replicated state machine.
+///
+/// Its serialised form is the body of a snapshot: two replicas that applied the same commands
+/// serialise to the same bytes, whether or not one of them started from a snapshot.
+#[derive(Clone, Debug, Default, Serialize, Deserialize)]
+pub struct State {
+    clock: Clock,
+    claims: Claims,
+    documents: Documents,
+    centres: Centres,
+    fences: Fences,
+    published: LogIndex,
+}
+
+impl State {
+    /// Applies the command at log position `index` and returns its outcome.
+    ///
+    /// The commands of a batch are applied in order under the same position.
+    pub fn apply(&mut self, index: LogIndex, stamped: &Stamped) -> Outcome {
+        let now = self.clock.advance(stamped.at);
+        self.claims.expire(now);
+        match &stamped.command {
+            Command::Claim(claim) => Outcome::Claim(self.claims.claim(now, claim)),
+            Command::Settle(settle) => Outcome::Settle(self.claims.settle(now, settle)),
+            Command::Submit(submit) => {
+                let before = self.documents.version();
+                let outcome = self.documents.submit(submit);
+                if self.documents.version() > before {
+                    self.published = index;
+                }
+                Outcome::Submit(outcome)
+            }
+            Command::Centre(order) => {
+                let (outcome, changed) = self.centres.order(index, order);
+                if changed {
+                    self.published = index;
+                }
+                Outcome::Centre(outcome)
+            }
+            Command::Fence(_) => Outcome::Fence(self.fences.draw()),
+        }
+    }
+
+    /// Returns the part that every instance follows.
+    ///
+    /// Its index names a log position, so it is to be taken after the whole batch at that position
+    /// is applied, never between two commands of one batch.
+    pub fn published(&self) -> Published {
+        Published {
+            index: self.published,
+            version: self.documents.version(),
+            text: self.documents.text(),
+            hash: self.documents.hash(),
+            centres: self.centres.records().clone(),
+        }
+    }
+
+    /// Returns the claims.
+    pub fn claims(&self) -> &Claims {
+        &self.claims
+    }
+}
