Public types of the replicated log

Cause: the control role needs the log's interface before its inside is done. Conclusion: compiles; no behaviour to test yet.

--- /dev/null
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -0,0 +1,203 @@
+//! Inputs and actions of a replica.
+
+use bytes::Bytes;
+
+use crate::ids::LogIndex;
+use crate::ids::ReplicaId;
+use crate::ids::Term;
+use crate::names::InstanceName;
+use crate::replica::entry::Entry;
+use crate::replica::entry::HardState;
+use crate::replica::entry::Members;
+use crate::replica::entry::Node;
+use crate::replica::entry::ProposalId;
+use crate::replica::entry::ReadId;
+use crate::replica::entry::Snapshot;
+use crate::replica::entry::Ticket;
+use crate::replica::message::Message;
+
+/// Input of a replica.
+#[derive(Clone, Debug)]
+pub enum Input {
+    /// Time passed: due at [`Replica::deadline`](crate::replica::Replica::deadline) at the latest.
+    Tick,
+    /// A message came in.
+    Message(Message),
+    /// A save and all those before it are on disk.
+    Synced {
+        /// Number of the save.
+        ticket: Ticket,
+    },
+    /// Commands to replicate, in order.
+    Propose(Vec<Proposal>),
+    /// A linearizable read.
+    Read(ReadId),
+    /// A change of the members.
+    Change(ProposalId, Change),
+    /// The replicated state as of an applied entry, asked for by [`Action::TakeSnapshot`].
+    Snapshot {
+        /// Last entry that the state includes.
+        index: LogIndex,
+        /// State, opaque to the log.
+        data: Bytes,
+    },
+}
+
+/// Command to replicate.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Proposal {
+    /// Number that outcomes refer to.
+    pub id: ProposalId,
+    /// Command, opaque to the log.
+    pub data: Bytes,
+}
+
+/// Change of the members, one at a time.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Change {
+    /// Adds a learner.
+    Add(Node),
+    /// Makes a learner a voter, which it can become only once it has caught up.
+    Promote(ReplicaId),
+    /// Removes a member.
+    Remove(ReplicaId),
+}
+
+/// Action of a replica, to be carried out in order.
+#[derive(Clone, Debug)]
+pub enum Action {
+    /// Write to disk and sync; then hand in [`Input::Synced`] with the ticket.
+    ///
+    /// Saves are carried out in order. Several may share one sync. A save that failed is never
+    /// reported as synced and none follows it: the process stops.
+    Save {
+        /// Number of the save.
+        ticket: Ticket,
+        /// What to write.
+        save: Save,
+    },
+    /// Send a message, which may be lost, doubled or reordered.
+    Send {
+        /// Instance to send to.
+        to: InstanceName,
+        /// Message.
+        message: Message,
+    },
+    /// Apply committed entries to the replicated state.
+    Apply(Vec<Applied>),
+    /// Replace the replicated state by a snapshot's.
+    Restore(Snapshot),
+    /// Hand in the replicated state by [`Input::Snapshot`], now or later.
+    TakeSnapshot,
+    /// Tell the proposer that its command will never be applied.
+    Refused {
+        /// Proposal.
+        id: ProposalId,
+        /// Why.
+        reason: Refusal,
+    },
+    /// Tell the proposer that the outcome of its command is not known.
+    Lost {
+        /// Proposal.
+        id: ProposalId,
+    },
+    /// Answer a read from the state as it is now.
+    ReadReady {
+        /// Read.
+        id: ReadId,
+    },
+    /// Tell the reader that this replica can't answer.
+    ReadRefused {
+        /// Read.
+        id: ReadId,
+        /// Why.
+        reason: Refusal,
+    },
+    /// Role, term, leader or members changed: for the log and for redirects.
+    Changed(Status),
+}
+
+/// What a save writes.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Save {
+    /// Hard state and log entries.
+    Log {
+        /// New hard state, if it changed.
+        hard: Option<HardState>,
+        /// First position whose entry, and all after it, are dropped before the entries are added.
+        truncate: Option<LogIndex>,
+        /// Entries to add at the end of the log.
+        entries: Vec<Entry>,
+    },
+    /// Snapshot, which replaces the one before.
+    Snapshot {
+        /// Snapshot.
+        snapshot: Snapshot,
+        /// Entries of the log that stay.
+        keep: Keep,
+    },
+}
+
+/// Entries of the log that stay after a snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Keep {
+    /// Entries from this position on stay; those before it may be dropped.
+    From(LogIndex),
+    /// All entries are dropped: the log goes on after the snapshot.
+    Nothing,
+}
+
+/// Committed entry.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Applied {
+    /// Entry.
+    pub entry: Entry,
+    /// Proposal that it came from, where it was made at this replica.
+    pub proposal: Option<ProposalId>,
+}
+
+/// Why a proposal or a read is refused.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Refusal {
+    /// Another replica leads, if one is known.
+    NotLeader(Option<Node>),
+    /// Too much is pending.
+    Busy,
+    /// The lease did not stand in time.
+    NoLease,
+    /// The members can't be changed like this now.
+    Unchangeable,
+}
+
+/// Part that a replica plays at the moment.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Role {
+    /// Belongs to no group.
+    #[default]
+    Empty,
+    /// Follows a leader, or waits for one.
+    Follower,
+    /// Asks whether it would be voted for.
+    PreCandidate,
+    /// Asks for votes.
+    Candidate,
+    /// Leads.
+    Leader,
+}
+
+/// State of a replica for logs, redirects and operators.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Status {
+    /// Part that it plays.
+    pub role: Role,
+    /// Term.
+    pub term: Term,
+    /// Leader of the term, if known.
+    pub leader: Option<Node>,
+    /// Last committed entry known, which has been handed out for application.
+    pub commit: LogIndex,
+    /// Last entry of the log.
+    pub last: LogIndex,
+    /// Members.
+    pub members: Members,
+}
--- /dev/null
+++ b/hawthornkeel_core/src/replica/message.rs
@@ -0,0 +1,166 @@
+//! Messages between replicas.
+
+use bytes::Bytes;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::ids::LogIndex;
+use crate::ids::ReplicaId;
+use crate::ids::Term;
+use crate::replica::entry::Entry;
+use crate::replica::entry::GroupId;
+use crate::replica::entry::Members;
+use crate::replica::entry::Node;
+
+/// Message from one replica to another.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Message {
+    /// Sender: its name must be the one that the connection is authenticated for.
+    pub from: Node,
+    /// Identity of the receiver, or `None` where the sender knows only its name.
+    pub to: Option<ReplicaId>,
+    /// Group of the sender, if it has one.
+    pub group: Option<GroupId>,
+    /// Term of the sender.
+    pub term: Term,
+    /// Content.
+    pub body: Body,
+}
+
+/// Content of a message.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Body {
+    /// Announces a replica that is not a member of a group.
+    Hello,
+    /// Answers a hello.
+    HelloReply(HelloReply),
+    /// Forms the group with these members.
+    Found(Founding),
+    /// Asks whether a vote would be given, without a change of term.
+    PreVote(Candidacy),
+    /// Answers a pre-vote.
+    PreVoteReply(VoteReply),
+    /// Asks for a vote.
+    Vote(Candidacy),
+    /// Answers a vote request.
+    VoteReply(VoteReply),
+    /// Renews the leader's lease.
+    Heartbeat(Heartbeat),
+    /// Answers a heartbeat.
+    HeartbeatReply(HeartbeatReply),
+    /// Carries log entries.
+    Append(Append),
+    /// Answers log entries, once they are on disk.
+    AppendReply(AppendReply),
+    /// Carries a part of a snapshot.
+    Part(Part),
+    /// Answers a part of a snapshot.
+    PartReply(PartReply),
+}
+
+/// Answer to a hello.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum HelloReply {
+    /// The sender belongs to no group either.
+    Empty,
+    /// The sender belongs to a group, which was founded like this if it still knows.
+    Member(Option<Founding>),
+}
+
+/// Founding record: the first members of a group.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Founding {
+    /// Identity of the group.
+    pub group: GroupId,
+    /// First members, all voters.
+    pub members: Members,
+}
+
+/// Request for a vote or a pre-vote.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Candidacy {
+    /// Term that the candidate would lead.
+    pub term: Term,
+    /// Last entry of the candidate's log.
+    pub last_index: LogIndex,
+    /// Term of that entry.
+    pub last_term: Term,
+}
+
+/// Answer to a request for a vote or a pre-vote.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct VoteReply {
+    /// Term that was asked for.
+    pub term: Term,
+    /// Whether the vote is given.
+    pub granted: bool,
+}
+
+/// Heartbeat of a leader.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Heartbeat {
+    /// Number of the round, which the answer repeats.
+    pub round: u64,
+    /// Last entry that is committed and that the receiver is known to have.
+    pub commit: LogIndex,
+}
+
+/// Answer to a heartbeat.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct HeartbeatReply {
+    /// Number of the round.
+    pub round: u64,
+}
+
+/// Log entries for a follower.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Append {
+    /// Position of the entry before the first one carried.
+    pub prev_index: LogIndex,
+    /// Term of that entry.
+    pub prev_term: Term,
+    /// Last entry that is committed.
+    pub commit: LogIndex,
+    /// Entries in order.
+    pub entries: Vec<Entry>,
+}
+
+/// Answer to log entries.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum AppendReply {
+    /// The follower has the leader's log up to this position on disk.
+    Stored(LogIndex),
+    /// The follower's log differs at `prev`; the leader may go on from `hint`.
+    Differs {
+        /// Position that was asked about.
+        prev: LogIndex,
+        /// Last position at which the logs may agree.
+        hint: LogIndex,
+    },
+}
+
+/// Part of a snapshot.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Part {
+    /// Last entry that the snapshot includes.
+    pub index: LogIndex,
+    /// Term of that entry.
+    pub last_term: Term,
+    /// Members as of that entry.
+    pub members: Members,
+    /// Offset of the part, in bytes.
+    pub offset: u64,
+    /// Size of the whole snapshot, in bytes.
+    pub total: u64,
+    /// Data of the part.
+    pub data: Bytes,
+}
+
+/// Answer to a part of a snapshot.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct PartReply {
+    /// Last entry that the snapshot includes.
+    pub index: LogIndex,
+    /// Bytes received so far without gaps.
+    pub received: u64,
+}
--- /dev/null
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -0,0 +1,64 @@
+//! Settings of the replicated log.
+
+use std::time::Duration;
+
+use crate::names::InstanceName;
+
+/// Settings of a replica, which all replicas of a group should share.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Settings {
+    /// Instances that form the first group, and whose replicas may become voters by themselves.
+    pub founders: Vec<InstanceName>,
+    /// Time without a leader after which a replica may vote for another.
+    ///
+    /// A follower waits between one and two times this long before it stands for election.
+    pub election: Duration,
+    /// Time between heartbeats.
+    pub heartbeat: Duration,
+    /// Part of `election` that the leader's lease leaves unused, as allowance for clock drift.
+    pub drift: Duration,
+    /// Time after which entries that were not answered are sent again.
+    pub resend: Duration,
+    /// Time between hellos of a replica that belongs to no group.
+    pub hello: Duration,
+    /// Time that a read waits for the leader's lease at most.
+    pub read_wait: Duration,
+    /// Entries applied since the last snapshot that call for the next.
+    pub snapshot_entries: u64,
+    /// Entries before a snapshot that stay in the log for slow followers.
+    pub retain_entries: u64,
+    /// Entries that a learner may lack when it becomes a voter.
+    pub catchup_entries: u64,
+    /// Size of one message's entries, in bytes.
+    pub append_bytes: usize,
+    /// Messages with entries on their way to one follower, at most.
+    pub inflight_messages: usize,
+    /// Entries on their way to one follower, in bytes at most.
+    pub inflight_bytes: usize,
+    /// Proposed entries that are not committed, in bytes at most.
+    pub pending_bytes: usize,
+    /// Size of one part of a snapshot, in bytes.
+    pub part_bytes: usize,
+}
+
+impl Default for Settings {
+    fn default() -> Self {
+        Self {
+            founders: Vec::new(),
+            election: Duration::from_millis(600),
+            heartbeat: Duration::from_millis(100),
+            drift: Duration::from_millis(60),
+            resend: Duration::from_millis(300),
+            hello: Duration::from_millis(500),
+            read_wait: Duration::from_millis(1_000),
+            snapshot_entries: 20_000,
+            retain_entries: 2_000,
+            catchup_entries: 64,
+            append_bytes: 256 * 1024,
+            inflight_messages: 16,
+            inflight_bytes: 1024 * 1024,
+            pending_bytes: 16 * 1024 * 1024,
+            part_bytes: 256 * 1024,
+        }
+    }
+}
