--- a/hawthornkeel_core/src/request/run.rs
+++ b/hawthornkeel_core/src/request/run.rs
@@ -254,6 +254,11 @@
             ClaimOutcome::Unknown => {
                 self.unroute_and_refuse(RefusalCode::OutcomeUnknown, Ran::Unknown)
             }
+            ClaimOutcome::Released | ClaimOutcome::Full => {
+                let mut actions = vec![Action::Unroute];
+                actions.extend(self.refuse(RefusalCode::NoCapacity, Some(QUORUM_RETRY)));
+                actions
+            }
             ClaimOutcome::Mismatch => {
                 let ran = self.ran();
                 self.unroute_and_refuse(RefusalCode::KeyReused, ran)
