HTTP server, refusals, target client and built-in target, first version

Cause: the entry role needs its edges before its filters can be built. Change: http/ holds the accept loop with its bounds and planned stop, strict bounded reading over monoio-http's decoders, answers whole or streamed, problem+json. target/ holds the client with its pool, streams with offsets, load reports, fenced orders and the built-in target. Ruled out: monoio-http's framed decoders with a bounded reader below them. They hide their buffer, so neither the head nor a chunk could be bounded and a second answer could not be seen; its head and chunk decoders are used on our own buffer (monoio-codec gives their trait). Its encoder holds back chunks up to 8 KB, which delays tokens. A connection is reused only with a target that echoes x-request-id: a second answer can't be told from the next one otherwise. Bounds and misbehaviour are not tested yet.

--- /dev/null
+++ b/hawthornkeel/src/http/connection.rs
@@ -0,0 +1,375 @@
+//! One caller's connection: requests in, answers out, one after the other.
+
+use std::cell::Cell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::pin::pin;
+use std::time::Duration;
+
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::Method;
+use http::Version;
+use http::header::CONNECTION;
+use http::header::EXPECT;
+use http::header::HOST;
+use http::request::Parts;
+use monoio::io::Splitable;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+use crate::http::channel::Piece;
+use crate::http::channel::Receiver;
+use crate::http::framing;
+use crate::http::framing::BodyLength;
+use crate::http::framing::BodyReader;
+use crate::http::framing::ReadError;
+use crate::http::message::Body;
+use crate::http::message::Head;
+use crate::http::message::Request;
+use crate::http::message::Response;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+use crate::http::reader::Reader;
+use crate::http::server::Handler;
+use crate::http::server::Shared;
+use crate::http::signal::Signal;
+use crate::http::writer;
+use crate::http::writer::Framing;
+use crate::http::writer::Writer;
+
+/// Bytes of later requests that are read while one is worked on, at most.
+const MAX_AHEAD: usize = 64 * 1024;
+
+/// Bytes that are read and dropped after a refusal, so that the caller gets to read it.
+const MAX_DISCARDED: usize = 256 * 1024;
+
+/// Time that is spent on reading and dropping them.
+const DISCARD_TIME: Duration = Duration::from_secs(1);
+
+/// Time to come back after the bodies held for all callers reached their bound.
+const HELD_RETRY: Duration = Duration::from_secs(1);
+
+/// What becomes of a connection after an answer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Next {
+    Keep,
+    Close,
+}
+
+/// Refusal that ends the connection, or nothing to say.
+enum Refused {
+    Silently,
+    With(Problem),
+}
+
+/// Counts a body's bytes among those held until it is dropped.
+struct Held<'a> {
+    total: &'a Cell<usize>,
+    bytes: usize,
+}
+
+impl Drop for Held<'_> {
+    fn drop(&mut self) {
+        self.total.set(self.total.get().saturating_sub(self.bytes));
+    }
+}
+
+/// Serves one connection to its end.
+pub(crate) async fn run<H: Handler>(stream: TcpStream, peer: SocketAddr, shared: &Shared<H>) {
+    // Answers are written whole or by the token: waiting for more would only add delay.
+    let _ = stream.set_nodelay(true);
+    let (read, write) = stream.into_split();
+    let mut reader = Reader::new(read);
+    let mut writer = Writer::new(write, shared.limits.stall);
+    while wait_for_bytes(&mut reader, shared).await {
+        match exchange(&mut reader, &mut writer, peer, shared).await {
+            Next::Keep => {}
+            Next::Close => break,
+        }
+    }
+    writer.shutdown().await;
+}
+
+/// Waits for the first byte of a request and tells whether one came.
+async fn wait_for_bytes<H>(reader: &mut Reader, shared: &Shared<H>) -> bool {
+    let mut stripped = false;
+    loop {
+        // One line end before a request is allowed and means nothing.
+        let buffer = reader.buffer();
+        if !stripped && buffer.starts_with(b"\r\n") {
+            let _ = buffer.split_to(2);
+            stripped = true;
+        }
+        if !buffer.is_empty() && (stripped || buffer.as_ref() != b"\r") {
+            return true;
+        }
+        monoio::select! {
+            filled = timeout(shared.limits.idle, reader.fill(0)) => {
+                if !matches!(filled, Ok(Ok(1..))) {
+                    return false;
+                }
+            }
+            () = shared.control.stop.wait() => return false,
+        }
+    }
+}
+
+/// Reads one request, has it answered and writes the answer.
+async fn exchange<H: Handler>(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    peer: SocketAddr,
+    shared: &Shared<H>,
+) -> Next {
+    let received = timeout(shared.limits.receive, receive(reader, writer, shared)).await;
+    let refused = match received {
+        Ok(Ok((parts, body, held))) => {
+            let next = answer(reader, writer, peer, shared, parts, body).await;
+            drop(held);
+            return next;
+        }
+        Ok(Err(refused)) => refused,
+        Err(_) => Refused::With(Problem::not_run(Code::ReceiveTimeout)),
+    };
+    if let Refused::With(problem) = refused {
+        tracing::info!(event = "request-refused", code = %problem.code, detail = %problem.detail, %peer);
+        refuse(reader, writer, problem).await;
+    }
+    Next::Close
+}
+
+/// Reads one request within all bounds.
+async fn receive<'a, H: Handler>(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    shared: &'a Shared<H>,
+) -> Result<(Parts, Bytes, Held<'a>), Refused> {
+    let limits = &shared.limits;
+    let parts = framing::read_request_head(reader, limits.max_head).await.map_err(refusal)?;
+    let length = framing::body_length(parts.version, &parts.headers).map_err(refusal)?;
+    check_host(&parts).map_err(refusal)?;
+    let max = shared.handler.max_body(&head_of(&parts)).unwrap_or(limits.max_body);
+    let mut body = BodyReader::new(length, max).map_err(refusal)?;
+    let held = hold(shared, length, max)?;
+    if !body.is_done() && expects_continue(&parts) {
+        let go_on = Bytes::from_static(b"HTTP/1.1 100 Continue\r\n\r\n");
+        writer.write_all(go_on).await.map_err(|_| Refused::Silently)?;
+    }
+    let body = body.read_whole(reader).await.map_err(refusal)?;
+    Ok((parts, body, held))
+}
+
+/// Counts the body among the bytes held, or refuses where they are at their bound.
+fn hold<H>(shared: &Shared<H>, length: BodyLength, max: usize) -> Result<Held<'_>, Refused> {
+    let bytes = match length {
+        BodyLength::Absent => 0,
+        BodyLength::Fixed(length) => length,
+        BodyLength::Chunked => max,
+    };
+    let total = shared.held.get().saturating_add(bytes);
+    if total > shared.limits.max_held {
+        let problem = Problem::not_run(Code::Overloaded).with_retry_after(HELD_RETRY);
+        return Err(Refused::With(problem));
+    }
+    shared.held.set(total);
+    Ok(Held { total: &shared.held, bytes })
+}
+
+/// Has a request answered, writes the answer and says what becomes of the connection.
+async fn answer<H: Handler>(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    peer: SocketAddr,
+    shared: &Shared<H>,
+    parts: Parts,
+    body: Bytes,
+) -> Next {
+    let left = Signal::new();
+    let wants_close = asks_close(&parts);
+    let chunks = parts.version == Version::HTTP_11;
+    let empty = parts.method == Method::HEAD;
+    let request = Request { head: head_of(&parts), body, peer, left: left.clone() };
+    let response = watch(reader, &left, shared.handler.handle(request)).await;
+    if left.is_set() {
+        return Next::Close;
+    }
+    let close = wants_close || shared.control.drain.is_set() || shared.control.stop.is_set();
+    let sent = send(reader, writer, response, &left, Sending { close, chunks, empty }).await;
+    if sent.is_err() {
+        left.set();
+    }
+    match sent {
+        Ok(()) if !close => Next::Keep,
+        _ => Next::Close,
+    }
+}
+
+/// Runs `work` to its end and sets `left` where the caller closes the connection before.
+async fn watch<T>(reader: &mut Reader, left: &Signal, work: impl Future<Output = T>) -> T {
+    let mut work = pin!(work);
+    while reader.buffered() < MAX_AHEAD {
+        monoio::select! {
+            done = &mut work => return done,
+            filled = reader.fill(0) => {
+                if !matches!(filled, Ok(1..)) {
+                    left.set();
+                    break;
+                }
+            }
+        }
+    }
+    work.await
+}
+
+/// How an answer is sent.
+#[derive(Clone, Copy)]
+struct Sending {
+    /// Whether the connection is closed after it.
+    close: bool,
+    /// Whether the caller understands chunks.
+    chunks: bool,
+    /// Whether only the head is sent.
+    empty: bool,
+}
+
+async fn send(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    response: Response,
+    left: &Signal,
+    sending: Sending,
+) -> io::Result<()> {
+    let mut out = BytesMut::new();
+    let Response { status, headers, body } = response;
+    match body {
+        Body::Whole(data) => {
+            writer::encode_head(
+                status,
+                &headers,
+                Framing::Length(data.len()),
+                sending.close,
+                &mut out,
+            );
+            if !sending.empty {
+                out.extend_from_slice(&data);
+            }
+            writer.write_all(out.freeze()).await
+        }
+        Body::Stream(receiver) => {
+            let framing = if sending.chunks { Framing::Chunked } else { Framing::Close };
+            writer::encode_head(status, &headers, framing, sending.close, &mut out);
+            writer.write_all(out.freeze()).await?;
+            if sending.empty {
+                return Ok(());
+            }
+            send_stream(reader, writer, receiver, left, framing).await
+        }
+    }
+}
+
+async fn send_stream(
+    reader: &mut Reader,
+    writer: &mut Writer,
+    mut receiver: Receiver,
+    left: &Signal,
+    framing: Framing,
+) -> io::Result<()> {
+    loop {
+        let piece = watch(reader, left, next_or_left(&mut receiver, left)).await;
+        let mut out = BytesMut::new();
+        match piece {
+            Some(Piece::Data(data)) if data.is_empty() => continue,
+            Some(Piece::Data(data)) if framing == Framing::Chunked => {
+                writer::encode_chunk(&data, &mut out);
+                writer.write_all(out.freeze()).await?;
+            }
+            Some(Piece::Data(data)) => writer.write_all(data).await?,
+            Some(Piece::End) if framing == Framing::Chunked => {
+                return writer.write_all(Bytes::from_static(b"0\r\n\r\n")).await;
+            }
+            Some(Piece::End) => return Err(io::ErrorKind::ConnectionAborted.into()),
+            // The missing last chunk tells the caller that the answer is not whole.
+            Some(Piece::Broken) | None => return Err(io::ErrorKind::ConnectionAborted.into()),
+        }
+    }
+}
+
+/// Returns the next piece, or `None` once the caller has left.
+async fn next_or_left(receiver: &mut Receiver, left: &Signal) -> Option<Piece> {
+    monoio::select! {
+        piece = receiver.next() => Some(piece),
+        () = left.wait() => None,
+    }
+}
+
+/// Writes a refusal and closes, reading what is still on its way so that the refusal arrives.
+async fn refuse(reader: &mut Reader, writer: &mut Writer, problem: Problem) {
+    let response = problem.into_response();
+    let sending = Sending { close: true, chunks: true, empty: false };
+    if send(reader, writer, response, &Signal::new(), sending).await.is_err() {
+        return;
+    }
+    writer.shutdown().await;
+    let _ = timeout(DISCARD_TIME, discard(reader)).await;
+}
+
+async fn discard(reader: &mut Reader) {
+    let mut total = reader.buffered();
+    reader.buffer().clear();
+    while total < MAX_DISCARDED {
+        match reader.fill(MAX_DISCARDED).await {
+            Ok(count @ 1..) => total = total.saturating_add(count),
+            _ => return,
+        }
+        reader.buffer().clear();
+    }
+}
+
+fn refusal(error: ReadError) -> Refused {
+    let code = match error {
+        ReadError::Closed | ReadError::Truncated | ReadError::Io(_) => return Refused::Silently,
+        ReadError::HeadTooLarge => Code::HeadTooLarge,
+        ReadError::BodyTooLarge => Code::BodyTooLarge,
+        ReadError::Malformed(what) => {
+            return Refused::With(Problem::not_run(Code::BadRequest).with_detail(what));
+        }
+    };
+    Refused::With(Problem::not_run(code))
+}
+
+fn check_host(parts: &Parts) -> Result<(), ReadError> {
+    let count = parts.headers.get_all(HOST).iter().count();
+    match (parts.version, count) {
+        (_, 1) | (Version::HTTP_10, 0) => Ok(()),
+        _ => Err(ReadError::Malformed("exactly one Host is required")),
+    }
+}
+
+fn head_of(parts: &Parts) -> Head {
+    Head {
+        method: parts.method.clone(),
+        path: parts.uri.path().to_owned(),
+        query: parts.uri.query().unwrap_or_default().to_owned(),
+        headers: parts.headers.clone(),
+    }
+}
+
+fn expects_continue(parts: &Parts) -> bool {
+    parts.headers.get(EXPECT).is_some_and(|v| v.as_bytes().eq_ignore_ascii_case(b"100-continue"))
+}
+
+fn asks_close(parts: &Parts) -> bool {
+    match parts.version {
+        Version::HTTP_11 => has_token(&parts.headers, "close"),
+        _ => true,
+    }
+}
+
+/// Tells whether the `Connection` field lists `token`.
+pub(crate) fn has_token(headers: &HeaderMap, token: &str) -> bool {
+    let values = headers.get_all(CONNECTION).iter().filter_map(|v| v.to_str().ok());
+    values.flat_map(|v| v.split(',')).any(|t| t.trim().eq_ignore_ascii_case(token))
+}
--- /dev/null
+++ b/hawthornkeel/src/http/problem.rs
@@ -0,0 +1,210 @@
+//! Refusals as `application/problem+json` (RFC 9457) with stable codes.
+
+use std::fmt;
+use std::time::Duration;
+
+use http::StatusCode;
+use serde::Serialize;
+
+use crate::http::message::Response;
+
+/// Content type of a refusal.
+const CONTENT_TYPE: &str = "application/problem+json";
+
+/// Defines the codes with their texts, statuses and titles.
+macro_rules! codes {
+    ($($(#[$doc:meta])* $name:ident, $text:literal, $status:ident, $title:literal;)*) => {
+        /// Stable code of a refusal.
+        #[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+        pub enum Code {
+            $($(#[$doc])* $name,)*
+        }
+
+        impl Code {
+            /// Returns the code as it stands in refusals, logs and metrics.
+            pub const fn as_str(self) -> &'static str {
+                match self {
+                    $(Self::$name => $text,)*
+                }
+            }
+
+            /// Returns the status that the refusal is sent with.
+            pub const fn status(self) -> StatusCode {
+                match self {
+                    $(Self::$name => StatusCode::$status,)*
+                }
+            }
+
+            /// Returns a short description for people.
+            pub const fn title(self) -> &'static str {
+                match self {
+                    $(Self::$name => $title,)*
+                }
+            }
+        }
+    };
+}
+
+codes! {
+    /// The request breaks the protocol or its body can't be read.
+    BadRequest, "bad-request", BAD_REQUEST, "The request is malformed.";
+    /// The head is longer than the bound.
+    HeadTooLarge, "head-too-large", REQUEST_HEADER_FIELDS_TOO_LARGE, "The request head is too large.";
+    /// The body is longer than the bound.
+    BodyTooLarge, "body-too-large", PAYLOAD_TOO_LARGE, "The request body is too large.";
+    /// The whole request did not arrive in time.
+    ReceiveTimeout, "receive-timeout", REQUEST_TIMEOUT, "The request did not arrive in time.";
+    /// The caller's key is missing or not known.
+    Unauthorized, "unauthorized", UNAUTHORIZED, "The key is missing or not known.";
+    /// The caller may not do this.
+    Forbidden, "forbidden", FORBIDDEN, "The key does not allow this.";
+    /// There is no such path, pipeline or result.
+    NotFound, "not-found", NOT_FOUND, "There is no such resource.";
+    /// The path does not take this method.
+    MethodNotAllowed, "method-not-allowed", METHOD_NOT_ALLOWED, "The method is not allowed.";
+    /// The pipeline needs an idempotency key.
+    KeyRequired, "key-required", BAD_REQUEST, "An Idempotency-Key is required.";
+    /// The idempotency key was used with another body.
+    KeyReused, "key-reused", UNPROCESSABLE_ENTITY, "The Idempotency-Key was used with another request.";
+    /// A request with this idempotency key is being worked on.
+    InProgress, "in-progress", CONFLICT, "A request with this Idempotency-Key is in progress.";
+    /// The operators' document or order is not valid.
+    Invalid, "invalid", UNPROCESSABLE_ENTITY, "The document or order is not valid.";
+    /// Another operator's change came first.
+    Conflict, "conflict", CONFLICT, "Another change came first.";
+    /// The workspace has all the requests in progress that it may have.
+    WorkspaceLimit, "workspace-limit", TOO_MANY_REQUESTS, "The workspace is at its limit.";
+    /// The system has no room for the request now.
+    Overloaded, "overloaded", SERVICE_UNAVAILABLE, "The system is at its limit.";
+    /// The deadline can't be met.
+    DeadlineUnreachable, "deadline-unreachable", SERVICE_UNAVAILABLE, "The deadline can't be met.";
+    /// The deadline passed during the work.
+    DeadlineExceeded, "deadline-exceeded", GATEWAY_TIMEOUT, "The deadline passed.";
+    /// No target of a stage can take the work now.
+    NoTarget, "no-target", SERVICE_UNAVAILABLE, "No target can take the work now.";
+    /// A stage failed on all the targets tried.
+    StageFailed, "stage-failed", BAD_GATEWAY, "A stage failed.";
+    /// A stage that may not be repeated was dispatched and its outcome is not known.
+    OutcomeUnknown, "outcome-unknown", BAD_GATEWAY, "The outcome is not known.";
+    /// No quorum can be reached to claim the request.
+    NoQuorum, "no-quorum", SERVICE_UNAVAILABLE, "No quorum can be reached.";
+    /// The instance has no configuration yet or knows no leader.
+    NotReady, "not-ready", SERVICE_UNAVAILABLE, "The instance is not ready.";
+    /// The instance is stopping.
+    Stopping, "stopping", SERVICE_UNAVAILABLE, "The instance is stopping.";
+    /// The system failed.
+    Internal, "internal", INTERNAL_SERVER_ERROR, "The system failed.";
+}
+
+impl fmt::Display for Code {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(self.as_str())
+    }
+}
+
+/// Whether a refused request ran.
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
+pub enum Ran {
+    /// No stage ran and none will.
+    NotRun,
+    /// A stage may have run.
+    #[default]
+    Unknown,
+    /// The request ran; its result is kept.
+    Done,
+}
+
+impl fmt::Display for Ran {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.write_str(match self {
+            Self::NotRun => "not-run",
+            Self::Unknown => "unknown",
+            Self::Done => "done",
+        })
+    }
+}
+
+/// Refusal of a request.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Problem {
+    /// Stable code.
+    pub code: Code,
+    /// Whether the request ran.
+    pub ran: Ran,
+    /// Particulars for people, without the caller's content.
+    pub detail: String,
+    /// Time after which coming back makes sense, where it does; sent in whole seconds, rounded up.
+    pub retry_after: Option<Duration>,
+}
+
+#[derive(Serialize)]
+struct Document<'a> {
+    r#type: String,
+    title: &'a str,
+    status: u16,
+    code: &'a str,
+    ran: Ran,
+    #[serde(skip_serializing_if = "str::is_empty")]
+    detail: &'a str,
+    #[serde(skip_serializing_if = "Option::is_none")]
+    retry_after: Option<u64>,
+}
+
+impl Problem {
+    /// Creates a refusal with `code`.
+    pub fn new(code: Code, ran: Ran) -> Self {
+        Self { code, ran, detail: String::new(), retry_after: None }
+    }
+
+    /// Creates a refusal of a request that did not run and will not.
+    pub fn not_run(code: Code) -> Self {
+        Self::new(code, Ran::NotRun)
+    }
+
+    /// Returns the refusal with particulars.
+    pub fn with_detail(mut self, detail: impl Into<String>) -> Self {
+        self.detail = detail.into();
+        self
+    }
+
+    /// Returns the refusal with a time after which coming back makes sense.
+    pub fn with_retry_after(mut self, after: Duration) -> Self {
+        self.retry_after = Some(after);
+        self
+    }
+
+    /// Returns the refusal as a response.
+    pub fn into_response(self) -> Response {
+        let status = self.code.status();
+        let seconds = self.retry_after.map(whole_seconds);
+        let document = Document {
+            r#type: format!("urn:hawthornkeel:problem:{}", self.code),
+            title: self.code.title(),
+            status: status.as_u16(),
+            code: self.code.as_str(),
+            ran: self.ran,
+            detail: &self.detail,
+            retry_after: seconds,
+        };
+        let body = serde_json::to_vec(&document).unwrap_or_default();
+        let response = Response::whole(status, CONTENT_TYPE, body);
+        match seconds {
+            Some(seconds) => response.with_header("retry-after", &seconds.to_string()),
+            None => response,
+        }
+    }
+}
+
+impl From<Problem> for Response {
+    fn from(problem: Problem) -> Self {
+        problem.into_response()
+    }
+}
+
+/// Returns `duration` in whole seconds, rounded up, one at least.
+fn whole_seconds(duration: Duration) -> u64 {
+    let seconds = duration.as_secs();
+    let rest = u64::from(duration.subsec_nanos() > 0);
+    seconds.saturating_add(rest).max(1)
+}
--- /dev/null
+++ b/hawthornkeel/src/http/writer.rs
@@ -0,0 +1,116 @@
+//! Writing side of a connection, watched for progress.
+
+use std::io;
+use std::time::Duration;
+
+use bytes::Buf;
+use bytes::BufMut;
+use bytes::Bytes;
+use bytes::BytesMut;
+use http::HeaderMap;
+use http::StatusCode;
+use http::header::CONNECTION;
+use http::header::CONTENT_LENGTH;
+use http::header::TRANSFER_ENCODING;
+use monoio::io::AsyncWriteRent;
+use monoio::io::OwnedWriteHalf;
+use monoio::net::TcpStream;
+use monoio::time::timeout;
+
+/// How the body of a response is framed.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Framing {
+    /// With its length in bytes.
+    Length(usize),
+    /// In chunks.
+    Chunked,
+    /// Up to the end of the connection, for callers of HTTP/1.0.
+    Close,
+}
+
+/// Writing side of a connection.
+pub struct Writer {
+    half: OwnedWriteHalf<TcpStream>,
+    stall: Duration,
+}
+
+impl Writer {
+    /// Creates a writer whose writes fail after making no progress for `stall`.
+    pub fn new(half: OwnedWriteHalf<TcpStream>, stall: Duration) -> Self {
+        Self { half, stall }
+    }
+
+    /// Writes all of `data`.
+    ///
+    /// # Errors
+    /// Fails where the connection does, and with `TimedOut` where nothing is taken for the stall
+    /// time; nothing more may be written after that.
+    pub async fn write_all(&mut self, mut data: Bytes) -> io::Result<()> {
+        while data.has_remaining() {
+            let write = self.half.write(data.clone());
+            let (result, _) = timeout(self.stall, write).await.map_err(|_| stalled())?;
+            let count = result?;
+            if count == 0 {
+                return Err(io::ErrorKind::WriteZero.into());
+            }
+            data.advance(count.min(data.len()));
+        }
+        Ok(())
+    }
+
+    /// Tells the other end that nothing more comes.
+    pub async fn shutdown(&mut self) {
+        // The connection is dropped next, whatever the other end makes of this.
+        let _ = self.half.shutdown().await;
+    }
+}
+
+fn stalled() -> io::Error {
+    io::ErrorKind::TimedOut.into()
+}
+
+/// Encodes the head of a response into `out`.
+pub fn encode_head(
+    status: StatusCode,
+    headers: &HeaderMap,
+    framing: Framing,
+    close: bool,
+    out: &mut BytesMut,
+) {
+    out.put_slice(b"HTTP/1.1 ");
+    out.put_slice(status.as_str().as_bytes());
+    out.put_slice(b" ");
+    out.put_slice(status.canonical_reason().unwrap_or("").as_bytes());
+    out.put_slice(b"\r\n");
+    for (name, value) in headers {
+        if name == CONTENT_LENGTH || name == TRANSFER_ENCODING || name == CONNECTION {
+            continue;
+        }
+        put_field(out, name.as_str(), value.as_bytes());
+    }
+    match framing {
+        Framing::Length(length) => {
+            put_field(out, "content-length", length.to_string().as_bytes());
+        }
+        Framing::Chunked => put_field(out, "transfer-encoding", b"chunked"),
+        Framing::Close => {}
+    }
+    if close {
+        put_field(out, "connection", b"close");
+    }
+    out.put_slice(b"\r\n");
+}
+
+/// Encodes `data` as one chunk into `out`.
+pub fn encode_chunk(data: &[u8], out: &mut BytesMut) {
+    out.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
+    out.put_slice(data);
+    out.put_slice(b"\r\n");
+}
+
+fn put_field(out: &mut BytesMut, name: &str, value: &[u8]) {
+    out.put_slice(name.as_bytes());
+    out.put_slice(b": ");
+    out.put_slice(value);
+    out.put_slice(b"\r\n");
+}
--- /dev/null
+++ b/hawthornkeel/src/target/completion.rs
@@ -0,0 +1,35 @@
+//! Request bodies of the completions protocol.
+
+use bytes::Bytes;
+use serde::Serialize;
+
+/// Path of the completions protocol.
+pub const COMPLETIONS: &str = "/v1/completions";
+
+/// Body of a completions request with a streamed answer.
+#[derive(Clone, Debug, Serialize)]
+pub struct Completion<'a> {
+    /// Model asked for.
+    pub model: &'a str,
+    /// Text that the answer goes on from.
+    pub prompt: &'a str,
+    /// Tokens to generate, at most.
+    pub max_tokens: u32,
+    /// Priority: higher goes first.
+    pub priority: u8,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+impl Default for Completion<'_> {
+    fn default() -> Self {
+        Self { model: "", prompt: "", max_tokens: 256, priority: 0, stream: true }
+    }
+}
+
+impl Completion<'_> {
+    /// Returns the body as JSON.
+    pub fn to_bytes(&self) -> Bytes {
+        serde_json::to_vec(self).unwrap_or_default().into()
+    }
+}
--- a/hawthornkeel/src/target/mod.rs
+++ b/hawthornkeel/src/target/mod.rs
@@ -1,1 +1,13 @@
-//! HTTP towards targets: calls, streams and connections.
+//! HTTP towards targets: calls, streams, load reports, orders and connections.
+
+pub mod builtin;
+pub mod call;
+pub mod client;
+pub mod completion;
+mod connection;
+pub mod error;
+pub mod load;
+pub mod order;
+mod pool;
+mod sse;
+pub mod stream;
