--- /dev/null
+++ b/hawthornkeel/src/entry/call.rs
@@ -0,0 +1,200 @@
+//! One call to a target, from its permit to its outcome.
+
+use std::cell::RefCell;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornkeel_core::document::Pool;
+use hawthornkeel_core::document::PoolKind;
+use hawthornkeel_core::document::Stage;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::request::event::Input;
+use hawthornkeel_core::request::failure::CallFailure;
+use hawthornkeel_core::routing::types::CallOutcome;
+use hawthornkeel_core::time::Instant;
+
+use crate::entry::compose;
+use crate::entry::context::Context;
+use crate::entry::permit::HeldPermit;
+use crate::entry::reply::Reply;
+use crate::target::call::Call;
+use crate::target::client::Client;
+use crate::target::completion::COMPLETIONS;
+use crate::target::error::CallError;
+use crate::target::stream::Event;
+
+/// Time without a byte after which a call counts as silent.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// What a call needs beside its permit.
+pub struct CallPlan {
+    /// Identity of the call.
+    pub id: CallId,
+    /// Stage that the call runs.
+    pub stage: Stage,
+    /// Pool of the target.
+    pub pool: Pool,
+    /// Priority of the workspace.
+    pub priority: u8,
+    /// Idempotency key of the request.
+    pub key: Option<Arc<str>>,
+    /// Caller's body.
+    pub input: Bytes,
+    /// Answer of the stage before.
+    pub previous: Option<Bytes>,
+    /// Bytes of the answer that earlier attempts received.
+    pub resume: usize,
+    /// Text that earlier attempts received, which this one adds to.
+    pub text: Rc<RefCell<String>>,
+    /// Where pieces of the answer go as they come, if anywhere.
+    pub reply: Option<Rc<Reply>>,
+}
+
+/// Answer of a target with what is measured of it.
+struct Answered {
+    body: Bytes,
+    tokens: u32,
+}
+
+/// Makes the call and gives its permit back.
+pub async fn run(context: Rc<Context>, permit: HeldPermit, plan: CallPlan) -> Input {
+    let started = context.clock.now();
+    let result = attempt(&context, &permit, &plan).await;
+    let latency = context.clock.now().since(started);
+    record(&plan, latency, &result);
+    match result {
+        Ok(answered) => {
+            let tokens = answered.tokens;
+            permit.finish(CallOutcome::Answered { latency, tokens, incarnation: None });
+            Input::Answered { call: plan.id, answer: answered.body }
+        }
+        Err(error) => {
+            let failure = failure(&error);
+            permit.finish(outcome(failure));
+            if error == CallError::NotResumed && plan.reply.is_none() {
+                // Nothing was given on yet, so the next attempt can begin anew.
+                plan.text.borrow_mut().clear();
+            }
+            let received = plan.text.borrow().len();
+            Input::Failed { call: plan.id, failure, received }
+        }
+    }
+}
+
+async fn attempt(
+    context: &Context,
+    permit: &HeldPermit,
+    plan: &CallPlan,
+) -> Result<Answered, CallError> {
+    let address: SocketAddr = permit
+        .address
+        .parse()
+        .map_err(|_| CallError::NotSent("address can't be parsed".to_owned()))?;
+    let until = permit.permit().map_or(Instant::ZERO, |p| p.until);
+    let timeout = context.clock.until(until);
+    if timeout.is_zero() {
+        return Err(CallError::NotSent("permit expired".to_owned()));
+    }
+    let call = encode(plan, timeout);
+    match plan.pool.kind {
+        PoolKind::Service => {
+            let answer = context.client.call(address, &call).await?;
+            Ok(Answered { body: answer.body, tokens: 0 })
+        }
+        PoolKind::Engine => generate(&context.client, address, &call, plan).await,
+    }
+}
+
+fn encode(plan: &CallPlan, timeout: Duration) -> Call {
+    let previous = plan.previous.as_deref();
+    let call = Call {
+        id: plan.id,
+        idempotent: plan.stage.idempotent,
+        key: plan.key.as_ref().map(|k| k.to_string()),
+        priority: plan.priority,
+        timeout,
+        progress: PROGRESS_TIMEOUT.min(timeout),
+        ..Call::default()
+    };
+    match plan.pool.kind {
+        PoolKind::Service => Call {
+            path: plan.stage.path.clone(),
+            body: compose::service_body(&plan.input, previous),
+            ..call
+        },
+        PoolKind::Engine => Call {
+            path: COMPLETIONS.to_owned(),
+            body: compose::engine_body(plan),
+            resume_offset: u64::try_from(plan.resume).unwrap_or(0),
+            ..call
+        },
+    }
+}
+
+/// Reads an engine's stream to its end marker.
+async fn generate(
+    client: &Client,
+    address: SocketAddr,
+    call: &Call,
+    plan: &CallPlan,
+) -> Result<Answered, CallError> {
+    let mut stream = client.stream(address, call).await?;
+    let mut tokens: u32 = 0;
+    loop {
+        match stream.next().await? {
+            Event::Token { text, .. } => {
+                tokens = tokens.saturating_add(1);
+                plan.text.borrow_mut().push_str(&text);
+                if let Some(reply) = &plan.reply {
+                    reply.token(&text).await;
+                }
+            }
+            Event::End => break,
+        }
+    }
+    let body = compose::engine_answer(&plan.text.borrow());
+    Ok(Answered { body, tokens })
+}
+
+fn failure(error: &CallError) -> CallFailure {
+    match error {
+        CallError::NotSent(_) => CallFailure::NotSent,
+        CallError::Refused { .. } => CallFailure::Refused,
+        CallError::Silent => CallFailure::Silent,
+        CallError::Truncated => CallFailure::Truncated,
+        CallError::Crossed => CallFailure::Crossed,
+        CallError::Reset(_) => CallFailure::Reset,
+        CallError::Malformed(_) | CallError::NotResumed => CallFailure::Malformed,
+        CallError::Status(status) => CallFailure::Status(*status),
+    }
+}
+
+fn outcome(failure: CallFailure) -> CallOutcome {
+    match failure {
+        CallFailure::NotSent => CallOutcome::ConnectFailed,
+        CallFailure::Refused => CallOutcome::Refused,
+        CallFailure::Silent => CallOutcome::TimedOut,
+        CallFailure::Reset => CallOutcome::Reset,
+        CallFailure::Truncated | CallFailure::Crossed | CallFailure::Malformed => {
+            CallOutcome::Truncated
+        }
+        CallFailure::Status(_) => CallOutcome::Failed,
+    }
+}
+
+fn record(plan: &CallPlan, latency: Duration, result: &Result<Answered, CallError>) {
+    let stage = plan.stage.name.as_str().to_owned();
+    let outcome = result.as_ref().map_or_else(CallError::name, |_| "answered");
+    let seconds = latency.as_secs_f64();
+    metrics::histogram!("hawthornkeel_stage_seconds", "stage" => stage.clone()).record(seconds);
+    metrics::counter!("hawthornkeel_calls_total", "stage" => stage.clone(), "outcome" => outcome)
+        .increment(1);
+    if plan.id.attempt.0 > 0 {
+        metrics::counter!("hawthornkeel_retries_total", "stage" => stage).increment(1);
+    }
+    let millis = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+    tracing::info!(event = "call", call = %plan.id, stage = %plan.stage.name, outcome, millis);
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/context.rs
@@ -0,0 +1,147 @@
+//! What the parts of an entry share.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+
+use futures_channel::oneshot::Sender;
+use hawthornkeel_config::settings::Peer;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::lease::LeaseSettings;
+use hawthornkeel_core::lease::MemberId;
+use hawthornkeel_core::names::WorkspaceName;
+use hawthornkeel_core::routing::Router;
+use hawthornkeel_core::routing::RouterSettings;
+use hawthornkeel_core::routing::router::EntryInfo;
+use hawthornkeel_core::routing::types::CallOutcome;
+use hawthornkeel_core::routing::types::Decision;
+use hawthornkeel_core::routing::types::TargetInfo;
+use indexmap::IndexMap;
+
+use crate::clock::Clock;
+use crate::entry::claims::ClaimStore;
+use crate::entry::controllers::lease::LeaseMember;
+use crate::entry::environment::Environment;
+use crate::entry::outlet::Outlet;
+use crate::http::signal::Signal;
+use crate::target::client::Client;
+use crate::target::client::ClientLimits;
+
+/// State of an entry, shared by the tasks of its one thread.
+pub struct Context {
+    /// Settings of the process.
+    pub settings: Settings,
+    /// Monotonic clock.
+    pub clock: Clock,
+    /// Router.
+    pub router: RefCell<Router>,
+    /// Calls that wait for a target.
+    pub waiting: RefCell<IndexMap<CallId, Sender<Decision>>>,
+    /// Connections to targets.
+    pub client: Client,
+    /// Where claims are decided.
+    pub claims: ClaimStore,
+    /// This instance's part in the lease for cold targets.
+    pub lease: RefCell<LeaseMember>,
+    /// Way to the peers.
+    pub outlet: Outlet,
+    /// Targets as last listed.
+    pub targets: RefCell<Vec<TargetInfo>>,
+    /// Environment in force, once known.
+    pub environment: RefCell<Option<Rc<Environment>>>,
+    /// Requests in progress by workspace.
+    pub running: RefCell<IndexMap<WorkspaceName, u32>>,
+    /// Requests whose answer or record is still to come.
+    pub open: Cell<usize>,
+    /// Set once a planned stop has begun: the balancer is told, and requests are still served.
+    pub draining: Signal,
+    /// Set once the balancer had its time to notice: further requests are refused.
+    pub stopping: Signal,
+}
+
+/// What differs between a trial and an instance of a fleet.
+pub struct Wiring {
+    /// Where claims are decided.
+    pub claims: ClaimStore,
+    /// Way to the peers.
+    pub outlet: Outlet,
+    /// Settings of the lease for cold targets.
+    pub lease: LeaseSettings,
+}
+
+impl Context {
+    /// Creates the state of an entry that knows no document and no target yet.
+    pub fn new(settings: Settings, wiring: Wiring) -> Self {
+        let clock = Clock::default();
+        let own = settings.instance.data_centre.clone();
+        let member = MemberId { name: settings.instance.name.clone(), boot: rand::random() };
+        let entries = entry_infos(&settings, &member);
+        let near = entries.iter().filter(|e| e.centre == own).map(|e| e.id.name.clone()).collect();
+        let now = clock.now();
+        let lease = LeaseMember::new(now, &member, own.clone(), near, wiring.lease.clone());
+        let router_settings = RouterSettings { seed: rand::random(), ..RouterSettings::default() };
+        let info = EntryInfo { id: member, centre: own };
+        let mut router = Router::new(router_settings, wiring.lease, info);
+        router.set_entries(now, &entries);
+        Self {
+            settings,
+            clock,
+            router: RefCell::new(router),
+            waiting: RefCell::default(),
+            client: Client::new(ClientLimits::default()),
+            claims: wiring.claims,
+            lease: RefCell::new(lease),
+            outlet: wiring.outlet,
+            targets: RefCell::default(),
+            environment: RefCell::default(),
+            running: RefCell::default(),
+            open: Cell::default(),
+            draining: Signal::new(),
+            stopping: Signal::new(),
+        }
+    }
+
+    /// Returns the environment in force, once known.
+    pub fn environment(&self) -> Option<Rc<Environment>> {
+        self.environment.borrow().clone()
+    }
+
+    /// Hands the router's decisions to the calls that wait for them.
+    ///
+    /// To be called after each change that may give a waiting call its turn.
+    pub fn pump(&self) {
+        let ready = self.router.borrow_mut().take_ready(self.clock.now());
+        for item in ready {
+            let waiter = self.waiting.borrow_mut().swap_remove(&item.call);
+            let unheard = match waiter {
+                Some(waiter) => waiter.send(item.decision).err(),
+                None => Some(item.decision),
+            };
+            if let Some(decision) = unheard {
+                self.give_back(decision);
+            }
+        }
+    }
+
+    /// Gives the permit of a decision back that nobody waits for.
+    pub fn give_back(&self, decision: Decision) {
+        if let Decision::Send { permit, .. } = decision {
+            let now = self.clock.now();
+            self.router.borrow_mut().finished(now, permit, CallOutcome::Cancelled);
+        }
+    }
+}
+
+/// Returns the entries that the settings name, this one among them.
+fn entry_infos(settings: &Settings, own: &MemberId) -> Vec<EntryInfo> {
+    let peer = |p: &Peer| EntryInfo {
+        // The boot number of another instance plays no part in the choice of subsets.
+        id: MemberId { name: p.name.clone(), boot: 0 },
+        centre: p.data_centre.clone(),
+    };
+    let mut entries: Vec<_> = settings.peers.peers.iter().map(peer).collect();
+    let centre = settings.instance.data_centre.clone();
+    entries.push(EntryInfo { id: own.clone(), centre });
+    entries
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -0,0 +1,168 @@
+//! Controller of the lease for cold targets: votes, holds and hands out grants.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::lease::Holder;
+use hawthornkeel_core::lease::Issuer;
+use hawthornkeel_core::lease::Voter;
+use hawthornkeel_core::lease::message::GrantMessage;
+use hawthornkeel_core::lease::message::MemberId;
+use hawthornkeel_core::lease::message::VoteMessage;
+use hawthornkeel_core::lease::settings::LeaseSettings;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::time::Instant;
+
+use crate::entry::context::Context;
+use crate::entry::outlet::EntryMessage;
+
+/// Voters of a data centre, at most.
+const MAX_VOTERS: usize = 5;
+/// Pause between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+
+/// This instance's part in the lease of its data centre.
+pub struct LeaseMember {
+    voter: Option<Voter>,
+    holder: Holder,
+    issuer: Issuer,
+}
+
+impl LeaseMember {
+    /// Creates the part of member `id` among `instances`, the entries of its data centre.
+    pub fn new(
+        now: Instant,
+        id: &MemberId,
+        centre: CentreName,
+        mut instances: Vec<InstanceName>,
+        settings: LeaseSettings,
+    ) -> Self {
+        instances.sort();
+        instances.truncate(MAX_VOTERS);
+        let votes = instances.contains(&id.name);
+        let voter = votes.then(|| Voter::new(now, id.name.clone(), settings.clone()));
+        let holder = Holder::new(now, id.clone(), instances, settings);
+        Self { voter, holder, issuer: Issuer::new(centre) }
+    }
+
+    /// Takes the document's pools, whose limits bound the grants.
+    pub fn apply_document(&mut self, document: &Document) {
+        self.issuer.apply_document(document);
+    }
+
+    /// Gives up the lease on a planned stop; the message goes to the voters.
+    pub fn resign(&mut self) -> VoteMessage {
+        self.holder.resign()
+    }
+
+    /// Returns the names of the voters.
+    pub fn voters(&self) -> Vec<InstanceName> {
+        self.holder.voters().to_vec()
+    }
+}
+
+/// Runs until the process ends.
+pub async fn run(context: Rc<Context>) {
+    loop {
+        monoio::time::sleep(TICK).await;
+        if context.stopping.is_set() {
+            continue;
+        }
+        tick(&context);
+        let now = context.clock.now();
+        let messages = context.router.borrow_mut().take_messages(now);
+        for output in messages {
+            send(&context, &output.issuer.name, EntryMessage::Grant(output.message));
+        }
+        context.pump();
+    }
+}
+
+/// Asks for votes where a round is due.
+fn tick(context: &Rc<Context>) {
+    let now = context.clock.now();
+    let (ask, voters) = {
+        let mut lease = context.lease.borrow_mut();
+        // Only a voter can hold the lease, so that few instances ask.
+        let ask = lease.voter.is_some().then(|| lease.holder.tick(now)).flatten();
+        (ask, lease.voters())
+    };
+    let Some(ask) = ask else {
+        return;
+    };
+    for voter in voters {
+        send(context, &voter, EntryMessage::Vote(ask.clone()));
+    }
+}
+
+/// Sends `message` to an instance, or takes it here where it is this one.
+pub fn send(context: &Rc<Context>, to: &InstanceName, message: EntryMessage) {
+    if *to == context.settings.instance.name {
+        receive(context, to, message);
+        return;
+    }
+    context.outlet.send(to, message);
+}
+
+/// Takes a message of instance `from`.
+pub fn receive(context: &Rc<Context>, from: &InstanceName, message: EntryMessage) {
+    match message {
+        EntryMessage::Vote(message) => receive_vote(context, from, message),
+        EntryMessage::Grant(message) => receive_grant(context, from, message),
+    }
+}
+
+fn receive_vote(context: &Rc<Context>, from: &InstanceName, message: VoteMessage) {
+    let now = context.clock.now();
+    if matches!(message, VoteMessage::Reply { .. }) {
+        let announcement = {
+            let mut lease = context.lease.borrow_mut();
+            let won = lease.holder.handle(now, &message);
+            won.then(|| lease.issuer.announce(now, &lease.holder)).flatten()
+        };
+        if let Some(announcement) = announcement {
+            announce(context, announcement);
+        }
+        return;
+    }
+    let reply = context.lease.borrow_mut().voter.as_mut().and_then(|v| v.handle(now, &message));
+    if let Some(reply) = reply {
+        send(context, from, EntryMessage::Vote(reply));
+    }
+}
+
+fn announce(context: &Rc<Context>, announcement: GrantMessage) {
+    let own = context.settings.instance.name.clone();
+    let peers = context.settings.peers.peers.iter().map(|p| p.name.clone());
+    for name in peers.chain([own]) {
+        send(context, &name, EntryMessage::Grant(announcement.clone()));
+    }
+}
+
+fn receive_grant(context: &Rc<Context>, from: &InstanceName, message: GrantMessage) {
+    let now = context.clock.now();
+    match message {
+        GrantMessage::Announce { .. }
+        | GrantMessage::Granted { .. }
+        | GrantMessage::Busy { .. }
+        | GrantMessage::Warm { .. } => {
+            context.router.borrow_mut().handle_grant(now, &message);
+            context.pump();
+        }
+        GrantMessage::Request { .. }
+        | GrantMessage::Release { .. }
+        | GrantMessage::Suspect { .. }
+        | GrantMessage::Vouch { .. } => {
+            let reply = {
+                let mut lease = context.lease.borrow_mut();
+                let LeaseMember { holder, issuer, .. } = &mut *lease;
+                issuer.handle(now, holder, &message)
+            };
+            if let Some(reply) = reply {
+                send(context, from, EntryMessage::Grant(reply));
+            }
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/controllers/load.rs
@@ -0,0 +1,50 @@
+//! Controller of load: polls the targets' own reports, which lag.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::routing::types::LoadReport;
+use hawthornkeel_core::routing::types::TargetInfo;
+
+use crate::entry::context::Context;
+use crate::target::call::Call;
+
+/// Time between two polls of a target.
+const POLL_PAUSE: Duration = Duration::from_millis(500);
+/// Time for one poll.
+const POLL_TIMEOUT: Duration = Duration::from_secs(1);
+
+/// Polls until the process ends.
+pub async fn run(context: Rc<Context>) {
+    loop {
+        let targets = context.targets.borrow().clone();
+        for target in targets {
+            monoio::spawn(poll(Rc::clone(&context), target));
+        }
+        monoio::time::sleep(POLL_PAUSE).await;
+    }
+}
+
+async fn poll(context: Rc<Context>, target: TargetInfo) {
+    let Ok(address) = target.address.parse::<SocketAddr>() else {
+        return;
+    };
+    let id = CallId { request: RequestId(rand::random()), ..CallId::default() };
+    let call = Call { id, timeout: POLL_TIMEOUT, progress: POLL_TIMEOUT, ..Call::default() };
+    // A target without a report is routed to by what its answers show.
+    let Ok(report) = context.client.load(address, &call).await else {
+        return;
+    };
+    let report = LoadReport {
+        incarnation: Some(report.incarnation),
+        running: report.running,
+        waiting: report.waiting,
+        ..LoadReport::default()
+    };
+    let now = context.clock.now();
+    context.router.borrow_mut().report_load(now, &target.name, report);
+    context.pump();
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/controllers/targets.rs
@@ -0,0 +1,78 @@
+//! Controller of the targets: polls the platform's list, which lags.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::routing::types::Liveness;
+use hawthornkeel_core::routing::types::TargetInfo;
+use serde::Deserialize;
+
+use crate::entry::context::Context;
+use crate::target::call::Call;
+use crate::target::error::CallError;
+
+/// Time for one poll.
+const POLL_TIMEOUT: Duration = Duration::from_secs(2);
+
+/// List as the platform gives it.
+#[derive(Debug, Deserialize)]
+struct InstanceList {
+    instances: Vec<Listed>,
+}
+
+/// Instance on the platform's list.
+#[derive(Debug, Deserialize)]
+struct Listed {
+    name: TargetName,
+    address: SocketAddr,
+    pool: PoolName,
+    data_centre: CentreName,
+    #[serde(default)]
+    state: Liveness,
+}
+
+/// Polls until the process ends.
+pub async fn run(context: Rc<Context>) {
+    let Some(address) = context.settings.platform.address else {
+        return;
+    };
+    let pause = Duration::from_millis(context.settings.platform.poll_ms);
+    loop {
+        match poll(&context, address).await {
+            Ok(list) => {
+                let now = context.clock.now();
+                context.router.borrow_mut().update_targets(now, &list);
+                *context.targets.borrow_mut() = list;
+                context.pump();
+            }
+            Err(error) => tracing::warn!(event = "platform-poll-failed", %error),
+        }
+        monoio::time::sleep(pause).await;
+    }
+}
+
+async fn poll(context: &Context, address: SocketAddr) -> Result<Vec<TargetInfo>, CallError> {
+    let path = context.settings.platform.path.clone();
+    let call = Call { path, timeout: POLL_TIMEOUT, progress: POLL_TIMEOUT, ..Call::default() };
+    let answer = context.client.get(address, &call).await?;
+    let list: InstanceList = serde_json::from_slice(&answer.body)
+        .map_err(|_| CallError::Malformed("list of instances can't be parsed"))?;
+    Ok(list.instances.into_iter().map(Listed::into_target).collect())
+}
+
+impl Listed {
+    fn into_target(self) -> TargetInfo {
+        TargetInfo {
+            name: self.name,
+            address: Arc::from(self.address.to_string()),
+            pool: self.pool,
+            centre: self.data_centre,
+            liveness: self.state,
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/drive.rs
@@ -0,0 +1,383 @@
+//! Carries out the actions of one request's state machine.
+
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use futures_channel::oneshot;
+use hawthornkeel_core::document::Stage;
+use hawthornkeel_core::ids::AttemptNumber;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::StageIndex;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::request::event::Action;
+use hawthornkeel_core::request::event::Input;
+use hawthornkeel_core::request::failure::CallFailure;
+use hawthornkeel_core::request::failure::Evidence;
+use hawthornkeel_core::request::refusal::Refusal;
+use hawthornkeel_core::request::run::Run;
+use hawthornkeel_core::routing::types::Admission;
+use hawthornkeel_core::routing::types::Decision;
+use hawthornkeel_core::routing::types::Repeat;
+use hawthornkeel_core::routing::types::RequestPlan;
+use hawthornkeel_core::routing::types::StageRequest;
+use hawthornkeel_core::state::command::Claim;
+use hawthornkeel_core::state::command::ClaimOutcome;
+use hawthornkeel_core::state::command::Settle;
+
+use crate::entry::call;
+use crate::entry::call::CallPlan;
+use crate::entry::context::Context;
+use crate::entry::filter::Draft;
+use crate::entry::permit::HeldPermit;
+use crate::entry::refuse;
+use crate::entry::reply::Reply;
+use crate::http::message::Request;
+use crate::http::signal::Signal;
+
+/// What a request waits for: ends in the state machine's next input.
+type Operation = Pin<Box<dyn Future<Output = Step>>>;
+
+/// End of an operation.
+pub enum Step {
+    /// A target was chosen.
+    Chosen(HeldPermit),
+    /// Anything else.
+    Other(Input),
+}
+
+/// One request with all that is needed to carry it out.
+pub struct Drive {
+    context: Rc<Context>,
+    run: Run,
+    draft: Draft,
+    input: Bytes,
+    left: Signal,
+    reply: Rc<Reply>,
+    previous: Option<Bytes>,
+    text: Rc<std::cell::RefCell<String>>,
+    chosen: Option<HeldPermit>,
+    excluded: Vec<TargetName>,
+    repeat: Repeat,
+    operation: Option<Operation>,
+}
+
+impl Drive {
+    /// Creates the drive of an admitted request.
+    pub fn new(
+        context: Rc<Context>,
+        run: Run,
+        draft: Draft,
+        request: Request,
+        reply: Reply,
+    ) -> Self {
+        Self {
+            context,
+            run,
+            draft,
+            input: request.body,
+            left: request.left,
+            reply: Rc::new(reply),
+            previous: None,
+            text: Rc::default(),
+            chosen: None,
+            excluded: Vec::new(),
+            repeat: Repeat::First,
+            operation: None,
+        }
+    }
+
+    /// Carries the request to its end.
+    pub async fn run(mut self) {
+        if let Some(refusal) = self.admit() {
+            self.refuse(refusal).await;
+            return;
+        }
+        self.run_admitted().await;
+        let now = self.context.clock.now();
+        self.context.router.borrow_mut().leave(now, self.run.profile().id);
+    }
+
+    /// Asks the router whether the request may start; returns the refusal where it may not.
+    fn admit(&self) -> Option<Refusal> {
+        let profile = self.run.profile();
+        let plan = RequestPlan {
+            request: profile.id,
+            workspace: profile.workspace.clone(),
+            pools: profile.pipeline.stages.iter().map(|s| s.pool.clone()).collect(),
+            deadline: profile.deadline,
+            floor: self.run.remaining_floor(),
+        };
+        let now = self.context.clock.now();
+        let admission = self.context.router.borrow_mut().admit(now, &plan);
+        match admission {
+            Admission::Admitted => None,
+            Admission::Refused { reason, retry_after } => {
+                let request = format!("{:032x}", profile.id.0);
+                tracing::info!(event = "not-admitted", request, %reason);
+                Some(refuse::not_admitted(reason, retry_after))
+            }
+        }
+    }
+
+    async fn run_admitted(&mut self) {
+        let mut expired = false;
+        let mut gone = false;
+        let now = self.context.clock.now();
+        let mut actions = self.run.handle(now, Input::Started);
+        loop {
+            self.carry_out(actions).await;
+            if self.run.ended() {
+                return;
+            }
+            let input = self.next_input(&mut expired, &mut gone).await;
+            actions = self.run.handle(self.context.clock.now(), input);
+        }
+    }
+
+    /// Waits for the operation in progress, the deadline or the caller's leaving.
+    async fn next_input(&mut self, expired: &mut bool, gone: &mut bool) -> Input {
+        let clock = self.context.clock;
+        let left = clock.until(self.run.profile().deadline);
+        let operation = async {
+            match self.operation.as_mut() {
+                Some(operation) => operation.await,
+                None => std::future::pending().await,
+            }
+        };
+        let step = monoio::select! {
+            step = operation => step,
+            () = monoio::time::sleep(left), if !*expired => {
+                *expired = true;
+                return Input::DeadlinePassed;
+            }
+            () = self.left.wait(), if !*gone => {
+                *gone = true;
+                return Input::CallerLeft;
+            }
+        };
+        self.operation = None;
+        match step {
+            Step::Chosen(permit) => {
+                self.chosen = Some(permit);
+                Input::Routed
+            }
+            Step::Other(input) => {
+                self.note(&input);
+                input
+            }
+        }
+    }
+
+    /// Remembers what the next attempt and the next stage need of `input`.
+    fn note(&mut self, input: &Input) {
+        match input {
+            Input::Answered { answer, .. } | Input::Claimed(ClaimOutcome::Done(answer)) => {
+                self.previous = Some(answer.clone());
+                self.next_stage();
+            }
+            Input::Failed { failure, .. } => self.repeat = repeat_after(*failure, self.repeat),
+            _ => {}
+        }
+    }
+
+    fn next_stage(&mut self) {
+        self.excluded.clear();
+        self.repeat = Repeat::First;
+        self.text.borrow_mut().clear();
+    }
+
+    async fn carry_out(&mut self, actions: Vec<Action>) {
+        for action in actions {
+            match action {
+                Action::Route { stage, .. } if self.past(stage) => {}
+                Action::Route { stage, attempt } => self.start_route(stage, attempt),
+                Action::Unroute => self.unroute(),
+                Action::Claim(claim) => self.start_claim(claim),
+                Action::Dispatch { call, resume } => self.start_call(call, resume),
+                Action::Cancel(_) => self.operation = None,
+                Action::Settle(settle) => self.start_settle(settle),
+                Action::SettleLater(settle) => self.context.claims.settle_later(settle),
+                Action::Wait(duration) => self.start_wait(duration),
+                Action::Finish(answer) => self.finish(answer).await,
+                Action::Refuse(refusal) => self.refuse(refusal).await,
+            }
+        }
+    }
+
+    fn past(&self, stage: StageIndex) -> bool {
+        self.stage(stage).is_none()
+    }
+
+    fn stage(&self, stage: StageIndex) -> Option<Stage> {
+        self.draft.pipeline.stages.get(usize::from(stage.0)).cloned()
+    }
+
+    fn unroute(&mut self) {
+        self.chosen = None;
+        self.operation = None;
+    }
+
+    fn start_route(&mut self, index: StageIndex, attempt: AttemptNumber) {
+        let Some(request) = self.stage_request(index, attempt) else {
+            return;
+        };
+        let context = Rc::clone(&self.context);
+        self.operation = Some(Box::pin(route(context, request)));
+    }
+
+    fn stage_request(&self, index: StageIndex, attempt: AttemptNumber) -> Option<StageRequest> {
+        let stage = self.stage(index)?;
+        let later = || self.draft.pipeline.stages.iter().skip(usize::from(index.0) + 1);
+        let profile = self.run.profile();
+        Some(StageRequest {
+            call: CallId { request: profile.id, stage: index, attempt },
+            workspace: profile.workspace.clone(),
+            pool: stage.pool.clone(),
+            priority: self.draft.priority,
+            deadline: profile.deadline,
+            floor: stage.floor(),
+            remaining: later().map(Stage::floor).sum(),
+            later: later().map(|s| s.pool.clone()).collect(),
+            prefix: None,
+            excluded: self.excluded.clone(),
+            repeat: self.repeat,
+        })
+    }
+
+    fn start_claim(&mut self, claim: Claim) {
+        let store = self.context.claims.clone();
+        let work = async move { Step::Other(store.claim(claim).await) };
+        self.operation = Some(Box::pin(work));
+    }
+
+    fn start_settle(&mut self, settle: Settle) {
+        let store = self.context.claims.clone();
+        let work = async move { Step::Other(store.settle(settle).await) };
+        self.operation = Some(Box::pin(work));
+    }
+
+    fn start_wait(&mut self, duration: Duration) {
+        let work = async move {
+            monoio::time::sleep(duration).await;
+            Step::Other(Input::Woken)
+        };
+        self.operation = Some(Box::pin(work));
+    }
+
+    fn start_call(&mut self, id: CallId, resume: usize) {
+        let Some(permit) = self.chosen.take() else {
+            return;
+        };
+        let Some(plan) = self.call_plan(id, resume) else {
+            return;
+        };
+        if let Some(permit) = permit.permit() {
+            self.excluded.push(permit.target.clone());
+        }
+        let context = Rc::clone(&self.context);
+        let work = async move { Step::Other(call::run(context, permit, plan).await) };
+        self.operation = Some(Box::pin(work));
+    }
+
+    fn call_plan(&self, id: CallId, resume: usize) -> Option<CallPlan> {
+        let stage = self.stage(id.stage)?;
+        let environment = self.context.environment()?;
+        let pool = environment.document.pool(stage.pool.as_str())?.clone();
+        let last = usize::from(id.stage.0) + 1 == self.draft.pipeline.stages.len();
+        Some(CallPlan {
+            id,
+            stage,
+            pool,
+            priority: self.draft.priority,
+            key: self.draft.key.clone(),
+            input: self.input.clone(),
+            previous: self.previous.clone(),
+            resume,
+            text: Rc::clone(&self.text),
+            reply: (last && self.reply.wants_tokens()).then(|| Rc::clone(&self.reply)),
+        })
+    }
+
+    async fn finish(&self, answer: Bytes) {
+        let profile = self.run.profile();
+        let request = format!("{:032x}", profile.id.0);
+        tracing::info!(event = "answered", request, pipeline = %profile.pipeline.name);
+        metrics::counter!("hawthornkeel_answers_total").increment(1);
+        self.reply.finish(&answer).await;
+    }
+
+    async fn refuse(&self, refusal: Refusal) {
+        let request = format!("{:032x}", self.run.profile().id.0);
+        let code = refusal.code.as_str();
+        tracing::info!(event = "refused", request, code, ran = %refusal.ran);
+        metrics::counter!("hawthornkeel_refusals_total", "code" => code).increment(1);
+        self.reply.refuse(refuse::problem(refusal)).await;
+    }
+}
+
+/// Returns how the next attempt repeats the stage after `failure`.
+fn repeat_after(failure: CallFailure, before: Repeat) -> Repeat {
+    match (failure.evidence(), before) {
+        (Evidence::MayHaveRun, _) | (_, Repeat::MayHaveRun) => Repeat::MayHaveRun,
+        (Evidence::DidNotRun, _) => Repeat::NotRun,
+    }
+}
+
+/// Has the router choose a target, waiting for a turn where it says so.
+async fn route(context: Rc<Context>, request: StageRequest) -> Step {
+    let call = request.call;
+    let now = context.clock.now();
+    let mut decision = context.router.borrow_mut().choose(now, &request);
+    log_decision(&request, &decision);
+    if matches!(decision, Decision::Wait { .. }) {
+        let (sender, receiver) = oneshot::channel();
+        context.waiting.borrow_mut().insert(call, sender);
+        let _guard = WaitGuard { context: Rc::clone(&context), call };
+        let Ok(turn) = receiver.await else {
+            return Step::Other(Input::NotRouted { retry_after: None });
+        };
+        log_decision(&request, &turn);
+        decision = turn;
+    }
+    match decision {
+        Decision::Send { address, permit, .. } => {
+            Step::Chosen(HeldPermit::new(context, permit, address))
+        }
+        Decision::Refuse { retry_after, .. } => {
+            Step::Other(Input::NotRouted { retry_after: Some(retry_after) })
+        }
+        Decision::Wait { .. } => Step::Other(Input::NotRouted { retry_after: None }),
+    }
+}
+
+/// Takes a call out of the queue where its wait is given up.
+struct WaitGuard {
+    context: Rc<Context>,
+    call: CallId,
+}
+
+impl Drop for WaitGuard {
+    fn drop(&mut self) {
+        self.context.waiting.borrow_mut().swap_remove(&self.call);
+        self.context.router.borrow_mut().cancel(self.context.clock.now(), self.call);
+    }
+}
+
+fn log_decision(request: &StageRequest, decision: &Decision) {
+    let call = request.call;
+    let pool = &request.pool;
+    match decision {
+        Decision::Send { target, reason, candidates, .. } => {
+            tracing::info!(event = "route", %call, %pool, %target, %reason, candidates);
+        }
+        Decision::Wait { reason, candidates, .. } => {
+            tracing::info!(event = "route-wait", %call, %pool, %reason, candidates);
+        }
+        Decision::Refuse { reason, candidates, .. } => {
+            tracing::info!(event = "route-refused", %call, %pool, %reason, candidates);
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/environment.rs
@@ -0,0 +1,33 @@
+//! Environment document as an entry serves it.
+
+use std::sync::Arc;
+
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::document::Pipeline;
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::names::PipelineName;
+use indexmap::IndexMap;
+
+/// Environment document in force at this instance.
+#[derive(Clone, Debug)]
+pub struct Environment {
+    /// Version of the document.
+    pub version: Version,
+    /// Document proper.
+    pub document: Document,
+    pipelines: IndexMap<PipelineName, Arc<Pipeline>>,
+}
+
+impl Environment {
+    /// Creates the environment of `document`, accepted as `version`.
+    pub fn new(version: Version, document: Document) -> Self {
+        let shared = |p: &Pipeline| (p.name.clone(), Arc::new(p.clone()));
+        let pipelines = document.pipelines.iter().map(shared).collect();
+        Self { version, document, pipelines }
+    }
+
+    /// Returns the pipeline called `name`.
+    pub fn pipeline(&self, name: &str) -> Option<Arc<Pipeline>> {
+        self.pipelines.get(name).cloned()
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/filter.rs
@@ -0,0 +1,220 @@
+//! Filter chain: what a request passes before it is admitted.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornkeel_core::document::Pipeline;
+use hawthornkeel_core::names::WorkspaceName;
+use http::Method;
+use http::header::ACCEPT;
+use http::header::AUTHORIZATION;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::entry::context::Context;
+use crate::entry::environment::Environment;
+use crate::http::message::Head;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+
+/// Start of the path of a call to a pipeline.
+const PIPELINE_PATH: &str = "/v1/pipelines/";
+/// Field that shortens the deadline, in milliseconds.
+const DEADLINE_FIELD: &str = "x-deadline-ms";
+/// Field with the caller's idempotency key.
+const KEY_FIELD: &str = "idempotency-key";
+/// Longest idempotency key, in bytes.
+const MAX_KEY: usize = 255;
+/// Media type of a streamed answer.
+const EVENT_STREAM: &str = "text/event-stream";
+/// Time to come back after where the instance is not ready or stops.
+const NOT_READY_RETRY: Duration = Duration::from_secs(1);
+
+/// Request as the filters have understood it so far.
+#[derive(Clone, Debug, Default)]
+pub struct Draft {
+    /// Pipeline called.
+    pub pipeline: Arc<Pipeline>,
+    /// Workspace of the caller.
+    pub workspace: WorkspaceName,
+    /// Priority of the workspace.
+    pub priority: u8,
+    /// Requests of the workspace in progress at this instance, at most.
+    pub max_requests: u32,
+    /// Idempotency key.
+    pub key: Option<Arc<str>>,
+    /// Time from arrival to the whole answer.
+    pub budget: Duration,
+    /// Whether the answer is to be streamed.
+    pub streamed: bool,
+    /// Digest of the pipeline's name and the body.
+    pub digest: u64,
+}
+
+/// Step of the chain.
+#[derive(Clone, Copy, Debug)]
+enum Filter {
+    Ready,
+    Path,
+    Identify,
+    Body,
+    Key,
+    Deadline,
+    Form,
+}
+
+/// Steps in the order they are taken.
+const CHAIN: [Filter; 7] = [
+    Filter::Ready,
+    Filter::Path,
+    Filter::Identify,
+    Filter::Body,
+    Filter::Key,
+    Filter::Deadline,
+    Filter::Form,
+];
+
+/// Takes a request through the chain.
+///
+/// # Errors
+/// Fails with the refusal of the first filter that does not let it pass.
+pub fn run_chain(context: &Context, head: &Head, body: &Bytes) -> Result<Draft, Problem> {
+    let Some(environment) = context.environment() else {
+        return Err(not_ready("no environment document yet"));
+    };
+    let mut draft = Draft::default();
+    for filter in CHAIN {
+        filter.apply(context, &environment, head, body, &mut draft)?;
+    }
+    Ok(draft)
+}
+
+/// Returns the bound on the body of a request with `head`, in bytes.
+pub fn body_bound(context: &Context, head: &Head) -> Option<usize> {
+    let name = head.path.strip_prefix(PIPELINE_PATH)?;
+    let pipeline = context.environment()?.pipeline(name)?;
+    usize::try_from(pipeline.max_body).ok()
+}
+
+impl Filter {
+    fn apply(
+        self,
+        context: &Context,
+        environment: &Environment,
+        head: &Head,
+        body: &Bytes,
+        draft: &mut Draft,
+    ) -> Result<(), Problem> {
+        match self {
+            Self::Ready => check_ready(context),
+            Self::Path => find_pipeline(environment, head, draft),
+            Self::Identify => identify(context, environment, head, draft),
+            Self::Body => read_body(body, draft),
+            Self::Key => read_key(head, draft),
+            Self::Deadline => read_deadline(head, draft),
+            Self::Form => read_form(head, draft),
+        }
+    }
+}
+
+fn check_ready(context: &Context) -> Result<(), Problem> {
+    if context.stopping.is_set() {
+        let problem = Problem::not_run(Code::Stopping);
+        return Err(problem.with_retry_after(NOT_READY_RETRY));
+    }
+    Ok(())
+}
+
+fn find_pipeline(env: &Environment, head: &Head, draft: &mut Draft) -> Result<(), Problem> {
+    let name = head.path.strip_prefix(PIPELINE_PATH);
+    let pipeline = name.and_then(|n| env.pipeline(n));
+    let pipeline = pipeline.ok_or_else(|| Problem::not_run(Code::NotFound))?;
+    if head.method != Method::POST {
+        return Err(Problem::not_run(Code::MethodNotAllowed));
+    }
+    draft.pipeline = pipeline;
+    Ok(())
+}
+
+fn identify(
+    context: &Context,
+    environment: &Environment,
+    head: &Head,
+    draft: &mut Draft,
+) -> Result<(), Problem> {
+    let unauthorized = || Problem::not_run(Code::Unauthorized);
+    let field = head.header(AUTHORIZATION.as_str()).ok_or_else(unauthorized)?;
+    let key = field.strip_prefix("Bearer ").ok_or_else(unauthorized)?;
+    let digest = hexadecimal(&Sha256::digest(key.trim().as_bytes()));
+    let name = context.settings.keys.get(&digest).ok_or_else(unauthorized)?;
+    let Some(workspace) = environment.document.workspace(name.as_str()) else {
+        return Err(Problem::not_run(Code::Forbidden).with_detail("the key's workspace is gone"));
+    };
+    draft.workspace = workspace.name.clone();
+    draft.priority = workspace.priority;
+    draft.max_requests = workspace.max_requests;
+    Ok(())
+}
+
+fn read_body(body: &Bytes, draft: &mut Draft) -> Result<(), Problem> {
+    if serde_json::from_slice::<&serde_json::value::RawValue>(body).is_err() {
+        return Err(Problem::not_run(Code::BadRequest).with_detail("the body is not JSON"));
+    }
+    let mut hasher = Sha256::new();
+    hasher.update(draft.pipeline.name.as_str().as_bytes());
+    hasher.update([0]);
+    hasher.update(body);
+    let digest: [u8; 32] = hasher.finalize().into();
+    let (first, _) = digest.split_at(8);
+    draft.digest = first.iter().fold(0, |sum, byte| (sum << 8) | u64::from(*byte));
+    Ok(())
+}
+
+fn read_key(head: &Head, draft: &mut Draft) -> Result<(), Problem> {
+    let bad = |detail| Problem::not_run(Code::BadRequest).with_detail(detail);
+    if head.headers.get_all(KEY_FIELD).iter().count() > 1 {
+        return Err(bad("more than one Idempotency-Key"));
+    }
+    if !head.headers.contains_key(KEY_FIELD) {
+        return Ok(());
+    }
+    let text = head.header(KEY_FIELD).unwrap_or_default().trim().trim_matches('"');
+    if text.is_empty() || text.len() > MAX_KEY {
+        return Err(bad("Idempotency-Key is empty or too long"));
+    }
+    draft.key = Some(Arc::from(text));
+    Ok(())
+}
+
+fn read_deadline(head: &Head, draft: &mut Draft) -> Result<(), Problem> {
+    draft.budget = draft.pipeline.deadline();
+    if let Some(text) = head.header(DEADLINE_FIELD) {
+        let millis: u64 = text.trim().parse().map_err(|_| {
+            Problem::not_run(Code::BadRequest).with_detail("x-deadline-ms is not a number")
+        })?;
+        draft.budget = draft.budget.min(Duration::from_millis(millis));
+    }
+    Ok(())
+}
+
+fn read_form(head: &Head, draft: &mut Draft) -> Result<(), Problem> {
+    let accepted = head.header(ACCEPT.as_str()).unwrap_or_default();
+    draft.streamed = accepted.contains(EVENT_STREAM);
+    Ok(())
+}
+
+/// Returns the refusal of an instance that can't serve yet.
+pub fn not_ready(detail: &str) -> Problem {
+    let problem = Problem::not_run(Code::NotReady).with_detail(detail);
+    problem.with_retry_after(NOT_READY_RETRY)
+}
+
+/// Returns `bytes` in hexadecimal.
+pub fn hexadecimal(bytes: &[u8]) -> String {
+    use std::fmt::Write;
+    bytes.iter().fold(String::new(), |mut text, byte| {
+        let _ = write!(text, "{byte:02x}");
+        text
+    })
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/permit.rs
@@ -0,0 +1,48 @@
+//! Permits that are given back however a call ends.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use hawthornkeel_core::routing::types::CallOutcome;
+use hawthornkeel_core::routing::types::Permit;
+
+use crate::entry::context::Context;
+
+/// Permit for one call, given back as cancelled where it is dropped unused.
+pub struct HeldPermit {
+    context: Rc<Context>,
+    permit: Option<Permit>,
+    /// Address of the target.
+    pub address: Arc<str>,
+}
+
+impl HeldPermit {
+    /// Holds `permit` for a call to `address`.
+    pub fn new(context: Rc<Context>, permit: Permit, address: Arc<str>) -> Self {
+        Self { context, permit: Some(permit), address }
+    }
+
+    /// Returns the permit.
+    pub fn permit(&self) -> Option<&Permit> {
+        self.permit.as_ref()
+    }
+
+    /// Gives the permit back with how the call ended.
+    pub fn finish(mut self, outcome: CallOutcome) {
+        self.give_back(outcome);
+    }
+
+    fn give_back(&mut self, outcome: CallOutcome) {
+        if let Some(permit) = self.permit.take() {
+            let now = self.context.clock.now();
+            self.context.router.borrow_mut().finished(now, permit, outcome);
+            self.context.pump();
+        }
+    }
+}
+
+impl Drop for HeldPermit {
+    fn drop(&mut self) {
+        self.give_back(CallOutcome::Cancelled);
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/refuse.rs
@@ -0,0 +1,47 @@
+//! Refusals of the core as answers to callers.
+
+use std::time::Duration;
+
+use hawthornkeel_core::request::refusal::Ran;
+use hawthornkeel_core::request::refusal::Refusal;
+use hawthornkeel_core::request::refusal::RefusalCode;
+use hawthornkeel_core::routing::types::Reason;
+
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+
+/// Returns `refusal` as an answer.
+pub fn problem(refusal: Refusal) -> Problem {
+    let problem = Problem::new(code(refusal.code), refusal.ran);
+    match refusal.retry_after {
+        Some(after) => problem.with_retry_after(after),
+        None => problem,
+    }
+}
+
+/// Returns the refusal of a request that the router did not admit.
+pub fn not_admitted(reason: Reason, retry_after: Duration) -> Refusal {
+    let code = match reason {
+        Reason::Deadline | Reason::LaterStage => RefusalCode::DeadlineUnreachable,
+        Reason::WorkspaceLimit => RefusalCode::WorkspaceLimit,
+        _ => RefusalCode::NoCapacity,
+    };
+    Refusal { code, ran: Ran::NotRun, retry_after: Some(retry_after) }
+}
+
+fn code(code: RefusalCode) -> Code {
+    match code {
+        RefusalCode::KeyRequired => Code::KeyRequired,
+        RefusalCode::KeyReused => Code::KeyReused,
+        RefusalCode::InProgress => Code::InProgress,
+        RefusalCode::OutcomeUnknown => Code::OutcomeUnknown,
+        RefusalCode::NoQuorum => Code::NoQuorum,
+        RefusalCode::DeadlineUnreachable => Code::DeadlineUnreachable,
+        RefusalCode::DeadlinePassed => Code::DeadlineExceeded,
+        RefusalCode::NoCapacity => Code::NoTarget,
+        RefusalCode::StageFailed => Code::StageFailed,
+        RefusalCode::WorkspaceLimit => Code::WorkspaceLimit,
+        RefusalCode::Stopping => Code::Stopping,
+        RefusalCode::NotReady => Code::NotReady,
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/serve.rs
@@ -0,0 +1,133 @@
+//! Callers' requests from their arrival to the hand-over of the answer.
+
+use std::rc::Rc;
+use std::sync::Arc;
+
+use futures_channel::oneshot;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::names::WorkspaceName;
+use hawthornkeel_core::request::refusal::Ran;
+use hawthornkeel_core::request::run::Profile;
+use hawthornkeel_core::request::run::Run;
+
+use crate::entry::context::Context;
+use crate::entry::drive::Drive;
+use crate::entry::filter;
+use crate::entry::filter::Draft;
+use crate::entry::reply::Reply;
+use crate::http::message::Head;
+use crate::http::message::Request;
+use crate::http::message::Response;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+use crate::http::server::Handler;
+
+/// Path of the balancer's readiness check.
+const READY_PATH: &str = "/ready";
+
+/// Answers callers.
+pub struct Callers {
+    context: Rc<Context>,
+}
+
+impl Callers {
+    /// Creates the handler of an entry's callers.
+    pub fn new(context: Rc<Context>) -> Self {
+        Self { context }
+    }
+
+    fn ready(&self) -> Response {
+        if self.context.draining.is_set() {
+            return Problem::not_run(Code::Stopping).into_response();
+        }
+        match self.context.environment() {
+            Some(_) => Response::json("{\"ready\":true}"),
+            None => filter::not_ready("no environment document yet").into_response(),
+        }
+    }
+
+    async fn answer(&self, request: Request) -> Response {
+        let draft = match filter::run_chain(&self.context, &request.head, &request.body) {
+            Ok(draft) => draft,
+            Err(problem) => return refused(problem),
+        };
+        let Some(slot) = Slot::take(&self.context, &draft) else {
+            return refused(Problem::not_run(Code::WorkspaceLimit));
+        };
+        let (sender, receiver) = oneshot::channel();
+        let drive = self.drive(draft, request, sender);
+        monoio::spawn(async move {
+            let _slot = slot;
+            drive.run().await;
+        });
+        match receiver.await {
+            Ok(response) => response,
+            Err(_) => Problem::new(Code::Internal, Ran::Unknown).into_response(),
+        }
+    }
+
+    fn drive(&self, draft: Draft, request: Request, sender: oneshot::Sender<Response>) -> Drive {
+        let id = RequestId(rand::random());
+        let now = self.context.clock.now();
+        let run = Run::new(Profile {
+            id,
+            instance: self.context.settings.instance.name.clone(),
+            workspace: draft.workspace.clone(),
+            pipeline: Arc::clone(&draft.pipeline),
+            key: draft.key.clone(),
+            digest: draft.digest,
+            deadline: now + draft.budget,
+        });
+        let reply = Reply::new(id, draft.streamed, sender);
+        Drive::new(Rc::clone(&self.context), run, draft, request, reply)
+    }
+}
+
+impl Handler for Callers {
+    async fn handle(&self, request: Request) -> Response {
+        if request.head.path == READY_PATH {
+            return self.ready();
+        }
+        self.answer(request).await
+    }
+
+    fn max_body(&self, head: &Head) -> Option<usize> {
+        filter::body_bound(&self.context, head)
+    }
+}
+
+/// Place of a request among those in progress, given back when it is dropped.
+struct Slot {
+    context: Rc<Context>,
+    workspace: WorkspaceName,
+}
+
+impl Slot {
+    /// Takes a place, unless the workspace has as many requests in progress as it may.
+    fn take(context: &Rc<Context>, draft: &Draft) -> Option<Self> {
+        let mut running = context.running.borrow_mut();
+        let count = running.entry(draft.workspace.clone()).or_insert(0);
+        if *count >= draft.max_requests {
+            return None;
+        }
+        *count = count.saturating_add(1);
+        context.open.set(context.open.get().saturating_add(1));
+        Some(Self { context: Rc::clone(context), workspace: draft.workspace.clone() })
+    }
+}
+
+impl Drop for Slot {
+    fn drop(&mut self) {
+        let mut running = self.context.running.borrow_mut();
+        if let Some(count) = running.get_mut(&self.workspace) {
+            *count = count.saturating_sub(1);
+        }
+        self.context.open.set(self.context.open.get().saturating_sub(1));
+    }
+}
+
+fn refused(problem: Problem) -> Response {
+    tracing::info!(event = "refused", code = problem.code.as_str(), ran = %problem.ran);
+    metrics::counter!("hawthornkeel_refusals_total", "code" => problem.code.as_str()).increment(1);
+    problem.into_response()
+}
--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -3,6 +3,7 @@
 use std::fmt;
 use std::time::Duration;
 
+use hawthornkeel_core::request::refusal::Ran;
 use http::StatusCode;
 use serde::Serialize;
 
@@ -102,29 +103,6 @@
     }
 }
 
-/// Whether a refused request ran.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize)]
-#[serde(rename_all = "kebab-case")]
-pub enum Ran {
-    /// No stage ran and none will.
-    NotRun,
-    /// A stage may have run.
-    #[default]
-    Unknown,
-    /// The request ran; its result is kept.
-    Done,
-}
-
-impl fmt::Display for Ran {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        f.write_str(match self {
-            Self::NotRun => "not-run",
-            Self::Unknown => "unknown",
-            Self::Done => "done",
-        })
-    }
-}
-
 /// Refusal of a request.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Problem {
@@ -174,21 +152,24 @@
         self
     }
 
-    /// Returns the refusal as a response.
-    pub fn into_response(self) -> Response {
-        let status = self.code.status();
-        let seconds = self.retry_after.map(whole_seconds);
+    /// Returns the refusal as JSON.
+    pub fn to_json(&self) -> Vec<u8> {
         let document = Document {
             r#type: format!("urn:hawthornkeel:problem:{}", self.code),
             title: self.code.title(),
-            status: status.as_u16(),
+            status: self.code.status().as_u16(),
             code: self.code.as_str(),
             ran: self.ran,
             detail: &self.detail,
-            retry_after: seconds,
+            retry_after: self.retry_after.map(whole_seconds),
         };
-        let body = serde_json::to_vec(&document).unwrap_or_default();
-        let response = Response::whole(status, CONTENT_TYPE, body);
+        serde_json::to_vec(&document).unwrap_or_default()
+    }
+
+    /// Returns the refusal as a response.
+    pub fn into_response(self) -> Response {
+        let seconds = self.retry_after.map(whole_seconds);
+        let response = Response::whole(self.code.status(), CONTENT_TYPE, self.to_json());
         match seconds {
             Some(seconds) => response.with_header("retry-after", &seconds.to_string()),
             None => response,
--- /dev/null
+++ b/hawthornkeel/src/runtime.rs
@@ -0,0 +1,16 @@
+//! The process's event loop: one thread on epoll.
+
+use std::future::Future;
+use std::io;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+
+/// Runs `future` to its end on this thread.
+///
+/// # Errors
+/// Fails where the event loop can't be created.
+pub fn block_on<F: Future>(future: F) -> io::Result<F::Output> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    Ok(runtime.block_on(future))
+}
--- /dev/null
+++ b/hawthornkeel/src/trial.rs
@@ -0,0 +1,137 @@
+//! Trial: an entry with built-in targets and replicated state in one process, without a disk.
+
+use std::fmt::Write;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornkeel_config::settings::Instance;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::lease::LeaseSettings;
+use hawthornkeel_core::names::WorkspaceName;
+use hawthornkeel_core::routing::types::Liveness;
+use hawthornkeel_core::routing::types::TargetInfo;
+use indexmap::IndexMap;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::entry::claims::ClaimStore;
+use crate::entry::claims::LocalState;
+use crate::entry::context::Context;
+use crate::entry::context::Wiring;
+use crate::entry::controllers::document::apply_document;
+use crate::entry::filter::hexadecimal;
+use crate::entry::outlet::Outlet;
+use crate::entry::start::Started;
+use crate::entry::start::StopReport;
+use crate::http::server::Limits;
+use crate::http::server::ListenError;
+use crate::http::server::Server;
+use crate::stop::StopRequest;
+use crate::target::builtin;
+
+/// Data centre of a trial.
+const CENTRE: &str = "trial";
+/// Start of the caller's key of each workspace.
+const KEY_PREFIX: &str = "trial-";
+/// Targets in each pool.
+const TARGETS: usize = 2;
+/// Lease of a trial, whose one voter needs no long wait.
+const LEASE_PERIOD: Duration = Duration::from_millis(300);
+const LEASE_RENEW: Duration = Duration::from_millis(100);
+const GRANT: Duration = Duration::from_secs(1);
+
+/// Serves `document` on `listen` until `stop` is asked for.
+///
+/// # Errors
+/// Fails where an address can't be taken.
+pub async fn run(
+    document: Document,
+    listen: SocketAddr,
+    stop: StopRequest,
+) -> Result<StopReport, ListenError> {
+    let targets = start_targets(&document)?;
+    let guide = guide(&document);
+    let context = Rc::new(Context::new(settings(&document, listen), wiring()));
+    *context.targets.borrow_mut() = targets.clone();
+    let now = context.clock.now();
+    apply_document(&context, Version(1), document);
+    context.router.borrow_mut().update_targets(now, &targets);
+    let started = Started::listen(context, listen)?;
+    tracing::info!(event = "trial-started", address = %started.address());
+    println!("{}", guide.replace("{address}", &started.address().to_string()));
+    Ok(started.serve(stop).await)
+}
+
+fn wiring() -> Wiring {
+    let lease = LeaseSettings {
+        period: LEASE_PERIOD,
+        renew: LEASE_RENEW,
+        grant: GRANT,
+        ..LeaseSettings::default()
+    };
+    let claims = ClaimStore::Local(Rc::new(LocalState::default()));
+    Wiring { claims, outlet: Outlet::Alone, lease }
+}
+
+fn settings(document: &Document, listen: SocketAddr) -> Settings {
+    let mut settings = Settings {
+        instance: Instance {
+            name: "trial".into(),
+            data_centre: CENTRE.into(),
+            ..Instance::default()
+        },
+        keys: keys(document),
+        ..Settings::default()
+    };
+    settings.entry.enabled = true;
+    settings.entry.listen = Some(listen);
+    settings.entry.drain_ms = 0;
+    settings
+}
+
+/// Returns a key for each workspace: `trial-` and its name.
+fn keys(document: &Document) -> IndexMap<String, WorkspaceName> {
+    let digest = |name: &WorkspaceName| {
+        hexadecimal(&Sha256::digest(format!("{KEY_PREFIX}{name}").as_bytes()))
+    };
+    document.workspaces.iter().map(|w| (digest(&w.name), w.name.clone())).collect()
+}
+
+fn start_targets(document: &Document) -> Result<Vec<TargetInfo>, ListenError> {
+    let mut targets = Vec::new();
+    for pool in &document.pools {
+        for number in 0..TARGETS {
+            let address = SocketAddr::from(([127, 0, 0, 1], 0));
+            let server = Server::bind(address, Limits::default())?;
+            targets.push(TargetInfo {
+                name: format!("{}-{number}", pool.name).as_str().into(),
+                address: Arc::from(server.address().to_string()),
+                pool: pool.name.clone(),
+                centre: CENTRE.into(),
+                liveness: Liveness::Live,
+            });
+            monoio::spawn(server.serve(builtin::handle));
+        }
+    }
+    Ok(targets)
+}
+
+/// Returns the commands that call each pipeline, for the first workspace.
+fn guide(document: &Document) -> String {
+    let workspace = document.workspaces.first().map_or("", |w| w.name.as_str());
+    let mut text = String::from("Call a pipeline with:\n");
+    for pipeline in &document.pipelines {
+        let key = if pipeline.has_unrepeatable() { " -H 'Idempotency-Key: first'" } else { "" };
+        let _ = writeln!(
+            text,
+            "  curl -sS http://{{address}}/v1/pipelines/{} \\\n    -H 'Authorization: Bearer \
+             {KEY_PREFIX}{workspace}'{key} \\\n    -d '{{\"text\":\"hello\"}}'",
+            pipeline.name
+        );
+    }
+    text
+}
--- a/hawthornkeel_core/src/request/refusal.rs
+++ b/hawthornkeel_core/src/request/refusal.rs
@@ -3,8 +3,11 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Serialize;
+
 /// Whether a refused request ran.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// No stage was dispatched to a target, and none will be.
     NotRun,
