Peer endpoint: QUIC with mutual TLS between instances

Ruled out: quinn's own runtimes (they bring tokio); waiting with readable() and receiving on the socket ourselves (stalls, STACK.md); one socket for all outgoing connections, since whatever lost track of a connection knows its port and would swallow its replacement too; TLS session resumption, which skips the certificate checks; acting on the end of the TLS handshake alone, because it ends before the server has checked the client, so that a refused peer was dialed again at once. Change: quinn runtime on monoio; mutual TLS with the instance's name checked both ways; frames with version and length; one-way queue and calls; a silent connection is closed by a call without any answer or by the idle timeout, and the next one starts from a new port.

--- /dev/null
+++ b/hawthornkeel/src/peer/credentials.rs
@@ -0,0 +1,180 @@
+//! Certificates and keys of an instance, and the checks on those of its peers.
+
+use std::fmt;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornkeel_config::settings::Peers;
+use quinn::ClientConfig;
+use quinn::Connection;
+use quinn::IdleTimeout;
+use quinn::ServerConfig;
+use quinn::TransportConfig;
+use quinn::VarInt;
+use quinn::crypto::rustls::QuicClientConfig;
+use quinn::crypto::rustls::QuicServerConfig;
+use rustls::RootCertStore;
+use rustls::client::Resumption;
+use rustls::client::verify_server_name;
+use rustls::crypto::CryptoProvider;
+use rustls::server::ParsedCertificate;
+use rustls::server::WebPkiClientVerifier;
+use rustls::version::TLS13;
+use rustls_pki_types::CertificateDer;
+use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::ServerName;
+use rustls_pki_types::pem::PemObject;
+
+/// Protocol name agreed on in the TLS handshake.
+const ALPN: &[u8] = b"hawthornkeel";
+/// Time without any datagram from the peer after which a connection is closed, in milliseconds.
+pub const IDLE_TIMEOUT_MS: u32 = 2_000;
+/// Time between keep-alive pings.
+const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Calls of one peer in progress at once, at most.
+const MAX_CALLS: u32 = 1_024;
+
+/// Credentials of an instance, ready for use by connections.
+#[derive(Clone, Debug)]
+pub struct Credentials {
+    /// Used when connecting to a peer.
+    pub client: ClientConfig,
+    /// Used when a peer connects.
+    pub server: ServerConfig,
+}
+
+/// Credentials that can't be used.
+#[derive(Debug)]
+pub enum CredentialsError {
+    /// The settings lack a file: its key in section `peers`.
+    Missing(&'static str),
+    /// A file can't be read or holds no valid PEM.
+    File(PathBuf, rustls_pki_types::pem::Error),
+    /// The certificate, the key and the authority don't go together.
+    Invalid(String),
+}
+
+impl fmt::Display for CredentialsError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Missing(key) => write!(f, "settings lack peers.{key}"),
+            Self::File(path, e) => write!(f, "{}: {e}", path.display()),
+            Self::Invalid(reason) => write!(f, "credentials are not valid: {reason}"),
+        }
+    }
+}
+
+impl std::error::Error for CredentialsError {}
+
+impl From<rustls::Error> for CredentialsError {
+    fn from(error: rustls::Error) -> Self {
+        Self::Invalid(error.to_string())
+    }
+}
+
+impl Credentials {
+    /// Reads the files that `peers` names.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a file is missing or not valid, or where the key is not the certificate's.
+    pub fn load(peers: &Peers) -> Result<Self, CredentialsError> {
+        let certificate = path(&peers.certificate, "certificate")?;
+        let key = path(&peers.key, "key")?;
+        let authority = path(&peers.authority, "authority")?;
+        let chain = read_certificates(certificate)?;
+        let key = PrivateKeyDer::from_pem_file(key)
+            .map_err(|e| CredentialsError::File(key.to_owned(), e))?;
+        let mut roots = RootCertStore::empty();
+        for root in read_certificates(authority)? {
+            roots.add(root)?;
+        }
+        Self::new(chain, key, Arc::new(roots))
+    }
+
+    fn new(
+        chain: Vec<CertificateDer<'static>>,
+        key: PrivateKeyDer<'static>,
+        roots: Arc<RootCertStore>,
+    ) -> Result<Self, CredentialsError> {
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let transport = Arc::new(transport());
+        let client = client_tls(&provider, chain.clone(), key.clone_key(), roots.clone())?;
+        let server = server_tls(&provider, chain, key, roots)?;
+        let client = QuicClientConfig::try_from(client).map_err(invalid)?;
+        let server = QuicServerConfig::try_from(server).map_err(invalid)?;
+        let mut client = ClientConfig::new(Arc::new(client));
+        client.transport_config(transport.clone());
+        let mut server = ServerConfig::with_crypto(Arc::new(server));
+        server.transport_config(transport);
+        Ok(Self { client, server })
+    }
+}
+
+fn invalid(error: impl fmt::Display) -> CredentialsError {
+    CredentialsError::Invalid(error.to_string())
+}
+
+fn path<'a>(path: &'a Option<PathBuf>, key: &'static str) -> Result<&'a Path, CredentialsError> {
+    path.as_deref().ok_or(CredentialsError::Missing(key))
+}
+
+fn read_certificates(file: &Path) -> Result<Vec<CertificateDer<'static>>, CredentialsError> {
+    CertificateDer::pem_file_iter(file)
+        .and_then(Iterator::collect)
+        .map_err(|e| CredentialsError::File(file.to_owned(), e))
+}
+
+fn transport() -> TransportConfig {
+    let mut config = TransportConfig::default();
+    config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
+    config.keep_alive_interval(Some(KEEP_ALIVE));
+    config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_CALLS));
+    config
+}
+
+// Resumed sessions skip the check of certificates, so an expired one could return: no resumption.
+fn client_tls(
+    provider: &Arc<CryptoProvider>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    roots: Arc<RootCertStore>,
+) -> Result<rustls::ClientConfig, CredentialsError> {
+    let mut config = rustls::ClientConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&TLS13])?
+        .with_root_certificates(roots)
+        .with_client_auth_cert(chain, key)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.resumption = Resumption::disabled();
+    Ok(config)
+}
+
+fn server_tls(
+    provider: &Arc<CryptoProvider>,
+    chain: Vec<CertificateDer<'static>>,
+    key: PrivateKeyDer<'static>,
+    roots: Arc<RootCertStore>,
+) -> Result<rustls::ServerConfig, CredentialsError> {
+    let verifier = WebPkiClientVerifier::builder_with_provider(roots, provider.clone())
+        .build()
+        .map_err(invalid)?;
+    let mut config = rustls::ServerConfig::builder_with_provider(provider.clone())
+        .with_protocol_versions(&[&TLS13])?
+        .with_client_cert_verifier(verifier)
+        .with_single_cert(chain, key)?;
+    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.send_tls13_tickets = 0;
+    Ok(config)
+}
+
+/// Tells whether the peer's certificate on `connection` carries `name`.
+pub fn carries_name(connection: &Connection, name: &str) -> bool {
+    let Some(identity) = connection.peer_identity() else { return false };
+    let Ok(chain) = identity.downcast::<Vec<CertificateDer<'static>>>() else { return false };
+    let Some(certificate) = chain.first() else { return false };
+    let Ok(certificate) = ParsedCertificate::try_from(certificate) else { return false };
+    let Ok(name) = ServerName::try_from(name) else { return false };
+    verify_server_name(&certificate, &name).is_ok()
+}
--- /dev/null
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -0,0 +1,220 @@
+//! Endpoint of an instance: sends frames to peers, calls them and serves theirs.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::net::SocketAddr;
+use std::net::UdpSocket;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornkeel_config::settings::Peer;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::names::InstanceName;
+use indexmap::IndexMap;
+use quinn::Connection;
+use quinn::EndpointConfig;
+use quinn::VarInt;
+
+use crate::peer::credentials::Credentials;
+use crate::peer::error::PeerError;
+use crate::peer::frame::Frame;
+use crate::peer::frame::FrameKind;
+use crate::peer::inbound;
+use crate::peer::inbound::Handlers;
+use crate::peer::link::Dialer;
+use crate::peer::link::Link;
+use crate::peer::runtime::MonoioRuntime;
+use crate::peer::wire;
+
+/// Endpoint of an instance, on one thread; clones share it.
+#[derive(Clone)]
+pub struct Endpoint {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    name: InstanceName,
+    dialer: Dialer,
+    peers: IndexMap<InstanceName, Peer>,
+    links: RefCell<IndexMap<InstanceName, Rc<Link>>>,
+    handlers: Rc<Handlers>,
+    server: quinn::Endpoint,
+    traffic: Traffic,
+}
+
+/// Frames sent and received since the start, in frames and bytes.
+#[derive(Debug, Default)]
+struct Traffic {
+    dropped: Cell<u64>,
+    bytes: Cell<u64>,
+}
+
+impl Endpoint {
+    /// Opens the endpoint that `settings` describe.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the address can't be bound or the credentials can't be used.
+    pub fn open(settings: &Settings) -> Result<Self, PeerError> {
+        let listen = settings.peers.listen.ok_or(PeerError::NoAddress)?;
+        Self::with_socket(UdpSocket::bind(listen)?, settings)
+    }
+
+    /// Opens the endpoint on a bound socket.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the socket or the credentials can't be used.
+    pub fn with_socket(socket: UdpSocket, settings: &Settings) -> Result<Self, PeerError> {
+        let credentials = Credentials::load(&settings.peers)?;
+        let source = socket.local_addr()?.ip();
+        let config = EndpointConfig::default();
+        let runtime = Arc::new(MonoioRuntime);
+        let server = quinn::Endpoint::new(config, Some(credentials.server), socket, runtime)?;
+        let name = settings.instance.name.clone();
+        let handlers = Rc::new(Handlers { name: name.clone(), ..Handlers::default() });
+        monoio::spawn(inbound::accept(server.clone(), handlers.clone()));
+        let peers = settings.peers.peers.iter().map(|p| (p.name.clone(), p.clone())).collect();
+        Ok(Self {
+            inner: Rc::new(Inner {
+                dialer: Dialer { name: name.clone(), source, client: credentials.client },
+                name,
+                peers,
+                links: RefCell::default(),
+                handlers,
+                server,
+                traffic: Traffic::default(),
+            }),
+        })
+    }
+
+    /// Returns the name of this instance.
+    pub fn name(&self) -> &InstanceName {
+        &self.inner.name
+    }
+
+    /// Returns the peers that the settings name.
+    pub fn peers(&self) -> impl Iterator<Item = &Peer> {
+        self.inner.peers.values()
+    }
+
+    /// Returns the address that peers connect to.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the socket fails.
+    pub fn local_addr(&self) -> Result<SocketAddr, PeerError> {
+        Ok(self.inner.server.local_addr()?)
+    }
+
+    /// Returns the one-way frames dropped so far because a peer's queue was full.
+    pub fn dropped(&self) -> u64 {
+        self.inner.traffic.dropped.get()
+    }
+
+    /// Returns the bytes of frames queued for peers so far, without those of QUIC itself.
+    pub fn sent_bytes(&self) -> u64 {
+        self.inner.traffic.bytes.get()
+    }
+
+    /// Sets the handler of one-way frames of `kind`, which gets them in the order they were sent.
+    pub fn on_frame(&self, kind: FrameKind, handler: impl Fn(&InstanceName, Frame) + 'static) {
+        self.inner.handlers.frames.borrow_mut().insert(kind, Rc::new(handler));
+    }
+
+    /// Sets the handler of calls of `kind`; calls run beside each other.
+    pub fn on_call<F, A>(&self, kind: FrameKind, handler: F)
+    where
+        F: Fn(InstanceName, Frame) -> A + 'static,
+        A: Future<Output = Frame> + 'static,
+    {
+        let handler =
+            move |name, frame| -> inbound::AnswerFuture { Box::pin(handler(name, frame)) };
+        self.inner.handlers.calls.borrow_mut().insert(kind, Rc::new(handler));
+    }
+
+    /// Queues a one-way frame; it is lost where the queue is full or the connection fails.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer is unknown or the frame is too long.
+    pub fn send(&self, to: &InstanceName, frame: &Frame) -> Result<(), PeerError> {
+        let link = self.link(to)?;
+        let frame = wire::encode(frame)?;
+        self.count_bytes(frame.len());
+        if !link.push(frame) {
+            self.inner.traffic.dropped.set(self.inner.traffic.dropped.get() + 1);
+        }
+        Ok(())
+    }
+
+    /// Calls a peer and waits for its answer, for at most `timeout`.
+    ///
+    /// # Errors
+    ///
+    /// [`PeerError::may_have_run`] tells whether the call may have been carried out all the same.
+    pub async fn call(
+        &self,
+        to: &InstanceName,
+        frame: &Frame,
+        timeout: Duration,
+    ) -> Result<Frame, PeerError> {
+        let link = self.link(to)?;
+        let request = wire::encode(frame)?;
+        self.count_bytes(request.len());
+        let deadline = monoio::time::Instant::now() + timeout;
+        let connection = monoio::time::timeout_at(deadline, link.connection())
+            .await
+            .map_err(|_| PeerError::TimedOut { sent: false })??;
+        let received = connection.stats().udp_rx.datagrams;
+        match monoio::time::timeout_at(deadline, exchange(&connection, request)).await {
+            Ok(Ok(Frame::Refused(refusal))) => Err(PeerError::Refused(refusal)),
+            Ok(answer) => answer,
+            Err(_) => {
+                if connection.stats().udp_rx.datagrams == received {
+                    link.replace_silent(&connection);
+                }
+                Err(PeerError::TimedOut { sent: true })
+            }
+        }
+    }
+
+    /// Closes all connections and stops serving.
+    pub fn close(&self) {
+        for link in self.inner.links.borrow().values() {
+            link.close();
+        }
+        self.inner.server.close(VarInt::from_u32(0), b"closed");
+    }
+
+    fn count_bytes(&self, bytes: usize) {
+        let total = &self.inner.traffic.bytes;
+        total.set(total.get() + bytes as u64);
+    }
+
+    fn link(&self, to: &InstanceName) -> Result<Rc<Link>, PeerError> {
+        if let Some(link) = self.inner.links.borrow().get(to) {
+            return Ok(link.clone());
+        }
+        let unknown = || PeerError::UnknownPeer(to.clone());
+        let peer = self.inner.peers.get(to).ok_or_else(unknown)?;
+        let link = Link::new(peer.name.clone(), peer.address, self.inner.dialer.clone());
+        self.inner.links.borrow_mut().insert(to.clone(), link.clone());
+        Ok(link)
+    }
+}
+
+/// Sends `request` on a stream of its own and reads the answer.
+async fn exchange(connection: &Connection, request: bytes::Bytes) -> Result<Frame, PeerError> {
+    let lost = |e: &dyn std::fmt::Display| PeerError::Lost(e.to_string());
+    let (mut send, mut receive) = connection.open_bi().await.map_err(|e| lost(&e))?;
+    send.write_chunk(request).await.map_err(|e| lost(&e))?;
+    send.finish().map_err(|e| lost(&e))?;
+    match wire::read(&mut receive).await {
+        Ok(frame) => Ok(frame),
+        Err(wire::WireError::Stream(error)) => Err(lost(&error)),
+        Err(error) => Err(PeerError::Wire(error)),
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/peer/frame.rs
@@ -0,0 +1,135 @@
+//! Messages between instances.
+
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::state::command::CentreOrder;
+use hawthornkeel_core::state::command::Command;
+use hawthornkeel_core::state::command::Outcome;
+use hawthornkeel_core::state::published::Published;
+use serde::Deserialize;
+use serde::Serialize;
+
+/// Message between instances.
+///
+/// A variant is never removed or moved without a new [`wire::VERSION`](crate::peer::wire::VERSION).
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame of a connection: the name that the sender claims.
+    Hello(InstanceName),
+    /// Answers a call that can't be served.
+    Refused(Refusal),
+    /// Message of the replicated log, one-way.
+    Replica(Message),
+    /// Call: carry out a command.
+    Propose(Command),
+    /// Answers [`Frame::Propose`].
+    Proposed(Proposed),
+    /// Call: the published state once it is newer than what the caller has.
+    Follow(Follow),
+    /// Answers [`Frame::Follow`].
+    Followed(Followed),
+    /// Orders about data centres that hold without the log, one-way.
+    TakeOuts(Vec<CentreOrder>),
+    /// Call: what the instance has in force.
+    Status,
+    /// Answers [`Frame::Status`].
+    StatusReply(InstanceStatus),
+}
+
+/// Kind of a frame, by which its handler is found.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum FrameKind {
+    /// Of [`Frame::Hello`].
+    Hello,
+    /// Of [`Frame::Replica`].
+    Replica,
+    /// Of [`Frame::Propose`].
+    Propose,
+    /// Of [`Frame::Follow`].
+    Follow,
+    /// Of [`Frame::TakeOuts`].
+    TakeOuts,
+    /// Of [`Frame::Status`].
+    Status,
+    /// Of every answer to a call.
+    Answer,
+}
+
+impl Frame {
+    /// Returns the frame's kind.
+    pub fn kind(&self) -> FrameKind {
+        match self {
+            Self::Hello(_) => FrameKind::Hello,
+            Self::Replica(_) => FrameKind::Replica,
+            Self::Propose(_) => FrameKind::Propose,
+            Self::Follow(_) => FrameKind::Follow,
+            Self::TakeOuts(_) => FrameKind::TakeOuts,
+            Self::Status => FrameKind::Status,
+            Self::Refused(_) | Self::Proposed(_) | Self::Followed(_) | Self::StatusReply(_) => {
+                FrameKind::Answer
+            }
+        }
+    }
+}
+
+/// Why a call can't be served.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The frame's protocol version is not known to the receiver, which speaks `known`.
+    Version {
+        /// Version of the frame.
+        found: u16,
+        /// Version of the receiver.
+        known: u16,
+    },
+    /// The receiver has no handler for this kind of frame.
+    Unsupported,
+    /// The frame can't be decoded.
+    Malformed,
+}
+
+/// Answer to a proposal.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Proposed {
+    /// The command is committed, with this outcome.
+    Outcome(Outcome),
+    /// The command is not in the log and never will be from this call.
+    NotProposed {
+        /// Instance that leads, where the receiver knows it.
+        leader: Option<InstanceName>,
+    },
+    /// The command may or may not get committed.
+    Unknown,
+}
+
+/// Request for the published state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Follow {
+    /// Log position of the state that the caller has, or `None` for nothing.
+    pub after: Option<LogIndex>,
+    /// Time to hold the call while there is nothing newer, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// Answer to a request for the published state.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Followed {
+    /// Newer state.
+    Newer(Published),
+    /// Nothing newer within the wait.
+    Unchanged,
+    /// The receiver has no state itself.
+    Nothing,
+}
+
+/// What an instance has in force.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Instance.
+    pub name: InstanceName,
+    /// Published state in force, without its text, or `None` before the first.
+    pub published: Option<Published>,
+    /// Orders about data centres that hold without the log.
+    pub takeouts: Vec<CentreOrder>,
+}
--- /dev/null
+++ b/hawthornkeel/src/peer/inbound.rs
@@ -0,0 +1,156 @@
+//! Incoming connections: checks who the peer is, then serves its frames and calls.
+
+use std::cell::RefCell;
+use std::future::Future;
+use std::pin::Pin;
+use std::rc::Rc;
+
+use hawthornkeel_core::names::InstanceName;
+use indexmap::IndexMap;
+use quinn::Connection;
+use quinn::Incoming;
+use quinn::RecvStream;
+use quinn::SendStream;
+use quinn::VarInt;
+
+use crate::peer::credentials::carries_name;
+use crate::peer::frame::Frame;
+use crate::peer::frame::FrameKind;
+use crate::peer::frame::Refusal;
+use crate::peer::wire;
+use crate::peer::wire::WireError;
+
+/// Connection closed because the peer broke the protocol or isn't who it claims to be.
+const CODE_REFUSED: VarInt = VarInt::from_u32(1);
+
+/// Answer of a call's handler, which comes later.
+pub type AnswerFuture = Pin<Box<dyn Future<Output = Frame>>>;
+type FrameHandler = Rc<dyn Fn(&InstanceName, Frame)>;
+type CallHandler = Rc<dyn Fn(InstanceName, Frame) -> AnswerFuture>;
+
+/// Handlers of incoming frames, by kind.
+#[derive(Default)]
+pub struct Handlers {
+    /// Name of this instance.
+    pub name: InstanceName,
+    /// Of one-way frames.
+    pub frames: RefCell<IndexMap<FrameKind, FrameHandler>>,
+    /// Of calls.
+    pub calls: RefCell<IndexMap<FrameKind, CallHandler>>,
+}
+
+/// Serves incoming connections until the endpoint is closed.
+pub async fn accept(endpoint: quinn::Endpoint, handlers: Rc<Handlers>) {
+    while let Some(incoming) = endpoint.accept().await {
+        let handlers = handlers.clone();
+        monoio::spawn(async move { serve(incoming, handlers).await });
+    }
+}
+
+async fn serve(incoming: Incoming, handlers: Rc<Handlers>) {
+    let address = incoming.remote_address();
+    let connection = match incoming.await {
+        Ok(connection) => connection,
+        Err(error) => {
+            tracing::warn!(%address, %error, "peer_refused");
+            return;
+        }
+    };
+    match identify(&connection, &handlers.name).await {
+        Ok((name, stream)) => {
+            tracing::info!(peer = %name, %address, "peer_accepted");
+            monoio::spawn(serve_calls(connection.clone(), name.clone(), handlers.clone()));
+            let error = serve_frames(&name, stream, &handlers).await;
+            refuse(&connection, &error);
+        }
+        Err(error) => refuse(&connection, &error),
+    }
+}
+
+/// Closes `connection` because of `error`, unless it has ended already.
+fn refuse(connection: &Connection, error: &dyn std::fmt::Display) {
+    if connection.close_reason().is_none() {
+        let error = error.to_string();
+        tracing::warn!(address = %connection.remote_address(), %error, "peer_refused");
+        connection.close(CODE_REFUSED, error.as_bytes());
+    }
+}
+
+/// Reads the name that the peer claims, checks it against its certificate and answers with `own`.
+async fn identify(
+    connection: &Connection,
+    own: &InstanceName,
+) -> Result<(InstanceName, RecvStream), String> {
+    let mut stream = connection.accept_uni().await.map_err(|e| e.to_string())?;
+    let name = match wire::read(&mut stream).await {
+        Ok(Frame::Hello(name)) => name,
+        Ok(_) => return Err("connection starts without a name".to_owned()),
+        Err(error) => return Err(error.to_string()),
+    };
+    if !carries_name(connection, name.as_str()) {
+        return Err(format!("certificate is not for {name}"));
+    }
+    let hello = wire::encode(&Frame::Hello(own.clone())).map_err(|e| e.to_string())?;
+    let mut answer = connection.open_uni().await.map_err(|e| e.to_string())?;
+    answer.write_chunk(hello).await.map_err(|e| e.to_string())?;
+    answer.finish().map_err(|e| e.to_string())?;
+    Ok((name, stream))
+}
+
+/// Handles one-way frames in order until the stream fails.
+async fn serve_frames(
+    name: &InstanceName,
+    mut stream: RecvStream,
+    handlers: &Handlers,
+) -> WireError {
+    loop {
+        let frame = match wire::read(&mut stream).await {
+            Ok(frame) => frame,
+            Err(error) => return error,
+        };
+        let handler = handlers.frames.borrow().get(&frame.kind()).cloned();
+        match handler {
+            Some(handler) => handler(name, frame),
+            None => tracing::debug!(peer = %name, kind = ?frame.kind(), "frame_unsupported"),
+        }
+    }
+}
+
+async fn serve_calls(connection: Connection, name: InstanceName, handlers: Rc<Handlers>) {
+    while let Ok((send, receive)) = connection.accept_bi().await {
+        let (name, handlers) = (name.clone(), handlers.clone());
+        monoio::spawn(async move {
+            if let Err(error) = serve_call(&name, send, receive, &handlers).await {
+                tracing::debug!(peer = %name, %error, "call_failed");
+            }
+        });
+    }
+}
+
+async fn serve_call(
+    name: &InstanceName,
+    mut send: SendStream,
+    mut receive: RecvStream,
+    handlers: &Handlers,
+) -> Result<(), String> {
+    let answer = match wire::read(&mut receive).await {
+        Ok(frame) => answer(name, frame, handlers).await,
+        Err(WireError::Version(found)) => {
+            tracing::warn!(peer = %name, found, known = wire::VERSION, "version_refused");
+            Frame::Refused(Refusal::Version { found, known: wire::VERSION })
+        }
+        Err(WireError::Malformed(_)) => Frame::Refused(Refusal::Malformed),
+        Err(error) => return Err(error.to_string()),
+    };
+    let answer = wire::encode(&answer).map_err(|e| e.to_string())?;
+    send.write_chunk(answer).await.map_err(|e| e.to_string())?;
+    send.finish().map_err(|e| e.to_string())
+}
+
+async fn answer(name: &InstanceName, frame: Frame, handlers: &Handlers) -> Frame {
+    let handler = handlers.calls.borrow().get(&frame.kind()).cloned();
+    match handler {
+        Some(handler) => handler(name.clone(), frame).await,
+        None => Frame::Refused(Refusal::Unsupported),
+    }
+}
