--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -8,6 +8,7 @@
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::lease::GrantMessage;
 use hawthornkeel_core::lease::LeaseSettings;
 use hawthornkeel_core::lease::MemberId;
 use hawthornkeel_core::names::WorkspaceName;
@@ -23,6 +24,7 @@
 use crate::entry::claims::ClaimStore;
 use crate::entry::controllers::lease::LeaseMember;
 use crate::entry::environment::Environment;
+use crate::entry::outlet::EntryMessage;
 use crate::entry::outlet::Outlet;
 use crate::http::signal::Signal;
 use crate::target::client::Client;
@@ -32,6 +34,8 @@
 pub struct Context {
     /// Settings of the process.
     pub settings: Settings,
+    /// This run of the instance.
+    pub member: MemberId,
     /// Monotonic clock.
     pub clock: Clock,
     /// Router.
@@ -81,11 +85,12 @@
         let now = clock.now();
         let lease = LeaseMember::new(now, &member, own.clone(), near, wiring.lease.clone());
         let router_settings = RouterSettings { seed: rand::random(), ..RouterSettings::default() };
-        let info = EntryInfo { id: member, centre: own };
+        let info = EntryInfo { id: member.clone(), centre: own };
         let mut router = Router::new(router_settings, wiring.lease, info);
         router.set_entries(now, &entries);
         Self {
             settings,
+            member,
             clock,
             router: RefCell::new(router),
             waiting: RefCell::default(),
@@ -107,6 +112,11 @@
         self.environment.borrow().clone()
     }
 
+    /// Returns a message about grants as it goes to a peer.
+    pub fn grant_message(&self, message: GrantMessage) -> EntryMessage {
+        EntryMessage::Grant { from: self.member.clone(), message }
+    }
+
     /// Hands the router's decisions to the calls that wait for them.
     ///
     /// To be called after each change that may give a waiting call its turn.
--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -7,6 +7,7 @@
 use hawthornkeel_core::lease::Holder;
 use hawthornkeel_core::lease::Issuer;
 use hawthornkeel_core::lease::Voter;
+use hawthornkeel_core::lease::issuer::IssuerOutput;
 use hawthornkeel_core::lease::message::GrantMessage;
 use hawthornkeel_core::lease::message::MemberId;
 use hawthornkeel_core::lease::message::VoteMessage;
@@ -72,9 +73,15 @@
         }
         tick(&context);
         let now = context.clock.now();
+        let issued = {
+            let mut lease = context.lease.borrow_mut();
+            let LeaseMember { holder, issuer, .. } = &mut *lease;
+            issuer.tick(now, holder)
+        };
+        send_issued(&context, issued);
         let messages = context.router.borrow_mut().take_messages(now);
         for output in messages {
-            send(&context, &output.issuer.name, EntryMessage::Grant(output.message));
+            send(&context, &output.issuer.name, context.grant_message(output.message));
         }
         context.pump();
     }
@@ -110,7 +117,7 @@
 pub fn receive(context: &Rc<Context>, from: &InstanceName, message: EntryMessage) {
     match message {
         EntryMessage::Vote(message) => receive_vote(context, from, message),
-        EntryMessage::Grant(message) => receive_grant(context, from, message),
+        EntryMessage::Grant { from, message } => receive_grant(context, &from, message),
     }
 }
 
@@ -137,32 +144,49 @@
     let own = context.settings.instance.name.clone();
     let peers = context.settings.peers.peers.iter().map(|p| p.name.clone());
     for name in peers.chain([own]) {
-        send(context, &name, EntryMessage::Grant(announcement.clone()));
+        send(context, &name, context.grant_message(announcement.clone()));
     }
 }
 
-fn receive_grant(context: &Rc<Context>, from: &InstanceName, message: GrantMessage) {
+fn receive_grant(context: &Rc<Context>, from: &MemberId, message: GrantMessage) {
     let now = context.clock.now();
     match message {
         GrantMessage::Announce { .. }
         | GrantMessage::Granted { .. }
-        | GrantMessage::Busy { .. }
-        | GrantMessage::Warm { .. } => {
-            context.router.borrow_mut().handle_grant(now, &message);
-            context.pump();
-        }
+        | GrantMessage::Warm { .. } => take_grant(context, &message),
         GrantMessage::Request { .. }
         | GrantMessage::Release { .. }
-        | GrantMessage::Suspect { .. }
-        | GrantMessage::Vouch { .. } => {
-            let reply = {
-                let mut lease = context.lease.borrow_mut();
-                let LeaseMember { holder, issuer, .. } = &mut *lease;
-                issuer.handle(now, holder, &message)
-            };
-            if let Some(reply) = reply {
-                send(context, from, EntryMessage::Grant(reply));
+        | GrantMessage::Vouch { .. } => issue(context, from, &message),
+        GrantMessage::Suspect { .. } => {
+            // The issuer passes a suspicion on to the entries; this one may be either.
+            if context.lease.borrow().holder.holds(now) {
+                issue(context, from, &message);
+            }
+            if *from != context.member {
+                take_grant(context, &message);
             }
         }
     }
 }
+
+fn take_grant(context: &Rc<Context>, message: &GrantMessage) {
+    let now = context.clock.now();
+    context.router.borrow_mut().handle_grant(now, message);
+    context.pump();
+}
+
+fn issue(context: &Rc<Context>, from: &MemberId, message: &GrantMessage) {
+    let now = context.clock.now();
+    let outputs = {
+        let mut lease = context.lease.borrow_mut();
+        let LeaseMember { holder, issuer, .. } = &mut *lease;
+        issuer.handle(now, holder, from, message)
+    };
+    send_issued(context, outputs);
+}
+
+fn send_issued(context: &Rc<Context>, outputs: Vec<IssuerOutput>) {
+    for output in outputs {
+        send(context, &output.to.name, context.grant_message(output.message));
+    }
+}
--- a/hawthornkeel/src/entry/outlet.rs
+++ b/hawthornkeel/src/entry/outlet.rs
@@ -1,6 +1,7 @@
 //! Messages from an entry to its peers.
 
 use hawthornkeel_core::lease::message::GrantMessage;
+use hawthornkeel_core::lease::message::MemberId;
 use hawthornkeel_core::lease::message::VoteMessage;
 use hawthornkeel_core::names::InstanceName;
 
@@ -10,7 +11,12 @@
     /// About the lease of a data centre.
     Vote(VoteMessage),
     /// About grants for cold targets.
-    Grant(GrantMessage),
+    Grant {
+        /// Member that sends it.
+        from: MemberId,
+        /// Message proper.
+        message: GrantMessage,
+    },
 }
 
 /// Way to the peers.
