--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -25,6 +25,7 @@
 use crate::target::completion::COMPLETIONS;
 use crate::target::error::CallError;
 use crate::target::stream::Event;
+use crate::telemetry;
 
 /// Time without a byte after which a call counts as silent.
 const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
@@ -62,6 +63,10 @@
 /// Makes the call and gives its permit back.
 pub async fn run(context: Rc<Context>, permit: HeldPermit, plan: CallPlan) -> Input {
     let started = context.clock.now();
+    if permit.permit().is_some_and(|p| p.grant.is_some()) {
+        let stage = plan.stage.name.as_str().to_owned();
+        metrics::counter!(telemetry::COLD_CALLS, "stage" => stage).increment(1);
+    }
     let result = attempt(&context, &permit, &plan).await;
     let latency = context.clock.now().since(started);
     record(&plan, latency, &result);
@@ -143,16 +148,11 @@
 ) -> Result<Answered, CallError> {
     let mut stream = client.stream(address, call).await?;
     let mut tokens: u32 = 0;
-    loop {
-        match stream.next().await? {
-            Event::Token { text, .. } => {
-                tokens = tokens.saturating_add(1);
-                plan.text.borrow_mut().push_str(&text);
-                if let Some(reply) = &plan.reply {
-                    reply.token(&text).await;
-                }
-            }
-            Event::End => break,
+    while let Event::Token { text, .. } = stream.next().await? {
+        tokens = tokens.saturating_add(1);
+        plan.text.borrow_mut().push_str(&text);
+        if let Some(reply) = &plan.reply {
+            reply.token(&text).await;
         }
     }
     let body = compose::engine_answer(&plan.text.borrow());
@@ -188,13 +188,19 @@
 fn record(plan: &CallPlan, latency: Duration, result: &Result<Answered, CallError>) {
     let stage = plan.stage.name.as_str().to_owned();
     let outcome = result.as_ref().map_or_else(CallError::name, |_| "answered");
-    let seconds = latency.as_secs_f64();
-    metrics::histogram!("hawthornkeel_stage_seconds", "stage" => stage.clone()).record(seconds);
-    metrics::counter!("hawthornkeel_calls_total", "stage" => stage.clone(), "outcome" => outcome)
-        .increment(1);
+    let millis = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+    let labels = [("stage", stage)];
+    metrics::histogram!(telemetry::STAGE_SECONDS, &labels).record(latency.as_secs_f64());
+    match result {
+        Ok(answered) => {
+            metrics::counter!(telemetry::TOKENS, &labels).increment(u64::from(answered.tokens));
+        }
+        Err(_) => metrics::counter!(telemetry::WASTED_MILLIS, &labels).increment(millis),
+    }
     if plan.id.attempt.0 > 0 {
-        metrics::counter!("hawthornkeel_retries_total", "stage" => stage).increment(1);
+        metrics::counter!(telemetry::RETRIES, &labels).increment(1);
     }
-    let millis = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
+    let [(_, stage)] = labels;
+    metrics::counter!(telemetry::CALLS, "stage" => stage, "outcome" => outcome).increment(1);
     tracing::info!(event = "call", call = %plan.id, stage = %plan.stage.name, outcome, millis);
 }
--- a/hawthornkeel/src/entry/controllers/queue.rs
+++ b/hawthornkeel/src/entry/controllers/queue.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use crate::entry::context::Context;
+use crate::telemetry;
 
 /// Longest pause between two looks at the queue.
 const MAX_PAUSE: Duration = Duration::from_millis(50);
@@ -18,5 +19,7 @@
         let pause = wake.since(now).clamp(MIN_PAUSE, MAX_PAUSE);
         monoio::time::sleep(pause).await;
         context.pump();
+        metrics::gauge!(telemetry::OPEN_REQUESTS).set(context.open.get() as f64);
+        metrics::gauge!(telemetry::WAITING_CALLS).set(context.waiting.borrow().len() as f64);
     }
 }
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -26,6 +26,7 @@
 use hawthornkeel_core::state::command::Claim;
 use hawthornkeel_core::state::command::ClaimOutcome;
 use hawthornkeel_core::state::command::Settle;
+use hawthornkeel_core::time::Instant;
 
 use crate::entry::call;
 use crate::entry::call::CallPlan;
@@ -36,6 +37,7 @@
 use crate::entry::reply::Reply;
 use crate::http::message::Request;
 use crate::http::signal::Signal;
+use crate::telemetry;
 
 /// What a request waits for: ends in the state machine's next input.
 type Operation = Pin<Box<dyn Future<Output = Step>>>;
@@ -55,6 +57,7 @@
     draft: Draft,
     input: Bytes,
     left: Signal,
+    arrived: Instant,
     reply: Rc<Reply>,
     previous: Option<Bytes>,
     text: Rc<std::cell::RefCell<String>>,
@@ -73,12 +76,14 @@
         request: Request,
         reply: Reply,
     ) -> Self {
+        let arrived = context.clock.now();
         Self {
             context,
             run,
             draft,
             input: request.body,
             left: request.left,
+            arrived,
             reply: Rc::new(reply),
             previous: None,
             text: Rc::default(),
@@ -305,15 +310,25 @@
         let profile = self.run.profile();
         let request = format!("{:032x}", profile.id.0);
         tracing::info!(event = "answered", request, pipeline = %profile.pipeline.name);
-        metrics::counter!("hawthornkeel_answers_total").increment(1);
+        metrics::counter!(telemetry::ANSWERS).increment(1);
+        self.record_time();
         self.reply.finish(&answer).await;
     }
 
+    /// Records the time from arrival to the final answer.
+    fn record_time(&self) {
+        let pipeline = self.draft.pipeline.name.as_str().to_owned();
+        let elapsed = self.context.clock.now().since(self.arrived);
+        metrics::histogram!(telemetry::REQUEST_SECONDS, "pipeline" => pipeline)
+            .record(elapsed.as_secs_f64());
+    }
+
     async fn refuse(&self, refusal: Refusal) {
         let request = format!("{:032x}", self.run.profile().id.0);
         let code = refusal.code.as_str();
         tracing::info!(event = "refused", request, code, ran = %refusal.ran);
-        metrics::counter!("hawthornkeel_refusals_total", "code" => code).increment(1);
+        metrics::counter!(telemetry::REFUSALS, "code" => code).increment(1);
+        self.record_time();
         self.reply.refuse(refuse::problem(refusal)).await;
     }
 }
--- a/hawthornkeel/src/entry/serve.rs
+++ b/hawthornkeel/src/entry/serve.rs
@@ -21,6 +21,7 @@
 use crate::http::problem::Code;
 use crate::http::problem::Problem;
 use crate::http::server::Handler;
+use crate::telemetry;
 
 /// Path of the balancer's readiness check.
 const READY_PATH: &str = "/ready";
@@ -128,6 +129,6 @@
 
 fn refused(problem: Problem) -> Response {
     tracing::info!(event = "refused", code = problem.code.as_str(), ran = %problem.ran);
-    metrics::counter!("hawthornkeel_refusals_total", "code" => problem.code.as_str()).increment(1);
+    metrics::counter!(telemetry::REFUSALS, "code" => problem.code.as_str()).increment(1);
     problem.into_response()
 }
--- a/hawthornkeel/src/lib.rs
+++ b/hawthornkeel/src/lib.rs
@@ -13,4 +13,5 @@
 pub mod runtime;
 pub mod stop;
 pub mod target;
+pub mod telemetry;
 pub mod trial;
