--- /dev/null
+++ b/hawthornkeel_core/tests/claim_rules.rs
@@ -0,0 +1,244 @@
+//! Claims: who may run a stage that runs at most once, and what everybody else is told.
+
+mod common;
+
+use bytes::Bytes;
+use common::Driver;
+use common::SETTLE_MS;
+use common::claimant;
+use common::done;
+use hawthornkeel_core::state::claims::CLAIM_WINDOW;
+use hawthornkeel_core::state::claims::MAX_ANSWER;
+use hawthornkeel_core::state::claims::MAX_ANSWERS;
+use hawthornkeel_core::state::claims::MAX_CLAIMS;
+use hawthornkeel_core::state::clock::MAX_STEP;
+use hawthornkeel_core::state::command::ClaimOutcome;
+use hawthornkeel_core::state::command::SettleOutcome;
+use hawthornkeel_core::state::command::Settlement;
+use rstest::rstest;
+
+const YEAR_MS: u64 = 365 * 24 * 3600 * 1000;
+
+/// Lets `millis` pass with commands often enough that all of it counts.
+fn pass(driver: &mut Driver, millis: u64) {
+    let step = u64::try_from(MAX_STEP.as_millis()).unwrap();
+    let end = driver.now + millis;
+    while driver.now < end {
+        driver.now = end.min(driver.now + step);
+        driver.settle("unrelated", &claimant(999, 0), Settlement::Unknown);
+    }
+}
+
+#[test]
+fn resent_claim_granted_to_same_attempt_only() {
+    let mut driver = Driver::default();
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Granted);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Granted);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 1)), ClaimOutcome::Held(claimant(1, 0)));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Held(claimant(1, 0)));
+}
+
+#[test]
+fn other_body_is_mismatch() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    assert_eq!(driver.claim("lot-7", 2, &claimant(2, 0)), ClaimOutcome::Mismatch);
+    driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    assert_eq!(driver.claim("lot-7", 2, &claimant(2, 0)), ClaimOutcome::Mismatch);
+}
+
+#[test]
+fn answer_is_replayed() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    let first = driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    assert_eq!(first, SettleOutcome::Recorded);
+    let again = driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    assert_eq!(again, SettleOutcome::Recorded);
+    let other = driver.settle("lot-7", &claimant(1, 0), done("not signed"));
+    assert_eq!(other, SettleOutcome::Refused);
+    let released = driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(released, SettleOutcome::Refused);
+    let replayed = ClaimOutcome::Done(Bytes::from_static(b"signed"));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), replayed);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), replayed);
+}
+
+#[test]
+fn released_key_is_claimed_anew() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(driver.claim("lot-7", 2, &claimant(2, 0)), ClaimOutcome::Granted);
+    let late = driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(late, SettleOutcome::Refused, "the claim is another's by now");
+    assert_eq!(driver.claim("lot-7", 2, &claimant(3, 0)), ClaimOutcome::Held(claimant(2, 0)));
+}
+
+#[rstest]
+#[case::claim_first(true)]
+#[case::release_first(false)]
+fn delayed_claim_after_release_not_granted(#[case] claimed: bool) {
+    let mut driver = Driver::default();
+    if claimed {
+        driver.claim("lot-7", 1, &claimant(1, 0));
+    }
+    let released = driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(released, SettleOutcome::Recorded);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Released);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Granted);
+}
+
+#[test]
+fn lapsed_claim_is_unknown_for_good() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.now += SETTLE_MS;
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Unknown);
+    let released = driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(released, SettleOutcome::Refused, "somebody was told that it may have run");
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Unknown);
+    driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    let replayed = ClaimOutcome::Done(Bytes::from_static(b"signed"));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(3, 0)), replayed);
+}
+
+#[test]
+fn lapsed_claim_released_while_nobody_was_told() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.now += 5 * SETTLE_MS;
+    let released = driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    assert_eq!(released, SettleOutcome::Recorded);
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Granted);
+}
+
+#[test]
+fn only_claimant_settles() {
+    let mut driver = Driver::default();
+    assert_eq!(driver.settle("lot-7", &claimant(1, 0), done("signed")), SettleOutcome::Refused);
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    for settlement in [Settlement::Released, Settlement::Unknown, done("signed")] {
+        let outcome = driver.settle("lot-7", &claimant(1, 1), settlement);
+        assert_eq!(outcome, SettleOutcome::Refused);
+    }
+    assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Granted);
+}
+
+#[test]
+fn clock_stepping_back_does_not_revive_a_claim() {
+    let mut driver = Driver { now: 100_000, ..Driver::default() };
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.now = 10_000;
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Held(claimant(1, 0)));
+    driver.now += SETTLE_MS;
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Unknown);
+    driver.now = 0;
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Unknown);
+}
+
+#[test]
+fn clock_a_year_ahead_keeps_keys() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    driver.now += YEAR_MS;
+    driver.claim("lot-8", 1, &claimant(2, 0));
+    driver.now -= YEAR_MS;
+    let replayed = ClaimOutcome::Done(Bytes::from_static(b"signed"));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(3, 0)), replayed);
+    driver.now += SETTLE_MS;
+    assert_eq!(driver.claim("lot-8", 1, &claimant(3, 0)), ClaimOutcome::Unknown, "time goes on");
+}
+
+#[test]
+fn keys_expire_after_their_window() {
+    let window = u64::try_from(CLAIM_WINDOW.as_millis()).unwrap();
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.settle("lot-7", &claimant(1, 0), done("signed"));
+    pass(&mut driver, window - 1);
+    let replayed = ClaimOutcome::Done(Bytes::from_static(b"signed"));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), replayed);
+    pass(&mut driver, 1);
+    assert!(driver.state.claims().is_empty());
+    assert_eq!(driver.state.claims().answer_bytes(), 0);
+}
+
+#[test]
+fn key_claimed_anew_keeps_its_whole_window() {
+    let window = u64::try_from(CLAIM_WINDOW.as_millis()).unwrap();
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    driver.settle("lot-7", &claimant(1, 0), Settlement::Released);
+    pass(&mut driver, window - 1);
+    driver.claim("lot-7", 1, &claimant(2, 0));
+    driver.settle("lot-7", &claimant(2, 0), done("signed"));
+    driver.restore();
+    pass(&mut driver, window - 1);
+    let replayed = ClaimOutcome::Done(Bytes::from_static(b"signed"));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(3, 0)), replayed);
+    pass(&mut driver, window);
+    assert!(driver.state.claims().is_empty());
+}
+
+#[test]
+fn oldest_answers_are_dropped() {
+    let mut driver = Driver::default();
+    let answer = Bytes::from(vec![b'a'; MAX_ANSWER]);
+    let room = MAX_ANSWERS / MAX_ANSWER;
+    for number in 0..=room {
+        let by = claimant(number as u128, 0);
+        driver.claim(&format!("lot-{number}"), 1, &by);
+        driver.settle(&format!("lot-{number}"), &by, Settlement::Done(answer.clone()));
+        if number == room / 2 {
+            driver.restore();
+        }
+    }
+    assert_eq!(driver.state.claims().answer_bytes(), MAX_ANSWERS);
+    assert_eq!(driver.claim("lot-0", 1, &claimant(9_999, 0)), ClaimOutcome::DoneDropped);
+    assert_eq!(driver.claim("lot-1", 1, &claimant(9_999, 0)), ClaimOutcome::Done(answer));
+    let again = driver.settle("lot-0", &claimant(0, 0), done("signed"));
+    assert_eq!(again, SettleOutcome::Recorded, "it ran, whatever the answer was");
+}
+
+#[test]
+fn restored_answers_keep_their_order() {
+    let mut driver = Driver::default();
+    let answer = Bytes::from(vec![b'a'; MAX_ANSWER]);
+    let room = MAX_ANSWERS / MAX_ANSWER;
+    for number in 0..=room {
+        driver.claim(&format!("lot-{number}"), 1, &claimant(number as u128, 0));
+    }
+    for number in (0..room).rev() {
+        let by = claimant(number as u128, 0);
+        driver.settle(&format!("lot-{number}"), &by, Settlement::Done(answer.clone()));
+    }
+    driver.restore();
+    let by = claimant(room as u128, 0);
+    driver.settle(&format!("lot-{room}"), &by, Settlement::Done(answer.clone()));
+    let first = format!("lot-{}", room - 1);
+    assert_eq!(driver.claim(&first, 1, &claimant(9_999, 0)), ClaimOutcome::DoneDropped);
+    assert_eq!(driver.claim("lot-0", 1, &claimant(9_999, 0)), ClaimOutcome::Done(answer));
+}
+
+#[test]
+fn large_answer_is_not_kept() {
+    let mut driver = Driver::default();
+    driver.claim("lot-7", 1, &claimant(1, 0));
+    let answer = Bytes::from(vec![b'a'; MAX_ANSWER + 1]);
+    driver.settle("lot-7", &claimant(1, 0), Settlement::Done(answer));
+    assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::DoneDropped);
+    assert_eq!(driver.state.claims().answer_bytes(), 0);
+}
+
+#[test]
+fn full_table_records_nothing() {
+    let mut driver = Driver::default();
+    for number in 0..MAX_CLAIMS {
+        driver.claim(&number.to_string(), 1, &claimant(number as u128, 0));
+    }
+    assert_eq!(driver.claim("one-more", 1, &claimant(1, 0)), ClaimOutcome::Full);
+    assert_eq!(driver.state.claims().len(), MAX_CLAIMS);
+    assert_eq!(driver.claim("7", 1, &claimant(7, 0)), ClaimOutcome::Granted);
+}
