Load settings and documents with findings

Cause: operators need every fault of a file at once, with its place and what would be accepted. Change: findings, a schema of keys with kinds, bounds and defaults, a reader that checks the parsed TOML against it, replaces what is wrong by defaults and goes on, and checks of what keys say together. A stage that may not run again has one attempt by default. Relative paths in settings start at the folder of their file. Ruled out: errors of serde alone, which stop at the first fault; toml's own parsed tables keep a place for every key and value, so no second parser is needed. Conclusion: the keys of the schema are compared with the types and their defaults by a test.

--- /dev/null
+++ b/hawthornkeel_config/src/checks/document.rs
@@ -0,0 +1,117 @@
+//! Checks of the environment document.
+
+use std::time::Duration;
+
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::document::Pipeline;
+use hawthornkeel_core::document::Pool;
+use hawthornkeel_core::document::PoolKind;
+use hawthornkeel_core::document::Stage;
+
+use crate::checks::unique;
+use crate::reader::Reader;
+
+/// Gives the defaults that depend on another key: a stage that may not run again has one attempt.
+pub(crate) fn complete(reader: &Reader<'_>, document: &mut Document) {
+    for (number, pipeline) in document.pipelines.iter_mut().enumerate() {
+        for (step, stage) in pipeline.stages.iter_mut().enumerate() {
+            let key = format!("{}.max_attempts", stage_path(number, step));
+            if !stage.idempotent && !reader.is_given(&key) {
+                stage.max_attempts = 1;
+            }
+        }
+    }
+}
+
+/// Checks what the keys of the document say together.
+pub(crate) fn check(reader: &mut Reader<'_>, document: &Document) {
+    check_present(reader, document);
+    let workspaces = document.workspaces.iter().map(|w| w.name.as_str());
+    unique(reader, workspaces.enumerate().map(|(n, name)| (format!("workspace[{n}].name"), name)));
+    let pools = document.pools.iter().map(|p| p.name.as_str());
+    unique(reader, pools.enumerate().map(|(n, name)| (format!("pool[{n}].name"), name)));
+    let pipelines = document.pipelines.iter().map(|p| p.name.as_str());
+    unique(reader, pipelines.enumerate().map(|(n, name)| (format!("pipeline[{n}].name"), name)));
+    for (number, pool) in document.pools.iter().enumerate() {
+        check_pool(reader, &format!("pool[{number}]"), pool);
+    }
+    for (number, pipeline) in document.pipelines.iter().enumerate() {
+        check_pipeline(reader, number, pipeline);
+        for (step, stage) in pipeline.stages.iter().enumerate() {
+            check_stage(reader, &stage_path(number, step), stage, document);
+        }
+    }
+}
+
+fn check_present(reader: &mut Reader<'_>, document: &Document) {
+    let lists = [
+        ("workspace", document.workspaces.is_empty()),
+        ("pool", document.pools.is_empty()),
+        ("pipeline", document.pipelines.is_empty()),
+    ];
+    for (key, empty) in lists {
+        if empty {
+            reader.report(key, format!("no {key}"), &format!("at least one [[{key}]]"));
+        }
+    }
+}
+
+fn check_pool(reader: &mut Reader<'_>, path: &str, pool: &Pool) {
+    if pool.cold_limit > pool.warm_limit && reader.is_sound(&format!("{path}.warm_limit")) {
+        let wrong = format!("{} is above warm_limit, {}", pool.cold_limit, pool.warm_limit);
+        let accepted = format!("1 to {}", pool.warm_limit);
+        reader.report(&format!("{path}.cold_limit"), wrong, &accepted);
+    }
+    if !reader.is_sound(&format!("{path}.kind")) {
+        return;
+    }
+    match (pool.kind, &pool.model) {
+        (PoolKind::Engine, None) => {
+            let accepted = "the name of the model that the engines serve";
+            reader.report(&format!("{path}.model"), "missing".to_owned(), accepted);
+        }
+        (PoolKind::Service, Some(_)) => {
+            let wrong = "a pool of plain services has no model".to_owned();
+            reader.report(&format!("{path}.model"), wrong, "a model only where kind = \"engine\"");
+        }
+        (PoolKind::Engine, Some(_)) | (PoolKind::Service, None) => {}
+    }
+}
+
+fn check_pipeline(reader: &mut Reader<'_>, number: usize, pipeline: &Pipeline) {
+    let path = format!("pipeline[{number}]");
+    if pipeline.stages.is_empty() {
+        let accepted = "at least one [[pipeline.stage]]";
+        reader.report(&format!("{path}.stage"), "no stage".to_owned(), accepted);
+    }
+    let stages = pipeline.stages.iter().map(|s| s.name.as_str());
+    let names = stages.enumerate().map(|(n, name)| (format!("{path}.stage[{n}].name"), name));
+    unique(reader, names);
+    let floors: Duration = pipeline.stages.iter().map(Stage::floor).sum();
+    if pipeline.deadline() < floors {
+        let floors = floors.as_millis();
+        let wrong = format!(
+            "{} ms is shorter than the floors of the stages together, {floors} ms",
+            pipeline.deadline_ms
+        );
+        reader.report(&format!("{path}.deadline_ms"), wrong, &format!("at least {floors}"));
+    }
+}
+
+fn check_stage(reader: &mut Reader<'_>, path: &str, stage: &Stage, document: &Document) {
+    if !stage.pool.as_str().is_empty() && document.pool(stage.pool.as_str()).is_none() {
+        let names: Vec<&str> = document.pools.iter().map(|p| p.name.as_str()).collect();
+        let wrong = format!("no pool is called {:?}", stage.pool.as_str());
+        let accepted = format!("the name of a [[pool]]: {}", names.join(", "));
+        reader.report(&format!("{path}.pool"), wrong, &accepted);
+    }
+    if !stage.idempotent && stage.max_attempts > 1 {
+        let wrong = format!("{} attempts at a stage that is not idempotent", stage.max_attempts);
+        let accepted = "1, or idempotent = true where the stage may run again";
+        reader.report(&format!("{path}.max_attempts"), wrong, accepted);
+    }
+}
+
+fn stage_path(pipeline: usize, stage: usize) -> String {
+    format!("pipeline[{pipeline}].stage[{stage}]")
+}
--- /dev/null
+++ b/hawthornkeel_config/src/load.rs
@@ -0,0 +1,126 @@
+//! Loads settings and environment documents, with findings.
+
+use std::fmt::Write;
+use std::fs;
+use std::path::Path;
+use std::path::PathBuf;
+
+use hawthornkeel_core::document::Document;
+use sha2::Digest;
+use sha2::Sha256;
+
+use crate::checks;
+use crate::findings::Findings;
+use crate::findings::Severity;
+use crate::reader::Reader;
+use crate::schema::Key;
+use crate::schema::document::DOCUMENT;
+use crate::schema::settings::SETTINGS;
+use crate::settings::Settings;
+
+/// Value read from a file, with the findings about the file.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct Checked<T> {
+    /// Value; of use only where the findings hold no error.
+    pub value: T,
+    /// Findings, sorted by place.
+    pub findings: Findings,
+}
+
+impl<T> Checked<T> {
+    /// Returns the value, or the findings where one of them is an error.
+    pub fn into_result(self) -> Result<T, Findings> {
+        if self.findings.has_errors() { Err(self.findings) } else { Ok(self.value) }
+    }
+}
+
+/// What a file holds.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum FileKind {
+    /// Settings of one process.
+    Settings,
+    /// Environment document.
+    Document,
+}
+
+impl FileKind {
+    /// Tells which kind a text is by the keys that it holds.
+    pub fn of(text: &str) -> Self {
+        let (root, _) = toml::de::DeTable::parse_recoverable(text);
+        let known = |keys: &[Key]| {
+            root.get_ref().keys().filter(|n| keys.iter().any(|k| k.name == n.get_ref())).count()
+        };
+        if known(SETTINGS) > known(DOCUMENT) { Self::Settings } else { Self::Document }
+    }
+}
+
+/// Reads the settings at `path`; a relative path in them starts at the folder of the file.
+///
+/// An unknown key is no error here; [`check_settings`] reports it as a warning.
+pub fn load_settings(path: &Path) -> Result<Settings, Findings> {
+    let file = path.display().to_string();
+    let text = read_text(path)?;
+    let mut settings = check_settings(&file, &text).into_result()?;
+    settings.resolve(path.parent().unwrap_or(Path::new("")));
+    Ok(settings)
+}
+
+/// Reads and checks settings; `file` is the name shown in findings.
+pub fn check_settings(file: &str, text: &str) -> Checked<Settings> {
+    let mut reader = Reader::new(file, text, Severity::Warning);
+    let settings: Option<Settings> = reader.read(text, SETTINGS);
+    let value = match settings {
+        Some(settings) => {
+            checks::settings::check(&mut reader, &settings);
+            settings
+        }
+        None => Settings::default(),
+    };
+    Checked { value, findings: reader.finish() }
+}
+
+/// Reads an environment document; `file` is the name shown in findings.
+pub fn parse_document(file: &str, text: &str) -> Result<Document, Findings> {
+    check_document(file, text).into_result()
+}
+
+/// Reads and checks an environment document; `file` is the name shown in findings.
+pub fn check_document(file: &str, text: &str) -> Checked<Document> {
+    let mut reader = Reader::new(file, text, Severity::Error);
+    let document: Option<Document> = reader.read(text, DOCUMENT);
+    let value = match document {
+        Some(mut document) => {
+            checks::document::complete(&reader, &mut document);
+            checks::document::check(&mut reader, &document);
+            document
+        }
+        None => Document::default(),
+    };
+    Checked { value, findings: reader.finish() }
+}
+
+/// Reads the text at `path`.
+pub fn read_text(path: &Path) -> Result<String, Findings> {
+    fs::read_to_string(path)
+        .map_err(|error| Findings::unreadable(&path.display().to_string(), error.to_string()))
+}
+
+/// Returns the SHA-256 of `text` in hexadecimal.
+pub fn content_hash(text: &str) -> String {
+    let mut hash = String::new();
+    for byte in Sha256::digest(text.as_bytes()) {
+        // Writing to a string never fails.
+        let _ = write!(hash, "{byte:02x}");
+    }
+    hash
+}
+
+impl Settings {
+    /// Makes the paths in the settings relative to `folder`.
+    fn resolve(&mut self, folder: &Path) {
+        self.control.data = folder.join(&self.control.data);
+        for file in [&mut self.peers.certificate, &mut self.peers.key, &mut self.peers.authority] {
+            *file = file.as_ref().map(|path: &PathBuf| folder.join(path));
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel_config/tests/schema_keys.rs
@@ -0,0 +1,114 @@
+//! The keys that are accepted are those of the types, with the same defaults.
+
+use hawthornkeel_config::check_document;
+use hawthornkeel_config::check_settings;
+use hawthornkeel_config::schema::Key;
+use hawthornkeel_config::schema::Kind;
+use hawthornkeel_config::schema::document::DOCUMENT;
+use hawthornkeel_config::schema::settings::SETTINGS;
+use hawthornkeel_config::settings::Peer;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::document::Pipeline;
+use hawthornkeel_core::document::Pool;
+use hawthornkeel_core::document::Stage;
+use hawthornkeel_core::document::Workspace;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::ModelName;
+use toml::Table;
+use toml::Value;
+
+/// Compares the keys of `table` with those of the schema, and the defaults of both.
+fn compare(keys: &[Key], table: &Table, path: &str) {
+    let mut known: Vec<&str> = keys.iter().map(|k| k.name).collect();
+    known.sort_unstable();
+    let mut typed: Vec<&str> = table.keys().map(String::as_str).collect();
+    typed.sort_unstable();
+    assert_eq!(known, typed, "keys of {path:?}");
+    for key in keys {
+        let path = format!("{path}.{}", key.name);
+        match (&key.kind, &table[key.name]) {
+            (Kind::Section(keys), Value::Table(table)) => compare(keys, table, &path),
+            (Kind::List(keys), Value::Array(list)) => {
+                compare(keys, list[0].as_table().expect("a list of tables"), &path);
+            }
+            (Kind::Digests, _) => {}
+            (_, value) if !key.default.is_empty() => {
+                let shown = value.as_str().map_or_else(|| value.to_string(), str::to_owned);
+                assert_eq!(key.default, shown, "default of {path}");
+            }
+            _ => {}
+        }
+    }
+}
+
+#[test]
+fn document_keys_match() {
+    let document = Document {
+        workspaces: vec![Workspace::default()],
+        pools: vec![Pool { model: Some(ModelName::new("m")), ..Pool::default() }],
+        pipelines: vec![Pipeline { stages: vec![Stage::default()], ..Pipeline::default() }],
+        ..Document::default()
+    };
+    compare(DOCUMENT, &Table::try_from(document).expect("a document is a table"), "");
+}
+
+#[test]
+fn settings_keys_match() {
+    let address = "127.0.0.1:1".parse().expect("an address");
+    let mut settings = Settings::default();
+    settings.instance.admin = Some(address);
+    settings.entry.listen = Some(address);
+    settings.platform.address = Some(address);
+    settings.peers.listen = Some(address);
+    settings.peers.certificate = Some("c".into());
+    settings.peers.key = Some("k".into());
+    settings.peers.authority = Some("a".into());
+    settings.peers.peers.push(Peer {
+        name: InstanceName::new("p"),
+        address,
+        data_centre: CentreName::new("d"),
+        control: false,
+    });
+    compare(SETTINGS, &Table::try_from(settings).expect("settings are a table"), "");
+}
+
+#[test]
+fn lowest_and_highest_numbers_are_read() {
+    for (keys, path) in [(DOCUMENT, "document"), (SETTINGS, "settings")] {
+        for high in [false, true] {
+            let text = write(keys, "", high);
+            let findings = match path {
+                "document" => check_document(path, &text).findings,
+                _ => check_settings(path, &text).findings,
+            };
+            let unreadable = findings.list().iter().find(|f| f.key.is_empty());
+            assert_eq!(unreadable, None, "{text}");
+        }
+    }
+}
+
+/// Writes a file with every number at its lowest or highest value.
+fn write(keys: &[Key], path: &str, high: bool) -> String {
+    let mut text = String::new();
+    let mut tables = String::new();
+    for key in keys {
+        let path =
+            if path.is_empty() { key.name.to_owned() } else { format!("{path}.{}", key.name) };
+        match key.kind {
+            Kind::Number(bounds) => {
+                let number = if high { bounds.max } else { bounds.min };
+                text.push_str(&format!("{} = {number}\n", key.name));
+            }
+            Kind::Section(keys) => {
+                tables.push_str(&format!("[{path}]\n{}", write(keys, &path, high)));
+            }
+            Kind::List(keys) => {
+                tables.push_str(&format!("[[{path}]]\n{}", write(keys, &path, high)));
+            }
+            _ => {}
+        }
+    }
+    text + &tables
+}
--- /dev/null
+++ b/hawthornkeel_config/tests/settings_findings.rs
@@ -0,0 +1,194 @@
+//! Findings about the settings of a process.
+
+use std::path::Path;
+
+use hawthornkeel_config::Finding;
+use hawthornkeel_config::check_settings;
+use hawthornkeel_config::findings::Severity;
+use hawthornkeel_config::load_settings;
+use rstest::rstest;
+
+const VALID: &str = r#"[instance]
+name = "entry-1"
+data_centre = "kumamoto"
+admin = "127.0.0.1:9901"
+
+[entry]
+enabled = true
+listen = "127.0.0.1:8080"
+
+[control]
+enabled = true
+founders = ["entry-1", "entry-2"]
+
+[peers]
+listen = "127.0.0.1:7070"
+certificate = "keys/entry-1.pem"
+key = "keys/entry-1.key"
+authority = "keys/authority.pem"
+
+[[peers.peer]]
+name = "entry-2"
+address = "127.0.0.2:7070"
+data_centre = "yatsushiro"
+control = true
+
+[[peers.peer]]
+name = "entry-3"
+address = "127.0.0.3:7070"
+data_centre = "aso"
+
+[platform]
+address = "127.0.0.1:9000"
+
+[keys]
+9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08 = "kumamoto"
+"#;
+
+/// Returns the findings about the valid settings with one part replaced.
+fn findings(from: &str, to: &str) -> Vec<Finding> {
+    assert_eq!(VALID.matches(from).count(), 1, "{from:?} must stand once");
+    check_settings("entry.toml", &VALID.replace(from, to)).findings.list().to_vec()
+}
+
+#[test]
+fn valid_settings_have_none() {
+    let checked = check_settings("entry.toml", VALID);
+    assert!(checked.findings.is_empty(), "{}", checked.findings);
+    assert_eq!(checked.value.peers.peers.len(), 2);
+    assert_eq!(checked.value.entry.max_head, 16 * 1024);
+}
+
+#[rstest]
+#[case::no_instance_name("name = \"entry-1\"\n", "", "1:1 instance.name: missing")]
+#[case::upper_case(
+    "name = \"entry-1\"",
+    "name = \"Entry-1\"",
+    "2:8 instance.name: \"Entry-1\" is not accepted"
+)]
+#[case::no_listen("listen = \"127.0.0.1:8080\"\n", "", "6:1 entry.listen: missing")]
+#[case::bad_address(
+    "listen = \"127.0.0.1:8080\"",
+    "listen = \"localhost:8080\"",
+    "8:10 entry.listen: \"localhost:8080\" is not accepted"
+)]
+#[case::same_address(
+    "admin = \"127.0.0.1:9901\"",
+    "admin = \"127.0.0.1:8080\"",
+    "4:9 instance.admin: this is entry.listen too"
+)]
+#[case::stop_below_drain(
+    "[control]",
+    "drain_ms = 900\nstop_ms = 800\n[control]",
+    "11:11 entry.stop_ms: 800 is below entry.drain_ms"
+)]
+#[case::no_platform(
+    "[platform]\naddress = \"127.0.0.1:9000\"\n",
+    "",
+    "1:1 platform.address: missing"
+)]
+#[case::no_keys(
+    "9f86d081884c7d659a2feaa0c55ad015a3bf4f1b2b0b822cd15d6c15b0f00a08 = \"kumamoto\"\n",
+    "",
+    "34:1 keys: no caller has a key"
+)]
+#[case::no_founders(
+    "founders = [\"entry-1\", \"entry-2\"]\n",
+    "",
+    "10:1 control.founders: no founders"
+)]
+#[case::absent_founder(
+    "founders = [\"entry-1\", \"entry-2\"]",
+    "founders = [\"entry-9\"]",
+    "12:12 control.founders: \"entry-9\" is neither a peer nor this instance"
+)]
+#[case::founder_without_control(
+    "founders = [\"entry-1\", \"entry-2\"]",
+    "founders = [\"entry-3\"]",
+    "12:12 control.founders: \"entry-3\" is a peer without control = true"
+)]
+#[case::short_election(
+    "[peers]\nlisten",
+    "election_ms = 200\n[peers]\nlisten",
+    "14:15 control.election_ms: 200 is below 3 times control.heartbeat_ms"
+)]
+#[case::no_certificate(
+    "certificate = \"keys/entry-1.pem\"\n",
+    "",
+    "14:1 peers.certificate: missing while there are peers"
+)]
+#[case::own_peer(
+    "name = \"entry-3\"",
+    "name = \"entry-1\"",
+    "27:8 peers.peer[1].name: the instance is its own peer"
+)]
+#[case::duplicate_peer(
+    "name = \"entry-3\"",
+    "name = \"entry-2\"",
+    "27:8 peers.peer[1].name: the name \"entry-2\" stands twice"
+)]
+#[case::shared_address(
+    "127.0.0.3:7070",
+    "127.0.0.2:7070",
+    "28:11 peers.peer[1].address: this is the address of \"entry-2\" too"
+)]
+#[case::own_address(
+    "127.0.0.3:7070",
+    "127.0.0.1:7070",
+    "28:11 peers.peer[1].address: this is the address of the instance itself"
+)]
+#[case::no_peer_address(
+    "address = \"127.0.0.3:7070\"\n",
+    "",
+    "26:1 peers.peer[1].address: missing"
+)]
+fn one_fault(#[case] from: &str, #[case] to: &str, #[case] expected: &str) {
+    let shown: Vec<String> = findings(from, to)
+        .iter()
+        .map(|f| format!("{}:{} {}: {}", f.line, f.column, f.key, f.wrong))
+        .collect();
+    assert_eq!(shown, [expected]);
+}
+
+#[test]
+fn no_role_is_a_fault() {
+    let text = VALID.replace("enabled = true", "enabled = false");
+    let findings = check_settings("entry.toml", &text).findings;
+    assert_eq!(findings.list().len(), 1);
+    assert_eq!(findings.list()[0].wrong, "the instance has no role");
+}
+
+#[test]
+fn bad_digest_is_a_fault() {
+    let findings = findings("[keys]", "[keys]\nplain-secret = \"kumamoto\"");
+    assert_eq!(findings[0].wrong, "not a digest");
+}
+
+#[test]
+fn unknown_key_is_a_warning() {
+    let text = VALID.replace("[entry]", "[entry]\nlisten_to = 4");
+    let checked = check_settings("entry.toml", &text);
+    let finding = &checked.findings.list()[0];
+    assert_eq!((finding.severity, finding.line), (Severity::Warning, 7));
+    assert!(finding.accepted.contains("listen, max_head"), "{}", finding.accepted);
+    assert!(checked.into_result().is_ok());
+}
+
+#[test]
+fn paths_start_at_the_folder_of_the_file() {
+    let folder = std::env::temp_dir().join(format!("hawthornkeel-{}", std::process::id()));
+    std::fs::create_dir_all(&folder).expect("a folder is made");
+    let file = folder.join("entry.toml");
+    std::fs::write(&file, VALID).expect("a file is written");
+    let settings = load_settings(&file).expect("the settings are valid");
+    std::fs::remove_dir_all(&folder).expect("the folder is removed");
+    assert_eq!(settings.control.data, folder.join("data"));
+    assert_eq!(settings.peers.key, Some(folder.join("keys/entry-1.key")));
+}
+
+#[test]
+fn unreadable_file_is_a_finding() {
+    let findings = load_settings(Path::new("/nonexistent/entry.toml")).expect_err("no such file");
+    assert_eq!(findings.list().len(), 1);
+    assert!(findings.to_string().starts_with("/nonexistent/entry.toml:0:0: error: "));
+}
