Entries exchange votes and grants over QUIC

Cause: the lease for cold targets spans the entries of a data centre. Change: a frame for messages between entries; the outlet sends it.

--- a/hawthornkeel/src/entry/outlet.rs
+++ b/hawthornkeel/src/entry/outlet.rs
@@ -4,9 +4,14 @@
 use hawthornkeel_core::lease::message::MemberId;
 use hawthornkeel_core::lease::message::VoteMessage;
 use hawthornkeel_core::names::InstanceName;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::peer::endpoint::Endpoint;
+use crate::peer::frame::Frame;
 
 /// Message between entries.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum EntryMessage {
     /// About the lease of a data centre.
     Vote(VoteMessage),
@@ -24,13 +29,18 @@
 pub enum Outlet {
     /// There are no peers: a trial.
     Alone,
+    /// Peers over QUIC.
+    Peers(Endpoint),
 }
 
 impl Outlet {
     /// Sends `message`, which may be lost.
-    pub fn send(&self, _to: &InstanceName, _message: EntryMessage) {
-        match self {
-            Self::Alone => {}
+    pub fn send(&self, to: &InstanceName, message: EntryMessage) {
+        let Self::Peers(endpoint) = self else {
+            return;
+        };
+        if let Err(error) = endpoint.send(to, &Frame::Entry(message)) {
+            tracing::debug!(event = "entry-message-dropped", %to, %error);
         }
     }
 }
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -10,6 +10,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::entry::outlet::EntryMessage;
+
 /// Message between instances.
 ///
 /// A variant is never removed or moved without a new [`wire::VERSION`](crate::peer::wire::VERSION).
@@ -35,6 +37,8 @@
     Status,
     /// Answers [`Frame::Status`].
     StatusReply(InstanceStatus),
+    /// Between entries, one-way.
+    Entry(EntryMessage),
 }
 
 /// Kind of a frame, by which its handler is found.
@@ -54,6 +58,8 @@
     Status,
     /// Of every answer to a call.
     Answer,
+    /// Of [`Frame::Entry`].
+    Entry,
 }
 
 impl Frame {
@@ -66,6 +72,7 @@
             Self::Follow(_) => FrameKind::Follow,
             Self::TakeOuts(_) => FrameKind::TakeOuts,
             Self::Status => FrameKind::Status,
+            Self::Entry(_) => FrameKind::Entry,
             Self::Refused(_) | Self::Proposed(_) | Self::Followed(_) | Self::StatusReply(_) => {
                 FrameKind::Answer
             }
