--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -59,7 +59,10 @@
     Add(Node),
     /// Makes a learner a voter, which it can become only once it has caught up.
     Promote(ReplicaId),
-    /// Removes a member.
+    /// Removes a member other than the leader.
+    ///
+    /// A replica that goes on running announces itself and is added again as a learner, and as a
+    /// voter if it is a founder's: it is stopped or taken out of the settings first.
     Remove(ReplicaId),
 }
 
--- /dev/null
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -0,0 +1,153 @@
+//! Changes of the members, one at a time, and the repair of a lost replica.
+
+use crate::ids::ReplicaId;
+use crate::replica::Part;
+use crate::replica::Replica;
+use crate::replica::action::Action;
+use crate::replica::action::Change;
+use crate::replica::action::Refusal;
+use crate::replica::entry::Member;
+use crate::replica::entry::Members;
+use crate::replica::entry::Node;
+use crate::replica::entry::Payload;
+use crate::replica::entry::ProposalId;
+use crate::replica::entry::Standing;
+
+impl Replica {
+    /// Takes in a change of the members.
+    pub(super) fn change(&mut self, id: ProposalId, change: Change) {
+        if !matches!(self.part, Part::Leader(_)) {
+            let reason = Refusal::NotLeader(self.leader.clone());
+            self.actions.push(Action::Refused { id, reason });
+            return;
+        }
+        match self.changed(&change) {
+            Some(members) => {
+                let index = self.set_members(members);
+                self.note_proposal(index, id);
+                self.replicate();
+            }
+            None => self.actions.push(Action::Refused { id, reason: Refusal::Unchangeable }),
+        }
+    }
+
+    /// Notes a replica without a group, which the leader may add.
+    pub(super) fn note_hello(&mut self, from: Node) {
+        let known = self.log.members().get(from.id).is_some();
+        if let Part::Leader(leader) = &mut self.part
+            && !known
+        {
+            leader.joining.insert(from.name, from.id);
+        }
+    }
+
+    /// Adds replicas that announced themselves, and replaces those that lost their disks.
+    pub(super) fn repair_members(&mut self) {
+        let Some(change) = self.next_repair() else { return };
+        if let Some(members) = self.changed(&change) {
+            self.set_members(members);
+        }
+    }
+
+    /// Returns the change that repairs the members, if one is called for.
+    fn next_repair(&mut self) -> Option<Change> {
+        if !self.is_changeable() {
+            return None;
+        }
+        let members = self.log.members();
+        let Part::Leader(leader) = &mut self.part else { return None };
+        leader.joining.retain(|_, id| members.get(*id).is_none());
+        if let Some((name, id)) = leader.joining.pop() {
+            return Some(Change::Add(Node { id, name }));
+        }
+        let lost = members.0.iter().find(|m| self.is_replaced(m, &members));
+        if let Some(lost) = lost {
+            return Some(Change::Remove(lost.node.id));
+        }
+        let ready = members.0.iter().find(|m| self.is_ready(m, &members))?;
+        Some(Change::Promote(ready.node.id))
+    }
+
+    /// Tells whether a silent member's instance runs another replica, which has caught up.
+    fn is_replaced(&self, member: &Member, members: &Members) -> bool {
+        self.is_silent(member.node.id)
+            && others(member, members).any(|other| self.has_caught_up(other.node.id))
+    }
+
+    /// Tells whether a learner is to become a voter, after the one that it replaces was removed.
+    fn is_ready(&self, member: &Member, members: &Members) -> bool {
+        member.standing == Standing::Learner
+            && self.settings.founders.contains(&member.node.name)
+            && self.has_caught_up(member.node.id)
+            && others(member, members).next().is_none()
+    }
+
+    /// Tells whether a member did not answer for an election time.
+    fn is_silent(&self, id: ReplicaId) -> bool {
+        let Part::Leader(leader) = &self.part else { return false };
+        let heard = leader.peers.get(&id).map(|p| p.heard);
+        heard.is_some_and(|h| self.now.since(h) > self.settings.election)
+    }
+
+    /// Tells whether a member answers and has nearly the whole log on disk.
+    fn has_caught_up(&self, id: ReplicaId) -> bool {
+        let Part::Leader(leader) = &self.part else { return false };
+        // One that is lost again would weaken the quorum as a voter.
+        if self.is_silent(id) {
+            return false;
+        }
+        leader.peers.get(&id).is_some_and(|p| {
+            p.matched >= leader.first
+                && p.matched.0 + self.settings.catchup_entries >= self.log.last().0
+        })
+    }
+
+    /// Tells whether the members may be changed now.
+    ///
+    /// The last change and an entry of the own term must be committed, or two leaders could each
+    /// have a quorum of different members.
+    fn is_changeable(&self) -> bool {
+        let Part::Leader(leader) = &self.part else { return false };
+        self.commit >= leader.first && self.log.members_index() <= self.commit
+    }
+
+    /// Returns the members after a change, if it is allowed.
+    fn changed(&self, change: &Change) -> Option<Members> {
+        if !self.is_changeable() {
+            return None;
+        }
+        let mut members = self.log.members();
+        match change {
+            Change::Add(node) if members.get(node.id).is_none() => {
+                members.0.push(Member { node: node.clone(), standing: Standing::Learner });
+            }
+            Change::Promote(id) if !members.is_voter(*id) && self.has_caught_up(*id) => {
+                let member = members.0.iter_mut().find(|m| m.node.id == *id)?;
+                member.standing = Standing::Voter;
+            }
+            Change::Remove(id) if *id != self.node.id && members.get(*id).is_some() => {
+                members.0.retain(|m| m.node.id != *id);
+            }
+            _ => return None,
+        }
+        Some(members)
+    }
+
+    /// Appends new members, which are in force at once.
+    fn set_members(&mut self, members: Members) -> crate::ids::LogIndex {
+        let index = self.add_entry(Payload::Members(members.clone()));
+        let (own, now) = (self.node.id, self.now);
+        if let Part::Leader(leader) = &mut self.part {
+            leader.set_members(&members, own, crate::replica::log::previous(index), now);
+        }
+        // Where fewer voters are left, more may be committed already.
+        self.advance_commit();
+        index
+    }
+}
+
+/// Returns the other members that ran in the same instance.
+fn others<'a>(member: &'a Member, members: &'a Members) -> impl Iterator<Item = &'a Member> {
+    let same = |m: &&Member| m.node.name == member.node.name && m.node.id != member.node.id;
+    members.0.iter().filter(same)
+}
--- a/hawthornkeel_core/src/replica/message.rs
+++ b/hawthornkeel_core/src/replica/message.rs
@@ -34,8 +34,6 @@
     Hello,
     /// Answers a hello.
     HelloReply(HelloReply),
-    /// Forms the group with these members.
-    Found(Founding),
     /// Asks whether a vote would be given, without a change of term.
     PreVote(Candidacy),
     /// Answers a pre-vote.
@@ -63,8 +61,13 @@
 pub enum HelloReply {
     /// The sender belongs to no group either.
     Empty,
-    /// The sender belongs to a group, which was founded like this if it still knows.
-    Member(Option<Founding>),
+    /// The sender belongs to a group.
+    Member {
+        /// Founding record, where the receiver of this answer is one of the first members.
+        founding: Option<Founding>,
+        /// Leader of the group, if known.
+        leader: Option<Node>,
+    },
 }
 
 /// Founding record: the first members of a group.
--- /dev/null
+++ b/hawthornkeel_core/src/replica/saves.rs
@@ -0,0 +1,148 @@
+//! What is on disk, and the messages that wait for it.
+
+use std::collections::VecDeque;
+
+use crate::ids::LogIndex;
+use crate::names::InstanceName;
+use crate::replica::action::Save;
+use crate::replica::entry::Entry;
+use crate::replica::entry::HardState;
+use crate::replica::entry::Ticket;
+use crate::replica::message::Message;
+
+/// What must be on disk before a message leaves.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub(super) enum Gate {
+    /// Nothing.
+    Free,
+    /// The hard state as it was when the message was made.
+    Hard,
+    /// Everything saved when the message was made.
+    All,
+}
+
+/// Message that waits for a save.
+#[derive(Debug)]
+pub(super) struct Held {
+    /// Save that must be on disk, and all before it.
+    pub(super) ticket: Ticket,
+    /// Receiver.
+    pub(super) to: InstanceName,
+    /// Message.
+    pub(super) message: Message,
+}
+
+/// Save that is not yet on disk.
+#[derive(Clone, Copy, Debug)]
+struct Pending {
+    ticket: Ticket,
+    /// Last entry that is on disk once it is.
+    last: LogIndex,
+}
+
+/// What is saved, on disk and about to be saved.
+#[derive(Debug, Default)]
+pub(super) struct Saves {
+    issued: Ticket,
+    synced: Ticket,
+    hard_ticket: Ticket,
+    durable: LogIndex,
+    pending: VecDeque<Pending>,
+    hard: Option<HardState>,
+    truncate: Option<LogIndex>,
+    entries: Vec<Entry>,
+}
+
+impl Saves {
+    /// Starts with a disk that holds the log up to `durable`.
+    pub(super) fn new(durable: LogIndex) -> Self {
+        Self { durable, ..Self::default() }
+    }
+
+    /// Returns the last entry on disk that is still part of the log.
+    pub(super) fn durable(&self) -> LogIndex {
+        self.durable
+    }
+
+    /// Tells whether `ticket` and all before it are on disk.
+    pub(super) fn is_synced(&self, ticket: Ticket) -> bool {
+        ticket <= self.synced
+    }
+
+    /// Notes a new hard state.
+    pub(super) fn set_hard(&mut self, hard: HardState) {
+        self.hard = Some(hard);
+    }
+
+    /// Notes an entry added at the end of the log.
+    pub(super) fn add(&mut self, entry: Entry) {
+        self.entries.push(entry);
+    }
+
+    /// Notes that the log was cut before `from`.
+    pub(super) fn truncate(&mut self, from: LogIndex) {
+        let last = LogIndex(from.0.saturating_sub(1));
+        self.entries.retain(|e| e.index < from);
+        self.truncate = Some(self.truncate.map_or(from, |t| t.min(from)));
+        self.durable = self.durable.min(last);
+        // A save still on its way must not count entries that a later one drops.
+        for pending in &mut self.pending {
+            pending.last = pending.last.min(last);
+        }
+    }
+
+    /// Takes what has to be saved, if anything, as one save that leaves the log at `last`.
+    pub(super) fn take(&mut self, last: LogIndex) -> Option<(Ticket, Save)> {
+        if self.hard.is_none() && self.truncate.is_none() && self.entries.is_empty() {
+            return None;
+        }
+        let ticket = self.issue(last);
+        if self.hard.is_some() {
+            self.hard_ticket = ticket;
+        }
+        let save = Save::Log {
+            hard: self.hard.take(),
+            truncate: self.truncate.take(),
+            entries: std::mem::take(&mut self.entries),
+        };
+        Some((ticket, save))
+    }
+
+    /// Numbers a save that leaves the log on disk at `last`.
+    pub(super) fn issue(&mut self, last: LogIndex) -> Ticket {
+        self.issued = Ticket(self.issued.0 + 1);
+        self.pending.push_back(Pending { ticket: self.issued, last });
+        self.issued
+    }
+
+    /// Notes that a snapshot replaced the log, so that nothing older counts as on disk.
+    pub(super) fn replaced(&mut self) {
+        self.durable = LogIndex(0);
+        for pending in &mut self.pending {
+            pending.last = LogIndex(0);
+        }
+    }
+
+    /// Notes that `ticket` and all before it are on disk.
+    pub(super) fn synced(&mut self, ticket: Ticket) {
+        // A ticket that was never issued would count what is not on disk.
+        let ticket = ticket.min(self.issued);
+        self.synced = self.synced.max(ticket);
+        while let Some(pending) = self.pending.front().copied() {
+            if pending.ticket > self.synced {
+                break;
+            }
+            self.durable = pending.last;
+            self.pending.pop_front();
+        }
+    }
+
+    /// Returns the save that a message made now must wait for.
+    pub(super) fn gate(&self, gate: Gate) -> Ticket {
+        match gate {
+            Gate::Free => Ticket(0),
+            Gate::Hard => self.hard_ticket,
+            Gate::All => self.issued,
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/driver/mod.rs
@@ -0,0 +1,425 @@
+//! Replicas on a virtual clock, with a lossy network, disks that sync late, and faults.
+
+#![allow(dead_code, clippy::indexing_slicing, clippy::unwrap_used)]
+
+pub mod checker;
+pub mod disk;
+
+use std::cmp::Reverse;
+use std::collections::BTreeMap;
+use std::collections::BinaryHeap;
+
+use bytes::Bytes;
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::ids::ReplicaId;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Action;
+use hawthornkeel_core::replica::Body;
+use hawthornkeel_core::replica::Input;
+use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::replica::Node;
+use hawthornkeel_core::replica::Proposal;
+use hawthornkeel_core::replica::ProposalId;
+use hawthornkeel_core::replica::ReadId;
+use hawthornkeel_core::replica::Replica;
+use hawthornkeel_core::replica::Role;
+use hawthornkeel_core::replica::Settings;
+use hawthornkeel_core::replica::Ticket;
+use hawthornkeel_core::replica::message::AppendReply;
+use hawthornkeel_core::time::Instant;
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use self::checker::Checker;
+use self::disk::Disk;
+
+/// Deliberate faults of the code around the replica, which the checker must catch.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Variant {
+    #[default]
+    Right,
+    /// A leader answers reads without asking for its lease.
+    NoLease,
+    /// A save is reported as synced when it is issued.
+    EarlySync,
+    /// A replica whose disk is lost keeps its identity.
+    OldIdentity,
+}
+
+/// How bad the network and the disks are.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Weather {
+    pub loss: f64,
+    pub doubling: f64,
+    /// Share of messages that are late by up to 300 ms, and so overtaken.
+    pub late: f64,
+    /// Share of syncs that take up to 300 ms.
+    pub slow_sync: f64,
+}
+
+#[derive(Debug)]
+enum Event {
+    Deliver(usize, Message),
+    Stored(usize, u64, Ticket),
+    Synced(usize, u64, Ticket),
+    State(usize, u64, LogIndex),
+    Wake(usize, u64),
+    Propose(usize, u64),
+    Read(usize, ReadId),
+}
+
+/// One machine: a disk, a clock and perhaps a running replica.
+pub struct Machine {
+    pub name: InstanceName,
+    pub disk: Disk,
+    pub replica: Option<Replica>,
+    /// Last entry applied to the replicated state.
+    pub applied: LogIndex,
+    /// Whether the network is cut off.
+    pub cut: bool,
+    /// Time until which the process is stopped, in microseconds.
+    pub frozen: u64,
+    /// Longest delay of each sync, in microseconds.
+    pub sync_us: u64,
+    /// Messages with entries or parts sent to it.
+    pub received: u64,
+    rate: f64,
+    run: u64,
+    wake: Option<Instant>,
+    reads: BTreeMap<ReadId, LogIndex>,
+}
+
+/// Machines on a virtual clock.
+pub struct Cluster {
+    pub machines: Vec<Machine>,
+    pub checker: Checker,
+    pub weather: Weather,
+    pub rng: ChaCha8Rng,
+    /// Time in microseconds.
+    pub now: u64,
+    variant: Variant,
+    settings: Settings,
+    queue: BinaryHeap<Reverse<(u64, u64)>>,
+    events: BTreeMap<u64, Event>,
+    sequence: u64,
+}
+
+/// Settings with short times and small limits, so that snapshots and flow control come into play.
+pub fn settings(names: &[InstanceName]) -> Settings {
+    use std::time::Duration;
+    Settings {
+        founders: names.to_vec(),
+        election: Duration::from_millis(250),
+        heartbeat: Duration::from_millis(40),
+        drift: Duration::from_millis(25),
+        resend: Duration::from_millis(100),
+        hello: Duration::from_millis(50),
+        read_wait: Duration::from_millis(400),
+        snapshot_entries: 20,
+        retain_entries: 5,
+        catchup_entries: 4,
+        append_bytes: 200,
+        inflight_messages: 4,
+        inflight_bytes: 600,
+        pending_bytes: 20_000,
+        part_bytes: 64,
+    }
+}
+
+pub fn decode(data: &[u8]) -> u64 {
+    u64::from_le_bytes(data[..8].try_into().unwrap())
+}
+
+impl Cluster {
+    pub fn new(seed: u64, size: usize, variant: Variant) -> Self {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let names: Vec<_> = (0..size).map(|i| InstanceName::new(&format!("i{i}"))).collect();
+        let machines = names.iter().map(|name| Machine {
+            name: name.clone(),
+            disk: Disk::empty(rng.random::<u64>()),
+            replica: None,
+            applied: LogIndex(0),
+            cut: false,
+            frozen: 0,
+            sync_us: 3_000,
+            received: 0,
+            // Clocks run apart by less than the lease allows for.
+            rate: rng.random_range(0.97..1.03),
+            run: 0,
+            wake: None,
+            reads: BTreeMap::new(),
+        });
+        let mut cluster = Self {
+            machines: machines.collect(),
+            checker: Checker::default(),
+            weather: Weather::default(),
+            now: 1_000_000,
+            variant,
+            settings: settings(&names),
+            queue: BinaryHeap::new(),
+            events: BTreeMap::new(),
+            sequence: 0,
+            rng,
+        };
+        (0..size).for_each(|i| cluster.start(i));
+        cluster
+    }
+
+    fn post(&mut self, delay: u64, event: Event) {
+        self.sequence += 1;
+        self.queue.push(Reverse((self.now + delay, self.sequence)));
+        self.events.insert(self.sequence, event);
+    }
+
+    fn local(&self, i: usize) -> Instant {
+        Instant::from_micros((self.now as f64 * self.machines[i].rate) as u64)
+    }
+
+    /// Starts the process of a machine from what its disk holds.
+    pub fn start(&mut self, i: usize) {
+        if self.machines[i].replica.is_some() {
+            return;
+        }
+        let now = self.local(i);
+        let rng = ChaCha8Rng::seed_from_u64(self.rng.random());
+        let settings = self.settings.clone();
+        let machine = &mut self.machines[i];
+        let node = Node { id: machine.disk.id, name: machine.name.clone() };
+        let stored = machine.disk.stored();
+        machine.applied = LogIndex(0);
+        machine.replica = Some(Replica::recover(node, settings, rng, now, stored).unwrap());
+        self.handle(i, Input::Tick);
+    }
+
+    /// Kills the process of a machine; part of what was not synced may be on disk all the same.
+    pub fn kill(&mut self, i: usize) {
+        let machine = &mut self.machines[i];
+        machine.replica = None;
+        machine.run += 1;
+        machine.wake = None;
+        machine.reads.clear();
+        machine.disk.crash(&mut self.rng);
+    }
+
+    /// Kills the process of a machine and empties its disk.
+    pub fn wipe(&mut self, i: usize) {
+        self.kill(i);
+        let old = self.machines[i].disk.id;
+        self.checker.lose(old);
+        let id = if self.variant == Variant::OldIdentity { old.0 } else { self.rng.random() };
+        self.machines[i].disk = Disk::empty(id);
+    }
+
+    /// Tells whether the group bears the loss of one more disk, whichever members it comes to have.
+    pub fn bears_loss(&self) -> bool {
+        let running = self.machines.iter().filter_map(|m| m.replica.as_ref());
+        let mut views: Vec<_> = running.map(|r| r.status().members.clone()).collect();
+        views.extend(self.machines.iter().flat_map(|m| m.disk.members()));
+        views.push(self.checker.members.clone());
+        views.retain(|v| !v.0.is_empty());
+        !views.is_empty() && views.iter().all(|v| self.checker.bears_loss(v))
+    }
+
+    /// Stops the process of a machine for a time; what it is sent waits.
+    pub fn freeze(&mut self, i: usize, micros: u64) {
+        self.machines[i].frozen = self.now + micros;
+    }
+
+    /// Hands a command to a machine.
+    pub fn propose(&mut self, i: usize, command: u64) {
+        self.post(0, Event::Propose(i, command));
+    }
+
+    /// Asks a machine for a read; the answer must hold all that clients know of now.
+    pub fn read(&mut self, i: usize) {
+        let id = ReadId(self.rng.random());
+        let known = self.checker.known;
+        self.machines[i].reads.insert(id, known);
+        self.post(0, Event::Read(i, id));
+    }
+
+    /// Returns a running machine that takes itself for the leader, of the highest term.
+    pub fn leader(&self) -> Option<usize> {
+        let lead = |m: &Machine| {
+            let status = m.replica.as_ref()?.status();
+            (status.role == Role::Leader).then_some(status.term)
+        };
+        (0..self.machines.len())
+            .filter(|i| lead(&self.machines[*i]).is_some())
+            .max_by_key(|i| lead(&self.machines[*i]))
+    }
+
+    /// Runs for a time in milliseconds.
+    pub fn run(&mut self, millis: u64) {
+        self.run_until(millis, |_| false);
+    }
+
+    /// Runs until a condition holds, and tells whether it did within a time in milliseconds.
+    pub fn run_until(&mut self, millis: u64, done: impl Fn(&Self) -> bool) -> bool {
+        let end = self.now + millis * 1000;
+        while !done(self) {
+            let Some(&Reverse((at, key))) = self.queue.peek() else { break };
+            if at > end || self.checker.fault.is_some() {
+                break;
+            }
+            self.queue.pop();
+            self.now = at;
+            let event = self.events.remove(&key).unwrap();
+            self.happen(event);
+        }
+        if done(self) {
+            return true;
+        }
+        self.now = end;
+        false
+    }
+
+    fn happen(&mut self, event: Event) {
+        let (Event::Deliver(i, _)
+        | Event::Stored(i, _, _)
+        | Event::Synced(i, _, _)
+        | Event::State(i, _, _)
+        | Event::Wake(i, _)
+        | Event::Propose(i, _)
+        | Event::Read(i, _)) = &event;
+        let i = *i;
+        let frozen = self.machines[i].frozen;
+        if frozen > self.now {
+            let jitter = self.rng.random_range(0..50);
+            self.post(frozen - self.now + jitter, event);
+            return;
+        }
+        let run = self.machines[i].run;
+        match event {
+            Event::Deliver(_, _) if self.machines[i].cut => {}
+            Event::Deliver(_, message) => self.handle(i, Input::Message(message)),
+            Event::Stored(_, of, ticket) if of == run => self.machines[i].disk.sync(ticket),
+            Event::Synced(_, of, ticket) if of == run => self.handle(i, Input::Synced { ticket }),
+            Event::State(_, of, index) if of == run => {
+                let data = Bytes::from(vec![index.0 as u8; 150]);
+                self.handle(i, Input::Snapshot { index, data });
+            }
+            Event::Wake(_, of) if of == run => {
+                self.machines[i].wake = None;
+                self.handle(i, Input::Tick);
+            }
+            Event::Propose(_, command) => {
+                let data = Bytes::copy_from_slice(&command.to_le_bytes());
+                let proposal = Proposal { id: ProposalId(command), data };
+                self.handle(i, Input::Propose(vec![proposal]));
+            }
+            Event::Read(_, id) => self.serve_read(i, id),
+            _ => {}
+        }
+    }
+
+    fn serve_read(&mut self, i: usize, id: ReadId) {
+        let replica = self.machines[i].replica.as_ref();
+        let leads = replica.is_some_and(|r| r.status().role == Role::Leader);
+        if leads && self.variant == Variant::NoLease {
+            self.answer(i, id);
+        } else {
+            self.handle(i, Input::Read(id));
+        }
+    }
+
+    fn answer(&mut self, i: usize, id: ReadId) {
+        let machine = &mut self.machines[i];
+        if let Some(known) = machine.reads.remove(&id) {
+            self.checker.answer(known, machine.applied);
+        }
+    }
+
+    /// Hands an input to a running replica, and carries out what it asks for.
+    pub fn handle(&mut self, i: usize, input: Input) {
+        let now = self.local(i);
+        let Some(replica) = &mut self.machines[i].replica else { return };
+        let actions = replica.handle(now, input);
+        let deadline = replica.deadline();
+        for action in actions {
+            self.act(i, action);
+        }
+        let machine = &mut self.machines[i];
+        if machine.replica.is_some() && machine.wake.is_none_or(|w| w > deadline) {
+            machine.wake = Some(deadline);
+            let (run, rate) = (machine.run, machine.rate);
+            let delay = (deadline.since(now).as_micros() as f64 / rate) as u64 + 1;
+            self.post(delay, Event::Wake(i, run));
+        }
+    }
+
+    fn act(&mut self, i: usize, action: Action) {
+        let id = self.machines[i].disk.id;
+        match action {
+            Action::Save { ticket, save } => {
+                let run = self.machines[i].run;
+                let slow = self.rng.random_bool(self.weather.slow_sync);
+                let longest = if slow { 300_000 } else { self.machines[i].sync_us };
+                let delay = self.rng.random_range(100..longest);
+                let delay = self.machines[i].disk.write(ticket, save, self.now, delay);
+                self.post(delay, Event::Stored(i, run, ticket));
+                let early = self.variant == Variant::EarlySync;
+                self.post(if early { 0 } else { delay }, Event::Synced(i, run, ticket));
+            }
+            Action::Send { to, message } => self.send(i, &to, message),
+            Action::Apply(applied) => {
+                for item in applied {
+                    self.checker.apply(id, self.machines[i].applied, &item.entry);
+                    self.machines[i].applied = item.entry.index;
+                    if let Some(proposal) = item.proposal {
+                        self.checker.accept(proposal.0, item.entry.index);
+                    }
+                }
+            }
+            Action::Restore(snapshot) => self.machines[i].applied = snapshot.index,
+            Action::TakeSnapshot => {
+                let (run, index) = (self.machines[i].run, self.machines[i].applied);
+                self.post(0, Event::State(i, run, index));
+            }
+            Action::Refused { id, .. } => {
+                self.checker.refused.insert(id.0);
+            }
+            Action::Lost { id } => {
+                self.checker.lost.insert(id.0);
+            }
+            Action::ReadReady { id } => self.answer(i, id),
+            Action::ReadRefused { id, .. } => {
+                self.machines[i].reads.remove(&id);
+            }
+            Action::Changed(status) if status.role == Role::Leader => {
+                self.checker.lead(status.term, id);
+            }
+            Action::Changed(_) => {}
+        }
+    }
+
+    fn send(&mut self, i: usize, to: &InstanceName, message: Message) {
+        let counts = match &message.body {
+            Body::VoteReply(reply) => reply.granted,
+            Body::AppendReply(reply) => matches!(reply, AppendReply::Stored(_)),
+            _ => false,
+        };
+        if counts {
+            self.checker.count(message.from.id);
+        }
+        let Some(j) = self.machines.iter().position(|m| m.name == *to) else { return };
+        if matches!(message.body, Body::Append(_) | Body::Part(_)) {
+            self.machines[j].received += 1;
+        }
+        if self.machines[i].cut || self.rng.random_bool(self.weather.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.weather.doubling) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.rng.random_bool(self.weather.late);
+            let delay = self.rng.random_range(200..if late { 300_000 } else { 2_000 });
+            self.post(delay, Event::Deliver(j, message.clone()));
+        }
+    }
+}
+
+/// Returns the identity that a machine has now.
+pub fn identity(cluster: &Cluster, i: usize) -> ReplicaId {
+    cluster.machines[i].disk.id
+}
