Stand-ins for targets, platform and callers; tests of smuggling and bounds

Change: hawthornkeel_fakes gets a target (engine and service) told by POST /behave, a platform list with lag, an open-loop caller and a raw caller, as a library and one binary. It shares no code with the product's HTTP, so that a fault there isn't hidden by the same fault here. Ruled out: building the stand-ins on the product's server; they must send what it refuses to.

--- /dev/null
+++ b/hawthornkeel_fakes/src/control.rs
@@ -0,0 +1,100 @@
+//! Control requests to a stand-in target: behaviour, records, load and orders.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use http::Method;
+use serde::Deserialize;
+use serde_json::Value;
+use serde_json::json;
+
+use crate::behaviour::Behaviour;
+use crate::record::OrderRecord;
+use crate::target::Target;
+use crate::wire::Received;
+
+/// Answers a control request with a status and a body, `None` where it is a call.
+pub(crate) fn handle(target: &Target, request: &Received) -> Option<(u16, Vec<u8>)> {
+    let answer = match (&request.head.method, request.head.uri.path()) {
+        (&Method::GET, "/runs") => (200, to_json(&*target.shared.report.borrow())),
+        (&Method::GET, "/load") => (200, load(target)),
+        (&Method::GET, "/health") => (200, b"{}".to_vec()),
+        (&Method::POST, "/behave") => behave(target, &request.body),
+        (&Method::POST, "/restart") => {
+            target.restart();
+            (200, b"{}".to_vec())
+        }
+        (&Method::POST, "/silence") => {
+            // Connections that are open now go silent for good; new ones work.
+            let count = target.shared.report.borrow().connections;
+            target.shared.silent_before.set(count);
+            (200, b"{}".to_vec())
+        }
+        (&Method::POST, "/orders") => order(target, &request.body),
+        _ => return None,
+    };
+    Some(answer)
+}
+
+/// Overlays the behaviour with the fields given.
+fn behave(target: &Target, body: &[u8]) -> (u16, Vec<u8>) {
+    let given = serde_json::from_slice::<serde_json::Map<String, Value>>(body);
+    let Ok(given) = given else { return (400, b"no object".to_vec()) };
+    let mut value = json!(&*target.shared.behaviour.borrow());
+    if let Value::Object(fields) = &mut value {
+        fields.extend(given);
+    }
+    match serde_json::from_value::<Behaviour>(value) {
+        Ok(behaviour) => {
+            *target.shared.behaviour.borrow_mut() = behaviour;
+            (200, b"{}".to_vec())
+        }
+        Err(error) => (400, error.to_string().into_bytes()),
+    }
+}
+
+/// Reports the load, as it was when the last lag period began.
+fn load(target: &Target) -> Vec<u8> {
+    let lag = Duration::from_millis(target.shared.behaviour.borrow().load_lag_ms);
+    let report = target.shared.report.borrow();
+    let mut reported = target.shared.reported.borrow_mut();
+    let running = if lag.is_zero() { report.running } else { reported.1 };
+    if reported.0.elapsed() >= lag {
+        *reported = (Instant::now(), report.running);
+    }
+    let load = json!({
+        "incarnation": report.incarnation,
+        "running": running,
+        "waiting": 0,
+        "cold": target.is_cold(),
+    });
+    load.to_string().into_bytes()
+}
+
+#[derive(Deserialize)]
+struct Fencing {
+    fencing: u64,
+}
+
+fn order(target: &Target, body: &[u8]) -> (u16, Vec<u8>) {
+    let Ok(order) = serde_json::from_slice::<Fencing>(body) else {
+        return (400, b"{}".to_vec());
+    };
+    let old = order.fencing < target.shared.fencing.get();
+    let accepted = !(old && target.shared.behaviour.borrow().fencing);
+    let record = OrderRecord {
+        fencing: order.fencing,
+        accepted,
+        body: serde_json::from_slice(body).unwrap_or_default(),
+    };
+    target.shared.report.borrow_mut().orders.push(record);
+    if !accepted {
+        return (409, b"{}".to_vec());
+    }
+    target.shared.fencing.set(order.fencing.max(target.shared.fencing.get()));
+    (200, b"{}".to_vec())
+}
+
+fn to_json(value: &impl serde::Serialize) -> Vec<u8> {
+    serde_json::to_vec(value).unwrap_or_default()
+}
--- /dev/null
+++ b/hawthornkeel_fakes/src/generate.rs
@@ -0,0 +1,60 @@
+//! Text that a stand-in answers with: a function of the request alone.
+
+use serde::Deserialize;
+use serde_json::json;
+
+/// Prefix of a word that a request carries so that its answer can be recognised.
+pub const MARK: &str = "ref-";
+
+/// Request of the completions protocol, as far as it is used.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct Ask {
+    /// Text that the answer goes on from.
+    pub prompt: String,
+    /// Conversation, for the chat form.
+    pub messages: Vec<Message>,
+    /// Tokens, at most.
+    pub max_tokens: Option<usize>,
+    /// Whether the answer is streamed.
+    pub stream: bool,
+}
+
+/// Message of a conversation.
+#[derive(Default, Deserialize)]
+#[serde(default)]
+pub struct Message {
+    /// Text.
+    pub content: String,
+}
+
+impl Ask {
+    /// Returns the tokens of the answer: the request's marks, then numbered words.
+    pub fn tokens(&self, count: usize) -> Vec<String> {
+        let prompt = self.messages.last().map_or(&self.prompt, |m| &m.content);
+        let marks = marks(prompt).map(|m| format!("{m} "));
+        let words = (0..).map(|i| format!("t{i} "));
+        marks.chain(words).take(self.max_tokens.unwrap_or(count).min(count)).collect()
+    }
+}
+
+/// Returns the marks in `text`.
+pub fn marks(text: &str) -> impl Iterator<Item = &str> {
+    let split = |c: char| !c.is_ascii_alphanumeric() && c != '-';
+    text.split(split).filter(|w| w.starts_with(MARK))
+}
+
+/// Returns the event that carries `text`.
+pub fn event(text: &str, chat: bool) -> Vec<u8> {
+    let choice = match chat {
+        true => json!({"index": 0, "delta": {"content": text}}),
+        false => json!({"index": 0, "text": text}),
+    };
+    format!("data: {}\n\n", json!({"choices": [choice]})).into_bytes()
+}
+
+/// Returns a service's answer to `input` at `path`.
+pub fn service(path: &str, input: &[u8]) -> Vec<u8> {
+    let input: serde_json::Value = serde_json::from_slice(input).unwrap_or_default();
+    json!({"service": path, "input": input}).to_string().into_bytes()
+}
--- a/hawthornkeel_fakes/src/lib.rs
+++ b/hawthornkeel_fakes/src/lib.rs
@@ -1,1 +1,12 @@
 //! Stand-in targets, platform list and callers for tests and benches; not shipped.
+
+pub mod behaviour;
+pub mod caller;
+pub mod control;
+pub mod generate;
+pub mod platform;
+pub mod raw;
+pub mod record;
+pub mod target;
+pub mod thread;
+pub mod wire;
--- /dev/null
+++ b/hawthornkeel_fakes/src/main.rs
@@ -0,0 +1,134 @@
+//! Entry point of the `hawthornkeel_fakes` command: one stand-in a process.
+
+use std::error::Error;
+use std::net::SocketAddr;
+use std::process::ExitCode;
+use std::time::Duration;
+
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::caller;
+use hawthornkeel_fakes::caller::Load;
+use hawthornkeel_fakes::platform::Platform;
+use hawthornkeel_fakes::target::Target;
+use lexopt::Arg;
+use lexopt::Parser;
+use lexopt::ValueExt;
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use monoio::net::TcpListener;
+
+const HELP: &str = "\
+Stand-ins for hawthornkeel's tests and benches.
+
+usage: hawthornkeel_fakes target   --listen ADDRESS [--behave JSON]
+       hawthornkeel_fakes platform --listen ADDRESS [--list JSON]
+       hawthornkeel_fakes caller   --to ADDRESS [--path PATH] [--body TEXT] [--field LINE]...
+                                   [--rate N] [--count N] [--first N] [--timeout-ms N] [--any]
+
+The text {mark} in a caller's body and fields is replaced by a word of the request's own, which its
+answer must carry; --any takes any answer.
+";
+
+#[derive(Default)]
+struct Options {
+    listen: Option<SocketAddr>,
+    behave: Option<String>,
+    list: Option<String>,
+    load: Load,
+}
+
+fn main() -> ExitCode {
+    match start() {
+        Ok(()) => ExitCode::SUCCESS,
+        Err(error) => {
+            eprintln!("hawthornkeel_fakes: {error}");
+            ExitCode::FAILURE
+        }
+    }
+}
+
+fn start() -> Result<(), Box<dyn Error>> {
+    let mut parser = Parser::from_env();
+    let command = match parser.next()? {
+        Some(Arg::Value(value)) => value.string()?,
+        _ => {
+            print!("{HELP}");
+            return Ok(());
+        }
+    };
+    let options = parse(&mut parser)?;
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    match command.as_str() {
+        "target" => runtime.block_on(run_target(options)),
+        "platform" => runtime.block_on(run_platform(options)),
+        "caller" => runtime.block_on(run_caller(options.load)),
+        other => Err(format!("no command {other:?}").into()),
+    }
+}
+
+fn parse(parser: &mut Parser) -> Result<Options, lexopt::Error> {
+    let mut options = Options::default();
+    let load = &mut options.load;
+    while let Some(arg) = parser.next()? {
+        match arg {
+            Arg::Long("listen") => options.listen = Some(parser.value()?.parse()?),
+            Arg::Long("behave") => options.behave = Some(parser.value()?.string()?),
+            Arg::Long("list") => options.list = Some(parser.value()?.string()?),
+            Arg::Long("to") => load.address = parser.value()?.parse()?,
+            Arg::Long("path") => load.path = parser.value()?.string()?,
+            Arg::Long("body") => load.body = parser.value()?.string()?,
+            Arg::Long("field") => {
+                load.fields.push_str(&parser.value()?.string()?);
+                load.fields.push_str("\r\n");
+            }
+            Arg::Long("rate") => load.rate = parser.value()?.parse()?,
+            Arg::Long("count") => load.count = parser.value()?.parse()?,
+            Arg::Long("first") => load.first = parser.value()?.parse()?,
+            Arg::Long("timeout-ms") => {
+                load.timeout = Duration::from_millis(parser.value()?.parse()?);
+            }
+            Arg::Long("any") => load.check = false,
+            _ => return Err(arg.unexpected()),
+        }
+    }
+    Ok(options)
+}
+
+fn listen(options: &Options) -> Result<TcpListener, Box<dyn Error>> {
+    let address = options.listen.ok_or("--listen is missing")?;
+    let listener = TcpListener::bind(address)?;
+    println!("listening={}", listener.local_addr()?);
+    Ok(listener)
+}
+
+async fn run_target(options: Options) -> Result<(), Box<dyn Error>> {
+    let behaviour: Behaviour = match &options.behave {
+        Some(text) => serde_json::from_str(text)?,
+        None => Behaviour::default(),
+    };
+    let listener = listen(&options)?;
+    Target::new(behaviour).serve(listener).await;
+    Ok(())
+}
+
+async fn run_platform(options: Options) -> Result<(), Box<dyn Error>> {
+    let platform = Platform::default();
+    if let Some(text) = &options.list {
+        platform.set(serde_json::from_str(text)?);
+    }
+    let listener = listen(&options)?;
+    platform.serve(listener).await;
+    Ok(())
+}
+
+async fn run_caller(load: Load) -> Result<(), Box<dyn Error>> {
+    let seen = caller::run(load).await?;
+    for (outcome, count) in &seen.outcomes {
+        println!("outcome={outcome:?} count={count}");
+    }
+    for quantile in [0.5, 0.99, 0.999] {
+        let micros = seen.latency.value_at_quantile(quantile);
+        println!("quantile={quantile} latency_us={micros}");
+    }
+    Ok(())
+}
--- /dev/null
+++ b/hawthornkeel_fakes/src/raw.rs
@@ -0,0 +1,123 @@
+//! Caller over a blocking socket that sends any bytes, for tests.
+
+use std::io;
+use std::io::ErrorKind;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpStream;
+use std::time::Duration;
+
+/// Time that a read waits before it fails.
+const READ_TIME: Duration = Duration::from_secs(10);
+
+/// Caller over a blocking socket.
+pub struct RawCaller {
+    stream: TcpStream,
+    buffer: Vec<u8>,
+}
+
+/// Answer as text.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RawAnswer {
+    /// Status.
+    pub status: u16,
+    /// Head, in lower case.
+    pub head: String,
+    /// Body.
+    pub body: String,
+}
+
+impl RawCaller {
+    /// Connects to `address`.
+    pub fn connect(address: SocketAddr) -> io::Result<Self> {
+        let stream = TcpStream::connect(address)?;
+        stream.set_read_timeout(Some(READ_TIME))?;
+        stream.set_write_timeout(Some(READ_TIME))?;
+        stream.set_nodelay(true)?;
+        Ok(Self { stream, buffer: Vec::new() })
+    }
+
+    /// Sends `data`.
+    pub fn send(&mut self, data: impl AsRef<[u8]>) -> io::Result<()> {
+        self.stream.write_all(data.as_ref())
+    }
+
+    /// Ends the sending side.
+    pub fn end(&mut self) -> io::Result<()> {
+        self.stream.shutdown(Shutdown::Write)
+    }
+
+    /// Reads one answer with a length.
+    pub fn answer(&mut self) -> io::Result<RawAnswer> {
+        let head = self.read_past("\r\n\r\n")?.to_ascii_lowercase();
+        let length = field(&head, "content-length").and_then(|l| l.parse().ok()).unwrap_or(0);
+        while self.buffer.len() < length {
+            self.fill()?;
+        }
+        let body = self.buffer.drain(..length).collect();
+        let status = head.get(9..12).and_then(|s| s.parse().ok()).unwrap_or(0);
+        let body = String::from_utf8(body).map_err(io::Error::other)?;
+        Ok(RawAnswer { status, head, body })
+    }
+
+    /// Reads up to and with `end`.
+    pub fn read_past(&mut self, end: &str) -> io::Result<String> {
+        loop {
+            let found = self.buffer.windows(end.len()).position(|w| w == end.as_bytes());
+            if let Some(start) = found {
+                let text = self.buffer.drain(..start + end.len()).collect();
+                return String::from_utf8(text).map_err(io::Error::other);
+            }
+            self.fill()?;
+        }
+    }
+
+    /// Reads up to the end of the connection, which a reset counts as too.
+    pub fn read_to_close(&mut self) -> io::Result<Vec<u8>> {
+        loop {
+            match self.fill() {
+                Ok(()) => {}
+                Err(error) if is_close(&error) => return Ok(std::mem::take(&mut self.buffer)),
+                Err(error) => return Err(error),
+            }
+        }
+    }
+
+    /// Tells whether anything can be read now, without waiting for it.
+    pub fn has_bytes(&mut self) -> io::Result<bool> {
+        self.stream.set_nonblocking(true)?;
+        let peeked = self.stream.peek(&mut [0]);
+        self.stream.set_nonblocking(false)?;
+        match peeked {
+            Ok(_) => Ok(true),
+            Err(error) if error.kind() == ErrorKind::WouldBlock => Ok(!self.buffer.is_empty()),
+            Err(error) => Err(error),
+        }
+    }
+
+    fn fill(&mut self) -> io::Result<()> {
+        let mut data = [0; 16 * 1024];
+        match self.stream.read(&mut data)? {
+            0 => Err(ErrorKind::UnexpectedEof.into()),
+            count => {
+                self.buffer.extend_from_slice(&data[..count]);
+                Ok(())
+            }
+        }
+    }
+}
+
+/// Tells whether `error` says that the other end closed the connection.
+pub fn is_close(error: &io::Error) -> bool {
+    matches!(
+        error.kind(),
+        ErrorKind::UnexpectedEof | ErrorKind::ConnectionReset | ErrorKind::BrokenPipe
+    )
+}
+
+/// Returns the value of the field called `name` in a head in lower case.
+fn field<'a>(head: &'a str, name: &str) -> Option<&'a str> {
+    head.lines().find_map(|l| l.strip_prefix(name)?.strip_prefix(": "))
+}
--- /dev/null
+++ b/hawthornkeel_fakes/src/thread.rs
@@ -0,0 +1,129 @@
+//! Stand-ins on threads of their own, for tests in one process.
+
+use std::io;
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use monoio::LegacyDriver;
+use monoio::RuntimeBuilder;
+use monoio::net::TcpListener;
+
+use crate::behaviour::Behaviour;
+use crate::platform::List;
+use crate::platform::Platform;
+use crate::record::Report;
+use crate::target::Target;
+use crate::wire;
+
+/// Time between looks at a condition.
+const STEP: Duration = Duration::from_millis(2);
+
+/// Stand-in target on a thread of its own, which lives as long as the process.
+#[derive(Clone, Copy, Debug)]
+pub struct TargetThread {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+}
+
+impl TargetThread {
+    /// Starts a target on a free port.
+    pub fn start(behaviour: Behaviour) -> io::Result<Self> {
+        let address = listen(move |listener| Target::new(behaviour).serve(listener))?;
+        Ok(Self { address })
+    }
+
+    /// Overlays the behaviour with the fields of the JSON object `fields`.
+    pub fn behave(&self, fields: &str) -> io::Result<()> {
+        wire::control(self.address, "POST", "/behave", fields).map(drop)
+    }
+
+    /// Restarts the target: a new incarnation, cold again.
+    pub fn restart(&self) -> io::Result<()> {
+        wire::control(self.address, "POST", "/restart", "").map(drop)
+    }
+
+    /// Makes the connections that are open now silent for good.
+    pub fn silence(&self) -> io::Result<()> {
+        wire::control(self.address, "POST", "/silence", "").map(drop)
+    }
+
+    /// Returns what the target has recorded.
+    pub fn report(&self) -> io::Result<Report> {
+        let body = wire::control(self.address, "GET", "/runs", "")?;
+        serde_json::from_str(&body).map_err(io::Error::other)
+    }
+}
+
+/// Stand-in platform on a thread of its own.
+#[derive(Clone, Copy, Debug)]
+pub struct PlatformThread {
+    /// Address that it listens on.
+    pub address: SocketAddr,
+}
+
+impl PlatformThread {
+    /// Starts a platform on a free port with `list`.
+    pub fn start(list: List) -> io::Result<Self> {
+        let address = listen(move |listener| {
+            let platform = Platform::default();
+            platform.set(list);
+            platform.serve(listener)
+        })?;
+        Ok(Self { address })
+    }
+
+    /// Replaces the list.
+    pub fn set(&self, list: &List) -> io::Result<()> {
+        let lag = list.lag_ms.map(|l| format!("\"lag_ms\":{l},")).unwrap_or_default();
+        let instances = serde_json::to_string(&list.instances).map_err(io::Error::other)?;
+        let body = format!("{{{lag}\"instances\":{instances}}}");
+        wire::control(self.address, "POST", "/instances", &body).map(drop)
+    }
+}
+
+/// Listens on a free port and serves on a new thread.
+fn listen<F, T>(serve: F) -> io::Result<SocketAddr>
+where
+    F: FnOnce(TcpListener) -> T + Send + 'static,
+    T: Future<Output = ()> + 'static,
+{
+    start(async move |sender| {
+        let Ok(listener) = TcpListener::bind("127.0.0.1:0") else { return };
+        let Ok(address) = listener.local_addr() else { return };
+        let _ = sender.send(address);
+        serve(listener).await;
+    })
+}
+
+/// Runs `serve` on a new thread with a runtime and returns the first value that it sends.
+pub fn start<V, F, T>(serve: F) -> io::Result<V>
+where
+    V: Send + 'static,
+    F: FnOnce(mpsc::Sender<V>) -> T + Send + 'static,
+    T: Future<Output = ()> + 'static,
+{
+    let (sender, receiver) = mpsc::channel();
+    thread::spawn(move || block_on(async move { serve(sender).await }));
+    receiver.recv().map_err(io::Error::other)
+}
+
+/// Runs `future` to its end on a runtime of its own.
+pub fn block_on<T>(future: impl Future<Output = T>) -> io::Result<T> {
+    let mut runtime = RuntimeBuilder::<LegacyDriver>::new().enable_timer().build()?;
+    Ok(runtime.block_on(future))
+}
+
+/// Waits until `condition` holds and tells whether it did before `limit`.
+pub fn eventually(limit: Duration, mut condition: impl FnMut() -> bool) -> bool {
+    let end = Instant::now() + limit;
+    while !condition() {
+        if Instant::now() >= end {
+            return false;
+        }
+        thread::sleep(STEP);
+    }
+    true
+}
