Orders to take a data centre out hold without the log; frames for following and leading

Ruled out: dropping a hold when any return is logged, since one logged before the order would undo it; dropping holds whose order is logged, since a late copy from a peer would take out again. Change: core state/takeout.rs decides by the order's place in the log; frames carry the holds.

--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -1,12 +1,17 @@
 //! Messages between instances.
 
+use std::sync::Arc;
+
 use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::Outcome;
 use hawthornkeel_core::state::published::Published;
+use hawthornkeel_core::state::takeout::Hold;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -29,8 +34,12 @@
     Follow(Follow),
     /// Answers [`Frame::Follow`].
     Followed(Followed),
-    /// Orders about data centres that hold without the log, one-way.
-    TakeOuts(Vec<CentreOrder>),
+    /// Orders to take data centres out, with what is known of their place in the log; one-way.
+    TakeOuts(Vec<Hold>),
+    /// Call: who leads the control instances.
+    Lead,
+    /// Answers [`Frame::Lead`].
+    LeadReply(Lead),
     /// Call: what the instance has in force.
     Status,
     /// Answers [`Frame::Status`].
@@ -50,6 +59,8 @@
     Follow,
     /// Of [`Frame::TakeOuts`].
     TakeOuts,
+    /// Of [`Frame::Lead`].
+    Lead,
     /// Of [`Frame::Status`].
     Status,
     /// Of every answer to a call.
@@ -66,9 +77,12 @@
             Self::Follow(_) => FrameKind::Follow,
             Self::TakeOuts(_) => FrameKind::TakeOuts,
             Self::Status => FrameKind::Status,
-            Self::Refused(_) | Self::Proposed(_) | Self::Followed(_) | Self::StatusReply(_) => {
-                FrameKind::Answer
-            }
+            Self::Lead => FrameKind::Lead,
+            Self::Refused(_)
+            | Self::Proposed(_)
+            | Self::Followed(_)
+            | Self::LeadReply(_)
+            | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
 }
@@ -103,24 +117,39 @@
     Unknown,
 }
 
+/// Who leads the control instances, as one of them knows it.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Lead {
+    /// Whether the sender leads and its lease stands.
+    pub own: bool,
+    /// Instance that leads, if the sender knows one.
+    pub leader: Option<InstanceName>,
+}
+
 /// Request for the published state.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Follow {
-    /// Log position of the state that the caller has, or `None` for nothing.
-    pub after: Option<LogIndex>,
-    /// Time to hold the call while there is nothing newer, in milliseconds.
-    pub wait_ms: u32,
+pub enum Follow {
+    /// The state once it is newer than `after`.
+    Newer {
+        /// Log position of the state that the caller has, or `None` for nothing.
+        after: Option<LogIndex>,
+        /// Time to hold the call while there is nothing newer, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The state with everything that was acknowledged so far, which only a leader can give.
+    Latest,
 }
 
 /// Answer to a request for the published state.
-#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub enum Followed {
-    /// Newer state.
-    Newer(Published),
-    /// Nothing newer within the wait.
-    Unchanged,
-    /// The receiver has no state itself.
-    Nothing,
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Followed {
+    /// State, where it is newer than the caller's.
+    pub published: Option<Published>,
+    /// Orders to take data centres out that the sender knows.
+    pub holds: Vec<Hold>,
+    /// Time since the sender's state was last known to be that of a group with a leader, in
+    /// milliseconds, or `None` if it never was.
+    pub age_ms: Option<u64>,
 }
 
 /// What an instance has in force.
@@ -128,8 +157,14 @@
 pub struct InstanceStatus {
     /// Instance.
     pub name: InstanceName,
-    /// Published state in force, without its text, or `None` before the first.
-    pub published: Option<Published>,
-    /// Orders about data centres that hold without the log.
-    pub takeouts: Vec<CentreOrder>,
+    /// Log position of the state in force, or `None` before the first.
+    pub index: Option<LogIndex>,
+    /// Version of the environment document in force; zero before the first.
+    pub version: Version,
+    /// SHA-256 of the document's text in hexadecimal.
+    pub hash: Arc<str>,
+    /// Data centres that get no new work from this instance.
+    pub taken_out: Vec<CentreName>,
+    /// Orders to take data centres out that are not in the log as far as the instance knows.
+    pub unlogged: Vec<CentreOrder>,
 }
--- a/hawthornkeel/tests/peer_frames.rs
+++ b/hawthornkeel/tests/peer_frames.rs
@@ -20,6 +20,7 @@
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::CentreState;
 use hawthornkeel_core::state::published::Published;
+use hawthornkeel_core::state::takeout::Hold;
 use support::peer;
 use support::run;
 use support::settings;
@@ -38,12 +39,13 @@
     (a, b)
 }
 
-fn published(index: u64, text: &str) -> Published {
-    Published { index: LogIndex(index), text: text.into(), ..Published::default() }
+fn followed(index: u64, text: &str) -> Frame {
+    let published = Published { index: LogIndex(index), text: text.into(), ..Published::default() };
+    Frame::Followed(Followed { published: Some(published), ..Followed::default() })
 }
 
 fn follow(after: u64) -> Frame {
-    Frame::Follow(Follow { after: Some(LogIndex(after)), wait_ms: 0 })
+    Frame::Follow(Follow::Newer { after: Some(LogIndex(after)), wait_ms: 0 })
 }
 
 #[test]
@@ -56,13 +58,13 @@
         b.on_call(FrameKind::Follow, move |from, frame| {
             assert_eq!(from.as_str(), "a");
             let Frame::Follow(follow) = frame else { panic!("not a follow") };
-            let index = follow.after.unwrap().0 + 1;
-            let answer = published(index, &text);
-            async move { Frame::Followed(Followed::Newer(answer)) }
+            let Follow::Newer { after, .. } = follow else { panic!("not a newer") };
+            let answer = followed(after.unwrap().0 + 1, &text);
+            async move { answer }
         });
         for after in 0..3 {
             let answer = a.call(&InstanceName::new("b"), &follow(after), TIMEOUT).await.unwrap();
-            assert_eq!(answer, Frame::Followed(Followed::Newer(published(after + 1, &large))));
+            assert_eq!(answer, followed(after + 1, &large));
         }
         let refused = a.call(&InstanceName::new("b"), &Frame::Status, TIMEOUT).await;
         assert!(matches!(refused, Err(PeerError::Refused(Refusal::Unsupported))));
@@ -78,7 +80,7 @@
         let sink = seen.clone();
         b.on_frame(FrameKind::TakeOuts, move |_, frame| {
             let Frame::TakeOuts(orders) = frame else { panic!("not take-outs") };
-            sink.borrow_mut().extend(orders.into_iter().map(|o| o.operation.0));
+            sink.borrow_mut().extend(orders.into_iter().map(|o| o.order.operation.0));
         });
         for number in 0..500 {
             let order = CentreOrder {
@@ -87,7 +89,8 @@
                 centre: "east".into(),
                 state: CentreState::TakenOut,
             };
-            a.send(&InstanceName::new("b"), &Frame::TakeOuts(vec![order])).unwrap();
+            a.send(&InstanceName::new("b"), &Frame::TakeOuts(vec![Hold { order, floor: None }]))
+                .unwrap();
         }
         until("all frames", || seen.borrow().len() == 500).await;
         assert!(seen.borrow().iter().copied().eq(0..500));
@@ -124,7 +127,7 @@
 
 #[test]
 fn frame_bounded() {
-    let long = published(1, &"x".repeat(wire::MAX_BODY));
-    let error = wire::encode(&Frame::Followed(Followed::Newer(long))).unwrap_err();
+    let long = followed(1, &"x".repeat(wire::MAX_BODY));
+    let error = wire::encode(&long).unwrap_err();
     assert!(matches!(error, WireError::TooLong(_)));
 }
--- a/hawthornkeel/tests/peer_silence.rs
+++ b/hawthornkeel/tests/peer_silence.rs
@@ -111,7 +111,7 @@
     let at_b = socket();
     let relay = Relay::new(at_b.local_addr().unwrap());
     let b = Endpoint::with_socket(at_b, &settings(folder.path(), "b", Vec::new())).unwrap();
-    b.on_call(FrameKind::Status, |_, _| async { Frame::Followed(Followed::Nothing) });
+    b.on_call(FrameKind::Status, |_, _| async { Frame::Followed(Followed::default()) });
     let peers = vec![peer("b", relay.address)];
     let a = Endpoint::with_socket(socket(), &settings(folder.path(), "a", peers)).unwrap();
     (a, b, relay)
--- a/hawthornkeel/tests/peer_trust.rs
+++ b/hawthornkeel/tests/peer_trust.rs
@@ -72,7 +72,7 @@
     let at = socket();
     let address = at.local_addr().unwrap();
     let b = Endpoint::with_socket(at, &settings(folder.path(), "b", Vec::new())).unwrap();
-    b.on_call(FrameKind::Status, |_, _| async { Frame::Followed(Followed::Nothing) });
+    b.on_call(FrameKind::Status, |_, _| async { Frame::Followed(Followed::default()) });
     (b, address)
 }
 
@@ -118,7 +118,7 @@
         let a = Endpoint::with_socket(socket(), &settings).unwrap();
         let answer = a.call(&InstanceName::new("b"), &Frame::Status, TIMEOUT).await;
         match refusal {
-            None => assert_eq!(answer.unwrap(), Frame::Followed(Followed::Nothing)),
+            None => assert_eq!(answer.unwrap(), Frame::Followed(Followed::default())),
             Some(reason) => {
                 let error = answer.unwrap_err();
                 assert!(!error.may_have_run(), "{error}");
--- a/hawthornkeel_core/src/state/mod.rs
+++ b/hawthornkeel_core/src/state/mod.rs
@@ -11,6 +11,7 @@
 pub mod fences;
 pub mod history;
 pub mod published;
+pub mod takeout;
 
 use serde::Deserialize;
 use serde::Serialize;
