Control role: drives the log, proposes in batches, follows, spreads take-outs

Ruled out: one log entry a command (a sync each); serving what a restarted instance recovers before a leader has confirmed it, which could be lower than what it served before.

--- /dev/null
+++ b/hawthornkeel/src/control/clock.rs
@@ -0,0 +1,23 @@
+//! Clock of the replicated log.
+
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use hawthornkeel_core::time::Instant;
+use hawthornkeel_core::time::WallTime;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
+
+/// Returns the present point on the clock that goes on while the machine is suspended.
+pub fn boot_now() -> Instant {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Instant::from_micros(seconds.saturating_mul(1_000_000).saturating_add(nanos / 1_000))
+}
+
+/// Returns the present point on the wall clock; a clock before the epoch reads as the epoch.
+pub fn wall_now() -> WallTime {
+    let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
+    WallTime::from_millis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
+}
--- /dev/null
+++ b/hawthornkeel/src/control/watch.rs
@@ -0,0 +1,152 @@
+//! Published state in force at this instance, and the data centres that take no new work.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::state::command::CentreOrder;
+use hawthornkeel_core::state::published::Published;
+use hawthornkeel_core::state::takeout::Heard;
+use hawthornkeel_core::state::takeout::Hold;
+use hawthornkeel_core::state::takeout::Holds;
+
+use crate::peer::frame::Followed;
+use crate::peer::frame::InstanceStatus;
+use crate::peer::signal::Signal;
+
+/// Published state in force at this instance; clones share it.
+#[derive(Clone, Default)]
+pub struct Watch {
+    inner: Rc<Inner>,
+}
+
+#[derive(Default)]
+struct Inner {
+    published: RefCell<Option<Rc<Published>>>,
+    holds: RefCell<Holds>,
+    /// When the state was last known to be that of a group with a leader.
+    confirmed: Cell<Option<Instant>>,
+    changed: Signal,
+}
+
+impl Watch {
+    /// Puts `published` in force unless one with the same or a higher index is.
+    ///
+    /// Returns whether it is in force now.
+    pub fn offer(&self, published: Published) -> bool {
+        let current = self.index();
+        if current.is_some_and(|index| published.index <= index) {
+            return false;
+        }
+        let (index, version) = (published.index, published.version);
+        tracing::info!(event = "published-in-force", %index, %version, hash = %published.hash);
+        *self.inner.published.borrow_mut() = Some(Rc::new(published));
+        self.inner.changed.notify();
+        true
+    }
+
+    /// Returns the state in force, or `None` before the first.
+    pub fn current(&self) -> Option<Rc<Published>> {
+        self.inner.published.borrow().clone()
+    }
+
+    /// Returns the log position of the state in force.
+    pub fn index(&self) -> Option<LogIndex> {
+        self.inner.published.borrow().as_ref().map(|p| p.index)
+    }
+
+    /// Returns the data centres that take no new work.
+    pub fn taken_out(&self) -> Vec<CentreName> {
+        let published = self.current().unwrap_or_default();
+        self.inner.holds.borrow().taken_out(&published.centres)
+    }
+
+    /// Returns the changes of the state in force and of the data centres, to wait on.
+    pub fn changes(&self) -> &Signal {
+        &self.inner.changed
+    }
+
+    /// Takes in an order to take a data centre out.
+    pub fn hear(&self, hold: &Hold) -> Heard {
+        let heard = self.inner.holds.borrow_mut().hear(hold);
+        if heard == Heard::New {
+            let CentreOrder { operator, operation, centre, .. } = &hold.order;
+            tracing::info!(event = "take-out-heard", %operator, %operation, %centre);
+            self.inner.changed.notify();
+        }
+        heard
+    }
+
+    /// Notes that the log decides on `order` from `index` on.
+    pub fn logged(&self, order: &CentreOrder, index: LogIndex) {
+        self.inner.holds.borrow_mut().logged(order, index);
+        self.inner.changed.notify();
+    }
+
+    /// Returns what is known of an order.
+    pub fn hold(&self, order: &CentreOrder) -> Option<Hold> {
+        self.inner.holds.borrow().get(order).cloned()
+    }
+
+    /// Returns the orders that are not logged as far as is known here.
+    pub fn unlogged(&self) -> Vec<Hold> {
+        self.inner.holds.borrow().unlogged().cloned().collect()
+    }
+
+    /// Notes that the state was that of a group with a leader `age` ago.
+    pub fn confirm(&self, age: Duration) {
+        let at = Instant::now().checked_sub(age);
+        self.inner.confirmed.set(self.inner.confirmed.get().max(at));
+    }
+
+    /// Returns the time since the state was last known to be that of a group with a leader.
+    pub fn age(&self) -> Option<Duration> {
+        self.inner.confirmed.get().map(|at| at.elapsed())
+    }
+
+    /// Answers a follower that has the state at `after`.
+    pub fn followed(&self, after: Option<LogIndex>) -> Followed {
+        let published = self.current().filter(|p| after.is_none_or(|a| p.index > a));
+        Followed {
+            published: published.map(|p| Published::clone(&p)),
+            holds: self.inner.holds.borrow().all().to_vec(),
+            age_ms: self.age().map(millis),
+        }
+    }
+
+    /// Takes in what another instance answered.
+    pub fn absorb(&self, followed: Followed) {
+        for hold in &followed.holds {
+            self.hear(hold);
+        }
+        if let Some(published) = followed.published {
+            self.offer(published);
+        }
+        if let Some(age) = followed.age_ms {
+            self.confirm(Duration::from_millis(age));
+        }
+    }
+
+    /// Returns what is in force, for operators.
+    pub fn status(&self, name: &InstanceName) -> InstanceStatus {
+        let published = self.current();
+        let state = published.clone().unwrap_or_default();
+        InstanceStatus {
+            name: name.clone(),
+            index: published.map(|p| p.index),
+            version: state.version,
+            hash: state.hash.clone(),
+            taken_out: self.taken_out(),
+            unlogged: self.unlogged().into_iter().map(|h| h.order).collect(),
+        }
+    }
+}
+
+fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/hawthornkeel/src/peer/inbound.rs
+++ b/hawthornkeel/src/peer/inbound.rs
@@ -52,13 +52,13 @@
     let connection = match incoming.await {
         Ok(connection) => connection,
         Err(error) => {
-            tracing::warn!(%address, %error, "peer_refused");
+            tracing::warn!(event = "peer-refused", %address, %error);
             return;
         }
     };
     match identify(&connection, &handlers.name).await {
         Ok((name, stream)) => {
-            tracing::info!(peer = %name, %address, "peer_accepted");
+            tracing::info!(event = "peer-accepted", peer = %name, %address);
             monoio::spawn(serve_calls(connection.clone(), name.clone(), handlers.clone()));
             let error = serve_frames(&name, stream, &handlers).await;
             refuse(&connection, &error);
@@ -71,7 +71,7 @@
 fn refuse(connection: &Connection, error: &dyn std::fmt::Display) {
     if connection.close_reason().is_none() {
         let error = error.to_string();
-        tracing::warn!(address = %connection.remote_address(), %error, "peer_refused");
+        tracing::warn!(event = "peer-refused", address = %connection.remote_address(), %error);
         connection.close(CODE_REFUSED, error.as_bytes());
     }
 }
@@ -111,7 +111,9 @@
         let handler = handlers.frames.borrow().get(&frame.kind()).cloned();
         match handler {
             Some(handler) => handler(name, frame),
-            None => tracing::debug!(peer = %name, kind = ?frame.kind(), "frame_unsupported"),
+            None => {
+                tracing::debug!(event = "frame-unsupported", peer = %name, kind = ?frame.kind())
+            }
         }
     }
 }
@@ -121,7 +123,7 @@
         let (name, handlers) = (name.clone(), handlers.clone());
         monoio::spawn(async move {
             if let Err(error) = serve_call(&name, send, receive, &handlers).await {
-                tracing::debug!(peer = %name, %error, "call_failed");
+                tracing::debug!(event = "call-failed", peer = %name, %error);
             }
         });
     }
@@ -136,7 +138,7 @@
     let answer = match wire::read(&mut receive).await {
         Ok(frame) => answer(name, frame, handlers).await,
         Err(WireError::Version(found)) => {
-            tracing::warn!(peer = %name, found, known = wire::VERSION, "version_refused");
+            tracing::warn!(event = "version-refused", peer = %name, found, known = wire::VERSION);
             Frame::Refused(Refusal::Version { found, known: wire::VERSION })
         }
         Err(WireError::Malformed(_)) => Frame::Refused(Refusal::Malformed),
--- a/hawthornkeel/src/peer/link.rs
+++ b/hawthornkeel/src/peer/link.rs
@@ -134,7 +134,7 @@
     /// Closes `connection` because nothing came from the peer while a call waited.
     pub fn replace_silent(&self, connection: &Connection) {
         if connection.close_reason().is_none() {
-            tracing::warn!(peer = %self.peer, address = %self.address, "peer_silent");
+            tracing::warn!(event = "peer-silent", peer = %self.peer, address = %self.address);
             connection.close(CODE_SILENT, b"silent");
         }
     }
@@ -170,7 +170,7 @@
             State::Up { connection, .. } => match connection.close_reason() {
                 None => Ok(Live::Connection(connection.clone())),
                 Some(reason) => {
-                    tracing::info!(peer = %self.peer, %reason, "peer_lost");
+                    tracing::info!(event = "peer-lost", peer = %self.peer, %reason);
                     Ok(Live::Dial(FIRST_BACKOFF))
                 }
             },
@@ -190,7 +190,7 @@
         monoio::spawn(async move {
             let state = match link.dial().await {
                 Ok((connection, stream)) => {
-                    tracing::info!(peer = %link.peer, address = %link.address, "peer_connected");
+                    tracing::info!(event = "peer-connected", peer = %link.peer, address = %link.address);
                     State::Up { connection, stream: Some(stream) }
                 }
                 Err(error) => link.failed(backoff, &error),
@@ -204,7 +204,7 @@
     }
 
     fn failed(&self, backoff: Duration, error: &PeerError) -> State {
-        tracing::warn!(peer = %self.peer, address = %self.address, %error, "peer_unreachable");
+        tracing::warn!(event = "peer-unreachable", peer = %self.peer, address = %self.address, %error);
         let wait = backoff.mul_f64(0.5 + rand::random::<f64>() / 2.0);
         State::Idle {
             not_before: Instant::now() + wait,
--- a/hawthornkeel/tests/peer_trust.rs
+++ b/hawthornkeel/tests/peer_trust.rs
@@ -123,7 +123,7 @@
                 let error = answer.unwrap_err();
                 assert!(!error.may_have_run(), "{error}");
                 assert!(error.to_string().contains(reason), "{error}");
-                until("the refusal's log line", || logged(&log, "peer_refused", reason)).await;
+                until("the refusal's log line", || logged(&log, "peer-refused", reason)).await;
             }
         }
     });
