--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -33,9 +33,9 @@
 use indexmap::IndexMap;
 use rand_chacha::ChaCha8Rng;
 
+use crate::clock::wall_now;
 use crate::control::batch;
 use crate::control::clock::boot_now;
-use crate::control::clock::wall_now;
 use crate::control::error::CodecError;
 use crate::control::error::ControlFailure;
 use crate::control::pending::BatchLimits;
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -15,6 +15,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::entry::outlet::EntryMessage;
+
 /// Message between instances.
 ///
 /// A variant is never removed or moved without a new [`wire::VERSION`](crate::peer::wire::VERSION).
@@ -44,6 +46,8 @@
     Status,
     /// Answers [`Frame::Status`].
     StatusReply(InstanceStatus),
+    /// Between entries, one-way.
+    Entry(EntryMessage),
 }
 
 /// Kind of a frame, by which its handler is found.
@@ -65,6 +69,8 @@
     Status,
     /// Of every answer to a call.
     Answer,
+    /// Of [`Frame::Entry`].
+    Entry,
 }
 
 impl Frame {
@@ -78,6 +84,7 @@
             Self::TakeOuts(_) => FrameKind::TakeOuts,
             Self::Status => FrameKind::Status,
             Self::Lead => FrameKind::Lead,
+            Self::Entry(_) => FrameKind::Entry,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
