Instance with its roles, and the operators' endpoint

Cause: the roles have to run as processes of their own from one settings file. Change: instance.rs opens the endpoint for peers, the control role, the operators' endpoint and the entry; the document controller follows the published state; entry.grant_ms bounds calls to cold targets.

--- /dev/null
+++ b/hawthornkeel/src/admin.rs
@@ -0,0 +1,82 @@
+//! Endpoint of operators and of metrics.
+
+use http::Method;
+use http::StatusCode;
+use metrics_exporter_prometheus::PrometheusHandle;
+use serde::Serialize;
+use serde::de::DeserializeOwned;
+
+use crate::control::admin::Admin;
+use crate::control::admin::SubmitRequest;
+use crate::http::message::Request;
+use crate::http::message::Response;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+use crate::http::server::Handler;
+
+/// Content type of the metrics' text format.
+const METRICS_TYPE: &str = "text/plain; version=0.0.4";
+/// Document that a submission may carry, in bytes at most.
+const MAX_DOCUMENT: usize = 4 << 20;
+
+/// Answers operators and scrapes of metrics.
+pub struct AdminHandler {
+    admin: Admin,
+    metrics: PrometheusHandle,
+}
+
+impl AdminHandler {
+    /// Creates the handler.
+    pub fn new(admin: Admin, metrics: PrometheusHandle) -> Self {
+        Self { admin, metrics }
+    }
+
+    async fn route(&self, request: Request) -> Result<Response, Problem> {
+        let method = request.head.method.clone();
+        match (method, request.head.path.as_str()) {
+            (Method::GET, "/metrics") => Ok(self.scrape()),
+            (Method::GET, "/admin/status") => Ok(json(&self.admin.status().await)),
+            (Method::POST, "/admin/submit") => self.submit(&request).await,
+            (Method::POST, "/admin/take-out") => {
+                Ok(json(&self.admin.take_out(parse(&request)?).await))
+            }
+            (Method::POST, "/admin/bring-back") => {
+                Ok(json(&self.admin.bring_back(parse(&request)?).await))
+            }
+            _ => Err(Problem::not_run(Code::NotFound)),
+        }
+    }
+
+    fn scrape(&self) -> Response {
+        Response::whole(StatusCode::OK, METRICS_TYPE, self.metrics.render())
+    }
+
+    /// Submits a document after it has passed all checks here.
+    async fn submit(&self, request: &Request) -> Result<Response, Problem> {
+        let submit: SubmitRequest = parse(request)?;
+        if let Err(findings) = hawthornkeel_config::parse_document("document", &submit.text) {
+            let problem = Problem::not_run(Code::Invalid);
+            return Err(problem.with_detail(findings.to_string()));
+        }
+        Ok(json(&self.admin.submit(submit).await))
+    }
+}
+
+impl Handler for AdminHandler {
+    async fn handle(&self, request: Request) -> Response {
+        self.route(request).await.unwrap_or_else(Problem::into_response)
+    }
+
+    fn max_body(&self, _head: &crate::http::message::Head) -> Option<usize> {
+        Some(MAX_DOCUMENT)
+    }
+}
+
+fn parse<T: DeserializeOwned>(request: &Request) -> Result<T, Problem> {
+    serde_json::from_slice(&request.body)
+        .map_err(|e| Problem::not_run(Code::BadRequest).with_detail(e.to_string()))
+}
+
+fn json<T: Serialize>(value: &T) -> Response {
+    Response::json(serde_json::to_vec(value).unwrap_or_default())
+}
--- a/hawthornkeel/src/entry/controllers/document.rs
+++ b/hawthornkeel/src/entry/controllers/document.rs
@@ -2,10 +2,13 @@
 
 use std::rc::Rc;
 
+use hawthornkeel_config::parse_document;
 use hawthornkeel_core::document::Document;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::state::published::Published;
 
+use crate::control::watch::Watch;
 use crate::entry::context::Context;
 use crate::entry::environment::Environment;
 
@@ -31,3 +34,28 @@
     tracing::info!(event = "data-centres-taken-out", list);
     context.pump();
 }
+
+/// Follows the published state until the process ends.
+pub async fn follow(context: Rc<Context>, watch: Watch) {
+    loop {
+        let seen = watch.changes().count();
+        if let Some(published) = watch.current() {
+            take_published(&context, &published);
+            apply_taken_out(&context, &watch.taken_out());
+        }
+        watch.changes().after(seen).await;
+    }
+}
+
+fn take_published(context: &Context, published: &Published) {
+    if published.version == Version(0) {
+        return;
+    }
+    match parse_document("document", &published.text) {
+        Ok(document) => apply_document(context, published.version, document),
+        // The document was checked before it was accepted, so this is another release's.
+        Err(findings) => {
+            tracing::error!(event = "document-refused", version = %published.version, %findings);
+        }
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/instance.rs
@@ -0,0 +1,157 @@
+//! One instance with the roles that its settings give it, from its start to its planned stop.
+
+use std::error::Error;
+use std::fmt;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::lease::LeaseSettings;
+use metrics_exporter_prometheus::PrometheusHandle;
+
+use crate::admin::AdminHandler;
+use crate::control::open::OpenError;
+use crate::control::open::open_control;
+use crate::control::start;
+use crate::control::start::Parts;
+use crate::entry::claims::ClaimStore;
+use crate::entry::context::Context;
+use crate::entry::context::Wiring;
+use crate::entry::controllers::document;
+use crate::entry::controllers::lease;
+use crate::entry::outlet::Outlet;
+use crate::entry::start::Started;
+use crate::entry::start::StopReport;
+use crate::http::server::Limits;
+use crate::http::server::ListenError;
+use crate::http::server::Server;
+use crate::peer::Endpoint;
+use crate::peer::Frame;
+use crate::peer::PeerError;
+use crate::peer::frame::FrameKind;
+use crate::stop::StopRequest;
+
+/// Pause between two looks at whether a stop was asked for.
+const POLL: Duration = Duration::from_millis(20);
+
+/// Why an instance could not start, or had to end.
+#[derive(Debug)]
+pub enum RunError {
+    /// The endpoint for peers can't be opened.
+    Peer(PeerError),
+    /// An address can't be listened on.
+    Listen(ListenError),
+    /// The control role can't start.
+    Control(OpenError),
+    /// The entry role has no address.
+    NoAddress,
+}
+
+impl fmt::Display for RunError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Peer(error) => write!(f, "can't open the endpoint for peers: {error}"),
+            Self::Listen(error) => error.fmt(f),
+            Self::Control(error) => error.fmt(f),
+            Self::NoAddress => f.write_str("entry.listen is missing"),
+        }
+    }
+}
+
+impl Error for RunError {}
+
+impl From<PeerError> for RunError {
+    fn from(error: PeerError) -> Self {
+        Self::Peer(error)
+    }
+}
+
+impl From<ListenError> for RunError {
+    fn from(error: ListenError) -> Self {
+        Self::Listen(error)
+    }
+}
+
+impl From<OpenError> for RunError {
+    fn from(error: OpenError) -> Self {
+        Self::Control(error)
+    }
+}
+
+/// Runs an instance until `stop` is asked for.
+///
+/// # Errors
+/// Fails where an address, a certificate or the data folder can't be used.
+pub async fn run(
+    settings: Settings,
+    stop: StopRequest,
+    metrics: PrometheusHandle,
+) -> Result<StopReport, RunError> {
+    let endpoint = Endpoint::open(&settings)?;
+    let control = if settings.control.enabled {
+        Some(open_control(&settings, &endpoint)?)
+    } else {
+        None
+    };
+    let parts = start::start(&settings, &endpoint, control);
+    if let Some(address) = settings.instance.admin {
+        serve_admin(address, &parts, metrics)?;
+    }
+    let report = match settings.entry.enabled {
+        true => serve_entry(settings, &endpoint, &parts, stop).await?,
+        false => wait_for_stop(stop).await,
+    };
+    endpoint.close();
+    Ok(report)
+}
+
+fn serve_admin(
+    address: SocketAddr,
+    parts: &Parts,
+    metrics: PrometheusHandle,
+) -> Result<(), RunError> {
+    let server = Server::bind(address, Limits::default())?;
+    monoio::spawn(server.serve(AdminHandler::new(parts.admin.clone(), metrics)));
+    Ok(())
+}
+
+async fn serve_entry(
+    settings: Settings,
+    endpoint: &Endpoint,
+    parts: &Parts,
+    stop: StopRequest,
+) -> Result<StopReport, RunError> {
+    let listen = settings.entry.listen.ok_or(RunError::NoAddress)?;
+    let wiring = Wiring {
+        claims: ClaimStore::Control(parts.client.clone()),
+        outlet: Outlet::Peers(endpoint.clone()),
+        lease: lease_settings(&settings),
+    };
+    let context = Rc::new(Context::new(settings, wiring));
+    receive_entry_frames(&context, endpoint);
+    monoio::spawn(document::follow(Rc::clone(&context), parts.watch.clone()));
+    Ok(Started::listen(context, listen)?.serve(stop).await)
+}
+
+fn lease_settings(settings: &Settings) -> LeaseSettings {
+    let grant = Duration::from_millis(settings.entry.grant_ms);
+    LeaseSettings { grant, ..LeaseSettings::default() }
+}
+
+fn receive_entry_frames(context: &Rc<Context>, endpoint: &Endpoint) {
+    let context = Rc::clone(context);
+    endpoint.on_frame(FrameKind::Entry, move |from, frame| {
+        if let Frame::Entry(message) = frame {
+            lease::receive(&context, from, message);
+        }
+    });
+}
+
+/// Waits for the request to stop an instance without the entry role.
+async fn wait_for_stop(stop: StopRequest) -> StopReport {
+    while stop.count() == 0 {
+        monoio::time::sleep(POLL).await;
+    }
+    StopReport::Complete
+}
--- a/hawthornkeel/src/lib.rs
+++ b/hawthornkeel/src/lib.rs
@@ -2,12 +2,14 @@
 
 #![deny(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)]
 
+pub mod admin;
 pub mod cli;
 pub mod clock;
 pub mod control;
 pub mod disk;
 pub mod entry;
 pub mod http;
+pub mod instance;
 pub mod logging;
 pub mod peer;
 pub mod runtime;
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -56,6 +56,10 @@
     pub max_connections: usize,
     /// Time for a caller to send a whole request, in milliseconds.
     pub receive_ms: u64,
+    /// Longest call to a cold target, in milliseconds.
+    ///
+    /// A new issuer of grants waits this long, so that no call of an earlier one still runs.
+    pub grant_ms: u64,
     /// Time that a planned stop waits for the balancer to notice, in milliseconds.
     pub drain_ms: u64,
     /// Time after which a planned stop ends what still runs, in milliseconds.
@@ -70,6 +74,7 @@
             max_head: 16 * 1024,
             max_connections: 4096,
             receive_ms: 10_000,
+            grant_ms: 9_000,
             drain_ms: 5_000,
             stop_ms: 30_000,
         }
