Cluster of instances in threads for tests; leader killed and quorum lost

Cause: the control role had not run. Change: parts of an instance put together in control/start.rs; tests over real UDP.

--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -15,4 +15,5 @@
 pub mod pending;
 pub mod saver;
 pub mod sources;
+pub mod start;
 pub mod watch;
--- /dev/null
+++ b/hawthornkeel/src/control/start.rs
@@ -0,0 +1,54 @@
+//! Puts the parts together that every instance has, with or without the control role.
+
+use std::time::Duration;
+
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::replica::Settings as LogSettings;
+
+use crate::control::admin::Admin;
+use crate::control::client::ControlClient;
+use crate::control::follow::Follower;
+use crate::control::gossip::Gossip;
+use crate::control::node::Control;
+use crate::control::watch::Watch;
+use crate::peer::Endpoint;
+
+/// Share of the election time that the leader's lease leaves unused, as its divisor.
+const DRIFT_DIVISOR: u32 = 10;
+
+/// What an instance has of the control plane.
+#[derive(Clone)]
+pub struct Parts {
+    /// Control role, if the instance has it.
+    pub control: Option<Control>,
+    /// Published state in force.
+    pub watch: Watch,
+    /// Way to the control instances.
+    pub client: ControlClient,
+    /// Handlers of operators' requests.
+    pub admin: Admin,
+}
+
+/// Starts what every instance has; `control` is its own control role, if any.
+pub fn start(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Parts {
+    let watch = Follower::start(settings, endpoint, control.clone());
+    let client = ControlClient::new(settings, endpoint, control.clone());
+    let gossip = Gossip::start(endpoint, &watch, &client);
+    let admin =
+        Admin { endpoint: endpoint.clone(), watch: watch.clone(), client: client.clone(), gossip };
+    Parts { control, watch, client, admin }
+}
+
+/// Returns the settings of the replicated log that `settings` call for.
+pub fn log_settings(settings: &Settings) -> LogSettings {
+    let control = &settings.control;
+    let election = Duration::from_millis(control.election_ms);
+    LogSettings {
+        founders: control.founders.clone(),
+        election,
+        heartbeat: Duration::from_millis(control.heartbeat_ms),
+        drift: election / DRIFT_DIVISOR,
+        snapshot_entries: control.snapshot_entries,
+        ..LogSettings::default()
+    }
+}
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -1,6 +1,8 @@
 //! Certificates, endpoints and event loops for tests between instances.
 #![allow(dead_code)]
 
+pub mod cluster;
+
 use std::future::Future;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
