Calls that wait keep asking for grants; processes of a fleet in tests

Cause: a call that waited longer than 2 s for a cold target stopped asking for a grant, because only its arrival counted as a wish for the pool; with an issuer that comes late it ran into its deadline. Seen through separate processes: route-wait at 1 s, lease held from 3.2 s, refused at 8 s. Ruled out: votes that bar each other (the lease was won at 3.2 s), lost messages (no request was sent at all). Change: a pool with waiting calls is wanted; the document controller hands the targets to the router again; an entry is ready once it knows a document and targets; tests/fleet starts real processes. Before: late_issuer fails with 'the waiting call asks for a grant: []'. After: it passes.

--- /dev/null
+++ b/hawthornkeel/src/control/open.rs
@@ -0,0 +1,113 @@
+//! Opens the control role on its data folder.
+
+use std::error::Error;
+use std::fmt;
+use std::io;
+
+use futures_channel::mpsc;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_core::replica::Node;
+use hawthornkeel_core::replica::Save;
+use hawthornkeel_core::replica::Ticket;
+use rand_chacha::ChaCha8Rng;
+use rand_chacha::rand_core::SeedableRng;
+
+use crate::control::error::ControlFailure;
+use crate::control::node::Control;
+use crate::control::node::ControlOptions;
+use crate::control::pending::BatchLimits;
+use crate::control::saver::Saver;
+use crate::control::start;
+use crate::disk::Disk;
+use crate::disk::DiskError;
+use crate::disk::DiskSettings;
+use crate::disk::DiskWriter;
+use crate::disk::Report;
+use crate::peer::Endpoint;
+
+/// Why the control role can't start.
+#[derive(Debug)]
+pub enum OpenError {
+    /// The data folder can't be used.
+    Disk(DiskError),
+    /// The thread that writes can't be started.
+    Thread(io::Error),
+    /// The log on the disk can't be followed.
+    Log(ControlFailure),
+}
+
+impl fmt::Display for OpenError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Disk(error) => write!(f, "can't use the data folder: {error}"),
+            Self::Thread(error) => write!(f, "can't start the disk's thread: {error}"),
+            Self::Log(error) => write!(f, "can't start the control role: {error}"),
+        }
+    }
+}
+
+impl Error for OpenError {}
+
+impl From<DiskError> for OpenError {
+    fn from(error: DiskError) -> Self {
+        Self::Disk(error)
+    }
+}
+
+impl From<io::Error> for OpenError {
+    fn from(error: io::Error) -> Self {
+        Self::Thread(error)
+    }
+}
+
+impl From<ControlFailure> for OpenError {
+    fn from(error: ControlFailure) -> Self {
+        Self::Log(error)
+    }
+}
+
+/// Data folder as the control role's disk.
+struct FolderSaver {
+    writer: DiskWriter,
+}
+
+impl Saver for FolderSaver {
+    fn save(&self, ticket: Ticket, save: Save) {
+        self.writer.save(ticket, save);
+    }
+}
+
+/// Opens the data folder and starts the control role on it.
+///
+/// # Errors
+/// Fails where the data folder is in use, damaged, or can't be read or written.
+pub fn open_control(settings: &Settings, endpoint: &Endpoint) -> Result<Control, OpenError> {
+    let (disk, recovered) = Disk::open(&settings.control.data, DiskSettings::default())?;
+    let replica = recovered.id;
+    tracing::info!(event = "data-folder-opened", %replica, cut_bytes = recovered.cut);
+    let (sender, receiver) = mpsc::unbounded();
+    let writer = DiskWriter::start(disk, move |report| {
+        // The receiver is gone only once the process ends.
+        let _ = sender.unbounded_send(report);
+    })?;
+    let options = ControlOptions {
+        node: Node { id: replica, name: settings.instance.name.clone() },
+        settings: start::log_settings(settings),
+        batch: BatchLimits::default(),
+        rng: ChaCha8Rng::seed_from_u64(rand::random()),
+        stored: recovered.stored,
+    };
+    let control = Control::start(options, endpoint.clone(), Box::new(FolderSaver { writer }))?;
+    monoio::spawn(take_reports(control.clone(), receiver));
+    Ok(control)
+}
+
+/// Hands the disk's reports to the control role.
+async fn take_reports(control: Control, mut receiver: mpsc::UnboundedReceiver<Report>) {
+    while let Ok(report) = receiver.recv().await {
+        match report {
+            Report::Synced(ticket) => control.synced(ticket),
+            Report::Failed(error) => control.fail(ControlFailure::Disk(error.to_string())),
+        }
+    }
+}
--- a/hawthornkeel/src/entry/controllers/document.rs
+++ b/hawthornkeel/src/entry/controllers/document.rs
@@ -18,7 +18,12 @@
     if version <= current {
         return;
     }
-    context.router.borrow_mut().apply_document(&document);
+    {
+        let mut router = context.router.borrow_mut();
+        router.apply_document(&document);
+        // Targets of pools that the document before did not name were passed over.
+        router.update_targets(context.clock.now(), &context.targets.borrow());
+    }
     context.lease.borrow_mut().apply_document(&document);
     let environment = Environment::new(version, document);
     *context.environment.borrow_mut() = Some(Rc::new(environment));
--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -106,6 +106,7 @@
 
 /// Sends `message` to an instance, or takes it here where it is this one.
 pub fn send(context: &Rc<Context>, to: &InstanceName, message: EntryMessage) {
+    tracing::trace!(event = "entry-message-out", %to, ?message);
     if *to == context.settings.instance.name {
         receive(context, to, message);
         return;
@@ -115,6 +116,7 @@
 
 /// Takes a message of instance `from`.
 pub fn receive(context: &Rc<Context>, from: &InstanceName, message: EntryMessage) {
+    tracing::trace!(event = "entry-message", %from, ?message);
     match message {
         EntryMessage::Vote(message) => receive_vote(context, from, message),
         EntryMessage::Grant { from, message } => receive_grant(context, &from, message),
@@ -130,6 +132,7 @@
             won.then(|| lease.issuer.announce(now, &lease.holder)).flatten()
         };
         if let Some(announcement) = announcement {
+            log_announcement(&announcement);
             announce(context, announcement);
         }
         return;
@@ -140,6 +143,12 @@
     }
 }
 
+fn log_announcement(announcement: &GrantMessage) {
+    if let GrantMessage::Announce { centre, issuer, term } = announcement {
+        tracing::debug!(event = "lease-held", %centre, %issuer, term);
+    }
+}
+
 fn announce(context: &Rc<Context>, announcement: GrantMessage) {
     let own = context.settings.instance.name.clone();
     let peers = context.settings.peers.peers.iter().map(|p| p.name.clone());
--- a/hawthornkeel/src/entry/serve.rs
+++ b/hawthornkeel/src/entry/serve.rs
@@ -41,10 +41,13 @@
         if self.context.draining.is_set() {
             return Problem::not_run(Code::Stopping).into_response();
         }
-        match self.context.environment() {
-            Some(_) => Response::json("{\"ready\":true}"),
-            None => filter::not_ready("no environment document yet").into_response(),
+        if self.context.environment().is_none() {
+            return filter::not_ready("no environment document yet").into_response();
         }
+        if self.context.targets.borrow().is_empty() {
+            return filter::not_ready("no targets known yet").into_response();
+        }
+        Response::json("{\"ready\":true}")
     }
 
     async fn answer(&self, request: Request) -> Response {
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -11,6 +11,8 @@
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::admin::AdminHandler;
+use crate::control::error::ControlFailure;
+use crate::control::node::Control;
 use crate::control::open::OpenError;
 use crate::control::open::open_control;
 use crate::control::start;
@@ -46,6 +48,8 @@
     Control(OpenError),
     /// The entry role has no address.
     NoAddress,
+    /// The control role failed, and nothing more can be acknowledged.
+    Failed(ControlFailure),
 }
 
 impl fmt::Display for RunError {
@@ -55,6 +59,7 @@
             Self::Listen(error) => error.fmt(f),
             Self::Control(error) => error.fmt(f),
             Self::NoAddress => f.write_str("entry.listen is missing"),
+            Self::Failed(failure) => write!(f, "control role failed: {failure}"),
         }
     }
 }
@@ -89,23 +94,41 @@
     metrics: PrometheusHandle,
 ) -> Result<StopReport, RunError> {
     let endpoint = Endpoint::open(&settings)?;
-    let control = if settings.control.enabled {
-        Some(open_control(&settings, &endpoint)?)
-    } else {
-        None
-    };
+    let control =
+        if settings.control.enabled { Some(open_control(&settings, &endpoint)?) } else { None };
     let parts = start::start(&settings, &endpoint, control);
     if let Some(address) = settings.instance.admin {
         serve_admin(address, &parts, metrics)?;
     }
-    let report = match settings.entry.enabled {
-        true => serve_entry(settings, &endpoint, &parts, stop).await?,
-        false => wait_for_stop(stop).await,
+    let failed = control_failure(parts.control.clone());
+    let report = monoio::select! {
+        report = serve(settings, &endpoint, &parts, stop) => report?,
+        failure = failed => return Err(RunError::Failed(failure)),
     };
     endpoint.close();
     Ok(report)
 }
 
+async fn serve(
+    settings: Settings,
+    endpoint: &Endpoint,
+    parts: &Parts,
+    stop: StopRequest,
+) -> Result<StopReport, RunError> {
+    if settings.entry.enabled {
+        return serve_entry(settings, endpoint, parts, stop).await;
+    }
+    Ok(wait_for_stop(stop).await)
+}
+
+/// Waits until the control role has failed; for ever where there is none.
+async fn control_failure(control: Option<Control>) -> ControlFailure {
+    match control {
+        Some(control) => control.failed().await,
+        None => std::future::pending().await,
+    }
+}
+
 fn serve_admin(
     address: SocketAddr,
     parts: &Parts,
--- /dev/null
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -0,0 +1,386 @@
+//! Fleet of real processes before stand-in targets, for tests.
+
+#![allow(dead_code)]
+
+use std::fs;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::UdpSocket;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+use hawthornkeel::peer::certificate;
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::platform::Instance as Listed;
+use hawthornkeel_fakes::platform::InstanceState;
+use hawthornkeel_fakes::platform::List;
+use hawthornkeel_fakes::thread::PlatformThread;
+use hawthornkeel_fakes::thread::TargetThread;
+use hawthornkeel_fakes::thread::eventually;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
+use tempfile::TempDir;
+
+/// Time for anything to come about in a test.
+pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Caller's key of the one workspace.
+pub const KEY: &str = "key-of-makers";
+/// SHA-256 of [`KEY`].
+const KEY_HASH: &str = "81645948756ea5b461a95787f94f98368bdf4dcfbca4e0d28797e10d31d3cd73";
+/// Pools of the test document.
+const POOLS: [&str; 3] = ["readers", "writers", "registry"];
+/// Document of the tests: two stages that may be repeated and one that may not.
+pub const DOCUMENT: &str = r#"
+name = "fleet"
+[[workspace]]
+name = "makers"
+[[pool]]
+name = "readers"
+kind = "service"
+warm_after = 4
+[[pool]]
+name = "writers"
+kind = "engine"
+model = "draft-small"
+warm_after = 4
+[[pool]]
+name = "registry"
+kind = "service"
+warm_after = 4
+[[pipeline]]
+name = "draft"
+deadline_ms = 8000
+[[pipeline.stage]]
+name = "read"
+pool = "readers"
+path = "/read"
+[[pipeline.stage]]
+name = "write"
+pool = "writers"
+max_tokens = 16
+[[pipeline]]
+name = "release"
+deadline_ms = 8000
+[[pipeline.stage]]
+name = "read"
+pool = "readers"
+path = "/read"
+[[pipeline.stage]]
+name = "sign"
+pool = "registry"
+path = "/sign"
+idempotent = false
+max_attempts = 1
+"#;
+
+/// One instance.
+pub struct Instance {
+    /// Name.
+    pub name: String,
+    /// Data centre.
+    pub centre: String,
+    /// Address for callers.
+    pub listen: SocketAddr,
+    /// Address for operators.
+    pub admin: SocketAddr,
+    peer: SocketAddr,
+    control: bool,
+    settings: PathBuf,
+    child: Option<Child>,
+}
+
+/// Target with the data centre and pool that it belongs to.
+pub struct Target {
+    /// Stand-in.
+    pub thread: TargetThread,
+    /// Entry on the platform's list.
+    pub listed: Listed,
+}
+
+/// Fleet of processes; dropping it ends them all.
+pub struct Fleet {
+    /// Instances, of which the first three have the control role.
+    pub instances: Vec<Instance>,
+    /// Targets, one for each pool in each data centre.
+    pub targets: Vec<Target>,
+    /// Stand-in platform.
+    pub platform: PlatformThread,
+    root: TempDir,
+}
+
+impl Fleet {
+    /// Starts `count` instances over `centres` data centres, and submits [`DOCUMENT`].
+    pub fn start(count: usize, centres: usize) -> Self {
+        let mut fleet = Self::prepare(count, centres);
+        for at in 0..count {
+            fleet.spawn(at);
+        }
+        fleet.submit(0, 1, 0, DOCUMENT);
+        for at in 0..count {
+            fleet.wait_ready(at);
+        }
+        fleet
+    }
+
+    /// Prepares a fleet none of whose instances runs yet.
+    pub fn prepare(count: usize, centres: usize) -> Self {
+        let root = TempDir::new().unwrap();
+        let centre = |at: usize| format!("dc-{}", at % centres);
+        let instances: Vec<_> = (0..count)
+            .map(|at| Instance {
+                name: format!("entry-{at}"),
+                centre: centre(at),
+                listen: free_tcp(),
+                admin: free_tcp(),
+                peer: free_udp(),
+                control: at < 3,
+                settings: root.path().join(format!("entry-{at}.toml")),
+                child: None,
+            })
+            .collect();
+        let targets: Vec<_> =
+            (0..centres).flat_map(|at| POOLS.map(|pool| start_target(pool, &centre(at)))).collect();
+        let listed = targets.iter().map(|t| t.listed.clone()).collect();
+        let list = List { instances: listed, ..List::default() };
+        let platform = PlatformThread::start(list).unwrap();
+        let fleet = Self { instances, targets, platform, root };
+        for at in 0..count {
+            fleet.write_settings(at);
+        }
+        fleet
+    }
+
+    /// Starts the process of an instance.
+    pub fn spawn(&mut self, at: usize) {
+        let log = self.root.path().join(format!("entry-{at}.log"));
+        let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
+        let child = Command::new(env!("CARGO_BIN_EXE_hawthornkeel"))
+            .args(["run", "--settings"])
+            .arg(&self.instances[at].settings)
+            .stdin(Stdio::null())
+            .stdout(Stdio::null())
+            .stderr(log)
+            .spawn()
+            .unwrap();
+        self.instances[at].child = Some(child);
+    }
+
+    /// Kills the process of an instance.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.instances[at].child.take() {
+            child.kill().unwrap();
+            child.wait().unwrap();
+        }
+    }
+
+    /// Sends a signal to the process of an instance.
+    pub fn signal(&self, at: usize, signal: Signal) {
+        kill_process(self.pid(at), signal).unwrap();
+    }
+
+    /// Returns the process number of an instance.
+    pub fn pid(&self, at: usize) -> Pid {
+        Pid::from_child(self.instances[at].child.as_ref().unwrap())
+    }
+
+    /// Waits for the process of an instance to end and returns its exit code.
+    pub fn wait_exit(&mut self, at: usize) -> Option<i32> {
+        let mut child = self.instances[at].child.take().unwrap();
+        child.wait().unwrap().code()
+    }
+
+    /// Waits until an instance serves callers.
+    pub fn wait_ready(&self, at: usize) {
+        let address = self.instances[at].listen;
+        let ready = || get(address, "/ready").is_some_and(|a| a.status == 200);
+        assert!(eventually(PATIENCE, ready), "{} not ready:\n{}", at, self.log(at));
+    }
+
+    /// Submits a document at an instance until it is accepted.
+    pub fn submit(&self, at: usize, operation: u64, expected: u64, text: &str) {
+        let accepted = || {
+            let answer = self.try_submit(at, "op", operation, expected, text);
+            answer.is_some_and(|a| a.body.contains("accepted"))
+        };
+        assert!(eventually(PATIENCE, accepted), "document not accepted:\n{}", self.log(at));
+    }
+
+    /// Submits a document at an instance once.
+    pub fn try_submit(
+        &self,
+        at: usize,
+        operator: &str,
+        operation: u64,
+        expected: u64,
+        text: &str,
+    ) -> Option<Answer> {
+        let text = serde_json::to_string(text).unwrap();
+        let body = format!(
+            "{{\"operator\":\"{operator}\",\"operation\":{operation},\"expected\":{expected},\
+             \"text\":{text}}}"
+        );
+        post(self.instances[at].admin, "/admin/submit", "", &body)
+    }
+
+    /// Gives an order about a data centre at an instance.
+    pub fn order(&self, at: usize, order: &str, operation: u64, centre: &str) -> Option<Answer> {
+        let body =
+            format!("{{\"operator\":\"op\",\"operation\":{operation},\"centre\":\"{centre}\"}}");
+        post(self.instances[at].admin, &format!("/admin/{order}"), "", &body)
+    }
+
+    /// Calls a pipeline at an instance.
+    pub fn call(&self, at: usize, pipeline: &str, key: &str, body: &str) -> Option<Answer> {
+        let key = match key {
+            "" => String::new(),
+            key => format!("idempotency-key: {key}\r\n"),
+        };
+        let fields = format!("authorization: Bearer {KEY}\r\n{key}");
+        post(self.instances[at].listen, &format!("/v1/pipelines/{pipeline}"), &fields, body)
+    }
+
+    /// Returns the targets of a pool.
+    pub fn pool(&self, pool: &str) -> impl Iterator<Item = &Target> {
+        self.targets.iter().filter(move |t| t.listed.pool == pool)
+    }
+
+    /// Returns the runs that the targets of a pool recorded under an idempotency key.
+    pub fn runs(&self, pool: &str, key: &str) -> usize {
+        let count = |t: &Target| {
+            let report = t.thread.report().unwrap();
+            report.runs.iter().filter(|r| r.key.as_deref() == Some(key)).count()
+        };
+        self.pool(pool).map(count).sum()
+    }
+
+    /// Removes the data folder of an instance, whose process must not run.
+    pub fn wipe(&self, at: usize) {
+        fs::remove_dir_all(self.data(at)).unwrap();
+    }
+
+    /// Returns what an instance has logged.
+    pub fn log(&self, at: usize) -> String {
+        fs::read_to_string(self.root.path().join(format!("entry-{at}.log"))).unwrap_or_default()
+    }
+
+    fn data(&self, at: usize) -> PathBuf {
+        self.root.path().join(format!("data-{at}"))
+    }
+
+    fn write_settings(&self, at: usize) {
+        let keys = self.root.path().join("keys");
+        fs::create_dir_all(&keys).unwrap();
+        let own = &self.instances[at];
+        let issued = certificate::issue(&keys, &own.name.as_str().into()).unwrap();
+        let mut text = format!(
+            "[instance]\nname = \"{}\"\ndata_centre = \"{}\"\nadmin = \"{}\"\n\
+             [entry]\nenabled = true\nlisten = \"{}\"\ngrant_ms = 2000\ndrain_ms = 500\n\
+             stop_ms = 10000\n[platform]\naddress = \"{}\"\npoll_ms = 100\n\
+             [keys]\n{KEY_HASH} = \"makers\"\n",
+            own.name, own.centre, own.admin, own.listen, self.platform.address
+        );
+        if own.control {
+            text += &format!(
+                "[control]\nenabled = true\ndata = {:?}\nfounders = {:?}\n",
+                self.data(at),
+                self.instances.iter().filter(|i| i.control).map(|i| &i.name).collect::<Vec<_>>()
+            );
+        }
+        text += &format!(
+            "[peers]\nlisten = \"{}\"\ncertificate = {:?}\nkey = {:?}\nauthority = {:?}\n",
+            own.peer, issued.certificate, issued.key, issued.authority
+        );
+        for peer in self.instances.iter().filter(|i| i.name != own.name) {
+            text += &format!(
+                "[[peers.peer]]\nname = \"{}\"\naddress = \"{}\"\ndata_centre = \"{}\"\n\
+                 control = {}\n",
+                peer.name, peer.peer, peer.centre, peer.control
+            );
+        }
+        fs::write(&own.settings, text).unwrap();
+    }
+}
+
+impl Drop for Fleet {
+    fn drop(&mut self) {
+        for at in 0..self.instances.len() {
+            self.kill(at);
+        }
+    }
+}
+
+/// Answer to a caller or operator.
+#[derive(Clone, Debug)]
+pub struct Answer {
+    /// Status.
+    pub status: u16,
+    /// Body.
+    pub body: String,
+}
+
+impl Answer {
+    /// Returns the value of a field of a refusal.
+    pub fn field(&self, name: &str) -> String {
+        let value: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
+        value[name].as_str().unwrap_or_default().to_owned()
+    }
+}
+
+/// Sends a GET request; nothing is returned where no whole answer came.
+pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
+    exchange(address, "GET", path, "", "")
+}
+
+/// Sends a POST request; nothing is returned where no whole answer came.
+pub fn post(address: SocketAddr, path: &str, fields: &str, body: &str) -> Option<Answer> {
+    exchange(address, "POST", path, fields, body)
+}
+
+fn exchange(
+    address: SocketAddr,
+    method: &str,
+    path: &str,
+    fields: &str,
+    body: &str,
+) -> Option<Answer> {
+    use std::io::Read;
+    use std::io::Write;
+
+    let mut stream = std::net::TcpStream::connect_timeout(&address, PATIENCE).ok()?;
+    stream.set_read_timeout(Some(PATIENCE)).ok()?;
+    let request = format!(
+        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n{fields}\
+         content-length: {}\r\n\r\n{body}",
+        body.len()
+    );
+    stream.write_all(request.as_bytes()).ok()?;
+    let mut text = String::new();
+    stream.read_to_string(&mut text).ok()?;
+    let (head, body) = text.split_once("\r\n\r\n")?;
+    let status = head.split(' ').nth(1)?.parse().ok()?;
+    Some(Answer { status, body: body.to_owned() })
+}
+
+fn start_target(pool: &str, centre: &str) -> Target {
+    let thread = TargetThread::start(Behaviour::default()).unwrap();
+    let listed = Listed {
+        name: format!("{pool}-{centre}"),
+        address: thread.address.to_string(),
+        pool: pool.to_owned(),
+        data_centre: centre.to_owned(),
+        state: InstanceState::Live,
+    };
+    Target { thread, listed }
+}
+
+fn free_tcp() -> SocketAddr {
+    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
+
+fn free_udp() -> SocketAddr {
+    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+}
--- a/hawthornkeel_core/src/routing/cold.rs
+++ b/hawthornkeel_core/src/routing/cold.rs
@@ -190,7 +190,8 @@
     fn ask_for_grants(&mut self, now: Instant) {
         let mut asks = Vec::new();
         for pool in self.pools.values_mut() {
-            if pool.wanted.is_some_and(|at| now.since(at) < WANTED) {
+            let recent = pool.wanted.is_some_and(|at| now.since(at) < WANTED);
+            if recent || pool.queue.len() > 0 {
                 asks.extend(wanted_grants(pool, now, &self.lease, &mut self.next_request));
             }
         }
