A learner with the newest log may stand for election

The newest entry was on the lost leader and on a learner, which kept the learner's vote from all and could not stand itself. Ruled out: letting a learner vote in spite of its newer log, which could drop acknowledged entries. Change: a learner stands without counting its own vote, after twice the wait; a founding record from a founder other than the former is always taken up.

--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -14,6 +14,9 @@
 use crate::replica::message::VoteReply;
 use crate::replica::saves::Gate;
 
+/// Election times that a learner waits where a voter waits one.
+const LEARNER_WAIT: u32 = 2;
+
 /// Votes or pre-votes that a candidate was given.
 #[derive(Debug, Default)]
 pub(super) struct Votes {
@@ -23,7 +26,10 @@
 impl Replica {
     /// Draws the time of the next election.
     pub(super) fn arm_election(&mut self) {
-        let election = self.settings.election;
+        let mut election = self.settings.election;
+        if !self.log.members().is_voter(self.node.id) {
+            election *= LEARNER_WAIT;
+        }
         let spread = self.rng.random_range(0.0..1.0);
         self.stand_at = self.now + election + election.mul_f64(spread);
     }
@@ -34,13 +40,20 @@
             || self.heard.is_some_and(|h| self.now.since(h) < self.settings.election)
     }
 
-    /// Stands for election if this replica is a voter: asks for pre-votes first.
+    /// Stands for election if this replica is a member: asks for pre-votes first.
+    ///
+    /// A learner's own vote does not count. It stands because it may be the only one left with the
+    /// newest entry, which keeps it from voting for others: after a leader's disk was lost, no voter
+    /// might be electable.
     pub(super) fn stand(&mut self) {
         self.arm_election();
         self.leader = None;
-        if !self.log.members().is_voter(self.node.id) {
-            self.part = Part::Follower;
+        let members = self.log.members();
+        if !members.is_voter(self.node.id) {
             self.ask_to_be_added();
+        }
+        if members.get(self.node.id).is_none() {
+            self.part = Part::Follower;
             return;
         }
         self.part = Part::PreCandidate(Votes::default());
--- a/hawthornkeel_core/src/replica/formation.rs
+++ b/hawthornkeel_core/src/replica/formation.rs
@@ -100,7 +100,7 @@
                 formation.empty.shift_remove(&from.name);
                 formation.leader = leader.or(formation.leader.take());
                 if let Some(founding) = founding {
-                    self.adopt(founding);
+                    self.adopt(&from.name, founding);
                 }
             }
         }
@@ -132,11 +132,13 @@
     }
 
     /// Takes up the founding of a group that names this replica.
-    fn adopt(&mut self, founding: Founding) {
+    fn adopt(&mut self, from: &InstanceName, founding: Founding) {
         let Part::Empty(formation) = &self.part else { return };
         let named = founding.members.get(self.node.id).is_some();
         // The former that this disk was last called empty to decides: an older one lost its disk.
-        let current = formation.told.is_none_or(|id| founding.members.get(id).is_some());
+        // Where another founder took the older one's group up, a newer one can form none any more.
+        let current = formation.told.is_none_or(|id| founding.members.get(id).is_some())
+            || self.former() != Some(from);
         if named && current {
             self.found(founding);
         }
--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -92,6 +92,9 @@
     /// Tells whether a member answers and has nearly the whole log on disk.
     fn has_caught_up(&self, id: ReplicaId) -> bool {
         let Part::Leader(leader) = &self.part else { return false };
+        if id == self.node.id {
+            return true;
+        }
         // One that is lost again would weaken the quorum as a voter.
         if self.is_silent(id) {
             return false;
