--- /dev/null
+++ b/hawthornkeel/tests/disk_faults.rs
@@ -0,0 +1,172 @@
+//! Failing disks, two processes on one folder, and lost folders.
+
+mod saves;
+
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::sync::Arc;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::mpsc;
+use std::time::Duration;
+
+use hawthornkeel::disk::Disk;
+use hawthornkeel::disk::DiskError;
+use hawthornkeel::disk::DiskSettings;
+use hawthornkeel::disk::DiskWriter;
+use hawthornkeel::disk::Files;
+use hawthornkeel::disk::Kernel;
+use hawthornkeel::disk::Recovered;
+use hawthornkeel::disk::Report;
+use hawthornkeel_core::replica::Ticket;
+use rstest::rstest;
+use tempfile::TempDir;
+
+use crate::saves::entries;
+
+/// What fails, and how often that was tried.
+#[derive(Clone, Debug)]
+struct Failing {
+    /// Writes or syncs that are left before one fails.
+    left: Arc<AtomicU64>,
+    /// Calls after the one that failed.
+    after: Arc<AtomicU64>,
+    fails: Fails,
+}
+
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Fails {
+    Write,
+    Sync,
+}
+
+impl Failing {
+    fn new(fails: Fails) -> Self {
+        let left = Arc::new(AtomicU64::new(u64::MAX));
+        Self { left, after: Arc::default(), fails }
+    }
+
+    fn check(&self, call: Fails) -> io::Result<()> {
+        let left = self.left.load(Ordering::SeqCst);
+        if left == 0 {
+            self.after.fetch_add(1, Ordering::SeqCst);
+        } else if call == self.fails {
+            self.left.store(left - 1, Ordering::SeqCst);
+            if left == 1 {
+                return Err(io::ErrorKind::StorageFull.into());
+            }
+        }
+        // A later call succeeds, as a kernel's does once it has dropped what it could not write.
+        Ok(())
+    }
+}
+
+impl Files for Failing {
+    fn write(&mut self, file: &mut File, data: &[u8]) -> io::Result<()> {
+        let half = data.len() / 2;
+        if let Err(error) = self.check(Fails::Write) {
+            Kernel.write(file, &data[..half])?;
+            return Err(error);
+        }
+        Kernel.write(file, data)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        self.check(Fails::Sync)?;
+        Kernel.sync(file)
+    }
+}
+
+fn open(path: &Path) -> Result<(Disk, Recovered), DiskError> {
+    Disk::open(path, DiskSettings::default())
+}
+
+#[rstest]
+#[case(Fails::Write)]
+#[case(Fails::Sync)]
+fn failure_is_final(#[case] fails: Fails) {
+    let folder = TempDir::new().unwrap();
+    let files = Failing::new(fails);
+    let opened = Disk::open_with(folder.path(), DiskSettings::default(), files.clone());
+    let (mut disk, _) = opened.unwrap();
+    disk.write(&[entries(1, 2)]).unwrap();
+    files.left.store(1, Ordering::SeqCst);
+    let first = disk.write(&[entries(3, 3)]);
+    assert!(matches!(first, Err(DiskError::Io { .. })), "{first:?}");
+    for _ in 0..3 {
+        let later = disk.write(&[entries(3, 3)]);
+        assert!(matches!(later, Err(DiskError::Poisoned)), "{later:?}");
+    }
+    assert_eq!(files.after.load(Ordering::SeqCst), 0, "written or synced again after a failure");
+    drop(disk);
+    // What failed may be there or not, but what was acknowledged is.
+    let (_, found) = open(folder.path()).unwrap();
+    assert!(found.stored.entries.len() >= 2);
+}
+
+#[test]
+fn writer_stops_at_failure() {
+    let folder = TempDir::new().unwrap();
+    let files = Failing::new(Fails::Sync);
+    let opened = Disk::open_with(folder.path(), DiskSettings::default(), files.clone());
+    let (disk, _) = opened.unwrap();
+    let (sender, reports) = mpsc::channel();
+    let writer = DiskWriter::start(disk, move |r| sender.send(r).unwrap()).unwrap();
+    let wait = Duration::from_secs(20);
+    writer.save(Ticket(1), entries(1, 1));
+    assert!(matches!(reports.recv_timeout(wait), Ok(Report::Synced(Ticket(1)))));
+    files.left.store(1, Ordering::SeqCst);
+    writer.save(Ticket(2), entries(2, 2));
+    assert!(matches!(reports.recv_timeout(wait), Ok(Report::Failed(DiskError::Io { .. }))));
+    writer.save(Ticket(3), entries(2, 2));
+    drop(writer);
+    assert!(reports.recv().is_err(), "reported more after a failure");
+}
+
+#[test]
+fn writer_reports_in_order() {
+    let folder = TempDir::new().unwrap();
+    let (disk, _) = open(folder.path()).unwrap();
+    let (sender, reports) = mpsc::channel();
+    let writer = DiskWriter::start(disk, move |r| sender.send(r).unwrap()).unwrap();
+    (1..=500).for_each(|i| writer.save(Ticket(i), entries(i, i)));
+    drop(writer);
+    let tickets = reports.iter().map(|r| match r {
+        Report::Synced(ticket) => ticket.0,
+        Report::Failed(error) => panic!("{error}"),
+    });
+    let tickets: Vec<_> = tickets.collect();
+    assert!(tickets.is_sorted() && tickets.last() == Some(&500) && tickets.len() < 500);
+    assert_eq!(open(folder.path()).unwrap().1.stored.entries.len(), 500);
+}
+
+#[test]
+fn folder_is_locked() {
+    let folder = TempDir::new().unwrap();
+    let (disk, _) = open(folder.path()).unwrap();
+    let second = open(folder.path());
+    assert!(matches!(second, Err(DiskError::Locked(_))), "{second:?}");
+    drop(disk);
+    assert!(open(folder.path()).is_ok());
+}
+
+#[test]
+fn lost_folder_gets_new_identity() {
+    let folder = TempDir::new().unwrap();
+    let path = folder.path().join("data");
+    let first = open(&path).unwrap().1.id;
+    assert_eq!(open(&path).unwrap().1.id, first);
+    std::fs::remove_dir_all(&path).unwrap();
+    assert_ne!(open(&path).unwrap().1.id, first);
+}
+
+#[test]
+fn broken_off_creation_is_redone() {
+    let folder = TempDir::new().unwrap();
+    let first = open(folder.path()).unwrap().1.id;
+    // As after a stop between the first segment and the identity.
+    std::fs::remove_file(folder.path().join("identity")).unwrap();
+    std::fs::write(folder.path().join("identity.unfinished"), b"hk").unwrap();
+    assert_ne!(open(folder.path()).unwrap().1.id, first);
+}
