--- a/hawthornkeel/src/control/admin.rs
+++ b/hawthornkeel/src/control/admin.rs
@@ -25,9 +25,9 @@
 
 use crate::control::client::ControlClient;
 use crate::control::client::ControlError;
+use crate::control::follow::Follower;
 use crate::control::gather::ask_all;
 use crate::control::gossip::Gossip;
-use crate::control::watch::Watch;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
 use crate::peer::frame::InstanceStatus;
@@ -111,7 +111,7 @@
     /// Endpoint of this instance.
     pub endpoint: Endpoint,
     /// State in force at this instance.
-    pub watch: Watch,
+    pub follower: Follower,
     /// Way to the control instances.
     pub client: ControlClient,
     /// Spreads orders to take data centres out.
@@ -153,7 +153,7 @@
     pub async fn bring_back(&self, request: CentreRequest) -> CentreResponse {
         let order = order(request, CentreState::InService);
         // Orders to take it out that are known here must stand in the log before the return.
-        for hold in self.watch.unlogged() {
+        for hold in self.follower.watch().unlogged() {
             if hold.order.centre == order.centre && self.gossip.log(&hold.order).await.is_err() {
                 return CentreResponse::NotAccepted;
             }
@@ -171,7 +171,7 @@
         let peers: Vec<_> = self.endpoint.peers().map(|p| p.name.clone()).collect();
         let never = |_: &Frame| false;
         let answers = ask_all(&self.endpoint, &peers, &Frame::Status, STATUS_TIMEOUT, never).await;
-        let mut instances = vec![self.watch.status(self.endpoint.name())];
+        let mut instances = vec![self.follower.status()];
         instances.extend(answers.into_iter().filter_map(|(_, frame)| match frame {
             Frame::StatusReply(status) => Some(status),
             _ => None,
--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -22,6 +22,7 @@
 use crate::peer::frame::Follow;
 use crate::peer::frame::Followed;
 use crate::peer::frame::FrameKind;
+use crate::peer::frame::InstanceStatus;
 
 /// Time after a start during which only a leader's state is taken.
 const LEADER_WAIT: Duration = Duration::from_secs(3);
@@ -50,7 +51,7 @@
 
 impl Follower {
     /// Starts to follow, and to serve followers; `control` is this instance's own role, if any.
-    pub fn start(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Watch {
+    pub fn start(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Self {
         let follower = Self {
             endpoint: endpoint.clone(),
             control,
@@ -59,9 +60,13 @@
             controls: control_peers(settings),
         };
         follower.serve();
-        let watch = follower.watch.clone();
-        monoio::spawn(follower.run());
-        watch
+        monoio::spawn(follower.clone().run());
+        follower
+    }
+
+    /// Returns the published state in force at this instance.
+    pub fn watch(&self) -> &Watch {
+        &self.watch
     }
 
     fn serve(&self) {
@@ -81,11 +86,17 @@
         });
         let follower = self.clone();
         self.endpoint.on_call(FrameKind::Status, move |_, _| {
-            let status = follower.watch.status(follower.endpoint.name());
+            let status = follower.status();
             async move { Frame::StatusReply(status) }
         });
     }
 
+    /// Returns what is in force at this instance.
+    pub fn status(&self) -> InstanceStatus {
+        let control = self.control.as_ref().map(Control::status);
+        InstanceStatus { control, ..self.watch.status(self.endpoint.name()) }
+    }
+
     /// Returns the state that holds everything acknowledged so far, if this instance leads.
     async fn latest(&self) -> Followed {
         let Some(control) = &self.control else { return Followed::default() };
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -43,6 +43,7 @@
 use crate::control::saver::Saver;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
+use crate::peer::frame::ControlStatus;
 use crate::peer::frame::FrameKind;
 use crate::peer::frame::Lead;
 use crate::peer::frame::Proposed;
@@ -193,9 +194,12 @@
         Lead { own: replica.has_lease(boot_now()), leader }
     }
 
-    /// Returns the replica's state.
-    pub fn status(&self) -> Status {
-        self.inner.replica.borrow().status().clone()
+    /// Returns the part that this instance plays in the log.
+    pub fn status(&self) -> ControlStatus {
+        let lead = self.lead();
+        let replica = self.inner.replica.borrow();
+        let Status { term, commit, members, .. } = replica.status().clone();
+        ControlStatus { lead, term, commit, members }
     }
 
     /// Returns the published part of the state as applied here.
--- a/hawthornkeel/src/control/start.rs
+++ b/hawthornkeel/src/control/start.rs
@@ -31,11 +31,11 @@
 
 /// Starts what every instance has; `control` is its own control role, if any.
 pub fn start(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Parts {
-    let watch = Follower::start(settings, endpoint, control.clone());
+    let follower = Follower::start(settings, endpoint, control.clone());
+    let watch = follower.watch().clone();
     let client = ControlClient::new(settings, endpoint, control.clone());
     let gossip = Gossip::start(endpoint, &watch, &client);
-    let admin =
-        Admin { endpoint: endpoint.clone(), watch: watch.clone(), client: client.clone(), gossip };
+    let admin = Admin { endpoint: endpoint.clone(), follower, client: client.clone(), gossip };
     Parts { control, watch, client, admin }
 }
 
--- a/hawthornkeel/src/control/watch.rs
+++ b/hawthornkeel/src/control/watch.rs
@@ -132,7 +132,7 @@
         }
     }
 
-    /// Returns what is in force, for operators.
+    /// Returns what is in force here, for operators, without the part in the replicated log.
     pub fn status(&self, name: &InstanceName) -> InstanceStatus {
         let published = self.current();
         let state = published.clone().unwrap_or_default();
@@ -143,6 +143,7 @@
             hash: state.hash.clone(),
             taken_out: self.taken_out(),
             unlogged: self.unlogged().into_iter().map(|h| h.order).collect(),
+            control: None,
         }
     }
 }
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -3,9 +3,11 @@
 use std::sync::Arc;
 
 use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::ids::Term;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::Command;
@@ -174,4 +176,19 @@
     pub taken_out: Vec<CentreName>,
     /// Orders to take data centres out that are not in the log as far as the instance knows.
     pub unlogged: Vec<CentreOrder>,
+    /// Its part in the replicated log, if it has the control role.
+    pub control: Option<ControlStatus>,
+}
+
+/// Part of an instance in the replicated log.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// Who leads.
+    pub lead: Lead,
+    /// Term.
+    pub term: Term,
+    /// Last entry known to be committed.
+    pub commit: LogIndex,
+    /// Members of the group, with the identities of their data folders.
+    pub members: Members,
 }
--- a/hawthornkeel/tests/control_leader.rs
+++ b/hawthornkeel/tests/control_leader.rs
@@ -7,17 +7,17 @@
 
 use hawthornkeel::control::admin::CentreRequest;
 use hawthornkeel::control::admin::CentreResponse;
-use hawthornkeel::control::admin::SubmitRequest;
 use hawthornkeel::control::admin::SubmitResponse;
 use hawthornkeel::control::client::ControlError;
-use hawthornkeel::control::start::Parts;
-use hawthornkeel::peer::Frame;
-use hawthornkeel::peer::frame::Lead;
 use hawthornkeel_core::ids::OperationNumber;
-use hawthornkeel_core::ids::Version;
-use hawthornkeel_core::names::InstanceName;
 use support::cluster::Cluster;
 use support::cluster::Spec;
+use support::operator::accepted;
+use support::operator::leader;
+use support::operator::request;
+use support::operator::submit;
+use support::operator::voters;
+use support::operator::wait_for;
 use support::run;
 use support::until;
 
@@ -30,50 +30,11 @@
     cluster
 }
 
-fn request(operation: u64, expected: u64, text: &str) -> SubmitRequest {
-    SubmitRequest {
-        operator: "ops".into(),
-        operation: OperationNumber(operation),
-        expected: Version(expected),
-        text: text.into(),
-    }
-}
-
-/// Submits like an operator who sends the same again until told an outcome.
-async fn submit(parts: &Parts, request: SubmitRequest) -> SubmitResponse {
-    let start = Instant::now();
-    loop {
-        match parts.admin.submit(request.clone()).await {
-            SubmitResponse::NotAccepted | SubmitResponse::Unknown => {
-                assert!(start.elapsed() < support::PATIENCE, "no outcome in time");
-                monoio::time::sleep(Duration::from_millis(20)).await;
-            }
-            response => return response,
-        }
-    }
-}
-
-/// Waits for a leader and returns its name.
-async fn leader(parts: &Parts) -> InstanceName {
-    let start = Instant::now();
-    loop {
-        for name in CONTROLS {
-            let name = InstanceName::new(name);
-            let call = parts.admin.endpoint.call(&name, &Frame::Lead, Duration::from_secs(1));
-            if let Ok(Frame::LeadReply(Lead { own: true, .. })) = call.await {
-                return name;
-            }
-        }
-        assert!(start.elapsed() < support::PATIENCE, "no leader in time");
-    }
-}
-
 #[test]
 fn leader_killed() {
     let mut cluster = three();
     run(async {
         let parts = cluster.join("a", "east");
-        let accepted = |version| SubmitResponse::Accepted { version: Version(version) };
         assert_eq!(submit(&parts, request(1, 0, "one")).await, accepted(1));
         let old = leader(&parts).await;
         cluster.kill(old.as_str());
@@ -121,3 +82,27 @@
         assert_eq!(status.silent, vec!["c1".into(), "c2".into()]);
     });
 }
+
+#[test]
+fn disk_replaced() {
+    let mut cluster = three();
+    run(async {
+        let parts = cluster.join("a", "east");
+        for number in 1..=50 {
+            assert_eq!(submit(&parts, request(number, number - 1, "old")).await, accepted(number));
+        }
+        // The memory of these instances' disks ends with them: c1 comes back with an empty one.
+        let before = voters(&parts, "c2").await;
+        cluster.kill("c1");
+        cluster.start("c1");
+        wait_for("the replacement as voter", async || {
+            let now = voters(&parts, "c2").await;
+            now.len() == 3 && now.iter().filter(|v| !before.contains(v)).count() == 1
+        })
+        .await;
+        // A second loss right after the repair loses nothing.
+        cluster.kill("c2");
+        assert_eq!(submit(&parts, request(50, 49, "old")).await, accepted(50));
+        assert_eq!(submit(&parts, request(51, 50, "new")).await, accepted(51));
+    });
+}
