--- /dev/null
+++ b/hawthornkeel/src/cli/command.rs
@@ -0,0 +1,157 @@
+//! Commands with their options.
+
+use std::net::SocketAddr;
+use std::path::PathBuf;
+
+use hawthornkeel_core::ids::OperationNumber;
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::OperatorName;
+
+/// Command of the command line.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum Command {
+    /// Checks settings and environment documents.
+    Check(CheckOptions),
+    /// Runs a document in one process with built-in targets.
+    Trial(TrialOptions),
+    /// Runs an instance.
+    Run(RunOptions),
+    /// Submits an environment document.
+    Submit(SubmitOptions),
+    /// Shows the state of an instance.
+    Status(StatusOptions),
+    /// Takes a data centre out of service.
+    TakeOut(CentreOptions),
+    /// Brings a data centre back into service.
+    BringBack(CentreOptions),
+    /// Makes certificates for instances.
+    Keys(KeysOptions),
+    /// Prints the help of a topic.
+    Help(Topic),
+    /// Prints the version.
+    Version,
+}
+
+/// Topic of the help.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Topic {
+    /// The command line as a whole.
+    General,
+    /// `check`.
+    Check,
+    /// `trial`.
+    Trial,
+    /// `run`.
+    Run,
+    /// `submit`.
+    Submit,
+    /// `status`.
+    Status,
+    /// `take-out`.
+    TakeOut,
+    /// `bring-back`.
+    BringBack,
+    /// `keys`.
+    Keys,
+}
+
+impl Topic {
+    /// Every command's topic.
+    pub const COMMANDS: [Self; 8] = [
+        Self::Check,
+        Self::Trial,
+        Self::Run,
+        Self::Submit,
+        Self::Status,
+        Self::TakeOut,
+        Self::BringBack,
+        Self::Keys,
+    ];
+
+    /// Returns the name of the command.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::General => "hawthornkeel",
+            Self::Check => "check",
+            Self::Trial => "trial",
+            Self::Run => "run",
+            Self::Submit => "submit",
+            Self::Status => "status",
+            Self::TakeOut => "take-out",
+            Self::BringBack => "bring-back",
+            Self::Keys => "keys",
+        }
+    }
+}
+
+/// Options of `check`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct CheckOptions {
+    /// Files to check.
+    pub files: Vec<PathBuf>,
+}
+
+/// Options of `trial`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct TrialOptions {
+    /// File of the environment document.
+    pub document: PathBuf,
+    /// Address to listen on.
+    pub listen: SocketAddr,
+}
+
+/// Options of `run`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct RunOptions {
+    /// File of the settings.
+    pub settings: PathBuf,
+}
+
+/// Options of `submit`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct SubmitOptions {
+    /// File of the environment document.
+    pub document: PathBuf,
+    /// Version that the document replaces.
+    pub expected: Version,
+    /// Who orders it, where and under which number.
+    pub order: OrderOptions,
+}
+
+/// Options of `take-out` and `bring-back`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct CentreOptions {
+    /// Data centre concerned.
+    pub centre: CentreName,
+    /// Who orders it, where and under which number.
+    pub order: OrderOptions,
+}
+
+/// Options that all orders have.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct OrderOptions {
+    /// Admin address of an instance.
+    pub admin: SocketAddr,
+    /// Who orders.
+    pub operator: OperatorName,
+    /// Operation number; drawn at random where none is given.
+    pub operation: OperationNumber,
+}
+
+/// Options of `status`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct StatusOptions {
+    /// Admin address of an instance.
+    pub admin: SocketAddr,
+}
+
+/// Options of `keys`.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct KeysOptions {
+    /// Folder of the authority and the certificates.
+    pub folder: PathBuf,
+    /// Instances to make certificates for.
+    pub names: Vec<InstanceName>,
+}
--- /dev/null
+++ b/hawthornkeel/src/cli/error.rs
@@ -0,0 +1,82 @@
+//! Why a command fails, and the exit code that it fails with.
+
+use std::error::Error;
+use std::fmt;
+
+use hawthornkeel_config::Findings;
+
+/// Exit code: the command could not be carried out.
+pub const EXIT_FAILED: u8 = 1;
+/// Exit code: the command line is wrong.
+pub const EXIT_USAGE: u8 = 2;
+/// Exit code: the order was refused, and a resend of it will be too.
+pub const EXIT_REFUSED: u8 = 3;
+/// Exit code: the order was not carried out and changed nothing; a resend may be accepted.
+pub const EXIT_RETRY: u8 = 4;
+/// Exit code: whether the order was carried out is not known; a resend under its number is safe.
+pub const EXIT_UNKNOWN: u8 = 5;
+
+/// Why a command fails.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum CliError {
+    /// The command line is wrong.
+    Usage(String),
+    /// Files have findings.
+    Findings(Vec<Findings>),
+    /// The command could not be carried out.
+    Failed(String),
+    /// The order was refused.
+    Refused(String),
+    /// The order was not carried out and changed nothing.
+    Retry(String),
+    /// Whether the order was carried out is not known.
+    Unknown(String),
+}
+
+impl CliError {
+    /// Returns the exit code.
+    pub fn exit_code(&self) -> u8 {
+        match self {
+            Self::Findings(_) | Self::Failed(_) => EXIT_FAILED,
+            Self::Usage(_) => EXIT_USAGE,
+            Self::Refused(_) => EXIT_REFUSED,
+            Self::Retry(_) => EXIT_RETRY,
+            Self::Unknown(_) => EXIT_UNKNOWN,
+        }
+    }
+}
+
+impl fmt::Display for CliError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Usage(text) => write!(f, "hawthornkeel: {text} (try --help)"),
+            Self::Findings(files) => write_findings(f, files),
+            Self::Failed(text) => write!(f, "hawthornkeel: {text}"),
+            Self::Refused(text) => write!(f, "hawthornkeel: refused: {text}"),
+            Self::Retry(text) => write!(f, "hawthornkeel: not carried out: {text}"),
+            Self::Unknown(text) => write!(f, "hawthornkeel: outcome not known: {text}"),
+        }
+    }
+}
+
+impl Error for CliError {}
+
+impl From<lexopt::Error> for CliError {
+    fn from(error: lexopt::Error) -> Self {
+        Self::Usage(error.to_string().replace('\n', " "))
+    }
+}
+
+impl From<Findings> for CliError {
+    fn from(findings: Findings) -> Self {
+        Self::Findings(vec![findings])
+    }
+}
+
+fn write_findings(f: &mut fmt::Formatter<'_>, files: &[Findings]) -> fmt::Result {
+    for (number, findings) in files.iter().enumerate() {
+        let separator = if number > 0 { "\n" } else { "" };
+        write!(f, "{separator}{findings}")?;
+    }
+    Ok(())
+}
--- /dev/null
+++ b/hawthornkeel/src/cli/help.rs
@@ -0,0 +1,123 @@
+//! Texts of `--help` and `--version`.
+
+use std::io;
+use std::io::Write;
+
+use crate::cli::VERSION;
+use crate::cli::command::Topic;
+use crate::cli::error::CliError;
+
+/// Options that every command has.
+const COMMON: &str = "  -h, --help             print this help
+  -V, --version          print the version
+";
+
+/// Exit codes of all commands.
+const EXIT_CODES: &str = "Exit codes:
+  0  success
+  1  the command could not be carried out, or a file has findings
+  2  the command line is wrong
+  3  the order was refused, and a resend of it will be too
+  4  the order was not carried out and changed nothing; a resend may be accepted
+  5  whether the order was carried out is not known; a resend under its number is safe
+";
+
+/// Options of an order.
+const ORDER: &str = "  --admin ADDRESS        admin address of an instance, such as 127.0.0.1:9901
+  --operator NAME        who orders
+  --operation NUMBER     operation number, the same on a resend; drawn at random and printed
+                         where it is left out
+";
+
+/// Prints the help of `topic`.
+pub fn print(topic: Topic) -> Result<(), CliError> {
+    write(&text(topic))
+}
+
+/// Prints the version.
+pub fn print_version() -> Result<(), CliError> {
+    write(&format!("hawthornkeel {VERSION}\n"))
+}
+
+/// Returns the help of `topic`.
+pub fn text(topic: Topic) -> String {
+    let (usage, purpose, options) = match topic {
+        Topic::General => return general(),
+        Topic::Check => (
+            "check FILE...",
+            "Checks settings and environment documents; every finding of all files is reported.",
+            String::new(),
+        ),
+        Topic::Trial => (
+            "trial [--listen ADDRESS] DOCUMENT",
+            "Runs an environment document in one process with built-in targets.",
+            "  --listen ADDRESS       address for callers; 127.0.0.1:8080 where it is left out\n"
+                .to_owned(),
+        ),
+        Topic::Run => (
+            "run --settings FILE",
+            "Runs an instance until a signal asks it to stop.",
+            "  --settings FILE        settings of the instance\n".to_owned(),
+        ),
+        Topic::Submit => (
+            "submit --admin ADDRESS --operator NAME --expected VERSION DOCUMENT",
+            "Submits an environment document; success is reported once it is stored by a quorum.",
+            format!("{ORDER}  --expected VERSION     version that the document replaces\n"),
+        ),
+        Topic::Status => (
+            "status --admin ADDRESS",
+            "Shows the versions in force, the data centres and the control instances as JSON.",
+            "  --admin ADDRESS        admin address of an instance, such as 127.0.0.1:9901\n"
+                .to_owned(),
+        ),
+        Topic::TakeOut => (
+            "take-out --admin ADDRESS --operator NAME CENTRE",
+            "Takes a data centre out of service; work that runs there finishes.",
+            ORDER.to_owned(),
+        ),
+        Topic::BringBack => (
+            "bring-back --admin ADDRESS --operator NAME CENTRE",
+            "Brings a data centre back into service.",
+            ORDER.to_owned(),
+        ),
+        Topic::Keys => (
+            "keys FOLDER NAME...",
+            "Makes certificates for instances, signed by the authority in the folder, which is \
+             made\nif there is none.",
+            String::new(),
+        ),
+    };
+    format!("Usage: hawthornkeel {usage}\n\n{purpose}\n\nOptions:\n{options}{COMMON}\n{EXIT_CODES}")
+}
+
+fn general() -> String {
+    format!(
+        "Usage: hawthornkeel COMMAND [OPTION]...
+
+Serving system for multi-stage model pipelines.
+
+Commands:
+  check FILE...          check settings and environment documents
+  trial DOCUMENT         run a document in one process with built-in targets
+  run --settings FILE    run an instance
+  submit DOCUMENT        submit an environment document
+  status                 show the state of an instance
+  take-out CENTRE        take a data centre out of service
+  bring-back CENTRE      bring a data centre back into service
+  keys FOLDER NAME...    make certificates for instances
+
+Options:
+{COMMON}
+{EXIT_CODES}"
+    )
+}
+
+fn write(text: &str) -> Result<(), CliError> {
+    match io::stdout().write_all(text.as_bytes()) {
+        // A reader such as `head` may have seen enough.
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            Err(CliError::Failed(format!("can't write to standard output: {error}")))
+        }
+        _ => Ok(()),
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/cli/keys.rs
@@ -0,0 +1,17 @@
+//! Command `keys`: certificates for instances.
+
+use crate::cli::command::KeysOptions;
+use crate::cli::error::CliError;
+use crate::peer::certificate;
+
+/// Makes a certificate for each instance and names its files on standard output.
+pub fn keys(options: &KeysOptions) -> Result<(), CliError> {
+    for name in &options.names {
+        let issued = certificate::issue(&options.folder, name).map_err(|error| {
+            let folder = options.folder.display();
+            CliError::Failed(format!("no certificate for {name} in {folder}: {error}"))
+        })?;
+        println!("{} {}", issued.certificate.display(), issued.key.display());
+    }
+    Ok(())
+}
--- a/hawthornkeel/src/logging.rs
+++ b/hawthornkeel/src/logging.rs
@@ -1,1 +1,38 @@
-//! Log output: one key=value line an event.
+//! Log output: one key=value line an event, on standard error.
+
+use std::error::Error;
+use std::fmt;
+use std::io;
+
+use tracing_subscriber::EnvFilter;
+use tracing_subscriber::layer::SubscriberExt;
+use tracing_subscriber::util::SubscriberInitExt;
+
+/// Why log output can't start.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LoggingError {
+    /// The filter can't be read.
+    Filter(String),
+    /// Log output has started already.
+    Started,
+}
+
+impl fmt::Display for LoggingError {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        match self {
+            Self::Filter(cause) => write!(f, "log.filter can't be read: {cause}"),
+            Self::Started => f.write_str("log output has started already"),
+        }
+    }
+}
+
+impl Error for LoggingError {}
+
+/// Starts log output with `filter`, such as `info` or `hawthornkeel=debug`.
+pub fn init(filter: &str) -> Result<(), LoggingError> {
+    let filter =
+        EnvFilter::try_new(filter).map_err(|error| LoggingError::Filter(error.to_string()))?;
+    let lines = tracing_logfmt::builder().layer().with_writer(io::stderr);
+    let subscriber = tracing_subscriber::registry().with(filter).with(lines);
+    subscriber.try_init().map_err(|_| LoggingError::Started)
+}
--- a/hawthornkeel/src/target/mod.rs
+++ b/hawthornkeel/src/target/mod.rs
@@ -4,7 +4,7 @@
 pub mod call;
 pub mod client;
 pub mod completion;
-mod connection;
+pub(crate) mod connection;
 pub mod error;
 pub mod load;
 pub mod order;
