--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -89,11 +89,8 @@
     metrics: PrometheusHandle,
 ) -> Result<StopReport, RunError> {
     let endpoint = Endpoint::open(&settings)?;
-    let control = if settings.control.enabled {
-        Some(open_control(&settings, &endpoint)?)
-    } else {
-        None
-    };
+    let control =
+        if settings.control.enabled { Some(open_control(&settings, &endpoint)?) } else { None };
     let parts = start::start(&settings, &endpoint, control);
     if let Some(address) = settings.instance.admin {
         serve_admin(address, &parts, metrics)?;
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -31,6 +31,7 @@
     Key::new("max_head", Kind::number(1_024, 1 << 20, "bytes"), "16384"),
     Key::new("max_connections", Kind::number(1, 65_536, "connections"), "4096"),
     Key::new("receive_ms", Kind::number(1, MAX_TIME_MS, "milliseconds"), "10000"),
+    Key::new("grant_ms", Kind::number(1, MAX_TIME_MS, "milliseconds"), "9000"),
     Key::new("drain_ms", Kind::number(0, MAX_TIME_MS, "milliseconds"), "5000"),
     Key::new("stop_ms", Kind::number(1, MAX_TIME_MS, "milliseconds"), "30000"),
 ];
