Target client: tests of answers, connections, streams and orders

Cause: a late, doubled, crossed or truncated answer must never reach a caller, a connection that went silent must not be blamed on its target, and an abandoned one must not be used again. Change: tests through real sockets against the stand-in on a thread of its own. A pooled connection that brings a second answer to an earlier call is now replaced like a silent one: the first version failed the innocent next call with Crossed (seen with a second answer 10 ms late). Ruled out: waiting on a pooled connection before its use, to see whether something comes: it adds its wait to every call and can't close the gap.

--- a/hawthornkeel/src/target/builtin.rs
+++ b/hawthornkeel/src/target/builtin.rs
@@ -15,6 +15,7 @@
 use crate::http::problem::Problem;
 use crate::target::call::REQUEST_ID;
 use crate::target::call::RESUME_OFFSET;
+use crate::target::completion;
 use crate::target::load;
 use crate::target::load::LoadReport;
 use crate::target::order;
@@ -75,7 +76,7 @@
     let response = match (&request.head.method, request.head.path.as_str()) {
         (&Method::GET, load::PATH) => report(),
         (&Method::POST, order::PATH) => Response::json("{}"),
-        (&Method::POST, "/v1/completions" | "/v1/chat/completions") => complete(&request),
+        (&Method::POST, completion::COMPLETIONS | completion::CHAT) => complete(&request),
         (&Method::POST, _) => serve(&request),
         _ => Problem::not_run(Code::NotFound).into_response(),
     };
@@ -99,7 +100,7 @@
     let Ok(ask) = serde_json::from_slice::<Ask>(&request.body) else {
         return Problem::not_run(Code::BadRequest).into_response();
     };
-    let chat = request.head.path.ends_with("/chat/completions");
+    let chat = request.head.path == completion::CHAT;
     let tokens = tokens_of(&ask);
     if !ask.stream {
         return Response::json(encode(&tokens.concat(), chat));
--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -152,10 +152,14 @@
         if let Some(connection) = pooled {
             let tried = self.send(connection, true, call, request.clone(), watch).await;
             match tried {
-                // The connection is blamed before the target: it may have been lost on the way.
-                Err(CallError::NotSent(_) | CallError::Reset(_) | CallError::Silent)
-                    if !watch.left().is_zero() =>
-                {
+                // The connection is blamed before the target: it may have been lost on the way,
+                // or bring a second answer to an earlier call.
+                Err(
+                    CallError::NotSent(_)
+                    | CallError::Reset(_)
+                    | CallError::Silent
+                    | CallError::Crossed,
+                ) if !watch.left().is_zero() => {
                     self.inner.pool.forget(address);
                 }
                 other => return self.accept(address, other?).await,
--- a/hawthornkeel/src/target/completion.rs
+++ b/hawthornkeel/src/target/completion.rs
@@ -6,6 +6,9 @@
 /// Path of the completions protocol.
 pub const COMPLETIONS: &str = "/v1/completions";
 
+/// Path of the protocol's form for conversations.
+pub const CHAT: &str = "/v1/chat/completions";
+
 /// Body of a completions request with a streamed answer.
 #[derive(Clone, Debug, Serialize)]
 pub struct Completion<'a> {
@@ -13,6 +16,9 @@
     pub model: &'a str,
     /// Text that the answer goes on from.
     pub prompt: &'a str,
+    /// Text generated so far, where a broken stream goes on; the prompt stays as it was.
+    #[serde(skip_serializing_if = "str::is_empty")]
+    pub resume: &'a str,
     /// Tokens to generate, at most.
     pub max_tokens: u32,
     /// Priority: higher goes first.
@@ -23,7 +29,7 @@
 
 impl Default for Completion<'_> {
     fn default() -> Self {
-        Self { model: "", prompt: "", max_tokens: 256, priority: 0, stream: true }
+        Self { model: "", prompt: "", resume: "", max_tokens: 256, priority: 0, stream: true }
     }
 }
 
--- /dev/null
+++ b/hawthornkeel/tests/target_answers.rs
@@ -0,0 +1,125 @@
+//! Late, doubled, crossed and truncated answers never reach a caller.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornkeel::target::call::Call;
+use hawthornkeel::target::client::Client;
+use hawthornkeel::target::client::ClientLimits;
+use hawthornkeel::target::error::CallError;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::behaviour::Fault;
+use hawthornkeel_fakes::thread;
+use hawthornkeel_fakes::thread::TargetThread;
+use rstest::rstest;
+
+fn call(number: u128) -> Call {
+    Call {
+        id: CallId { request: RequestId(number), ..CallId::default() },
+        path: "/rank".to_owned(),
+        body: Bytes::from(format!("\"ref-{number}\"")),
+        progress: Duration::from_millis(200),
+        timeout: Duration::from_secs(5),
+        ..Call::default()
+    }
+}
+
+/// Calls and checks that a whole answer, where one comes, is the call's own.
+async fn answer(client: &Client, target: TargetThread, call: &Call) -> Result<(), CallError> {
+    let answer = client.call(target.address, call).await?;
+    let number = call.id.request;
+    assert_eq!(answer.body, format!("{{\"input\":\"ref-{number}\",\"service\":\"/rank\"}}"));
+    Ok(())
+}
+
+#[rstest]
+#[case::late(Fault::Late, CallError::Silent)]
+#[case::silent(Fault::Silent, CallError::Silent)]
+#[case::stalled(Fault::Stall, CallError::Silent)]
+#[case::crossed(Fault::Crossed, CallError::Crossed)]
+#[case::truncated(Fault::Truncated, CallError::Truncated)]
+#[case::closed(Fault::Close, CallError::Reset("closed before the answer".to_owned()))]
+#[case::dropped(Fault::Drop, CallError::Reset("closed before the answer".to_owned()))]
+#[case::garbage(Fault::Garbage, CallError::Malformed("head can't be parsed"))]
+#[case::failed(Fault::Fail, CallError::Status(500))]
+#[case::refused(Fault::Refuse, CallError::Refused { status: 503, retry_after: Some(Duration::from_secs(1)) })]
+fn fault_ends_its_call_only(
+    #[case] fault: Fault,
+    #[case] expected: CallError,
+    #[values(true, false)] idempotent: bool,
+) {
+    let faulty = Behaviour { fault, fault_calls: Some(1), late_ms: 400, ..Behaviour::default() };
+    let target = TargetThread::start(faulty).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let first = Call { idempotent, ..call(1) };
+        assert_eq!(answer(&client, target, &first).await, Err(expected));
+        for number in 2..60 {
+            let next = Call { idempotent, ..call(number) };
+            answer(&client, target, &next).await.unwrap();
+            monoio::time::sleep(Duration::from_millis(10)).await;
+        }
+    })
+    .unwrap();
+    let report = target.report().unwrap();
+    let ran = u32::from(!matches!(fault, Fault::Close | Fault::Refuse));
+    assert_eq!(report.runs.len(), 58 + ran as usize);
+    assert_eq!(report.running, 0);
+}
+
+#[rstest]
+fn doubled_answer_reaches_none(
+    #[values(true, false)] echo: bool,
+    #[values(Fault::Twice, Fault::TwiceLate)] fault: Fault,
+) {
+    let faulty = Behaviour { fault, echo, late_ms: 10, ..Behaviour::default() };
+    let target = TargetThread::start(faulty).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        for number in 1..20 {
+            answer(&client, target, &call(number)).await.unwrap();
+        }
+    })
+    .unwrap();
+    // A call that met a late second answer ran again on a fresh connection.
+    let most = if fault == Fault::TwiceLate && echo { 37 } else { 19 };
+    assert!((19..=most).contains(&target.report().unwrap().runs.len()));
+}
+
+#[test]
+fn answers_match_under_load() {
+    let target = TargetThread::start(Behaviour { floor_ms: 2, ..Behaviour::default() }).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let mut tasks = Vec::new();
+        for number in 1..400 {
+            let client = client.clone();
+            tasks.push(monoio::spawn(async move {
+                let call = Call { progress: Duration::from_secs(5), ..call(number) };
+                answer(&client, target, &call).await
+            }));
+        }
+        for task in tasks {
+            task.await.unwrap();
+        }
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().runs.len(), 399);
+}
+
+#[test]
+fn unsent_call_is_not_run() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let error = client.call(closed, &call(1)).await.unwrap_err();
+        assert!(matches!(error, CallError::NotSent(_)), "{error}");
+        assert!(error.is_not_run());
+        let bad = Call { path: "/a b\r\nx: y".to_owned(), ..call(2) };
+        let error = client.call(closed, &bad).await.unwrap_err();
+        assert!(matches!(error, CallError::NotSent(_)), "{error}");
+    })
+    .unwrap();
+}
--- /dev/null
+++ b/hawthornkeel/tests/target_connections.rs
@@ -0,0 +1,148 @@
+//! Connections to targets: reuse, silence, staleness and abandonment.
+
+use std::time::Duration;
+
+use bytes::Bytes;
+use hawthornkeel::target::call::Call;
+use hawthornkeel::target::client::Client;
+use hawthornkeel::target::client::ClientLimits;
+use hawthornkeel::target::error::CallError;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::behaviour::Fault;
+use hawthornkeel_fakes::record::Outcome;
+use hawthornkeel_fakes::thread;
+use hawthornkeel_fakes::thread::TargetThread;
+use monoio::time::timeout;
+
+const LIMIT: Duration = Duration::from_secs(5);
+
+fn call(number: u128) -> Call {
+    Call {
+        id: CallId { request: RequestId(number), ..CallId::default() },
+        body: Bytes::from_static(b"{}"),
+        progress: Duration::from_millis(200),
+        timeout: LIMIT,
+        ..Call::default()
+    }
+}
+
+fn start(behaviour: Behaviour) -> (TargetThread, Client) {
+    let target = TargetThread::start(behaviour).unwrap();
+    (target, Client::new(ClientLimits::default()))
+}
+
+async fn call_all(client: &Client, target: TargetThread, count: u128, idempotent: bool) {
+    for number in 0..count {
+        let call = Call { idempotent, ..call(number) };
+        client.call(target.address, &call).await.unwrap();
+    }
+}
+
+#[test]
+fn whole_exchange_is_reused() {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(call_all(&client, target, 10, true)).unwrap();
+    assert_eq!(target.report().unwrap().connections, 1);
+}
+
+#[test]
+fn unrepeatable_call_takes_fresh_one() {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(async {
+        call_all(&client, target, 3, true).await;
+        // A pooled connection that has died unseen would leave the outcome unknown.
+        target.restart().unwrap();
+        call_all(&client, target, 3, false).await;
+    })
+    .unwrap();
+    let report = target.report().unwrap();
+    assert_eq!(report.connections, 4);
+    assert_eq!(report.runs.len(), 6);
+}
+
+#[test]
+fn target_without_echo_gets_fresh_ones() {
+    let (target, client) = start(Behaviour { echo: false, ..Behaviour::default() });
+    thread::block_on(call_all(&client, target, 3, true)).unwrap();
+    assert_eq!(target.report().unwrap().connections, 3);
+}
+
+#[test]
+fn stale_connection_is_replaced() {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(async {
+        call_all(&client, target, 1, true).await;
+        target.restart().unwrap();
+        call_all(&client, target, 2, true).await;
+    })
+    .unwrap();
+    let report = target.report().unwrap();
+    assert_eq!((report.connections, report.runs.len()), (2, 3));
+}
+
+#[test]
+fn silent_connection_is_replaced() {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(async {
+        call_all(&client, target, 1, true).await;
+        target.silence().unwrap();
+        // The target is not blamed: the call is answered on a fresh connection.
+        call_all(&client, target, 3, true).await;
+    })
+    .unwrap();
+    let report = target.report().unwrap();
+    assert_eq!((report.connections, report.runs.len()), (2, 4));
+}
+
+#[test]
+fn silent_target_gets_one_run() {
+    let (target, client) = start(Behaviour { fault: Fault::Silent, ..Behaviour::default() });
+    thread::block_on(async {
+        let call = Call { idempotent: false, ..call(1) };
+        let result = client.call(target.address, &call).await;
+        assert_eq!(result.unwrap_err(), CallError::Silent);
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().runs.len(), 1);
+}
+
+#[test]
+fn abandoned_exchange_is_cancelled() {
+    let (target, client) = start(Behaviour { floor_ms: 100, ..Behaviour::default() });
+    thread::block_on(async {
+        call_all(&client, target, 1, true).await;
+        let call = Call { timeout: LIMIT, ..call(7) };
+        let abandoned = client.call(target.address, &call);
+        assert!(timeout(Duration::from_millis(30), abandoned).await.is_err());
+        call_all(&client, target, 2, true).await;
+    })
+    .unwrap();
+    let cancelled = |o| target.report().unwrap().runs[1].outcome == o;
+    assert!(thread::eventually(LIMIT, || cancelled(Outcome::Cancelled)));
+    // The first connection went with the abandoned exchange.
+    assert_eq!(target.report().unwrap().connections, 2);
+}
+
+#[test]
+fn idle_connections_are_bounded() {
+    let target = TargetThread::start(Behaviour { floor_ms: 50, ..Behaviour::default() }).unwrap();
+    let client = Client::new(ClientLimits { max_idle: 2, ..ClientLimits::default() });
+    thread::block_on(async {
+        for _ in 0..2 {
+            let mut tasks = Vec::new();
+            for number in 0..5 {
+                let client = client.clone();
+                tasks.push(monoio::spawn(async move {
+                    client.call(target.address, &call(number)).await.map(drop)
+                }));
+            }
+            for task in tasks {
+                task.await.unwrap();
+            }
+        }
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().connections, 8);
+}
--- /dev/null
+++ b/hawthornkeel/tests/target_streams.rs
@@ -0,0 +1,154 @@
+//! Streams from engines: order, breaks, going on from an offset, and cancelling.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use hawthornkeel::target::call::Call;
+use hawthornkeel::target::client::Client;
+use hawthornkeel::target::client::ClientLimits;
+use hawthornkeel::target::completion::CHAT;
+use hawthornkeel::target::completion::COMPLETIONS;
+use hawthornkeel::target::completion::Completion;
+use hawthornkeel::target::error::CallError;
+use hawthornkeel::target::stream::Event;
+use hawthornkeel_core::ids::AttemptNumber;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::behaviour::Fault;
+use hawthornkeel_fakes::record::Outcome;
+use hawthornkeel_fakes::thread;
+use hawthornkeel_fakes::thread::TargetThread;
+use rstest::rstest;
+
+const TEXT: &str = "ref-9 t0 t1 t2 t3 t4 t5 t6 ";
+
+fn call(attempt: u16) -> Call {
+    let body = Completion { prompt: "look at ref-9", ..Completion::default() };
+    Call {
+        id: CallId { attempt: AttemptNumber(attempt), ..CallId::default() },
+        path: COMPLETIONS.to_owned(),
+        body: body.to_bytes(),
+        progress: Duration::from_millis(200),
+        ..Call::default()
+    }
+}
+
+fn start(behaviour: Behaviour) -> (TargetThread, Client) {
+    let target = TargetThread::start(Behaviour { tokens: 8, ..behaviour }).unwrap();
+    (target, Client::new(ClientLimits::default()))
+}
+
+/// Reads a stream to its end and returns the text with the error that broke it.
+async fn read(client: &Client, address: SocketAddr, call: &Call) -> (String, Option<CallError>) {
+    let mut text = String::new();
+    let mut stream = match client.stream(address, call).await {
+        Ok(stream) => stream,
+        Err(error) => return (text, Some(error)),
+    };
+    loop {
+        match stream.next().await {
+            Ok(Event::Token { offset, text: piece }) => {
+                assert_eq!(offset, call.resume_offset + text.len() as u64);
+                text.push_str(&piece);
+            }
+            Ok(Event::End) => return (text, None),
+            Err(error) => return (text, Some(error)),
+        }
+    }
+}
+
+#[rstest]
+fn whole_streams_share_a_connection(#[values(COMPLETIONS, CHAT)] path: &str) {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(async {
+        for attempt in 0..5 {
+            let call = Call { path: path.to_owned(), ..call(attempt) };
+            assert_eq!(read(&client, target.address, &call).await, (TEXT.to_owned(), None));
+        }
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().connections, 1);
+}
+
+#[rstest]
+#[case::cut(Fault::Cut, CallError::Truncated)]
+#[case::stalled(Fault::Stall, CallError::Silent)]
+fn broken_stream_goes_on(#[case] fault: Fault, #[case] expected: CallError) {
+    let faulty = Behaviour { fault, fault_calls: Some(1), cut_after: 3, ..Behaviour::default() };
+    let (target, client) = start(faulty);
+    thread::block_on(async {
+        let (begin, error) = read(&client, target.address, &call(0)).await;
+        assert_eq!((begin.as_str(), error), ("ref-9 t0 t1 ", Some(expected)));
+        let rest = Call { resume_offset: begin.len() as u64, ..call(1) };
+        let (end, error) = read(&client, target.address, &rest).await;
+        assert_eq!((begin + &end, error), (TEXT.to_owned(), None));
+    })
+    .unwrap();
+    let tokens: usize = target.report().unwrap().runs.iter().map(|r| r.tokens).sum();
+    assert_eq!(tokens, 8);
+}
+
+#[test]
+fn engine_that_starts_over_is_noticed() {
+    let (target, client) = start(Behaviour { resume: false, ..Behaviour::default() });
+    thread::block_on(async {
+        let call = Call { resume_offset: 6, ..call(0) };
+        let result = read(&client, target.address, &call).await;
+        assert_eq!(result, (String::new(), Some(CallError::NotResumed)));
+    })
+    .unwrap();
+}
+
+#[rstest]
+#[case::twice(Fault::Twice, None)]
+#[case::crossed(Fault::Crossed, Some(CallError::Crossed))]
+fn foreign_text_never_comes(#[case] fault: Fault, #[case] expected: Option<CallError>) {
+    let (target, client) = start(Behaviour { fault, ..Behaviour::default() });
+    thread::block_on(async {
+        for attempt in 0..5 {
+            let (text, error) = read(&client, target.address, &call(attempt)).await;
+            assert_eq!(error, expected);
+            assert_eq!(text, if expected.is_none() { TEXT } else { "" });
+        }
+    })
+    .unwrap();
+}
+
+#[test]
+fn stream_without_its_marker_is_not_whole() {
+    let (target, client) = start(Behaviour { fault: Fault::Unmarked, ..Behaviour::default() });
+    thread::block_on(async {
+        let result = read(&client, target.address, &call(0)).await;
+        assert_eq!(result, (TEXT.to_owned(), Some(CallError::Truncated)));
+    })
+    .unwrap();
+}
+
+#[test]
+fn whole_time_ends_a_dripping_stream() {
+    let (target, client) = start(Behaviour { token_ms: 50, ..Behaviour::default() });
+    thread::block_on(async {
+        let call = Call { timeout: Duration::from_millis(120), ..call(0) };
+        let (text, error) = read(&client, target.address, &call).await;
+        assert!(text.len() < TEXT.len());
+        assert_eq!(error, Some(CallError::Silent));
+    })
+    .unwrap();
+}
+
+#[test]
+fn dropped_stream_is_cancelled() {
+    let (target, client) = start(Behaviour { token_ms: 20, ..Behaviour::default() });
+    thread::block_on(async {
+        let mut stream = client.stream(target.address, &call(0)).await.unwrap();
+        stream.next().await.unwrap();
+        drop(stream);
+        assert_eq!(read(&client, target.address, &call(1)).await, (TEXT.to_owned(), None));
+    })
+    .unwrap();
+    let outcome = || target.report().unwrap().runs[0].outcome;
+    assert!(thread::eventually(Duration::from_secs(5), || outcome() == Outcome::Cancelled));
+    let report = target.report().unwrap();
+    assert!(report.runs[0].tokens < 8, "{report:?}");
+    assert_eq!(report.connections, 2);
+}
--- a/hawthornkeel_fakes/src/behaviour.rs
+++ b/hawthornkeel_fakes/src/behaviour.rs
@@ -20,6 +20,10 @@
     Late,
     /// The answer comes twice.
     Twice,
+    /// The answer comes again `late_ms` after it came.
+    TwiceLate,
+    /// The stream ends without its marker.
+    Unmarked,
     /// The answer carries the identity of another call.
     Crossed,
     /// The answer ends in the middle, under the length of the whole.
--- a/hawthornkeel_fakes/src/control.rs
+++ b/hawthornkeel_fakes/src/control.rs
@@ -26,7 +26,7 @@
         }
         (&Method::POST, "/silence") => {
             // Connections that are open now go silent for good; new ones work.
-            let count = target.shared.report.borrow().connections;
+            let count = target.shared.accepted.get();
             target.shared.silent_before.set(count);
             (200, b"{}".to_vec())
         }
--- a/hawthornkeel_fakes/src/platform.rs
+++ b/hawthornkeel_fakes/src/platform.rs
@@ -109,6 +109,9 @@
                 _ => format!("x-request-id: {id}\r\n"),
             };
             wire.write(wire::encode_answer(status, &echo, &body)).await?;
+            if request.asks_close() {
+                break;
+            }
         }
         Ok(())
     }
--- a/hawthornkeel_fakes/src/record.rs
+++ b/hawthornkeel_fakes/src/record.rs
@@ -65,7 +65,7 @@
     pub refused: u32,
     /// Falls because of too many calls at once.
     pub falls: u32,
-    /// Connections accepted.
+    /// Connections that carried a call.
     pub connections: u32,
     /// Incarnation.
     pub incarnation: u64,
--- a/hawthornkeel_fakes/src/target.rs
+++ b/hawthornkeel_fakes/src/target.rs
@@ -3,7 +3,6 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::io;
-use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -38,6 +37,8 @@
     pub(crate) report: RefCell<Report>,
     /// Load report as it was when it was last taken, and when that was.
     pub(crate) reported: RefCell<(Instant, u32)>,
+    /// Connections accepted.
+    pub(crate) accepted: Cell<u32>,
     /// Connections opened before this number never answer again.
     pub(crate) silent_before: Cell<u32>,
     pub(crate) fencing: Cell<u64>,
@@ -61,6 +62,7 @@
             behaviour: RefCell::new(behaviour),
             report: RefCell::new(report),
             reported: RefCell::new((Instant::now(), 0)),
+            accepted: Cell::new(0),
             silent_before: Cell::new(0),
             fencing: Cell::new(0),
             origin: Instant::now(),
@@ -70,15 +72,15 @@
 
     /// Accepts and serves for good.
     pub async fn serve(self, listener: TcpListener) {
-        while let Ok((stream, peer)) = listener.accept().await {
-            let number = self.shared.report.borrow().connections;
-            self.shared.report.borrow_mut().connections = number + 1;
+        while let Ok((stream, _)) = listener.accept().await {
+            let number = self.shared.accepted.get();
+            self.shared.accepted.set(number + 1);
             let connection = Connection {
                 target: self.clone(),
                 wire: Wire::new(stream),
                 number,
+                calls: 0,
                 incarnation: self.shared.report.borrow().incarnation,
-                _peer: peer,
             };
             monoio::spawn(connection.run());
         }
@@ -170,14 +172,15 @@
     target: Target,
     wire: Wire,
     number: u32,
+    calls: u32,
     incarnation: u64,
-    _peer: SocketAddr,
 }
 
 impl Connection {
     async fn run(mut self) {
         while let Ok(Some(request)) = self.wire.receive().await {
-            if self.is_fallen() || self.exchange(request).await.is_err() {
+            let last = request.asks_close();
+            if self.is_fallen() || self.exchange(request).await.is_err() || last {
                 return;
             }
         }
@@ -196,6 +199,8 @@
             let echo = self.echo(request.header("x-request-id"));
             return Ok(self.wire.write(wire::encode_answer(status, &echo, &body)).await?);
         }
+        self.calls += 1;
+        self.target.shared.report.borrow_mut().connections += u32::from(self.calls == 1);
         if self.is_silent() {
             // The request never got through: what loses track of a connection drops both ways.
             return self.hang().await;
@@ -259,6 +264,11 @@
                 self.wire.write(&answer[..answer.len() - body.len() / 2]).await?;
                 self.hang().await
             }
+            Fault::TwiceLate => {
+                self.wire.write(answer.clone()).await?;
+                self.pause(Duration::from_millis(late)).await?;
+                Ok(self.wire.write(answer).await?)
+            }
             Fault::Twice => Ok(self.wire.write([answer.clone(), answer].concat()).await?),
             _ => Ok(self.wire.write(answer).await?),
         }
@@ -302,7 +312,10 @@
             sent += 1;
             self.target.shared.report.borrow_mut().runs[run].tokens = sent;
         }
-        let mut end = wire::encode_chunk(b"data: [DONE]\n\n");
+        let mut end = match fault {
+            Fault::Unmarked => Vec::new(),
+            _ => wire::encode_chunk(b"data: [DONE]\n\n"),
+        };
         end.extend_from_slice(b"0\r\n\r\n");
         if fault == Fault::Twice {
             end.extend(head.as_bytes());
--- a/hawthornkeel_fakes/src/wire.rs
+++ b/hawthornkeel_fakes/src/wire.rs
@@ -49,6 +49,11 @@
     pub fn header(&self, name: &str) -> &str {
         text_of(&self.head.headers, name)
     }
+
+    /// Tells whether the connection is to be closed after the answer.
+    pub fn asks_close(&self) -> bool {
+        self.header("connection") == "close"
+    }
 }
 
 /// Answer as received.
