--- a/hawthornkeel/src/http/connection.rs
+++ b/hawthornkeel/src/http/connection.rs
@@ -52,6 +52,9 @@
 /// Time to come back after the bodies held for all callers reached their bound.
 const HELD_RETRY: Duration = Duration::from_secs(1);
 
+/// Time that a stop waits for a request on each idle connection before it closes it.
+const LAST_LOOK: Duration = Duration::from_millis(500);
+
 /// What becomes of a connection after an answer.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 enum Next {
@@ -112,7 +115,13 @@
                     return false;
                 }
             }
-            () = shared.control.stop.wait() => return false,
+            () = shared.control.stop.wait() => {
+                // A request that was on its way when the stop began is still answered.
+                let filled = timeout(LAST_LOOK, reader.fill(0)).await;
+                if !matches!(filled, Ok(Ok(1..))) {
+                    return false;
+                }
+            }
         }
     }
 }
--- a/hawthornkeel/src/http/server.rs
+++ b/hawthornkeel/src/http/server.rs
@@ -12,6 +12,7 @@
 use monoio::net::TcpListener;
 use monoio::net::TcpStream;
 use monoio::time::sleep;
+use monoio::time::timeout;
 
 use crate::http::connection;
 use crate::http::message::Head;
@@ -22,6 +23,9 @@
 /// Pause after an accept that failed, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
 
+/// Time without a new connection after which a stopping server closes its listener.
+const LAST_ACCEPT: Duration = Duration::from_millis(20);
+
 /// Bounds of a server.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Limits {
@@ -208,6 +212,21 @@
             () = stop.wait() => {}
         }
     }
+    accept_rest(listener, shared, ended).await;
+}
+
+/// Accepts what had connected before the stop, which closing the listener would reset.
+async fn accept_rest<H: Handler>(
+    listener: &TcpListener,
+    shared: &Rc<Shared<H>>,
+    ended: &Rc<Ended>,
+) {
+    while shared.open.get() < shared.limits.max_connections {
+        match timeout(LAST_ACCEPT, listener.accept()).await {
+            Ok(Ok((stream, peer))) => start(stream, peer, shared, ended),
+            _ => return,
+        }
+    }
 }
 
 fn start<H: Handler>(
