--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -18,6 +18,7 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use crate::entry::Connected;
 use crate::entry::Entry;
 use crate::entry::PolicyKind;
 use crate::faults::Fault;
@@ -103,6 +104,7 @@
     Vote { from: usize, to: usize, centre: CentreName, message: VoteMessage },
     ToIssuer { from: usize, to: usize, message: GrantMessage },
     ToEntry { to: usize, message: GrantMessage },
+    List { entry: usize },
     Fault { on: bool },
 }
 
@@ -162,6 +164,7 @@
         self.at(FAULT_AT + self.run.fault.lasts(), Event::Fault { on: false });
         for entry in 0..self.entries.len() {
             self.at(Instant::from_millis(entry as u64), Event::Tick { entry });
+            self.at(Instant::from_millis(1_000 + 100 * entry as u64), Event::List { entry });
         }
         for target in 0..self.targets.len() {
             self.at(Instant::from_millis(7 * target as u64), Event::Report { target });
@@ -209,6 +212,7 @@
                 self.at(self.now + TICK, Event::Tick { entry });
             }
             Event::Report { target } => self.report(target),
+            Event::List { entry } => self.list(entry),
             Event::Heard { entry, target, report } => self.heard(entry, target, report),
             Event::Lost { entry, target } => self.lost(entry, target),
             Event::Vote { from, to, centre, message } => self.vote(from, to, centre, message),
@@ -255,15 +259,23 @@
         use_taken(self, id, entry, stage, target, permit, taken, round);
     }
 
-    /// Uses an entry's connection to a target, or makes one; returns whether it holds.
+    /// Uses an idle connection of an entry to a target, or makes one; returns whether it holds.
+    ///
+    /// Idle connections to a process that is gone break once they are used. An entry keeps a spare
+    /// connection ready, so that a call never opens one while the loss of others is on its way.
     fn connect(&mut self, entry: usize, target: usize) -> bool {
         let present = self.targets[target].incarnation;
+        let calls = self.calls.values().filter(|c| c.entry == entry && c.target == target);
+        let used = calls.count();
         let connected = &mut self.entries[entry].connected;
-        let known = *connected.entry(target).or_insert(present);
-        if known != present {
-            connected.swap_remove(&target);
+        let known = connected.entry(target).or_insert(Connected { incarnation: present, open: 0 });
+        if known.open > used {
+            let holds = known.incarnation == present;
+            known.open = if holds { known.open.max(used + 2) } else { known.open - 1 };
+            return holds;
         }
-        known == present
+        *known = Connected { incarnation: present, open: used + 2 };
+        true
     }
 
     /// Ends a call with a reset wherever it runs at a target that lost its process.
