--- a/hawthornkeel/src/cli/trial.rs
+++ b/hawthornkeel/src/cli/trial.rs
@@ -6,7 +6,7 @@
 
 use crate::cli::command::TrialOptions;
 use crate::cli::error::CliError;
-use crate::entry::start::StopReport;
+use crate::cli::run::report_stop;
 use crate::logging;
 use crate::runtime;
 use crate::stop::StopRequest;
@@ -22,8 +22,5 @@
     let report = runtime::block_on(trial::run(document, options.listen, stop))
         .map_err(|error| failed(&error))?
         .map_err(|error| failed(&error))?;
-    match report {
-        StopReport::Complete => Ok(()),
-        StopReport::Cut(count) => Err(CliError::Failed(format!("{count} requests were cut off"))),
-    }
+    report_stop(report)
 }
--- a/hawthornkeel/src/entry/compose.rs
+++ b/hawthornkeel/src/entry/compose.rs
@@ -42,7 +42,10 @@
 /// Returns the body of a call to an engine.
 pub fn engine_body(plan: &CallPlan) -> Bytes {
     let prompt = service_body(&plan.input, plan.previous.as_deref());
+    let text = plan.text.borrow();
+    let resume = if plan.resume > 0 { text.as_str() } else { "" };
     let completion = Completion {
+        resume,
         model: plan.pool.model.as_ref().map_or("", |m| m.as_str()),
         prompt: std::str::from_utf8(&prompt).unwrap_or_default(),
         max_tokens: plan.stage.max_tokens,
