--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -204,7 +204,7 @@
     pub fn submit(&self, at: usize, operation: u64, expected: u64, text: &str) {
         let accepted = || {
             let answer = self.try_submit(at, "op", operation, expected, text);
-            answer.is_some_and(|a| a.body.contains("accepted"))
+            answer.is_some_and(|a| a.body.contains("\"accepted\""))
         };
         assert!(eventually(PATIENCE, accepted), "document not accepted:\n{}", self.log(at));
     }
@@ -235,12 +235,60 @@
 
     /// Calls a pipeline at an instance.
     pub fn call(&self, at: usize, pipeline: &str, key: &str, body: &str) -> Option<Answer> {
-        let key = match key {
-            "" => String::new(),
-            key => format!("idempotency-key: {key}\r\n"),
+        call_at(self.instances[at].listen, pipeline, key, body)
+    }
+
+    /// Returns the status of all instances, as one of them tells it.
+    pub fn status(&self, at: usize) -> String {
+        get(self.instances[at].admin, "/admin/status").map(|a| a.body).unwrap_or_default()
+    }
+
+    /// Returns the version in force at an instance, by its own word.
+    pub fn version_at(&self, at: usize) -> Option<u64> {
+        self.own_status(at)?["version"].as_u64()
+    }
+
+    /// Returns the number of the instance that leads the control group.
+    pub fn leader(&self) -> usize {
+        let mut leader = None;
+        let found = || {
+            leader = (0..3).find(|at| self.own_status(*at).is_some_and(|s| leads(&s)));
+            leader.is_some()
         };
-        let fields = format!("authorization: Bearer {KEY}\r\n{key}");
-        post(self.instances[at].listen, &format!("/v1/pipelines/{pipeline}"), &fields, body)
+        assert!(eventually(PATIENCE, found), "no leader:\n{}", self.log(0));
+        leader.unwrap()
+    }
+
+    /// Returns the number of the instance that `at` takes for the leader.
+    pub fn leader_of(&self, at: usize) -> usize {
+        let mut name = String::new();
+        let known = || {
+            let status = self.own_status(at).unwrap_or_default();
+            name = status["control"]["lead"]["leader"].as_str().unwrap_or_default().to_owned();
+            !name.is_empty()
+        };
+        assert!(eventually(PATIENCE, known), "no leader known:\n{}", self.log(at));
+        self.instances.iter().position(|i| i.name == name).unwrap()
+    }
+
+    /// Returns the identity under which `name` votes, as the instance `at` knows it.
+    pub fn voter(&self, at: usize, name: &str) -> Option<serde_json::Value> {
+        let status = self.own_status(at)?;
+        let members = status["control"]["members"].as_array()?;
+        let votes = |m: &&serde_json::Value| m["node"]["name"] == name && m["standing"] == "Voter";
+        Some(members.iter().find(votes)?["node"]["id"].clone())
+    }
+
+    fn own_status(&self, at: usize) -> Option<serde_json::Value> {
+        let status: serde_json::Value = serde_json::from_str(&self.status(at)).ok()?;
+        let own = |i: &&serde_json::Value| i["name"] == self.instances[at].name.as_str();
+        status["instances"].as_array()?.iter().find(own).cloned()
+    }
+
+    /// Returns the runs that the targets of a data centre have recorded.
+    pub fn runs_in(&self, centre: &str) -> usize {
+        let near = self.targets.iter().filter(|t| t.listed.data_centre == centre);
+        near.map(|t| t.thread.report().unwrap().runs.len()).sum()
     }
 
     /// Returns the targets of a pool.
@@ -330,6 +378,16 @@
     }
 }
 
+/// Calls a pipeline at the address of an instance.
+pub fn call_at(address: SocketAddr, pipeline: &str, key: &str, body: &str) -> Option<Answer> {
+    let key = match key {
+        "" => String::new(),
+        key => format!("idempotency-key: {key}\r\n"),
+    };
+    let fields = format!("authorization: Bearer {KEY}\r\n{key}");
+    post(address, &format!("/v1/pipelines/{pipeline}"), &fields, body)
+}
+
 /// Sends a GET request; nothing is returned where no whole answer came.
 pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
     exchange(address, "GET", path, "", "")
@@ -365,6 +423,10 @@
     Some(Answer { status, body: body.to_owned() })
 }
 
+fn leads(status: &serde_json::Value) -> bool {
+    status["control"]["lead"]["own"] == true
+}
+
 fn start_target(pool: &str, centre: &str) -> Target {
     let thread = TargetThread::start(Behaviour::default()).unwrap();
     let listed = Listed {
--- /dev/null
+++ b/hawthornkeel/tests/operator_races.rs
@@ -0,0 +1,79 @@
+//! Operators who race each other, resend, and take data centres out.
+
+mod fleet;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use fleet::DOCUMENT;
+use fleet::Fleet;
+use fleet::PATIENCE;
+use hawthornkeel_fakes::thread::eventually;
+
+/// Time within which an accepted document is in force everywhere.
+const IN_FORCE: Duration = Duration::from_secs(7);
+/// Time within which a data centre that was taken out gets no new work.
+const OUT_OF_SERVICE: Duration = Duration::from_secs(3);
+
+#[test]
+fn one_of_two_documents_under_one_number_wins() {
+    let fleet = Fleet::start(4, 2);
+    let other = DOCUMENT.replace("name = \"fleet\"", "name = \"other\"");
+    let first = fleet.try_submit(0, "ana", 2, 1, DOCUMENT).unwrap();
+    let second = fleet.try_submit(3, "ana", 2, 1, &other).unwrap();
+    let resent = fleet.try_submit(2, "ana", 2, 1, DOCUMENT).unwrap();
+    assert!(first.body.contains("\"accepted\""), "{first:?}");
+    assert!(second.body.contains("conflict") && second.body.contains("ana"), "{second:?}");
+    assert_eq!(resent.body, first.body, "a resend gets the first outcome");
+}
+
+#[test]
+fn accepted_document_is_in_force_everywhere() {
+    let fleet = Fleet::start(5, 2);
+    fleet.submit(4, 2, 1, DOCUMENT);
+    let accepted = Instant::now();
+    let everywhere = || (0..5).all(|at| fleet.version_at(at) == Some(2));
+    assert!(eventually(PATIENCE, everywhere), "{}", fleet.status(0));
+    assert!(accepted.elapsed() < IN_FORCE, "{:?}", accepted.elapsed());
+}
+
+#[test]
+fn data_centre_taken_out_gets_no_new_work() {
+    let fleet = Fleet::start(4, 2);
+    let out = fleet.order(0, "take-out", 5, "dc-0").unwrap();
+    assert_eq!(out.status, 200, "{out:?}");
+    thread::sleep(OUT_OF_SERVICE);
+    let before = fleet.runs_in("dc-0");
+    for at in 0..4 {
+        let answer = fleet.call(at, "draft", "", "{\"text\":\"lot\"}").unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", fleet.log(at));
+    }
+    assert_eq!(fleet.runs_in("dc-0"), before, "new work in the data centre that is out");
+    let back = fleet.order(3, "bring-back", 6, "dc-0").unwrap();
+    assert!(back.body.contains("logged"), "{back:?}");
+    let used = eventually(PATIENCE, || {
+        fleet.call(0, "draft", "", "{\"text\":\"lot\"}");
+        fleet.runs_in("dc-0") > before
+    });
+    assert!(used, "no work after the return:\n{}", fleet.log(0));
+}
+
+#[test]
+fn data_centre_is_taken_out_without_a_quorum() {
+    let mut fleet = Fleet::start(5, 2);
+    fleet.kill(0);
+    fleet.kill(1);
+    let held = eventually(PATIENCE, || {
+        let out = fleet.order(3, "take-out", 5, "dc-0");
+        out.is_some_and(|o| o.body.contains("held"))
+    });
+    assert!(held, "{}", fleet.log(3));
+    thread::sleep(OUT_OF_SERVICE);
+    let before = fleet.runs_in("dc-0");
+    for at in 2..5 {
+        let answer = fleet.call(at, "draft", "", "{\"text\":\"lot\"}").unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", fleet.log(at));
+    }
+    assert_eq!(fleet.runs_in("dc-0"), before);
+}
--- /dev/null
+++ b/hawthornkeel/tests/planned_stop.rs
@@ -0,0 +1,37 @@
+//! Planned stop of an instance under load.
+
+mod fleet;
+
+use std::thread;
+
+use fleet::Fleet;
+use fleet::PATIENCE;
+use hawthornkeel_fakes::thread::eventually;
+use rustix::process::Signal;
+
+#[test]
+fn stop_cuts_and_refuses_nothing() {
+    let mut fleet = Fleet::start(5, 2);
+    for target in fleet.pool("readers") {
+        target.thread.behave("{\"floor_ms\":1500}").unwrap();
+    }
+    let address = fleet.instances[0].listen;
+    let callers: Vec<_> = (0..20)
+        .map(|_| thread::spawn(move || fleet::call_at(address, "draft", "", "{\"text\":\"lot\"}")))
+        .collect();
+    let busy = eventually(PATIENCE, || {
+        fleet::get(fleet.instances[0].admin, "/metrics")
+            .is_some_and(|m| m.body.contains("hawthornkeel_open_requests 20"))
+    });
+    assert!(busy, "{}", fleet.log(0));
+    fleet.signal(0, Signal::TERM);
+    let unready =
+        eventually(PATIENCE, || fleet::get(address, "/ready").is_none_or(|a| a.status == 503));
+    assert!(unready, "the balancer is not told");
+    for caller in callers {
+        let answer = caller.join().unwrap().unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", fleet.log(0));
+    }
+    assert_eq!(fleet.wait_exit(0), Some(0), "{}", fleet.log(0));
+    assert!(fleet.log(0).contains("cut=0"), "{}", fleet.log(0));
+}
