--- a/hawthornkeel/src/control/error.rs
+++ b/hawthornkeel/src/control/error.rs
@@ -38,9 +38,11 @@
     }
 }
 
-/// Failure that ends the control role, and with it the process.
+/// Why the control role has ended, and the process with it.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ControlFailure {
+    /// A planned stop.
+    Stopped,
     /// The disk failed.
     Disk(String),
     /// The log on the disk can't be used.
@@ -54,6 +56,7 @@
 impl fmt::Display for ControlFailure {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
+            Self::Stopped => f.write_str("stopped"),
             Self::Disk(reason) => write!(f, "disk failed: {reason}"),
             Self::Recover(e) => e.fmt(f),
             Self::Entry(index, e) => write!(f, "log entry {index}: {e}"),
--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -12,6 +12,7 @@
 pub mod gather;
 pub mod gossip;
 pub mod node;
+pub mod open;
 pub mod pending;
 pub mod saver;
 pub mod sources;
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -21,6 +21,7 @@
 use hawthornkeel_core::replica::Refusal;
 use hawthornkeel_core::replica::Replica;
 use hawthornkeel_core::replica::Role;
+use hawthornkeel_core::replica::Save;
 use hawthornkeel_core::replica::Settings;
 use hawthornkeel_core::replica::Snapshot;
 use hawthornkeel_core::replica::Status;
@@ -72,7 +73,8 @@
 
 struct Inner {
     endpoint: Endpoint,
-    saver: Box<dyn Saver>,
+    /// Disk, until the role ends.
+    saver: RefCell<Option<Box<dyn Saver>>>,
     replica: RefCell<Replica>,
     state: RefCell<State>,
     /// Last entry that the state includes.
@@ -107,7 +109,7 @@
         let control = Self {
             inner: Rc::new(Inner {
                 endpoint,
-                saver,
+                saver: RefCell::new(Some(saver)),
                 replica: RefCell::new(replica),
                 state: RefCell::default(),
                 applied: Cell::default(),
@@ -191,7 +193,7 @@
     pub fn lead(&self) -> Lead {
         let replica = self.inner.replica.borrow();
         let leader = replica.status().leader.as_ref().map(|n| n.name.clone());
-        Lead { own: replica.has_lease(boot_now()), leader }
+        Lead { own: !self.has_ended() && replica.has_lease(boot_now()), leader }
     }
 
     /// Returns the part that this instance plays in the log.
@@ -221,13 +223,28 @@
     pub fn fail(&self, failure: ControlFailure) {
         let mut first = self.inner.failure.borrow_mut();
         if first.is_none() {
-            tracing::error!(event = "control-failed", error = %failure);
+            match &failure {
+                ControlFailure::Stopped => tracing::info!(event = "control-stopped"),
+                error => tracing::error!(event = "control-failed", %error),
+            }
             *first = Some(failure);
         }
         drop(first);
+        self.inner.pending.borrow_mut().end_all();
+        self.inner.reads.borrow_mut().clear();
         self.inner.failed.notify();
     }
 
+    /// Ends the control role of a planned stop: what was handed to the disk is written first.
+    pub fn stop(&self) {
+        self.fail(ControlFailure::Stopped);
+        self.inner.saver.borrow_mut().take();
+    }
+
+    fn has_ended(&self) -> bool {
+        self.inner.failure.borrow().is_some()
+    }
+
     /// Waits until the control role has failed; the process is to end then.
     pub fn failed(&self) -> impl Future<Output = ControlFailure> + use<> {
         let inner = self.inner.clone();
@@ -243,7 +260,7 @@
     }
 
     fn leads(&self) -> bool {
-        self.inner.replica.borrow().status().role == Role::Leader
+        !self.has_ended() && self.inner.replica.borrow().status().role == Role::Leader
     }
 
     fn not_proposed(&self) -> Proposed {
@@ -297,7 +314,7 @@
     fn input(&self, input: Input) {
         let mut inputs = VecDeque::from([input]);
         while let Some(input) = inputs.pop_front() {
-            if self.inner.failure.borrow().is_some() {
+            if self.has_ended() {
                 return;
             }
             let actions = self.inner.replica.borrow_mut().handle(boot_now(), input);
@@ -320,7 +337,7 @@
         inputs: &mut VecDeque<Input>,
     ) -> Result<(), ControlFailure> {
         match action {
-            Action::Save { ticket, save } => self.inner.saver.save(ticket, save),
+            Action::Save { ticket, save } => self.save(ticket, save),
             Action::Send { to, message } => self.send(&to, message),
             Action::Apply(entries) => self.apply(entries)?,
             Action::Restore(snapshot) => self.restore(&snapshot)?,
@@ -334,6 +351,12 @@
         Ok(())
     }
 
+    fn save(&self, ticket: Ticket, save: Save) {
+        if let Some(saver) = &*self.inner.saver.borrow() {
+            saver.save(ticket, save);
+        }
+    }
+
     fn send(&self, to: &InstanceName, message: Message) {
         if let Err(error) = self.inner.endpoint.send(to, &Frame::Replica(message)) {
             tracing::warn!(event = "replica-unsent", peer = %to, %error);
@@ -412,7 +435,7 @@
     /// Wakes the replica up whenever it is due.
     async fn keep_time(self) {
         loop {
-            if self.inner.failure.borrow().is_some() {
+            if self.has_ended() {
                 return;
             }
             let seen = self.inner.rearmed.count();
--- a/hawthornkeel/src/control/pending.rs
+++ b/hawthornkeel/src/control/pending.rs
@@ -102,6 +102,16 @@
         }
     }
 
+    /// Ends every command: those that are proposed may come about all the same.
+    pub fn end_all(&mut self) {
+        self.refuse_waiting(&Proposed::NotProposed { leader: None });
+        for (_, waiters) in self.proposed.drain(..) {
+            for waiter in waiters {
+                let _ = waiter.send(Proposed::Unknown);
+            }
+        }
+    }
+
     /// Tells the waiters of all commands that are not proposed that they won't be.
     pub fn refuse_waiting(&mut self, answer: &Proposed) {
         for (_, waiter) in self.waiting.drain(..) {
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -26,6 +26,7 @@
 use crate::peer::link::Dialer;
 use crate::peer::link::Link;
 use crate::peer::runtime::MonoioRuntime;
+use crate::peer::runtime::Traffic;
 use crate::peer::wire;
 
 /// Endpoint of an instance, on one thread; clones share it.
@@ -41,14 +42,8 @@
     links: RefCell<IndexMap<InstanceName, Rc<Link>>>,
     handlers: Rc<Handlers>,
     server: quinn::Endpoint,
-    traffic: Traffic,
-}
-
-/// Frames sent and received since the start, in frames and bytes.
-#[derive(Debug, Default)]
-struct Traffic {
+    traffic: Arc<Traffic>,
     dropped: Cell<u64>,
-    bytes: Cell<u64>,
 }
 
 impl Endpoint {
@@ -71,21 +66,28 @@
         let credentials = Credentials::load(&settings.peers)?;
         let source = socket.local_addr()?.ip();
         let config = EndpointConfig::default();
-        let runtime = Arc::new(MonoioRuntime);
-        let server = quinn::Endpoint::new(config, Some(credentials.server), socket, runtime)?;
+        let runtime = MonoioRuntime::default();
+        let shared = Arc::new(runtime.clone());
+        let server = quinn::Endpoint::new(config, Some(credentials.server), socket, shared)?;
         let name = settings.instance.name.clone();
         let handlers = Rc::new(Handlers { name: name.clone(), ..Handlers::default() });
         monoio::spawn(inbound::accept(server.clone(), handlers.clone()));
         let peers = settings.peers.peers.iter().map(|p| (p.name.clone(), p.clone())).collect();
         Ok(Self {
             inner: Rc::new(Inner {
-                dialer: Dialer { name: name.clone(), source, client: credentials.client },
+                dialer: Dialer {
+                    name: name.clone(),
+                    source,
+                    client: credentials.client,
+                    runtime: runtime.clone(),
+                },
                 name,
                 peers,
                 links: RefCell::default(),
                 handlers,
                 server,
-                traffic: Traffic::default(),
+                traffic: runtime.traffic,
+                dropped: Cell::default(),
             }),
         })
     }
@@ -111,12 +113,12 @@
 
     /// Returns the one-way frames dropped so far because a peer's queue was full.
     pub fn dropped(&self) -> u64 {
-        self.inner.traffic.dropped.get()
+        self.inner.dropped.get()
     }
 
-    /// Returns the bytes of frames queued for peers so far, without those of QUIC itself.
-    pub fn sent_bytes(&self) -> u64 {
-        self.inner.traffic.bytes.get()
+    /// Returns the traffic of all connections so far.
+    pub fn traffic(&self) -> &Arc<Traffic> {
+        &self.inner.traffic
     }
 
     /// Sets the handler of one-way frames of `kind`, which gets them in the order they were sent.
@@ -143,9 +145,8 @@
     pub fn send(&self, to: &InstanceName, frame: &Frame) -> Result<(), PeerError> {
         let link = self.link(to)?;
         let frame = wire::encode(frame)?;
-        self.count_bytes(frame.len());
         if !link.push(frame) {
-            self.inner.traffic.dropped.set(self.inner.traffic.dropped.get() + 1);
+            self.inner.dropped.set(self.inner.dropped.get() + 1);
         }
         Ok(())
     }
@@ -163,7 +164,6 @@
     ) -> Result<Frame, PeerError> {
         let link = self.link(to)?;
         let request = wire::encode(frame)?;
-        self.count_bytes(request.len());
         let deadline = monoio::time::Instant::now() + timeout;
         let connection = monoio::time::timeout_at(deadline, link.connection())
             .await
@@ -189,11 +189,6 @@
         self.inner.server.close(VarInt::from_u32(0), b"closed");
     }
 
-    fn count_bytes(&self, bytes: usize) {
-        let total = &self.inner.traffic.bytes;
-        total.set(total.get() + bytes as u64);
-    }
-
     fn link(&self, to: &InstanceName) -> Result<Rc<Link>, PeerError> {
         if let Some(link) = self.inner.links.borrow().get(to) {
             return Ok(link.clone());
--- a/hawthornkeel/src/peer/link.rs
+++ b/hawthornkeel/src/peer/link.rs
@@ -46,6 +46,8 @@
     pub source: IpAddr,
     /// Credentials of this instance.
     pub client: ClientConfig,
+    /// Event loop that connections run on.
+    pub runtime: MonoioRuntime,
 }
 
 /// Outgoing connection to one peer.
@@ -219,7 +221,7 @@
     /// Connects from a new port: whatever lost track of the old connection knows that port.
     async fn dial(&self) -> Result<(Connection, SendStream), PeerError> {
         let socket = UdpSocket::bind((self.dialer.source, 0))?;
-        let runtime = Arc::new(MonoioRuntime);
+        let runtime = Arc::new(self.dialer.runtime.clone());
         let config = EndpointConfig::default();
         let endpoint = quinn::Endpoint::new(config, None, socket, runtime)?;
         let connection = endpoint
--- a/hawthornkeel/src/peer/runtime.rs
+++ b/hawthornkeel/src/peer/runtime.rs
@@ -14,6 +14,8 @@
 use std::sync::Mutex;
 use std::sync::MutexGuard;
 use std::sync::PoisonError;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::task::Context;
 use std::task::Poll;
 use std::task::Waker;
@@ -36,9 +38,43 @@
 /// Datagrams received before other tasks get to run.
 const RECEIVE_BURST: usize = 32;
 
-/// `quinn` runtime on the calling thread's `monoio` event loop.
-#[derive(Clone, Copy, Debug, Default)]
-pub struct MonoioRuntime;
+/// `quinn` runtime on the calling thread's `monoio` event loop; clones share the traffic counted.
+#[derive(Clone, Debug, Default)]
+pub struct MonoioRuntime {
+    /// Traffic of all sockets of the runtime.
+    pub traffic: Arc<Traffic>,
+}
+
+/// Datagrams and their bytes, without the heads of UDP and IP.
+#[derive(Debug, Default)]
+pub struct Traffic {
+    sent: AtomicU64,
+    sent_bytes: AtomicU64,
+    received: AtomicU64,
+    received_bytes: AtomicU64,
+}
+
+impl Traffic {
+    /// Returns the datagrams sent and received so far.
+    pub fn datagrams(&self) -> u64 {
+        self.sent.load(Ordering::Relaxed) + self.received.load(Ordering::Relaxed)
+    }
+
+    /// Returns the bytes sent and received so far.
+    pub fn bytes(&self) -> u64 {
+        self.sent_bytes.load(Ordering::Relaxed) + self.received_bytes.load(Ordering::Relaxed)
+    }
+
+    fn count_sent(&self, bytes: usize) {
+        self.sent.fetch_add(1, Ordering::Relaxed);
+        self.sent_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+
+    fn count_received(&self, bytes: usize) {
+        self.received.fetch_add(1, Ordering::Relaxed);
+        self.received_bytes.fetch_add(bytes as u64, Ordering::Relaxed);
+    }
+}
 
 impl Runtime for MonoioRuntime {
     fn new_timer(&self, deadline: Instant) -> Pin<Box<dyn AsyncTimer>> {
@@ -52,7 +88,7 @@
     }
 
     fn wrap_udp_socket(&self, socket: StdSocket) -> io::Result<Arc<dyn AsyncUdpSocket>> {
-        Ok(Arc::new(Socket::new(socket)?))
+        Ok(Arc::new(Socket::new(socket, self.traffic.clone())?))
     }
 }
 
@@ -135,6 +171,7 @@
 /// UDP socket: sends directly, receives through a task of its own.
 struct Socket {
     socket: StdSocket,
+    traffic: Arc<Traffic>,
     shared: Arc<Mutex<SocketState>>,
 }
 
@@ -155,13 +192,13 @@
 }
 
 impl Socket {
-    fn new(socket: StdSocket) -> io::Result<Self> {
+    fn new(socket: StdSocket, traffic: Arc<Traffic>) -> io::Result<Self> {
         socket.set_nonblocking(true)?;
         let receiver = std::rc::Rc::new(UdpSocket::from_std(socket.try_clone()?)?);
         let shared = Arc::new(Mutex::new(SocketState::default()));
         monoio::spawn(receive(receiver.clone(), shared.clone()));
         monoio::spawn(watch_writable(receiver, shared.clone()));
-        Ok(Self { socket, shared })
+        Ok(Self { socket, traffic, shared })
     }
 }
 
@@ -243,7 +280,10 @@
 
     fn try_send(&self, transmit: &Transmit<'_>) -> io::Result<()> {
         match self.socket.send_to(transmit.contents, transmit.destination) {
-            Ok(_) => Ok(()),
+            Ok(bytes) => {
+                self.traffic.count_sent(bytes);
+                Ok(())
+            }
             Err(e) if e.kind() == io::ErrorKind::WouldBlock => Err(e),
             // Other errors lose one datagram; the protocol sends again or gives up by itself.
             Err(_) => Ok(()),
@@ -263,6 +303,7 @@
             let len = data.len().min(buffer.len());
             let (Some(to), Some(from)) = (buffer.get_mut(..len), data.get(..len)) else { break };
             to.copy_from_slice(from);
+            self.traffic.count_received(len);
             *meta = RecvMeta { addr, len, stride: len, ecn: None, dst_ip: None };
             count += 1;
         }
--- a/hawthornkeel/tests/control_leader.rs
+++ b/hawthornkeel/tests/control_leader.rs
@@ -91,9 +91,9 @@
         for number in 1..=50 {
             assert_eq!(submit(&parts, request(number, number - 1, "old")).await, accepted(number));
         }
-        // The memory of these instances' disks ends with them: c1 comes back with an empty one.
         let before = voters(&parts, "c2").await;
         cluster.kill("c1");
+        cluster.wipe("c1");
         cluster.start("c1");
         wait_for("the replacement as voter", async || {
             let now = voters(&parts, "c2").await;
@@ -106,3 +106,22 @@
         assert_eq!(submit(&parts, request(51, 50, "new")).await, accepted(51));
     });
 }
+
+#[test]
+fn all_restarted() {
+    let mut cluster = three();
+    run(async {
+        let parts = cluster.join("a", "east");
+        for number in 1..=20 {
+            assert_eq!(submit(&parts, request(number, number - 1, "old")).await, accepted(number));
+        }
+        let before = voters(&parts, "c2").await;
+        for name in CONTROLS {
+            cluster.kill(name);
+        }
+        cluster.start_all();
+        assert_eq!(submit(&parts, request(20, 19, "old")).await, accepted(20));
+        assert_eq!(submit(&parts, request(21, 20, "new")).await, accepted(21));
+        assert_eq!(voters(&parts, "c2").await, before);
+    });
+}
--- a/hawthornkeel/tests/peer_trust.rs
+++ b/hawthornkeel/tests/peer_trust.rs
@@ -156,7 +156,7 @@
         let credentials =
             Credentials::load(&settings(folder.path(), "a", Vec::new()).peers).unwrap();
         let config = quinn::EndpointConfig::default();
-        let runtime = Arc::new(MonoioRuntime);
+        let runtime = Arc::new(MonoioRuntime::default());
         let endpoint = quinn::Endpoint::new(config, None, socket(), runtime).unwrap();
         let connecting = endpoint.connect_with(credentials.client, address, "b").unwrap();
         let connection = connecting.await.unwrap();
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -1,36 +1,31 @@
 //! Instances in threads of their own, which talk over real UDP on loopback.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
-use std::rc::Rc;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use hawthornkeel::control::node::Control;
-use hawthornkeel::control::node::ControlOptions;
-use hawthornkeel::control::pending::BatchLimits;
-use hawthornkeel::control::saver::Saver;
+use hawthornkeel::control::open::Tuning;
+use hawthornkeel::control::open::open_with;
 use hawthornkeel::control::start;
 use hawthornkeel::control::start::Parts;
 use hawthornkeel::peer::Endpoint;
 use hawthornkeel_config::settings;
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
-use hawthornkeel_core::ids::ReplicaId;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
-use hawthornkeel_core::replica::Node;
-use hawthornkeel_core::replica::Save;
-use hawthornkeel_core::replica::Stored;
-use hawthornkeel_core::replica::Ticket;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use tempfile::TempDir;
 
+/// Time between looks at whether an instance is to end.
+const POLL: Duration = Duration::from_millis(20);
+
 /// Instance of a test.
 pub struct Spec {
     /// Name.
@@ -44,6 +39,7 @@
 /// Instances of a test.
 pub struct Cluster {
     folder: TempDir,
+    tuning: Tuning,
     instances: Vec<Placed>,
 }
 
@@ -54,16 +50,52 @@
     running: Option<Running>,
 }
 
+/// What an instance has used since its start.
+#[derive(Default)]
+pub struct Usage {
+    /// Processor time of its event loop, in microseconds.
+    pub cpu: AtomicU64,
+    /// Bytes in datagrams sent and received.
+    pub bytes: AtomicU64,
+    /// Datagrams sent and received.
+    pub datagrams: AtomicU64,
+}
+
 struct Running {
     stop: Arc<AtomicBool>,
+    usage: Arc<Usage>,
     thread: JoinHandle<()>,
 }
 
+impl Usage {
+    fn count(&self, endpoint: &Endpoint) {
+        let time = clock_gettime(ClockId::ThreadCPUTime);
+        let cpu = time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000;
+        self.cpu.store(cpu, Ordering::Relaxed);
+        self.bytes.store(endpoint.traffic().bytes(), Ordering::Relaxed);
+        self.datagrams.store(endpoint.traffic().datagrams(), Ordering::Relaxed);
+    }
+}
+
 impl Cluster {
+    /// Returns what an instance that runs has used.
+    pub fn usage(&self, name: &str) -> Arc<Usage> {
+        self.placed(name).running.as_ref().unwrap().usage.clone()
+    }
+
     /// Places instances without starting them.
     pub fn new(specs: Vec<Spec>) -> Self {
         let place = |spec| Placed { spec, socket: super::socket(), running: None };
-        Self { folder: TempDir::new().unwrap(), instances: specs.into_iter().map(place).collect() }
+        Self {
+            folder: TempDir::new().unwrap(),
+            tuning: Tuning::default(),
+            instances: specs.into_iter().map(place).collect(),
+        }
+    }
+
+    /// Sets the bounds for instances started from now on.
+    pub fn set_tuning(&mut self, tuning: Tuning) {
+        self.tuning = tuning;
     }
 
     /// Returns settings for an instance that knows all others.
@@ -93,10 +125,13 @@
         let settings = self.settings(name, placed.spec.centre, placed.spec.control);
         let socket = placed.socket.try_clone().unwrap();
         let stop = Arc::new(AtomicBool::new(false));
-        let stopped = stop.clone();
-        let thread = std::thread::spawn(move || serve(&settings, socket, &stopped));
+        let (stopped, tuning) = (stop.clone(), self.tuning);
+        let usage = Arc::new(Usage::default());
+        let counted = usage.clone();
+        let thread =
+            std::thread::spawn(move || serve(&settings, socket, tuning, &stopped, &counted));
         let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
-        self.instances[at].running = Some(Running { stop, thread });
+        self.instances[at].running = Some(Running { stop, usage, thread });
     }
 
     /// Ends an instance at once: nothing that it still had to do is done.
@@ -108,6 +143,13 @@
         }
     }
 
+    /// Loses the disk of an instance that is down.
+    pub fn wipe(&self, name: &str) {
+        let placed = self.placed(name);
+        let settings = self.settings(name, placed.spec.centre, placed.spec.control);
+        std::fs::remove_dir_all(settings.control.data).unwrap();
+    }
+
     /// Starts an instance without the control role in the calling thread.
     pub fn join(&self, name: &str, centre: &str) -> Parts {
         let settings = self.settings(name, centre, false);
@@ -145,46 +187,19 @@
     }
 }
 
-fn serve(settings: &Settings, socket: UdpSocket, stop: &AtomicBool) {
+fn serve(settings: &Settings, socket: UdpSocket, tuning: Tuning, stop: &AtomicBool, usage: &Usage) {
     super::run(async {
         let endpoint = Endpoint::with_socket(socket, settings).unwrap();
-        let control = settings.control.enabled.then(|| start_control(settings, &endpoint));
-        let _parts = start::start(settings, &endpoint, control);
+        let open = || open_with(settings, &endpoint, tuning).unwrap();
+        let parts = start::start(settings, &endpoint, settings.control.enabled.then(open));
         while !stop.load(Ordering::Relaxed) {
-            monoio::time::sleep(Duration::from_millis(5)).await;
+            monoio::time::sleep(POLL).await;
+            usage.count(&endpoint);
+        }
+        // Tasks of a thread that has ended are not dropped, so the lock is given back here.
+        endpoint.close();
+        if let Some(control) = parts.control {
+            control.stop();
         }
     });
 }
-
-/// Disk that keeps nothing: an instance that comes back has lost it.
-#[derive(Clone, Default)]
-pub struct MemorySaver {
-    control: Rc<RefCell<Option<Control>>>,
-}
-
-impl Saver for MemorySaver {
-    fn save(&self, ticket: Ticket, _save: Save) {
-        let saver = self.clone();
-        monoio::spawn(async move {
-            hawthornkeel::peer::signal::yield_now().await;
-            let control = saver.control.borrow().clone();
-            if let Some(control) = control {
-                control.synced(ticket);
-            }
-        });
-    }
-}
-
-fn start_control(settings: &Settings, endpoint: &Endpoint) -> Control {
-    let saver = MemorySaver::default();
-    let options = ControlOptions {
-        node: Node { id: ReplicaId(rand::random()), name: settings.instance.name.clone() },
-        settings: start::log_settings(settings),
-        batch: BatchLimits::default(),
-        rng: ChaCha8Rng::seed_from_u64(rand::random()),
-        stored: Stored::default(),
-    };
-    let control = Control::start(options, endpoint.clone(), Box::new(saver.clone())).unwrap();
-    *saver.control.borrow_mut() = Some(control.clone());
-    control
-}
