--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -5,10 +5,14 @@
 use indexmap::IndexMap;
 
 use crate::document::Pool;
+use crate::names::CentreName;
 use crate::names::TargetName;
 use crate::routing::budget::Budget;
 use crate::routing::fair::FairQueue;
+use crate::routing::router::EntryInfo;
 use crate::routing::settings::RouterSettings;
+use crate::routing::shares;
+use crate::routing::shares::CentreCount;
 use crate::routing::subset;
 use crate::routing::target::Hot;
 use crate::routing::target::Target;
@@ -19,12 +23,14 @@
 const PREFIXES: usize = 4096;
 /// Hedges allowed beyond the share after a quiet time.
 const HEDGE_BURST: f64 = 2.0;
-/// Share of a target's limit for the entries of its own data centre, while there are others.
-const NEAR_SHARE: f64 = 0.75;
-
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Failed calls in a row, over all targets, after which the pool as a whole fails.
+const FAILS_AFTER: u32 = 3;
+/// Time after a failure during which repeated calls wait while the pool as a whole fails.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
+
 /// Target that probably holds a prompt prefix.
 #[derive(Clone, Debug)]
 struct Place {
@@ -41,7 +47,10 @@
     pub hot: Vec<Hot>,
     /// Sum of the targets' capacities.
     pub capacity: u64,
+    /// Calls that wait, but for those in `repeats`.
     pub queue: FairQueue,
+    /// Calls that wait and may have run before.
+    pub repeats: FairQueue,
     pub times: Times,
     pub retries: Budget,
     pub hedges: Budget,
@@ -49,6 +58,10 @@
     pub committed: u64,
     /// Time at which a target that is left alone may open again.
     pub reopen: Option<Instant>,
+    /// Failed calls since the last answer of any target.
+    failures: u32,
+    /// Time from which repeated calls may go, while the pool as a whole fails.
+    pub retry_at: Instant,
     /// Last time that a call asked for the pool.
     pub wanted: Option<Instant>,
     /// Time from which a call is let through although measured times are too long.
@@ -66,11 +79,14 @@
             hot: Vec::new(),
             capacity: 0,
             queue: FairQueue::default(),
+            repeats: FairQueue::default(),
             times: Times::default(),
             retries: Budget::new(set.retry_share, set.retry_burst),
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
             committed: 0,
             reopen: None,
+            failures: 0,
+            retry_at: Instant::ZERO,
             wanted: None,
             try_at: Instant::ZERO,
             places: IndexMap::new(),
@@ -83,6 +99,20 @@
         self.times.median().unwrap_or_default()
     }
 
+    /// Takes an answer of any target.
+    pub fn answered(&mut self) {
+        self.failures = 0;
+        self.retry_at = Instant::ZERO;
+    }
+
+    /// Takes a failed call; while the pool as a whole fails, only first calls probe it.
+    pub fn failed(&mut self, now: Instant) {
+        self.failures = self.failures.saturating_add(1);
+        if self.failures >= FAILS_AFTER {
+            self.retry_at = now + RETRY_PAUSE;
+        }
+    }
+
     /// Tells whether a call may go although measured times are too long: one in a pause.
     pub fn may_try(&mut self, now: Instant) -> bool {
         if now < self.try_at {
@@ -98,16 +128,41 @@
         self.median().mul_f64((calls / slots).min(1e6))
     }
 
-    /// Returns the own share of a target's limit.
-    pub fn share(&self, near: bool, near_entries: usize, far_entries: usize) -> f64 {
-        let limit = f64::from(self.config.warm_limit);
-        let (part, entries) = match (near, near_entries, far_entries) {
-            (true, n, 0) => (1.0, n),
-            (true, n, _) => (NEAR_SHARE, n),
-            (false, 0, f) => (1.0, f),
-            (false, _, f) => (1.0 - NEAR_SHARE, f),
+    /// Counts the entries and the usable targets by data centre.
+    fn counts(&self, entries: &[EntryInfo]) -> IndexMap<CentreName, CentreCount> {
+        let mut counts: IndexMap<CentreName, CentreCount> = IndexMap::new();
+        for entry in entries {
+            counts.entry(entry.centre.clone()).or_default().entries += 1;
+        }
+        for target in self.targets.values() {
+            let count = counts.entry(target.info.centre.clone()).or_default();
+            count.targets += usize::from(target.serves());
+        }
+        counts
+    }
+
+    /// Works out this entry's shares of the targets' limits.
+    pub fn share_out(&mut self, own: &EntryInfo, entries: &[EntryInfo], places: usize) {
+        let counts = self.counts(entries);
+        let Some(entry) = counts.get_index_of(&own.centre) else {
+            return;
         };
-        (limit * part / entries.max(1) as f64).max(1.0)
+        let list: Vec<CentreCount> = counts.values().copied().collect();
+        let hash = subset::name_hash(own.id.name.as_str());
+        let most = f64::from(self.config.warm_limit);
+        let mut parts: Vec<Option<f64>> = vec![None; list.len()];
+        for target in self.targets.values_mut() {
+            let Some(centre) = counts.get_index_of(&target.info.centre) else {
+                continue;
+            };
+            let Some(part) = parts.get_mut(centre) else {
+                continue;
+            };
+            let part = *part.get_or_insert_with(|| shares::share(&list, centre, entry, places));
+            let rank = subset::rank(hash, subset::name_hash(target.info.name.as_str()));
+            target.share = shares::round(part * most, rank);
+            target.bound(most);
+        }
     }
 
     /// Adds a target.
