--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -23,6 +24,8 @@
 use rustix::time::clock_gettime;
 use tempfile::TempDir;
 
+use super::relay::Relay;
+
 /// Time between looks at whether an instance is to end.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -41,6 +44,10 @@
     folder: TempDir,
     tuning: Tuning,
     instances: Vec<Placed>,
+    /// Relays between instances, by who sends and who is sent to.
+    relays: Mutex<Vec<((String, String), Relay)>>,
+    /// Whether instances reach each other through relays.
+    relayed: bool,
 }
 
 struct Placed {
@@ -90,9 +97,45 @@
             folder: TempDir::new().unwrap(),
             tuning: Tuning::default(),
             instances: specs.into_iter().map(place).collect(),
+            relays: Mutex::default(),
+            relayed: false,
+        }
+    }
+
+    /// Places instances that reach each other through relays, so that they can be cut off.
+    pub fn with_relays(specs: Vec<Spec>) -> Self {
+        let mut cluster = Self::new(specs);
+        cluster.relayed = true;
+        cluster
+    }
+
+    /// Cuts every way between the instances of `side` and the others, or mends it.
+    pub fn set_cut(&self, side: &[&str], cut: bool) {
+        let within = |name: &String| side.contains(&name.as_str());
+        for ((from, to), relay) in &*self.relays.lock().unwrap() {
+            if within(from) != within(to) {
+                relay.set_cut(cut);
+            }
         }
     }
 
+    /// Returns the address at which `from` reaches an instance.
+    fn way(&self, from: &str, to: &Placed) -> SocketAddr {
+        let address = to.socket.local_addr().unwrap();
+        if !self.relayed {
+            return address;
+        }
+        let ends = (from.to_owned(), to.spec.name.to_owned());
+        let mut relays = self.relays.lock().unwrap();
+        if let Some((_, relay)) = relays.iter().find(|(known, _)| *known == ends) {
+            return relay.address;
+        }
+        let relay = Relay::new(address);
+        let address = relay.address;
+        relays.push((ends, relay));
+        address
+    }
+
     /// Sets the bounds for instances started from now on.
     pub fn set_tuning(&mut self, tuning: Tuning) {
         self.tuning = tuning;
@@ -101,7 +144,8 @@
     /// Returns settings for an instance that knows all others.
     pub fn settings(&self, name: &str, centre: &str, control: bool) -> Settings {
         let others = self.instances.iter().filter(|p| p.spec.name != name);
-        let mut settings = super::settings(self.folder.path(), name, others.map(peer).collect());
+        let peers = others.map(|p| peer(p, self.way(name, p))).collect();
+        let mut settings = super::settings(self.folder.path(), name, peers);
         let founders = self.instances.iter().filter(|p| p.spec.control);
         settings.instance.data_centre = CentreName::new(centre);
         settings.control = settings::Control {
@@ -157,11 +201,6 @@
         start::start(&settings, &endpoint, None)
     }
 
-    /// Returns the address of an instance.
-    pub fn address(&self, name: &str) -> SocketAddr {
-        self.placed(name).socket.local_addr().unwrap()
-    }
-
     fn placed(&self, name: &str) -> &Placed {
         self.instances.iter().find(|p| p.spec.name == name).unwrap()
     }
@@ -178,10 +217,10 @@
     }
 }
 
-fn peer(placed: &Placed) -> Peer {
+fn peer(placed: &Placed, address: SocketAddr) -> Peer {
     Peer {
         name: InstanceName::new(placed.spec.name),
-        address: placed.socket.local_addr().unwrap(),
+        address,
         data_centre: CentreName::new(placed.spec.centre),
         control: placed.spec.control,
     }
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -3,6 +3,7 @@
 
 pub mod cluster;
 pub mod operator;
+pub mod relay;
 
 use std::future::Future;
 use std::net::SocketAddr;
