--- a/hawthornkeel/src/control/open.rs
+++ b/hawthornkeel/src/control/open.rs
@@ -66,6 +66,15 @@
     }
 }
 
+/// Bounds that decide how many commands share a sync.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Tuning {
+    /// Bounds of log entries.
+    pub batch: BatchLimits,
+    /// Settings of the data folder.
+    pub disk: DiskSettings,
+}
+
 /// Data folder as the control role's disk.
 struct FolderSaver {
     writer: DiskWriter,
@@ -82,7 +91,19 @@
 /// # Errors
 /// Fails where the data folder is in use, damaged, or can't be read or written.
 pub fn open_control(settings: &Settings, endpoint: &Endpoint) -> Result<Control, OpenError> {
-    let (disk, recovered) = Disk::open(&settings.control.data, DiskSettings::default())?;
+    open_with(settings, endpoint, Tuning::default())
+}
+
+/// Starts the control role like [`open_control`], with other bounds.
+///
+/// # Errors
+/// Fails where the data folder is in use, damaged, or can't be read or written.
+pub fn open_with(
+    settings: &Settings,
+    endpoint: &Endpoint,
+    tuning: Tuning,
+) -> Result<Control, OpenError> {
+    let (disk, recovered) = Disk::open(&settings.control.data, tuning.disk)?;
     let replica = recovered.id;
     tracing::info!(event = "data-folder-opened", %replica, cut_bytes = recovered.cut);
     let (sender, receiver) = mpsc::unbounded();
@@ -93,7 +114,7 @@
     let options = ControlOptions {
         node: Node { id: replica, name: settings.instance.name.clone() },
         settings: start::log_settings(settings),
-        batch: BatchLimits::default(),
+        batch: tuning.batch,
         rng: ChaCha8Rng::seed_from_u64(rand::random()),
         stored: recovered.stored,
     };
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -1,36 +1,34 @@
 //! Instances in threads of their own, which talk over real UDP on loopback.
 
-use std::cell::RefCell;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
-use std::rc::Rc;
 use std::sync::Arc;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use hawthornkeel::control::node::Control;
-use hawthornkeel::control::node::ControlOptions;
-use hawthornkeel::control::pending::BatchLimits;
-use hawthornkeel::control::saver::Saver;
+use hawthornkeel::control::open::Tuning;
+use hawthornkeel::control::open::open_with;
 use hawthornkeel::control::start;
 use hawthornkeel::control::start::Parts;
 use hawthornkeel::peer::Endpoint;
 use hawthornkeel_config::settings;
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
-use hawthornkeel_core::ids::ReplicaId;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
-use hawthornkeel_core::replica::Node;
-use hawthornkeel_core::replica::Save;
-use hawthornkeel_core::replica::Stored;
-use hawthornkeel_core::replica::Ticket;
-use rand::SeedableRng;
-use rand_chacha::ChaCha8Rng;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 use tempfile::TempDir;
 
+use super::relay::Relay;
+
+/// Time between looks at whether an instance is to end.
+const POLL: Duration = Duration::from_millis(20);
+
 /// Instance of a test.
 pub struct Spec {
     /// Name.
@@ -44,7 +42,12 @@
 /// Instances of a test.
 pub struct Cluster {
     folder: TempDir,
+    tuning: Tuning,
     instances: Vec<Placed>,
+    /// Relays between instances, by who sends and who is sent to.
+    relays: Mutex<Vec<((String, String), Relay)>>,
+    /// Whether instances reach each other through relays.
+    relayed: bool,
 }
 
 struct Placed {
@@ -54,22 +57,95 @@
     running: Option<Running>,
 }
 
+/// What an instance has used since its start.
+#[derive(Default)]
+pub struct Usage {
+    /// Processor time of its event loop, in microseconds.
+    pub cpu: AtomicU64,
+    /// Bytes in datagrams sent and received.
+    pub bytes: AtomicU64,
+    /// Datagrams sent and received.
+    pub datagrams: AtomicU64,
+}
+
 struct Running {
     stop: Arc<AtomicBool>,
+    usage: Arc<Usage>,
     thread: JoinHandle<()>,
 }
 
+impl Usage {
+    fn count(&self, endpoint: &Endpoint) {
+        let time = clock_gettime(ClockId::ThreadCPUTime);
+        let cpu = time.tv_sec as u64 * 1_000_000 + time.tv_nsec as u64 / 1_000;
+        self.cpu.store(cpu, Ordering::Relaxed);
+        self.bytes.store(endpoint.traffic().bytes(), Ordering::Relaxed);
+        self.datagrams.store(endpoint.traffic().datagrams(), Ordering::Relaxed);
+    }
+}
+
 impl Cluster {
+    /// Returns what an instance that runs has used.
+    pub fn usage(&self, name: &str) -> Arc<Usage> {
+        self.placed(name).running.as_ref().unwrap().usage.clone()
+    }
+
     /// Places instances without starting them.
     pub fn new(specs: Vec<Spec>) -> Self {
         let place = |spec| Placed { spec, socket: super::socket(), running: None };
-        Self { folder: TempDir::new().unwrap(), instances: specs.into_iter().map(place).collect() }
+        Self {
+            folder: TempDir::new().unwrap(),
+            tuning: Tuning::default(),
+            instances: specs.into_iter().map(place).collect(),
+            relays: Mutex::default(),
+            relayed: false,
+        }
+    }
+
+    /// Places instances that reach each other through relays, so that they can be cut off.
+    pub fn with_relays(specs: Vec<Spec>) -> Self {
+        let mut cluster = Self::new(specs);
+        cluster.relayed = true;
+        cluster
+    }
+
+    /// Cuts every way between the instances of `side` and the others, or mends it.
+    pub fn set_cut(&self, side: &[&str], cut: bool) {
+        let within = |name: &String| side.contains(&name.as_str());
+        for ((from, to), relay) in &*self.relays.lock().unwrap() {
+            if within(from) != within(to) {
+                relay.set_cut(cut);
+            }
+        }
+    }
+
+    /// Returns the address at which `from` reaches an instance.
+    fn way(&self, from: &str, to: &Placed) -> SocketAddr {
+        let address = to.socket.local_addr().unwrap();
+        if !self.relayed {
+            return address;
+        }
+        let ends = (from.to_owned(), to.spec.name.to_owned());
+        let mut relays = self.relays.lock().unwrap();
+        if let Some((_, relay)) = relays.iter().find(|(known, _)| *known == ends) {
+            return relay.address;
+        }
+        let relay = Relay::new(address);
+        let address = relay.address;
+        relays.push((ends, relay));
+        address
+    }
+
+    /// Sets the bounds for instances started from now on.
+    pub fn set_tuning(&mut self, tuning: Tuning) {
+        self.tuning = tuning;
     }
 
     /// Returns settings for an instance that knows all others.
     pub fn settings(&self, name: &str, centre: &str, control: bool) -> Settings {
         let others = self.instances.iter().filter(|p| p.spec.name != name);
-        let mut settings = super::settings(self.folder.path(), name, others.map(peer).collect());
+        let peers = others.map(|p| peer(p, self.way(name, p))).collect();
+        let mut settings = super::settings(self.folder.path(), name, peers);
         let founders = self.instances.iter().filter(|p| p.spec.control);
         settings.instance.data_centre = CentreName::new(centre);
         settings.control = settings::Control {
@@ -93,10 +169,13 @@
         let settings = self.settings(name, placed.spec.centre, placed.spec.control);
         let socket = placed.socket.try_clone().unwrap();
         let stop = Arc::new(AtomicBool::new(false));
-        let stopped = stop.clone();
-        let thread = std::thread::spawn(move || serve(&settings, socket, &stopped));
+        let (stopped, tuning) = (stop.clone(), self.tuning);
+        let usage = Arc::new(Usage::default());
+        let counted = usage.clone();
+        let thread =
+            std::thread::spawn(move || serve(&settings, socket, tuning, &stopped, &counted));
         let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
-        self.instances[at].running = Some(Running { stop, thread });
+        self.instances[at].running = Some(Running { stop, usage, thread });
     }
 
     /// Ends an instance at once: nothing that it still had to do is done.
@@ -108,6 +187,13 @@
         }
     }
 
+    /// Loses the disk of an instance that is down.
+    pub fn wipe(&self, name: &str) {
+        let placed = self.placed(name);
+        let settings = self.settings(name, placed.spec.centre, placed.spec.control);
+        std::fs::remove_dir_all(settings.control.data).unwrap();
+    }
+
     /// Starts an instance without the control role in the calling thread.
     pub fn join(&self, name: &str, centre: &str) -> Parts {
         let settings = self.settings(name, centre, false);
@@ -115,11 +201,6 @@
         start::start(&settings, &endpoint, None)
     }
 
-    /// Returns the address of an instance.
-    pub fn address(&self, name: &str) -> SocketAddr {
-        self.placed(name).socket.local_addr().unwrap()
-    }
-
     fn placed(&self, name: &str) -> &Placed {
         self.instances.iter().find(|p| p.spec.name == name).unwrap()
     }
@@ -136,55 +217,28 @@
     }
 }
 
-fn peer(placed: &Placed) -> Peer {
+fn peer(placed: &Placed, address: SocketAddr) -> Peer {
     Peer {
         name: InstanceName::new(placed.spec.name),
-        address: placed.socket.local_addr().unwrap(),
+        address,
         data_centre: CentreName::new(placed.spec.centre),
         control: placed.spec.control,
     }
 }
 
-fn serve(settings: &Settings, socket: UdpSocket, stop: &AtomicBool) {
+fn serve(settings: &Settings, socket: UdpSocket, tuning: Tuning, stop: &AtomicBool, usage: &Usage) {
     super::run(async {
         let endpoint = Endpoint::with_socket(socket, settings).unwrap();
-        let control = settings.control.enabled.then(|| start_control(settings, &endpoint));
-        let _parts = start::start(settings, &endpoint, control);
+        let open = || open_with(settings, &endpoint, tuning).unwrap();
+        let parts = start::start(settings, &endpoint, settings.control.enabled.then(open));
         while !stop.load(Ordering::Relaxed) {
-            monoio::time::sleep(Duration::from_millis(5)).await;
+            monoio::time::sleep(POLL).await;
+            usage.count(&endpoint);
+        }
+        // Tasks of a thread that has ended are not dropped, so the lock is given back here.
+        endpoint.close();
+        if let Some(control) = parts.control {
+            control.stop();
         }
     });
 }
-
-/// Disk that keeps nothing: an instance that comes back has lost it.
-#[derive(Clone, Default)]
-pub struct MemorySaver {
-    control: Rc<RefCell<Option<Control>>>,
-}
-
-impl Saver for MemorySaver {
-    fn save(&self, ticket: Ticket, _save: Save) {
-        let saver = self.clone();
-        monoio::spawn(async move {
-            hawthornkeel::peer::signal::yield_now().await;
-            let control = saver.control.borrow().clone();
-            if let Some(control) = control {
-                control.synced(ticket);
-            }
-        });
-    }
-}
-
-fn start_control(settings: &Settings, endpoint: &Endpoint) -> Control {
-    let saver = MemorySaver::default();
-    let options = ControlOptions {
-        node: Node { id: ReplicaId(rand::random()), name: settings.instance.name.clone() },
-        settings: start::log_settings(settings),
-        batch: BatchLimits::default(),
-        rng: ChaCha8Rng::seed_from_u64(rand::random()),
-        stored: Stored::default(),
-    };
-    let control = Control::start(options, endpoint.clone(), Box::new(saver.clone())).unwrap();
-    *saver.control.borrow_mut() = Some(control.clone());
-    control
-}
