--- a/hawthornkeel/src/cli/admin.rs
+++ b/hawthornkeel/src/cli/admin.rs
@@ -12,6 +12,7 @@
 use serde::Serialize;
 
 use crate::cli::error::CliError;
+use crate::cli::error::one_line;
 use crate::runtime;
 use crate::target::call::Call;
 use crate::target::connection::Connection;
@@ -46,6 +47,9 @@
 }
 
 /// Sends an order to `path` and returns the answer to it.
+///
+/// # Errors
+/// Fails where there is no answer or a refusal, and tells whether the order may have been taken.
 pub fn post(admin: SocketAddr, path: &str, order: &impl Serialize) -> Result<Bytes, CliError> {
     let body = serde_json::to_vec(order)
         .map_err(|error| CliError::Failed(format!("the order can't be encoded: {error}")))?;
@@ -53,6 +57,9 @@
 }
 
 /// Gets `path`.
+///
+/// # Errors
+/// Fails as [`post`] does.
 pub fn get(admin: SocketAddr, path: &str) -> Result<Bytes, CliError> {
     call(admin, &Method::GET, path, Bytes::new())
 }
@@ -92,7 +99,7 @@
     for part in [&refusal.title, &refusal.detail] {
         if !part.is_empty() {
             text.push_str(": ");
-            text.push_str(&part.replace('\n', " "));
+            text.push_str(&one_line(part));
         }
     }
     match (answer.status.is_client_error(), refusal.ran.as_str()) {
--- a/hawthornkeel/src/cli/check.rs
+++ b/hawthornkeel/src/cli/check.rs
@@ -1,7 +1,5 @@
 //! Command `check`: findings about settings and environment documents.
 
-use std::path::Path;
-
 use hawthornkeel_config::FileKind;
 use hawthornkeel_config::Findings;
 use hawthornkeel_config::check_document;
@@ -11,40 +9,49 @@
 
 use crate::cli::command::CheckOptions;
 use crate::cli::error::CliError;
+use crate::cli::output;
 
 /// Checks files and reports every finding of all of them.
 ///
 /// A file without errors is named on standard output, a document with its content hash.
+///
+/// # Errors
+/// Fails with the findings of the files that have errors.
 pub fn check(options: &CheckOptions) -> Result<(), CliError> {
     let mut wrong = Vec::new();
-    for file in &options.files {
-        match check_file(file) {
-            Ok(findings) if findings.is_empty() => {}
-            Ok(findings) => eprintln!("{findings}"),
+    for path in &options.files {
+        let file = path.display().to_string();
+        match read_text(path).and_then(|text| check_text(&file, &text)) {
+            Ok(sound) => report(&file, &sound)?,
             Err(findings) => wrong.push(findings),
         }
     }
     if wrong.is_empty() { Ok(()) } else { Err(CliError::Findings(wrong)) }
 }
 
-/// Checks one file; returns the warnings of one without errors.
-fn check_file(path: &Path) -> Result<Findings, Findings> {
-    let file = path.display().to_string();
-    let text = read_text(path)?;
-    let (findings, summary) = match FileKind::of(&text) {
+/// File without errors.
+struct Sound {
+    summary: String,
+    warnings: Findings,
+}
+
+fn check_text(file: &str, text: &str) -> Result<Sound, Findings> {
+    let (findings, summary) = match FileKind::of(text) {
         FileKind::Settings => {
-            let checked = check_settings(&file, &text);
-            let name = checked.value.instance.name;
-            (checked.findings, format!("settings of {name}"))
+            let checked = check_settings(file, text);
+            (checked.findings, format!("settings of {}", checked.value.instance.name))
         }
         FileKind::Document => {
-            let findings = check_document(&file, &text).findings;
-            (findings, format!("document with hash {}", content_hash(&text)))
+            let hash = content_hash(text);
+            (check_document(file, text).findings, format!("document with hash {hash}"))
         }
     };
-    if findings.has_errors() {
-        return Err(findings);
+    if findings.has_errors() { Err(findings) } else { Ok(Sound { summary, warnings: findings }) }
+}
+
+fn report(file: &str, sound: &Sound) -> Result<(), CliError> {
+    if !sound.warnings.is_empty() {
+        eprintln!("{}", sound.warnings);
     }
-    println!("{file}: {summary}");
-    Ok(findings)
+    output::write(&format!("{file}: {}\n", sound.summary))
 }
--- a/hawthornkeel/src/cli/error.rs
+++ b/hawthornkeel/src/cli/error.rs
@@ -63,7 +63,7 @@
 
 impl From<lexopt::Error> for CliError {
     fn from(error: lexopt::Error) -> Self {
-        Self::Usage(error.to_string().replace('\n', " "))
+        Self::Usage(one_line(&error.to_string()))
     }
 }
 
@@ -73,6 +73,11 @@
     }
 }
 
+/// Returns `text` on one line, as errors are printed.
+pub fn one_line(text: &str) -> String {
+    text.replace(char::is_control, " ")
+}
+
 fn write_findings(f: &mut fmt::Formatter<'_>, files: &[Findings]) -> fmt::Result {
     for (number, findings) in files.iter().enumerate() {
         let separator = if number > 0 { "\n" } else { "" };
--- a/hawthornkeel/src/cli/help.rs
+++ b/hawthornkeel/src/cli/help.rs
@@ -1,11 +1,9 @@
 //! Texts of `--help` and `--version`.
 
-use std::io;
-use std::io::Write;
-
 use crate::cli::VERSION;
 use crate::cli::command::Topic;
 use crate::cli::error::CliError;
+use crate::cli::output;
 
 /// Options that every command has.
 const COMMON: &str = "  -h, --help             print this help
@@ -30,13 +28,19 @@
 ";
 
 /// Prints the help of `topic`.
+///
+/// # Errors
+/// Fails where standard output can't be written.
 pub fn print(topic: Topic) -> Result<(), CliError> {
-    write(&text(topic))
+    output::write(&text(topic))
 }
 
 /// Prints the version.
+///
+/// # Errors
+/// Fails where standard output can't be written.
 pub fn print_version() -> Result<(), CliError> {
-    write(&format!("hawthornkeel {VERSION}\n"))
+    output::write(&format!("hawthornkeel {VERSION}\n"))
 }
 
 /// Returns the help of `topic`.
@@ -111,13 +115,3 @@
 {EXIT_CODES}"
     )
 }
-
-fn write(text: &str) -> Result<(), CliError> {
-    match io::stdout().write_all(text.as_bytes()) {
-        // A reader such as `head` may have seen enough.
-        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
-            Err(CliError::Failed(format!("can't write to standard output: {error}")))
-        }
-        _ => Ok(()),
-    }
-}
--- a/hawthornkeel/src/cli/keys.rs
+++ b/hawthornkeel/src/cli/keys.rs
@@ -2,16 +2,21 @@
 
 use crate::cli::command::KeysOptions;
 use crate::cli::error::CliError;
+use crate::cli::output;
 use crate::peer::certificate;
 
 /// Makes a certificate for each instance and names its files on standard output.
+///
+/// # Errors
+/// Fails where a file can't be read or written.
 pub fn keys(options: &KeysOptions) -> Result<(), CliError> {
     for name in &options.names {
         let issued = certificate::issue(&options.folder, name).map_err(|error| {
             let folder = options.folder.display();
             CliError::Failed(format!("no certificate for {name} in {folder}: {error}"))
         })?;
-        println!("{} {}", issued.certificate.display(), issued.key.display());
+        let (certificate, key) = (issued.certificate.display(), issued.key.display());
+        output::write(&format!("{certificate} {key}\n"))?;
     }
     Ok(())
 }
--- a/hawthornkeel/src/cli/mod.rs
+++ b/hawthornkeel/src/cli/mod.rs
@@ -7,6 +7,7 @@
 pub mod help;
 pub mod keys;
 pub mod orders;
+pub mod output;
 pub mod parse;
 pub mod run;
 pub mod trial;
--- /dev/null
+++ b/hawthornkeel/src/cli/output.rs
@@ -0,0 +1,19 @@
+//! Standard output of the commands.
+
+use std::io;
+use std::io::Write;
+
+use crate::cli::error::CliError;
+
+/// Writes `text` to standard output.
+///
+/// # Errors
+/// Fails where it can't be written, but not where the reader has seen enough and left.
+pub fn write(text: &str) -> Result<(), CliError> {
+    match io::stdout().write_all(text.as_bytes()) {
+        Err(error) if error.kind() != io::ErrorKind::BrokenPipe => {
+            Err(CliError::Failed(format!("can't write to standard output: {error}")))
+        }
+        _ => Ok(()),
+    }
+}
--- a/hawthornkeel/src/cli/parse.rs
+++ b/hawthornkeel/src/cli/parse.rs
@@ -46,6 +46,9 @@
 }
 
 /// Parses `args`, the program's name left out.
+///
+/// # Errors
+/// Fails where the command line is wrong.
 pub fn parse(args: impl IntoIterator<Item = OsString>) -> Result<Command, CliError> {
     let mut parser = Parser::from_args(args);
     let topic = match parser.next()? {
--- a/hawthornkeel/src/cli/run.rs
+++ b/hawthornkeel/src/cli/run.rs
@@ -3,15 +3,24 @@
 use hawthornkeel_config::check_settings;
 use hawthornkeel_config::load::read_text;
 use hawthornkeel_config::load_settings;
-use hawthornkeel_config::settings::Settings;
 
 use crate::cli::command::RunOptions;
 use crate::cli::error::CliError;
+use crate::cli::error::one_line;
+use crate::entry::start::StopReport;
+use crate::instance;
 use crate::logging;
+use crate::runtime;
+use crate::stop::StopRequest;
+use crate::telemetry;
 
 /// Runs an instance until it is asked to stop.
 ///
 /// Warnings about the settings go to standard error.
+///
+/// # Errors
+/// Fails where the settings have errors, an address, certificate or folder can't be used, or a
+/// planned stop cut requests off.
 pub fn run(options: &RunOptions) -> Result<(), CliError> {
     let path = &options.settings;
     let warnings = check_settings(&path.display().to_string(), &read_text(path)?).findings;
@@ -19,12 +28,23 @@
     if !warnings.is_empty() {
         eprintln!("{warnings}");
     }
-    logging::init(&settings.log.filter).map_err(|error| CliError::Failed(error.to_string()))?;
-    serve(settings)
+    logging::init(&settings.log.filter).map_err(failed)?;
+    let metrics = telemetry::install().map_err(failed)?;
+    let stop = StopRequest::from_signals().map_err(failed)?;
+    let instance = instance::run(settings, stop, metrics);
+    let report = runtime::block_on(instance).map_err(failed)?.map_err(failed)?;
+    stopped(report)
+}
+
+/// Returns the result of a process that stopped as `report` says.
+pub(crate) fn stopped(report: StopReport) -> Result<(), CliError> {
+    match report {
+        StopReport::Complete => Ok(()),
+        StopReport::Cut(count) => Err(CliError::Failed(format!("{count} requests were cut off"))),
+    }
 }
 
-/// Runs the roles that `settings` name.
-fn serve(settings: Settings) -> Result<(), CliError> {
-    let name = settings.instance.name;
-    Err(CliError::Failed(format!("{name} can't be run: no role is wired to the command yet")))
+/// Returns the error of a command that `error` ended.
+pub(crate) fn failed(error: impl std::error::Error) -> CliError {
+    CliError::Failed(one_line(&error.to_string()))
 }
--- a/hawthornkeel/src/cli/trial.rs
+++ b/hawthornkeel/src/cli/trial.rs
@@ -6,24 +6,24 @@
 
 use crate::cli::command::TrialOptions;
 use crate::cli::error::CliError;
-use crate::entry::start::StopReport;
+use crate::cli::run::failed;
+use crate::cli::run::stopped;
 use crate::logging;
 use crate::runtime;
 use crate::stop::StopRequest;
 use crate::trial;
 
 /// Runs a document until the process is asked to stop.
+///
+/// # Errors
+/// Fails where the document has errors, an address can't be used, or a planned stop cut requests
+/// off.
 pub fn trial(options: &TrialOptions) -> Result<(), CliError> {
     let text = read_text(&options.document)?;
     let document = parse_document(&options.document.display().to_string(), &text)?;
-    let failed = |error: &dyn std::error::Error| CliError::Failed(error.to_string());
-    logging::init(&Log::default().filter).map_err(|error| failed(&error))?;
-    let stop = StopRequest::from_signals().map_err(|error| failed(&error))?;
-    let report = runtime::block_on(trial::run(document, options.listen, stop))
-        .map_err(|error| failed(&error))?
-        .map_err(|error| failed(&error))?;
-    match report {
-        StopReport::Complete => Ok(()),
-        StopReport::Cut(count) => Err(CliError::Failed(format!("{count} requests were cut off"))),
-    }
+    logging::init(&Log::default().filter).map_err(failed)?;
+    let stop = StopRequest::from_signals().map_err(failed)?;
+    let trial = trial::run(document, options.listen, stop);
+    let report = runtime::block_on(trial).map_err(failed)?.map_err(failed)?;
+    stopped(report)
 }
--- a/hawthornkeel/src/logging.rs
+++ b/hawthornkeel/src/logging.rs
@@ -29,6 +29,9 @@
 impl Error for LoggingError {}
 
 /// Starts log output with `filter`, such as `info` or `hawthornkeel=debug`.
+///
+/// # Errors
+/// Fails where the filter can't be read or log output has started already.
 pub fn init(filter: &str) -> Result<(), LoggingError> {
     let filter =
         EnvFilter::try_new(filter).map_err(|error| LoggingError::Filter(error.to_string()))?;
--- a/hawthornkeel/tests/cli_orders.rs
+++ b/hawthornkeel/tests/cli_orders.rs
@@ -14,6 +14,10 @@
 use rstest::rstest;
 use serde_json::Value;
 
+/// Answer to an order whose operation number was used for another order.
+const CONFLICT: &str = r#"{"result":"conflict","order":{"operator":"ueda","operation":7,
+"centre":"yatsushiro","state":"InService"},"index":12}"#;
+
 /// Answers one request with `status` and `body`, or closes where there is no status.
 fn answer(status: Option<&str>, body: &str) -> (SocketAddr, JoinHandle<String>) {
     let listener = TcpListener::bind("127.0.0.1:0").expect("an address is free");
@@ -49,6 +53,10 @@
     command.output().expect("the binary runs")
 }
 
+fn stdout(output: &Output) -> String {
+    String::from_utf8_lossy(&output.stdout).into_owned()
+}
+
 fn take_out(admin: SocketAddr) -> Output {
     run(admin, &["take-out", "yatsushiro", "--operator", "mori", "--operation", "7"])
 }
@@ -59,13 +67,13 @@
 
 #[test]
 fn submit_sends_document() {
-    let (admin, server) = answer(Some("200 OK"), "{\"version\":4}");
+    let (admin, server) = answer(Some("200 OK"), r#"{"result":"accepted","version":4}"#);
     let file = trial_document().display().to_string();
     let args = ["submit", &file, "--operator", "mori", "--operation", "7", "--expected", "3"];
     let output = run(admin, &args);
     let request = server.join().expect("the request is whole");
     assert_eq!(output.status.code(), Some(0));
-    assert_eq!(String::from_utf8_lossy(&output.stdout), "{\"version\":4}\n");
+    assert_eq!(stdout(&output), "{\"result\":\"accepted\",\"version\":4}\n");
     let (head, body) = request.split_once("\r\n\r\n").expect("a head and a body");
     assert!(head.starts_with("POST /admin/submit HTTP/1.1\r\n"), "{head}");
     let body: Value = serde_json::from_str(body).expect("JSON");
@@ -88,7 +96,7 @@
 
 #[test]
 fn drawn_number_is_printed_and_sent() {
-    let (admin, server) = answer(Some("200 OK"), "{}");
+    let (admin, server) = answer(Some("200 OK"), r#"{"result":"held"}"#);
     let output = run(admin, &["bring-back", "yatsushiro", "--operator", "mori"]);
     let request = server.join().expect("the request is whole");
     assert_eq!(output.status.code(), Some(0));
@@ -107,24 +115,29 @@
     let output = run(admin, &["status"]);
     let request = server.join().expect("the request is whole");
     assert!(request.starts_with("GET /admin/status HTTP/1.1\r\n"), "{request}");
-    assert_eq!(String::from_utf8_lossy(&output.stdout), "{\"version\":4}\n");
+    assert_eq!(stdout(&output), "{\"version\":4}\n");
     assert_eq!(output.status.code(), Some(0));
 }
 
 #[rstest]
-#[case::conflict(
-    Some("409 Conflict"),
-    r#"{"title":"Conflict.","ran":"not-run"}"#,
+#[case::number_used(Some("200 OK"), CONFLICT, 3, "refused: {\"result\":\"conflict\",")]
+#[case::no_quorum(Some("200 OK"), r#"{"result":"not-accepted"}"#, 4, "not carried out: {")]
+#[case::full(Some("200 OK"), r#"{"result":"full"}"#, 4, "not carried out: {")]
+#[case::undecided(Some("200 OK"), r#"{"result":"unknown"}"#, 5, "outcome not known: {")]
+#[case::no_result(Some("200 OK"), "{}", 5, "outcome not known: the answer can't be read")]
+#[case::not_found(
+    Some("404 Not Found"),
+    r#"{"title":"Absent."}"#,
     3,
-    "refused: status 409: Conflict."
+    "refused: status 404: Absent."
 )]
 #[case::not_now(
     Some("503 Service Unavailable"),
-    r#"{"ran":"not-run","detail":"no leader"}"#,
+    r#"{"ran":"not-run","detail":"stopping"}"#,
     4,
-    "not carried out: status 503: no leader"
+    "not carried out: status 503: stopping"
 )]
-#[case::unknown(
+#[case::failed(
     Some("503 Service Unavailable"),
     r#"{"ran":"unknown"}"#,
     5,
--- a/hawthornkeel_config/src/load.rs
+++ b/hawthornkeel_config/src/load.rs
@@ -28,7 +28,10 @@
 }
 
 impl<T> Checked<T> {
-    /// Returns the value, or the findings where one of them is an error.
+    /// Returns the value.
+    ///
+    /// # Errors
+    /// Fails with all findings where one of them is an error.
     pub fn into_result(self) -> Result<T, Findings> {
         if self.findings.has_errors() { Err(self.findings) } else { Ok(self.value) }
     }
@@ -57,6 +60,9 @@
 /// Reads the settings at `path`; a relative path in them starts at the folder of the file.
 ///
 /// An unknown key is no error here; [`check_settings`] reports it as a warning.
+///
+/// # Errors
+/// Fails with all findings where one of them is an error.
 pub fn load_settings(path: &Path) -> Result<Settings, Findings> {
     let file = path.display().to_string();
     let text = read_text(path)?;
@@ -80,6 +86,9 @@
 }
 
 /// Reads an environment document; `file` is the name shown in findings.
+///
+/// # Errors
+/// Fails with all findings where one of them is an error.
 pub fn parse_document(file: &str, text: &str) -> Result<Document, Findings> {
     check_document(file, text).into_result()
 }
@@ -100,6 +109,9 @@
 }
 
 /// Reads the text at `path`.
+///
+/// # Errors
+/// Fails with one finding where the file can't be read as UTF-8.
 pub fn read_text(path: &Path) -> Result<String, Findings> {
     fs::read_to_string(path)
         .map_err(|error| Findings::unreadable(&path.display().to_string(), error.to_string()))
