--- a/hawthornkeel/src/cli/run.rs
+++ b/hawthornkeel/src/cli/run.rs
@@ -33,11 +33,11 @@
     let stop = StopRequest::from_signals().map_err(failed)?;
     let instance = instance::run(settings, stop, metrics);
     let report = runtime::block_on(instance).map_err(failed)?.map_err(failed)?;
-    stopped(report)
+    report_stop(report)
 }
 
 /// Returns the result of a process that stopped as `report` says.
-pub(crate) fn stopped(report: StopReport) -> Result<(), CliError> {
+pub fn report_stop(report: StopReport) -> Result<(), CliError> {
     match report {
         StopReport::Complete => Ok(()),
         StopReport::Cut(count) => Err(CliError::Failed(format!("{count} requests were cut off"))),
--- a/hawthornkeel/src/cli/trial.rs
+++ b/hawthornkeel/src/cli/trial.rs
@@ -7,7 +7,7 @@
 use crate::cli::command::TrialOptions;
 use crate::cli::error::CliError;
 use crate::cli::run::failed;
-use crate::cli::run::stopped;
+use crate::cli::run::report_stop;
 use crate::logging;
 use crate::runtime;
 use crate::stop::StopRequest;
@@ -25,5 +25,5 @@
     let stop = StopRequest::from_signals().map_err(failed)?;
     let trial = trial::run(document, options.listen, stop);
     let report = runtime::block_on(trial).map_err(failed)?.map_err(failed)?;
-    stopped(report)
+    report_stop(report)
 }
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -21,6 +21,10 @@
 const STEP_RATIO: f64 = 4.0;
 /// Consecutive failures after which a target gets nothing but probes.
 const DOWN_AFTER: u32 = 2;
+/// Part of what a target bears that entries above their own shares leave to others.
+const FULL_SHARE: f64 = 0.95;
+/// Factor on the own use above the share at a target that is reported full.
+const YIELD_FACTOR: f64 = 0.9;
 /// Multiple of the own share that a limit may reach at a target that reports no load.
 const UNREPORTED_FACTOR: f64 = 2.0;
 /// Time for which a target that refused a call is left alone.
@@ -29,6 +33,8 @@
 const REFUSED_SPAN: Duration = Duration::from_secs(2);
 /// Part of a grant's time after which a request for one gets a new number.
 const RENUMBER_PART: u32 = 4;
+/// Time after a failure or a pause during which only first calls probe a target.
+const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Share of a call's time that an idle target is expected to take.
 const IDLE_SHARE: f64 = 0.5;
 
@@ -65,6 +71,8 @@
     pub score: f32,
     /// Calls that the target is expected to bear for this entry.
     pub capacity: u32,
+    /// Time from which a repeated call may go, where the target failed last.
+    pub retry_at: Instant,
     pub open: bool,
     pub near: bool,
     pub cold: bool,
@@ -105,6 +113,8 @@
     /// First refusal since the last answer.
     pub refused_since: Option<Instant>,
     pub down_until: Instant,
+    /// Time from which a repeated call may go, where the target failed last.
+    pub retry_at: Instant,
     pub grants: Vec<Grant>,
     pub pending: Option<Pending>,
     pub ask_after: Instant,
@@ -136,6 +146,7 @@
             failures: 0,
             refused_since: None,
             down_until: Instant::ZERO,
+            retry_at: Instant::ZERO,
             grants: Vec::new(),
             pending: None,
             ask_after: Instant::ZERO,
@@ -176,11 +187,14 @@
 
     /// Bounds the own limit by what the target bears in all and others are known to use.
     pub fn bound(&mut self, most: f64) {
-        let spare = match self.reported {
-            Some(_) => most - self.others,
-            None => self.share * UNREPORTED_FACTOR,
+        let own = f64::from(self.running);
+        let spare = most * FULL_SHARE - self.others - own;
+        let cap = match self.reported {
+            Some(_) if spare > 0.0 => own + spare,
+            Some(_) => own * YIELD_FACTOR,
+            None => (self.share * UNREPORTED_FACTOR).max(1.0),
         };
-        self.limit.set_bounds(self.share, spare.min(most));
+        self.limit.set_bounds(self.share, cap.min(most));
     }
 
     /// Tells whether the target may get new work at all.
@@ -189,6 +203,12 @@
         self.known && !leaving && !self.taken_out
     }
 
+    /// Tells whether the target takes work and answers, whichever entry it is known to.
+    pub fn serves(&self) -> bool {
+        let leaving = self.leaving || self.info.liveness == Liveness::Leaving;
+        !leaving && !self.taken_out && !self.is_down()
+    }
+
     /// Tells whether the target fails and gets nothing but probes.
     pub fn is_down(&self) -> bool {
         self.failures >= DOWN_AFTER
@@ -217,6 +237,7 @@
         Hot {
             score: (latency * (IDLE_SHARE + load) + far) as f32,
             capacity: self.capacity(),
+            retry_at: self.retry_at,
             open: self.is_open(now),
             near: self.near,
             cold,
@@ -252,6 +273,7 @@
         self.failures = 0;
         self.refused_since = None;
         self.down_until = Instant::ZERO;
+        self.retry_at = Instant::ZERO;
         let other = self.incarnation.is_some() && incarnation != self.incarnation;
         if other {
             self.retired = self.incarnation;
@@ -266,12 +288,12 @@
         if at_once {
             self.failures = self.failures.max(DOWN_AFTER);
         }
-        if !self.is_down() {
-            return;
+        if self.is_down() {
+            let doublings = (self.failures - DOWN_AFTER).min(16);
+            let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
+            self.down_until = now + pause;
         }
-        let doublings = (self.failures - DOWN_AFTER).min(16);
-        let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
-        self.down_until = now + pause;
+        self.retry_at = self.down_until.max(now) + RETRY_PAUSE;
     }
 
     /// Takes a refusal; returns whether it shows that the target bears less than it did.
