--- a/hawthornkeel_core/tests/centre_orders.rs
+++ b/hawthornkeel_core/tests/centre_orders.rs
@@ -1,8 +1,7 @@
 //! Orders about data centres and fencing numbers.
 
-mod common;
+mod state_common;
 
-use common::Driver;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::ids::OperationNumber;
 use hawthornkeel_core::names::CentreName;
@@ -14,6 +13,7 @@
 use hawthornkeel_core::state::command::CentreState;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::Outcome;
+use state_common::Driver;
 
 const CENTRE: &str = "yatsushiro";
 
--- a/hawthornkeel_core/tests/claim_properties.rs
+++ b/hawthornkeel_core/tests/claim_properties.rs
@@ -1,13 +1,8 @@
 //! Claims under random commands: one grant at a time, and the same state on every replica.
 
-mod common;
+mod state_common;
 
 use bytes::Bytes;
-use common::Driver;
-use common::claim;
-use common::claimant;
-use common::settle;
-use common::snapshot;
 use hawthornkeel_core::ids::OperationNumber;
 use hawthornkeel_core::ids::RequestId;
 use hawthornkeel_core::ids::Version;
@@ -29,6 +24,11 @@
 use proptest::prop_assert_eq;
 use proptest::prop_oneof;
 use proptest::proptest;
+use state_common::Driver;
+use state_common::claim;
+use state_common::claimant;
+use state_common::settle;
+use state_common::snapshot;
 
 /// Longest step of the clock, in milliseconds: short enough that no key expires in a run.
 const STEP_MS: u64 = 600;
