Odd voters with one of another data centre; keyed requests are refused at once without a quorum

Cause: (1) with two entries in a data centre the death of one left no majority of its lease voters, so its cold targets got no calls: a data centre that was taken out left nothing to serve from (data_centre_is_taken_out_without_a_quorum answered 503 no-target). (2) Without a quorum a keyed request ran its first stage before the claim failed, and could only be told 'unknown'. Ruled out: fewer voters (one alone can't tell a dead peer from a cut), a lease by the leader of the log (a data centre that is cut off could not warm its targets). Change: choose_voters adds one entry of another data centre to an even number; a request with a stage that may not be repeated is refused as not run while no leader can be reached.

--- a/hawthornkeel/src/control/client.rs
+++ b/hawthornkeel/src/control/client.rs
@@ -94,6 +94,11 @@
         }
     }
 
+    /// Tells whether proposals are refused at once, since no leader can be reached.
+    pub fn is_refusing(&self) -> bool {
+        self.inner.refusing.get()
+    }
+
     /// Proposes `command` and waits for its outcome.
     ///
     /// The command may be proposed more than once, which the replicated state recognises.
--- a/hawthornkeel/src/entry/claims.rs
+++ b/hawthornkeel/src/entry/claims.rs
@@ -55,6 +55,14 @@
 }
 
 impl ClaimStore {
+    /// Tells whether claims can be decided as far as is known.
+    pub fn is_reachable(&self) -> bool {
+        match self {
+            Self::Local(_) => true,
+            Self::Control(client) => !client.is_refusing(),
+        }
+    }
+
     /// Has `claim` decided.
     pub async fn claim(&self, claim: Claim) -> Input {
         match self.propose(Command::Claim(claim), CLAIM_TIMEOUT).await {
--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -11,6 +11,8 @@
 use hawthornkeel_core::lease::GrantMessage;
 use hawthornkeel_core::lease::LeaseSettings;
 use hawthornkeel_core::lease::MemberId;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::routing::Router;
 use hawthornkeel_core::routing::RouterSettings;
@@ -81,11 +83,10 @@
         let own = settings.instance.data_centre.clone();
         let member = MemberId { name: settings.instance.name.clone(), boot: rand::random() };
         let entries = entry_infos(&settings, &member);
-        let near = entries.iter().filter(|e| e.centre == own).map(|e| e.id.name.clone()).collect();
         let now = clock.now();
-        let lease = LeaseMember::new(now, &member, own.clone(), near, wiring.lease.clone());
-        let router_settings = RouterSettings { seed: rand::random(), ..RouterSettings::default() };
         let info = EntryInfo { id: member.clone(), centre: own };
+        let lease = LeaseMember::new(now, &info, &entries, &wiring.lease);
+        let router_settings = RouterSettings { seed: rand::random(), ..RouterSettings::default() };
         let mut router = Router::new(router_settings, wiring.lease, info);
         router.set_entries(now, &entries);
         Self {
@@ -112,6 +113,15 @@
         self.environment.borrow().clone()
     }
 
+    /// Returns the data centre of an instance that the settings name.
+    pub fn centre_of(&self, name: &InstanceName) -> Option<CentreName> {
+        if *name == self.settings.instance.name {
+            return Some(self.settings.instance.data_centre.clone());
+        }
+        let peer = self.settings.peers.peers.iter().find(|p| p.name == *name)?;
+        Some(peer.data_centre.clone())
+    }
+
     /// Returns a message about grants as it goes to a peer.
     pub fn grant_message(&self, message: GrantMessage) -> EntryMessage {
         EntryMessage::Grant { from: self.member.clone(), message }
--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -12,40 +12,39 @@
 use hawthornkeel_core::lease::message::MemberId;
 use hawthornkeel_core::lease::message::VoteMessage;
 use hawthornkeel_core::lease::settings::LeaseSettings;
+use hawthornkeel_core::lease::voters::choose_voters;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::routing::router::EntryInfo;
 use hawthornkeel_core::time::Instant;
+use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::entry::context::Context;
 use crate::entry::outlet::EntryMessage;
 
-/// Voters of a data centre, at most.
-const MAX_VOTERS: usize = 5;
 /// Pause between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
 
-/// This instance's part in the lease of its data centre.
+/// This instance's part in the leases of data centres.
 pub struct LeaseMember {
-    voter: Option<Voter>,
+    /// Votes, by the data centre whose lease they are for.
+    voters: IndexMap<CentreName, Voter>,
     holder: Holder,
     issuer: Issuer,
 }
 
 impl LeaseMember {
-    /// Creates the part of member `id` among `instances`, the entries of its data centre.
-    pub fn new(
-        now: Instant,
-        id: &MemberId,
-        centre: CentreName,
-        mut instances: Vec<InstanceName>,
-        settings: LeaseSettings,
-    ) -> Self {
-        instances.sort();
-        instances.truncate(MAX_VOTERS);
-        let votes = instances.contains(&id.name);
-        let voter = votes.then(|| Voter::new(now, id.name.clone(), settings.clone()));
-        let holder = Holder::new(now, id.clone(), instances, settings);
-        Self { voter, holder, issuer: Issuer::new(centre) }
+    /// Creates the part of the member `own` among `entries`.
+    pub fn new(now: Instant, own: &EntryInfo, entries: &[EntryInfo], set: &LeaseSettings) -> Self {
+        let name = &own.id.name;
+        let centres: IndexSet<_> = entries.iter().map(|e| e.centre.clone()).collect();
+        let votes = |centre: &CentreName| choose_voters(centre, entries).contains(name);
+        let voter = |centre| (centre, Voter::new(now, name.clone(), set.clone()));
+        let voters = centres.into_iter().filter(votes).map(voter).collect();
+        let named = choose_voters(&own.centre, entries);
+        let holder = Holder::new(now, own.id.clone(), named, set.clone());
+        Self { voters, holder, issuer: Issuer::new(own.centre.clone()) }
     }
 
     /// Takes the document's pools, whose limits bound the grants.
@@ -93,7 +92,8 @@
     let (ask, voters) = {
         let mut lease = context.lease.borrow_mut();
         // Only a voter can hold the lease, so that few instances ask.
-        let ask = lease.voter.is_some().then(|| lease.holder.tick(now)).flatten();
+        let votes = lease.voters().contains(&context.settings.instance.name);
+        let ask = votes.then(|| lease.holder.tick(now)).flatten();
         (ask, lease.voters())
     };
     let Some(ask) = ask else {
@@ -137,7 +137,13 @@
         }
         return;
     }
-    let reply = context.lease.borrow_mut().voter.as_mut().and_then(|v| v.handle(now, &message));
+    let Some(centre) = context.centre_of(from) else {
+        return;
+    };
+    let reply = {
+        let mut lease = context.lease.borrow_mut();
+        lease.voters.get_mut(&centre).and_then(|v| v.handle(now, &message))
+    };
     if let Some(reply) = reply {
         send(context, from, EntryMessage::Vote(reply));
     }
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -105,9 +105,12 @@
         self.context.router.borrow_mut().leave(now, self.run.profile().id);
     }
 
-    /// Asks the router whether the request may start; returns the refusal where it may not.
+    /// Returns the refusal of a request that can't be claimed or that the router does not admit.
     fn admit(&self) -> Option<Refusal> {
         let profile = self.run.profile();
+        if profile.pipeline.has_unrepeatable() && !self.context.claims.is_reachable() {
+            return Some(refuse::no_quorum());
+        }
         let plan = RequestPlan {
             request: profile.id,
             workspace: profile.workspace.clone(),
--- a/hawthornkeel/src/entry/refuse.rs
+++ b/hawthornkeel/src/entry/refuse.rs
@@ -10,6 +10,9 @@
 use crate::http::problem::Code;
 use crate::http::problem::Problem;
 
+/// Time to come back after where no quorum can be reached.
+const NO_QUORUM_RETRY: Duration = Duration::from_secs(2);
+
 /// Returns `refusal` as an answer.
 pub fn problem(refusal: Refusal) -> Problem {
     let problem = Problem::new(code(refusal.code), refusal.ran);
@@ -29,6 +32,12 @@
     Refusal { code, ran: Ran::NotRun, retry_after: Some(retry_after) }
 }
 
+/// Returns the refusal of a request whose claim could not be decided, before any of it runs.
+pub fn no_quorum() -> Refusal {
+    let code = RefusalCode::NoQuorum;
+    Refusal { code, ran: Ran::NotRun, retry_after: Some(NO_QUORUM_RETRY) }
+}
+
 fn code(code: RefusalCode) -> Code {
     match code {
         RefusalCode::KeyRequired => Code::KeyRequired,
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -52,6 +52,21 @@
 kind = "service"
 warm_after = 4
 [[pipeline]]
+name = "warm"
+deadline_ms = 8000
+[[pipeline.stage]]
+name = "read"
+pool = "readers"
+path = "/read"
+[[pipeline.stage]]
+name = "write"
+pool = "writers"
+max_tokens = 2
+[[pipeline.stage]]
+name = "look"
+pool = "registry"
+path = "/look"
+[[pipeline]]
 name = "draft"
 deadline_ms = 8000
 [[pipeline.stage]]
@@ -126,6 +141,29 @@
         fleet
     }
 
+    /// Starts a fleet whose targets have all been warmed up by every instance.
+    pub fn start_warm(count: usize, centres: usize) -> Self {
+        let fleet = Self::start(count, centres);
+        for at in 0..count {
+            let warm = || {
+                let answer = fleet.call(at, "warm", "", "{}");
+                answer.is_some_and(|a| a.status == 200) && fleet.is_warm(at)
+            };
+            assert!(eventually(PATIENCE, warm), "not warm:\n{}", fleet.log(at));
+        }
+        fleet
+    }
+
+    /// Tells whether the last calls of an instance to its own data centre needed no grant.
+    fn is_warm(&self, at: usize) -> bool {
+        let log = self.log(at);
+        let routes = || log.lines().rev().filter(|l| l.contains("event=route "));
+        POOLS.iter().all(|pool| {
+            let pool = format!("pool={pool} ");
+            routes().find(|l| l.contains(&pool)).is_some_and(|l| !l.contains("cold_grant"))
+        })
+    }
+
     /// Prepares a fleet none of whose instances runs yet.
     pub fn prepare(count: usize, centres: usize) -> Self {
         let root = TempDir::new().unwrap();
--- a/hawthornkeel_core/src/lease/mod.rs
+++ b/hawthornkeel_core/src/lease/mod.rs
@@ -11,6 +11,7 @@
 pub(crate) mod record;
 pub mod settings;
 pub mod voter;
+pub mod voters;
 
 pub use holder::Holder;
 pub use issuer::Issuer;
--- /dev/null
+++ b/hawthornkeel_core/tests/lease_voters.rs
@@ -0,0 +1,47 @@
+//! Choice of the voters of a data centre's lease.
+
+use hawthornkeel_core::lease::MemberId;
+use hawthornkeel_core::lease::voters::choose_voters;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::routing::router::EntryInfo;
+use rstest::rstest;
+
+/// Returns `count` entries in each of three data centres.
+fn entries(count: usize) -> Vec<EntryInfo> {
+    (0..count * 3)
+        .map(|at| EntryInfo {
+            id: MemberId { name: InstanceName::new(&format!("entry-{at}")), boot: 0 },
+            centre: format!("dc-{}", at % 3).as_str().into(),
+        })
+        .collect()
+}
+
+fn own_votes(voters: &[InstanceName], all: &[EntryInfo]) -> usize {
+    let own =
+        |v: &&InstanceName| all.iter().any(|e| e.id.name == **v && e.centre.as_str() == "dc-1");
+    voters.iter().filter(own).count()
+}
+
+#[rstest]
+#[case(2, 3)]
+#[case(3, 3)]
+#[case(4, 5)]
+#[case(5, 5)]
+#[case(40, 5)]
+fn voters_are_odd_and_the_own_ones_a_majority(#[case] count: usize, #[case] expected: usize) {
+    let all = entries(count);
+    let voters = choose_voters(&"dc-1".into(), &all);
+    assert_eq!(voters.len(), expected);
+    let majority = voters.len() / 2 + 1;
+    assert!(own_votes(&voters, &all) >= majority, "a data centre that is cut off can vote");
+    let survivors = voters.len() - 1;
+    assert!(survivors >= majority, "the loss of one instance leaves a majority");
+}
+
+#[test]
+fn every_instance_chooses_the_same_voters() {
+    let all = entries(2);
+    let mut shuffled = all.clone();
+    shuffled.reverse();
+    assert_eq!(choose_voters(&"dc-1".into(), &all), choose_voters(&"dc-1".into(), &shuffled));
+}
