A stopping entry keeps asking for grants, and gives up the lease once it is done

Cause: the lease controller paused once the instance stopped, so waiting calls got no more grants and were refused at their deadline (18 of 20 answered 503 in planned_stop). Ruled out: the server closing connections early; refusals by the filter chain. Change: only new bids for the lease stop; the lease is resigned after the last answer.

--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -52,11 +52,6 @@
         self.issuer.apply_document(document);
     }
 
-    /// Gives up the lease on a planned stop; the message goes to the voters.
-    pub fn resign(&mut self) -> VoteMessage {
-        self.holder.resign()
-    }
-
     /// Returns the names of the voters.
     pub fn voters(&self) -> Vec<InstanceName> {
         self.holder.voters().to_vec()
@@ -67,9 +62,6 @@
 pub async fn run(context: Rc<Context>) {
     loop {
         monoio::time::sleep(TICK).await;
-        if context.stopping.is_set() {
-            continue;
-        }
         tick(&context);
         let now = context.clock.now();
         let issued = {
@@ -86,14 +78,26 @@
     }
 }
 
-/// Asks for votes where a round is due.
+/// Gives up the lease, so that another member need not wait for its end.
+pub fn resign(context: &Rc<Context>) {
+    let (resign, voters) = {
+        let mut lease = context.lease.borrow_mut();
+        (lease.holder.resign(), lease.voters())
+    };
+    for voter in voters {
+        send(context, &voter, EntryMessage::Vote(resign.clone()));
+    }
+}
+
+/// Asks for votes where a round is due; a member that stops does not ask for a lease anew.
 fn tick(context: &Rc<Context>) {
     let now = context.clock.now();
     let (ask, voters) = {
         let mut lease = context.lease.borrow_mut();
         // Only a voter can hold the lease, so that few instances ask.
         let votes = lease.voters().contains(&context.settings.instance.name);
-        let ask = votes.then(|| lease.holder.tick(now)).flatten();
+        let asks = votes && (!context.draining.is_set() || lease.holder.holds(now));
+        let ask = asks.then(|| lease.holder.tick(now)).flatten();
         (ask, lease.voters())
     };
     let Some(ask) = ask else {
--- a/hawthornkeel/src/entry/start.rs
+++ b/hawthornkeel/src/entry/start.rs
@@ -62,6 +62,9 @@
         let serving = monoio::spawn(serving);
         let report = stop_when_asked(&context, &control, &stop).await;
         serving.await;
+        controllers::lease::resign(&context);
+        // The message leaves before the endpoint for peers is closed.
+        monoio::time::sleep(POLL).await;
         match report {
             StopReport::Complete => tracing::info!(event = "entry-stopped", cut = 0),
             StopReport::Cut(cut) => tracing::warn!(event = "entry-stopped", cut),
