Tests that wrong variants of following and take-outs fail

Cause: three wrong variants passed the tests when tried: taking a lower index, a return logged before the order undoing it, and serving what a restart recovers.

--- a/hawthornkeel/tests/control_isolation.rs
+++ b/hawthornkeel/tests/control_isolation.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::cell::Cell;
+use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -127,6 +129,18 @@
 
         // A return logged by the others does not undo it: it is not later than the order.
         assert!(matches!(a.admin.bring_back(order(13)).await, CentreResponse::Logged(_)));
+        let holding = Rc::new(Cell::new(true));
+        for parts in [&a, &b] {
+            let (watch, holding) = (parts.watch.clone(), holding.clone());
+            monoio::spawn(async move {
+                while holding.get() {
+                    let seen = watch.changes().count();
+                    let undone = !watch.unlogged().is_empty() && watch.taken_out().is_empty();
+                    assert!(!undone, "undone by the earlier return");
+                    watch.changes().after(seen).await;
+                }
+            });
+        }
         cluster.set_cut(&["c1", "b"], false);
         wait_for("the order everywhere", async || {
             let mut everywhere = b.watch.taken_out() == out && a.watch.taken_out() == out;
@@ -137,6 +151,7 @@
         })
         .await;
 
+        holding.set(false);
         // A later return does, and late copies of the order don't take it out again.
         let CentreResponse::Logged(record) = a.admin.bring_back(order(14)).await else {
             panic!("not logged")
--- a/hawthornkeel/tests/control_leader.rs
+++ b/hawthornkeel/tests/control_leader.rs
@@ -10,11 +10,13 @@
 use hawthornkeel::control::admin::SubmitResponse;
 use hawthornkeel::control::client::ControlError;
 use hawthornkeel_core::ids::OperationNumber;
+use hawthornkeel_core::ids::Version;
 use support::cluster::Cluster;
 use support::cluster::Spec;
 use support::operator::accepted;
 use support::operator::leader;
 use support::operator::request;
+use support::operator::status;
 use support::operator::submit;
 use support::operator::voters;
 use support::operator::wait_for;
@@ -120,6 +122,16 @@
             cluster.kill(name);
         }
         cluster.start_all();
+        for name in CONTROLS {
+            let mut first = None;
+            wait_for("the first state served", async || {
+                first = status(&parts, name).await.filter(|s| s.index.is_some());
+                first.is_some()
+            })
+            .await;
+            // What it recovers without a leader may be older than what it served.
+            assert_eq!(first.unwrap().version, Version(20), "{name}");
+        }
         assert_eq!(submit(&parts, request(20, 19, "old")).await, accepted(20));
         assert_eq!(submit(&parts, request(21, 20, "new")).await, accepted(21));
         assert_eq!(voters(&parts, "c2").await, before);
