--- a/hawthornkeel/src/cli/trial.rs
+++ b/hawthornkeel/src/cli/trial.rs
@@ -6,6 +6,7 @@
 
 use crate::cli::command::TrialOptions;
 use crate::cli::error::CliError;
+use crate::cli::run::failed;
 use crate::cli::run::report_stop;
 use crate::logging;
 use crate::runtime;
@@ -13,14 +14,16 @@
 use crate::trial;
 
 /// Runs a document until the process is asked to stop.
+///
+/// # Errors
+/// Fails where the document has errors, an address can't be used, or a planned stop cut requests
+/// off.
 pub fn trial(options: &TrialOptions) -> Result<(), CliError> {
     let text = read_text(&options.document)?;
     let document = parse_document(&options.document.display().to_string(), &text)?;
-    let failed = |error: &dyn std::error::Error| CliError::Failed(error.to_string());
-    logging::init(&Log::default().filter).map_err(|error| failed(&error))?;
-    let stop = StopRequest::from_signals().map_err(|error| failed(&error))?;
-    let report = runtime::block_on(trial::run(document, options.listen, stop))
-        .map_err(|error| failed(&error))?
-        .map_err(|error| failed(&error))?;
+    logging::init(&Log::default().filter).map_err(failed)?;
+    let stop = StopRequest::from_signals().map_err(failed)?;
+    let trial = trial::run(document, options.listen, stop);
+    let report = runtime::block_on(trial).map_err(failed)?.map_err(failed)?;
     report_stop(report)
 }
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -71,6 +71,8 @@
     pub deadline: Instant,
     pub stage: usize,
     pub attempt: u16,
+    /// Attempts at the stage that may have run.
+    pub runs: u16,
     pub excluded: Vec<usize>,
     pub ran: bool,
     /// Busy time whose result the request has, by stage.
@@ -216,8 +218,8 @@
             Event::Heard { entry, target, report } => self.heard(entry, target, report),
             Event::Lost { entry, target } => self.lost(entry, target),
             Event::Vote { from, to, centre, message } => self.vote(from, to, centre, message),
-            Event::ToIssuer { from, to, message } => self.to_issuer(from, to, message),
-            Event::ToEntry { to, message } => self.to_entry(to, message),
+            Event::ToIssuer { from, to, message } => self.issuer_hears(from, to, message),
+            Event::ToEntry { to, message } => self.entry_hears(to, message),
             Event::Fault { on } => self.fault(on),
         }
     }
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -22,7 +22,7 @@
 /// Consecutive failures after which a target gets nothing but probes.
 const DOWN_AFTER: u32 = 2;
 /// Part of what a target bears that entries above their own shares leave to others.
-const FULL_SHARE: f64 = 0.95;
+const FULL_SHARE: f64 = 1.0;
 /// Factor on the own use above the share at a target that is reported full.
 const YIELD_FACTOR: f64 = 0.9;
 /// Multiple of the own share that a limit may reach at a target that reports no load.
@@ -54,6 +54,9 @@
 pub(crate) struct Grant {
     pub id: GrantId,
     pub got: Instant,
+    /// Time until which a call may be sent: half of the grant's time is left for it then.
+    pub use_by: Instant,
+    /// Time at which the call must have ended.
     pub until: Instant,
 }
 
@@ -100,6 +103,8 @@
     pub sequence: Option<u64>,
     /// Grant of the last answered call, until the target is suspected.
     pub proof: Option<GrantId>,
+    /// Times that the target was suspected.
+    pub losses: u32,
     pub running: u32,
     pub limit: Limit,
     /// Own share of the target's limit.
@@ -136,6 +141,7 @@
             retired: None,
             sequence: None,
             proof: None,
+            losses: 0,
             running: 0,
             limit: Limit::new(1.0, 1.0),
             share: 1.0,
@@ -222,7 +228,7 @@
         match self.warmth {
             Warmth::Warm if self.is_down() => self.running == 0,
             Warmth::Warm => self.running < self.limit.calls(),
-            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.until),
+            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.use_by),
         }
     }
 
@@ -338,6 +344,7 @@
 
     /// Takes the target for possibly cold; returns whether it was taken for warm before.
     pub fn suspect(&mut self) -> bool {
+        self.losses = self.losses.wrapping_add(1);
         let was_warm = self.warmth == Warmth::Warm;
         if was_warm {
             self.warmth = Warmth::Suspect;
--- a/hawthornkeel_core/tests/claim_rules.rs
+++ b/hawthornkeel_core/tests/claim_rules.rs
@@ -1,12 +1,8 @@
 //! Claims: who may run a stage that runs at most once, and what everybody else is told.
 
-mod common;
+mod state_common;
 
 use bytes::Bytes;
-use common::Driver;
-use common::SETTLE_MS;
-use common::claimant;
-use common::done;
 use hawthornkeel_core::state::claims::CLAIM_WINDOW;
 use hawthornkeel_core::state::claims::MAX_ANSWER;
 use hawthornkeel_core::state::claims::MAX_ANSWERS;
@@ -16,6 +12,10 @@
 use hawthornkeel_core::state::command::SettleOutcome;
 use hawthornkeel_core::state::command::Settlement;
 use rstest::rstest;
+use state_common::Driver;
+use state_common::SETTLE_MS;
+use state_common::claimant;
+use state_common::done;
 
 const YEAR_MS: u64 = 365 * 24 * 3600 * 1000;
 
--- a/hawthornkeel_core/tests/document_races.rs
+++ b/hawthornkeel_core/tests/document_races.rs
@@ -1,8 +1,7 @@
 //! Submissions of the environment document: races, resends and versions.
 
-mod common;
+mod state_common;
 
-use common::Driver;
 use hawthornkeel_core::ids::OperationNumber;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::OperatorName;
@@ -12,6 +11,7 @@
 use hawthornkeel_core::state::command::SubmitOutcome;
 use hawthornkeel_core::state::command::Winner;
 use hawthornkeel_core::state::history::MAX_OPERATIONS;
+use state_common::Driver;
 
 fn submit(driver: &mut Driver, who: &str, number: u64, expected: u64, text: &str) -> SubmitOutcome {
     let command = Command::Submit(Submit {
@@ -89,11 +89,11 @@
     for number in 0..total {
         assert_eq!(submit(&mut driver, "mori", number, number, "a"), accepted(number + 1));
     }
-    let size = common::snapshot(&driver.state).len();
+    let size = state_common::snapshot(&driver.state).len();
     for number in total..total + 100 {
         assert_eq!(submit(&mut driver, "mori", number, number, "a"), accepted(number + 1));
     }
-    assert_eq!(common::snapshot(&driver.state).len(), size);
+    assert_eq!(state_common::snapshot(&driver.state).len(), size);
     let forgotten = submit(&mut driver, "mori", 0, 0, "a");
     assert_eq!(forgotten, lost_to("mori", total + 99, total + 100, "a"));
 }
