--- a/hawthornkeel_core/src/state/claims.rs
+++ b/hawthornkeel_core/src/state/claims/mod.rs
@@ -20,19 +20,20 @@
 //! A release is recorded even where no claim is: a claim that was delayed on its way to the log is
 //! then not granted to a claimant that has given it up.
 
+mod listing;
+mod record;
+
 use std::collections::VecDeque;
 use std::time::Duration;
 
 use bytes::Bytes;
 use indexmap::IndexMap;
-use serde::Deserialize;
-use serde::Serialize;
 
-use crate::state::clock::later;
+use crate::state::claims::record::KeyDigest;
+use crate::state::claims::record::Phase;
+use crate::state::claims::record::Record;
 use crate::state::command::Claim;
-use crate::state::command::ClaimKey;
 use crate::state::command::ClaimOutcome;
-use crate::state::command::Claimant;
 use crate::state::command::Settle;
 use crate::state::command::SettleOutcome;
 use crate::state::command::Settlement;
@@ -51,10 +52,9 @@
 pub const MAX_ANSWERS: usize = 16 * 1024 * 1024;
 
 /// Claims by key, forgotten in the order they came.
-#[derive(Clone, Debug, Default, Serialize, Deserialize)]
-#[serde(from = "Listing", into = "Listing")]
+#[derive(Clone, Debug, Default)]
 pub struct Claims {
-    records: IndexMap<ClaimKey, Record>,
+    records: IndexMap<KeyDigest, Record>,
     /// One place a record, oldest first.
     expiry: VecDeque<Place>,
     /// Answers kept, oldest first; a place whose record has gone is skipped.
@@ -65,41 +65,17 @@
     next: u64,
 }
 
-/// What is known of a key.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Record {
-    digest: u64,
-    claimant: Claimant,
-    claimed: WallTime,
-    phase: Phase,
-}
-
-/// How far a claim has come.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-enum Phase {
-    /// Held by its claimant; counts as unknown from the given time on.
-    Claimed(WallTime),
-    /// Did not run and will not.
-    Released,
-    /// Ran; the answer is kept under its number.
-    Done(u64, Bytes),
-    /// Ran; the answer was not kept.
-    Dropped,
-    /// May have run.
-    Unknown,
-}
-
 /// Place of a key in the order of expiry.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct Place {
-    key: ClaimKey,
+    key: KeyDigest,
     since: WallTime,
 }
 
 /// Place of an answer in the order of dropping.
-#[derive(Clone, Debug)]
+#[derive(Clone, Copy, Debug)]
 struct AnswerPlace {
-    key: ClaimKey,
+    key: KeyDigest,
     number: u64,
 }
 
@@ -126,22 +102,23 @@
             if renewed {
                 self.expiry.push_back(Place { since: now, ..place });
             } else {
-                self.forget(&place.key);
+                self.forget(place.key);
             }
         }
     }
 
     /// Decides a claim at `now`.
     pub fn claim(&mut self, now: WallTime, claim: &Claim) -> ClaimOutcome {
+        let key = KeyDigest::of(&claim.key);
         let full = self.records.len() >= MAX_CLAIMS;
-        let Some(record) = self.records.get_mut(&claim.key) else {
+        let Some(record) = self.records.get_mut(&key) else {
             if full {
                 return ClaimOutcome::Full;
             }
-            self.insert(now, &claim.key, Record::claimed(now, claim));
+            self.insert(now, key, Record::claimed(now, claim));
             return ClaimOutcome::Granted;
         };
-        let own = record.claimant == claim.claimant;
+        let own = record.is_of(&claim.claimant);
         if matches!(record.phase, Phase::Released) {
             if own {
                 return ClaimOutcome::Released;
@@ -153,65 +130,60 @@
             return ClaimOutcome::Mismatch;
         }
         match &record.phase {
-            Phase::Claimed(lapse) if now >= *lapse => {
+            Phase::Claimed { lapse, .. } if now >= *lapse => {
                 record.phase = Phase::Unknown;
                 ClaimOutcome::Unknown
             }
-            Phase::Claimed(_) if own => ClaimOutcome::Granted,
-            Phase::Claimed(_) => ClaimOutcome::Held(record.claimant.clone()),
+            Phase::Claimed { .. } if own => ClaimOutcome::Granted,
+            Phase::Claimed { instance, .. } => ClaimOutcome::Held(record.claimant(instance)),
             Phase::Released | Phase::Unknown => ClaimOutcome::Unknown,
-            Phase::Done(_, answer) => ClaimOutcome::Done(answer.clone()),
+            Phase::Done { answer, .. } => ClaimOutcome::Done(Bytes::copy_from_slice(answer)),
             Phase::Dropped => ClaimOutcome::DoneDropped,
         }
     }
 
     /// Decides a settlement at `now`.
     pub fn settle(&mut self, now: WallTime, settle: &Settle) -> SettleOutcome {
-        let Some(record) = self.records.get_mut(&settle.key) else {
-            return self.settle_absent(now, settle);
+        let key = KeyDigest::of(&settle.key);
+        let Some(record) = self.records.get_mut(&key) else {
+            return self.settle_absent(now, key, settle);
         };
-        if record.claimant != settle.claimant {
+        if !record.is_of(&settle.claimant) {
             return SettleOutcome::Refused;
         }
         match (&record.phase, &settle.settlement) {
-            (Phase::Claimed(_), Settlement::Released) => record.phase = Phase::Released,
-            (Phase::Claimed(_), Settlement::Unknown) => record.phase = Phase::Unknown,
-            (Phase::Claimed(_) | Phase::Unknown, Settlement::Done(answer)) => {
+            (Phase::Claimed { .. }, Settlement::Released) => record.phase = Phase::Released,
+            (Phase::Claimed { .. }, Settlement::Unknown) => record.phase = Phase::Unknown,
+            (Phase::Claimed { .. } | Phase::Unknown, Settlement::Done(answer)) => {
                 record.phase = Phase::Dropped;
-                self.keep(&settle.key, answer);
+                self.keep(key, answer);
             }
             (Phase::Released, Settlement::Released)
             | (Phase::Unknown, Settlement::Unknown)
             | (Phase::Dropped, Settlement::Done(_)) => {}
-            (Phase::Done(_, kept), Settlement::Done(answer)) if kept == answer => {}
+            (Phase::Done { answer: kept, .. }, Settlement::Done(answer)) if **kept == **answer => {}
             _ => return SettleOutcome::Refused,
         }
         SettleOutcome::Recorded
     }
 
-    fn settle_absent(&mut self, now: WallTime, settle: &Settle) -> SettleOutcome {
+    fn settle_absent(&mut self, now: WallTime, key: KeyDigest, settle: &Settle) -> SettleOutcome {
         let released = matches!(settle.settlement, Settlement::Released);
         if !released || self.records.len() >= MAX_CLAIMS {
             return SettleOutcome::Refused;
         }
-        let record = Record {
-            digest: 0,
-            claimant: settle.claimant.clone(),
-            claimed: now,
-            phase: Phase::Released,
-        };
-        self.insert(now, &settle.key, record);
+        self.insert(now, key, Record::released(now, &settle.claimant));
         SettleOutcome::Recorded
     }
 
-    fn insert(&mut self, now: WallTime, key: &ClaimKey, record: Record) {
-        self.records.insert(key.clone(), record);
-        self.expiry.push_back(Place { key: key.clone(), since: now });
+    fn insert(&mut self, now: WallTime, key: KeyDigest, record: Record) {
+        self.records.insert(key, record);
+        self.expiry.push_back(Place { key, since: now });
     }
 
-    fn forget(&mut self, key: &ClaimKey) {
-        if let Some(Record { phase: Phase::Done(_, answer), .. }) = self.records.swap_remove(key) {
-            self.kept = self.kept.saturating_sub(answer.len());
+    fn forget(&mut self, key: KeyDigest) {
+        if let Some(record) = self.records.swap_remove(&key) {
+            self.kept = self.kept.saturating_sub(record.answer_length());
         }
         // Places of answers that have gone would otherwise pile up while the bound is not reached.
         while self.answers.front().is_some_and(|p| !self.is_kept(p)) {
@@ -220,7 +192,7 @@
     }
 
     /// Keeps an answer for replay where it fits, and drops the oldest ones to make room.
-    fn keep(&mut self, key: &ClaimKey, answer: &Bytes) {
+    fn keep(&mut self, key: KeyDigest, answer: &Bytes) {
         if answer.len() > MAX_ANSWER {
             return;
         }
@@ -231,10 +203,10 @@
             }
         }
         let number = self.next;
-        if let Some(record) = self.records.get_mut(key) {
-            record.phase = Phase::Done(number, answer.clone());
+        if let Some(record) = self.records.get_mut(&key) {
+            record.phase = Phase::Done { number, answer: Box::from(answer.as_ref()) };
             self.kept = self.kept.saturating_add(answer.len());
-            self.answers.push_back(AnswerPlace { key: key.clone(), number });
+            self.answers.push_back(AnswerPlace { key, number });
             self.next = number.saturating_add(1);
         }
     }
@@ -244,9 +216,7 @@
             return;
         }
         if let Some(record) = self.records.get_mut(&place.key) {
-            if let Phase::Done(_, answer) = &record.phase {
-                self.kept = self.kept.saturating_sub(answer.len());
-            }
+            self.kept = self.kept.saturating_sub(record.answer_length());
             record.phase = Phase::Dropped;
         }
     }
@@ -255,65 +225,3 @@
         self.records.get(&place.key).and_then(Record::answer_number) == Some(place.number)
     }
 }
-
-impl Record {
-    fn claimed(now: WallTime, claim: &Claim) -> Self {
-        let settle = Duration::from_millis(claim.settle_ms).min(CLAIM_WINDOW);
-        Self {
-            digest: claim.digest,
-            claimant: claim.claimant.clone(),
-            claimed: now,
-            phase: Phase::Claimed(later(now, settle)),
-        }
-    }
-
-    fn answer_number(&self) -> Option<u64> {
-        match &self.phase {
-            Phase::Done(number, _) => Some(*number),
-            _ => None,
-        }
-    }
-}
-
-/// Serialised form: each key once, in the order of expiry.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct Listing {
-    next: u64,
-    entries: Vec<ListingEntry>,
-}
-
-/// Key with its record and its place in the order of expiry.
-#[derive(Clone, Debug, Serialize, Deserialize)]
-struct ListingEntry {
-    key: ClaimKey,
-    since: WallTime,
-    record: Record,
-}
-
-impl From<Claims> for Listing {
-    fn from(claims: Claims) -> Self {
-        let mut records = claims.records;
-        let mut entries = Vec::with_capacity(claims.expiry.len());
-        for Place { key, since } in claims.expiry {
-            if let Some(record) = records.swap_remove(&key) {
-                entries.push(ListingEntry { key, since, record });
-            }
-        }
-        Self { next: claims.next, entries }
-    }
-}
-
-impl From<Listing> for Claims {
-    fn from(listing: Listing) -> Self {
-        let mut claims = Self { next: listing.next, ..Self::default() };
-        for ListingEntry { key, since, record } in listing.entries {
-            if let Phase::Done(number, answer) = &record.phase {
-                claims.kept = claims.kept.saturating_add(answer.len());
-                claims.answers.push_back(AnswerPlace { key: key.clone(), number: *number });
-            }
-            claims.insert(since, &key, record);
-        }
-        claims.answers.make_contiguous().sort_by_key(|p| p.number);
-        claims
-    }
-}
--- a/hawthornkeel_core/tests/claim_rules.rs
+++ b/hawthornkeel_core/tests/claim_rules.rs
@@ -7,12 +7,20 @@
 use common::SETTLE_MS;
 use common::claimant;
 use common::done;
+use hawthornkeel_core::ids::StageIndex;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::state::claims::CLAIM_WINDOW;
 use hawthornkeel_core::state::claims::MAX_ANSWER;
 use hawthornkeel_core::state::claims::MAX_ANSWERS;
 use hawthornkeel_core::state::claims::MAX_CLAIMS;
 use hawthornkeel_core::state::clock::MAX_STEP;
+use hawthornkeel_core::state::command::Claim;
+use hawthornkeel_core::state::command::ClaimKey;
 use hawthornkeel_core::state::command::ClaimOutcome;
+use hawthornkeel_core::state::command::Claimant;
+use hawthornkeel_core::state::command::Command;
+use hawthornkeel_core::state::command::Outcome;
 use hawthornkeel_core::state::command::SettleOutcome;
 use hawthornkeel_core::state::command::Settlement;
 use rstest::rstest;
@@ -36,6 +44,33 @@
     assert_eq!(driver.claim("lot-7", 1, &claimant(1, 0)), ClaimOutcome::Granted);
     assert_eq!(driver.claim("lot-7", 1, &claimant(1, 1)), ClaimOutcome::Held(claimant(1, 0)));
     assert_eq!(driver.claim("lot-7", 1, &claimant(2, 0)), ClaimOutcome::Held(claimant(1, 0)));
+    let elsewhere = Claimant { instance: InstanceName::new("entry-2"), ..claimant(1, 0) };
+    assert_eq!(driver.claim("lot-7", 1, &elsewhere), ClaimOutcome::Held(claimant(1, 0)));
+}
+
+#[test]
+fn keys_stand_apart() {
+    let mut driver = Driver::default();
+    // The last two would have the same bytes without a mark where the workspace ends.
+    let keys = [
+        ("ab", "c", 0),
+        ("a", "bc", 0),
+        ("a", "b", 0),
+        ("a", "b", 1),
+        ("ab", "x", 0),
+        ("a", "\0x", 98),
+    ];
+    for (number, (workspace, key, stage)) in keys.into_iter().enumerate() {
+        let key = ClaimKey {
+            workspace: WorkspaceName::new(workspace),
+            key: key.into(),
+            stage: StageIndex(stage),
+        };
+        let claimant = claimant(number as u128, 0);
+        let claim = Claim { key, digest: 1, claimant, settle_ms: SETTLE_MS };
+        let outcome = driver.apply(Command::Claim(claim));
+        assert_eq!(outcome, Outcome::Claim(ClaimOutcome::Granted), "{workspace} {stage}");
+    }
 }
 
 #[test]
