--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -68,7 +68,7 @@
     let (_, target) = pool.targets.get_index_mut(pick.index)?;
     let (mut until, mut grant) = (latest, None);
     if pick.reason == Reason::ColdGrant {
-        let held = target.grants.iter().position(|g| now < g.until)?;
+        let held = target.grants.iter().position(|g| now < g.use_by)?;
         let used = target.grants.swap_remove(held);
         until = until.min(used.until);
         grant = Some(used.id);
@@ -126,7 +126,12 @@
 }
 
 /// Tells whether a call has time enough for a cold target.
-fn may_use_cold(pool: &PoolState, now: Instant, request: &StageRequest, latest: Instant) -> bool {
+pub(crate) fn may_use_cold(
+    pool: &PoolState,
+    now: Instant,
+    request: &StageRequest,
+    latest: Instant,
+) -> bool {
     if request.repeat == Repeat::Hedge {
         return false;
     }
