--- a/hawthornkeel_core/tests/lease_safety.rs
+++ b/hawthornkeel_core/tests/lease_safety.rs
@@ -144,8 +144,8 @@
 fn disturb(rng: &mut ChaCha8Rng, members: &mut [Member], now: u64, names: &[InstanceName]) {
     for (index, member) in members.iter_mut().enumerate() {
         let draw = rng.random_range(0..4_000);
-        let (offset, rate) = (member.offset, member.rate);
         if draw == 0 {
+            let (offset, rate) = (member.offset, member.rate);
             *member = Member::new(index, rng.random(), now, offset, rate, names);
         } else if draw < 3 {
             member.frozen_until = now + rng.random_range(500..8_000);
