--- /dev/null
+++ b/hawthornkeel_core/tests/driver/actions.rs
@@ -0,0 +1,92 @@
+//! What machines do with the actions of their replicas.
+
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Action;
+use hawthornkeel_core::replica::Body;
+use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::replica::Role;
+use hawthornkeel_core::replica::message::AppendReply;
+use rand::Rng;
+
+use crate::driver::Cluster;
+use crate::driver::Event;
+use crate::driver::Variant;
+
+impl Cluster {
+    pub(super) fn act(&mut self, i: usize, action: Action) {
+        let id = self.machines[i].disk.id;
+        match action {
+            Action::Save { ticket, save } => {
+                let run = self.machines[i].run;
+                let slow = self.rng.random_bool(self.weather.slow_sync);
+                let longest = if slow { 300_000 } else { self.machines[i].sync_us };
+                let delay = self.rng.random_range(100..longest);
+                let delay = self.machines[i].disk.write(ticket, save, self.now, delay);
+                self.post(delay, Event::Stored(i, run, ticket));
+                let early = self.variant == Variant::EarlySync;
+                self.post(if early { 0 } else { delay }, Event::Synced(i, run, ticket));
+            }
+            Action::Send { to, message } => self.send(i, &to, message),
+            Action::Apply(applied) => {
+                for item in applied {
+                    self.checker.apply(id, self.machines[i].applied, &item.entry);
+                    self.machines[i].applied = item.entry.index;
+                    if let Some(proposal) = item.proposal {
+                        self.checker.accept(proposal.0, item.entry.index);
+                    }
+                }
+            }
+            Action::Restore(snapshot) => self.machines[i].applied = snapshot.index,
+            Action::TakeSnapshot => {
+                let (run, index) = (self.machines[i].run, self.machines[i].applied);
+                self.post(0, Event::State(i, run, index));
+            }
+            Action::Refused { id, .. } => {
+                self.checker.refused.insert(id.0);
+            }
+            Action::Lost { id } => {
+                self.checker.lost.insert(id.0);
+            }
+            Action::ReadReady { id } => self.answer(i, id),
+            Action::ReadRefused { id, .. } => {
+                self.machines[i].reads.remove(&id);
+            }
+            Action::Changed(status) if status.role == Role::Leader => {
+                self.checker.lead(status.term, id);
+                let lease = |k: &usize| {
+                    let replica = self.machines[*k].replica.as_ref();
+                    *k != i && replica.is_some_and(|r| r.has_lease(self.clock(*k)))
+                };
+                if (0..self.machines.len()).any(|k| lease(&k)) {
+                    self.checker.fail(format!("{id} leads while another's lease stands"));
+                }
+            }
+            Action::Changed(_) => {}
+        }
+    }
+
+    fn send(&mut self, i: usize, to: &InstanceName, message: Message) {
+        let counts = match &message.body {
+            Body::VoteReply(reply) => reply.granted,
+            Body::AppendReply(reply) => matches!(reply, AppendReply::Stored(_)),
+            _ => false,
+        };
+        if counts {
+            self.checker.count(message.from.id);
+        }
+        let Some(j) = self.machines.iter().position(|m| m.name == *to) else { return };
+        if matches!(message.body, Body::Append(_) | Body::Part(_)) {
+            self.machines[j].received += 1;
+        }
+        let blocked = self.machines[i].cut || self.links.contains(&(i, j));
+        if blocked || self.rng.random_bool(self.weather.loss) {
+            return;
+        }
+        let copies = if self.rng.random_bool(self.weather.doubling) { 2 } else { 1 };
+        for _ in 0..copies {
+            let late = self.rng.random_bool(self.weather.late);
+            let delay = self.rng.random_range(200..if late { 300_000 } else { 2_000 });
+            self.post(delay, Event::Deliver(j, message.clone()));
+        }
+    }
+}
--- a/hawthornkeel_core/tests/driver/mod.rs
+++ b/hawthornkeel_core/tests/driver/mod.rs
@@ -2,8 +2,10 @@
 
 #![allow(dead_code, clippy::indexing_slicing, clippy::unwrap_used)]
 
+mod actions;
 pub mod checker;
 pub mod disk;
+pub mod waits;
 
 use std::cmp::Reverse;
 use std::collections::BTreeMap;
@@ -13,8 +15,6 @@
 use bytes::Bytes;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::InstanceName;
-use hawthornkeel_core::replica::Action;
-use hawthornkeel_core::replica::Body;
 use hawthornkeel_core::replica::Input;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::replica::Node;
@@ -24,9 +24,7 @@
 use hawthornkeel_core::replica::Replica;
 use hawthornkeel_core::replica::Role;
 use hawthornkeel_core::replica::Settings;
-use hawthornkeel_core::replica::Status;
 use hawthornkeel_core::replica::Ticket;
-use hawthornkeel_core::replica::message::AppendReply;
 use hawthornkeel_core::time::Instant;
 use rand::Rng;
 use rand::SeedableRng;
@@ -221,16 +219,6 @@
         self.machines[i].disk = Disk::empty(id);
     }
 
-    /// Tells whether the group bears the loss of one more disk, whichever members it comes to have.
-    pub fn bears_loss(&self) -> bool {
-        let running = self.machines.iter().filter_map(|m| m.replica.as_ref());
-        let mut views: Vec<_> = running.map(|r| r.status().members.clone()).collect();
-        views.extend(self.machines.iter().flat_map(|m| m.disk.members()));
-        views.push(self.checker.members.clone());
-        views.retain(|v| !v.0.is_empty());
-        !views.is_empty() && views.iter().all(|v| self.checker.bears_loss(v))
-    }
-
     /// Stops the process of a machine for a time; what it is sent waits.
     pub fn freeze(&mut self, i: usize, micros: u64) {
         self.machines[i].frozen = self.now + micros;
@@ -260,48 +248,6 @@
             .max_by_key(|i| lead(&self.machines[*i]))
     }
 
-    /// Returns the leader if it has committed an entry of its own term and its lease stands.
-    pub fn leads(&self) -> Option<usize> {
-        let leader = self.leader()?;
-        let replica = self.machines[leader].replica.as_ref()?;
-        let committed = self.checker.chosen.get(&replica.status().commit)?.term;
-        let ready = committed == replica.status().term && replica.has_lease(self.clock(leader));
-        ready.then_some(leader)
-    }
-
-    /// Returns the status of a running replica.
-    pub fn status(&self, i: usize) -> Status {
-        self.machines[i].replica.as_ref().unwrap().status().clone()
-    }
-
-    /// Hands a command to a machine until one is accepted, and tells whether that was in time.
-    pub fn commits(&mut self, command: u64, millis: u64) -> bool {
-        let end = self.now + millis * 1000;
-        let mut command = command;
-        while self.now < end && self.checker.fault.is_none() {
-            if let Some(leader) = self.leader() {
-                self.propose(leader, command);
-                if self.run_until(50, |c| c.checker.accepted.contains_key(&command)) {
-                    return true;
-                }
-                // A number is never used twice: the first may still be accepted.
-                command += 1;
-            } else {
-                self.run(10);
-            }
-        }
-        false
-    }
-
-    /// Waits until all machines are voters, and have applied all that was accepted.
-    pub fn heals(&mut self, millis: u64) -> bool {
-        let size = self.machines.len();
-        self.run_until(millis, |c| {
-            let current = |m: &Machine| m.applied >= c.checker.known;
-            c.checker.is_whole(size) && c.machines.iter().all(current)
-        })
-    }
-
     /// Runs for a time in milliseconds.
     pub fn run(&mut self, millis: u64) {
         self.run_until(millis, |_| false);
@@ -400,88 +346,4 @@
             self.post(delay, Event::Wake(i, run));
         }
     }
-
-    fn act(&mut self, i: usize, action: Action) {
-        let id = self.machines[i].disk.id;
-        match action {
-            Action::Save { ticket, save } => {
-                let run = self.machines[i].run;
-                let slow = self.rng.random_bool(self.weather.slow_sync);
-                let longest = if slow { 300_000 } else { self.machines[i].sync_us };
-                let delay = self.rng.random_range(100..longest);
-                let delay = self.machines[i].disk.write(ticket, save, self.now, delay);
-                self.post(delay, Event::Stored(i, run, ticket));
-                let early = self.variant == Variant::EarlySync;
-                self.post(if early { 0 } else { delay }, Event::Synced(i, run, ticket));
-            }
-            Action::Send { to, message } => self.send(i, &to, message),
-            Action::Apply(applied) => {
-                for item in applied {
-                    self.checker.apply(id, self.machines[i].applied, &item.entry);
-                    self.machines[i].applied = item.entry.index;
-                    if let Some(proposal) = item.proposal {
-                        self.checker.accept(proposal.0, item.entry.index);
-                    }
-                }
-            }
-            Action::Restore(snapshot) => self.machines[i].applied = snapshot.index,
-            Action::TakeSnapshot => {
-                let (run, index) = (self.machines[i].run, self.machines[i].applied);
-                self.post(0, Event::State(i, run, index));
-            }
-            Action::Refused { id, .. } => {
-                self.checker.refused.insert(id.0);
-            }
-            Action::Lost { id } => {
-                self.checker.lost.insert(id.0);
-            }
-            Action::ReadReady { id } => self.answer(i, id),
-            Action::ReadRefused { id, .. } => {
-                self.machines[i].reads.remove(&id);
-            }
-            Action::Changed(status) if status.role == Role::Leader => {
-                self.checker.lead(status.term, id);
-                let lease = |k: &usize| {
-                    let replica = self.machines[*k].replica.as_ref();
-                    *k != i && replica.is_some_and(|r| r.has_lease(self.clock(*k)))
-                };
-                if (0..self.machines.len()).any(|k| lease(&k)) {
-                    self.checker.fail(format!("{id} leads while another's lease stands"));
-                }
-            }
-            Action::Changed(_) => {}
-        }
-    }
-
-    fn send(&mut self, i: usize, to: &InstanceName, message: Message) {
-        let counts = match &message.body {
-            Body::VoteReply(reply) => reply.granted,
-            Body::AppendReply(reply) => matches!(reply, AppendReply::Stored(_)),
-            _ => false,
-        };
-        if counts {
-            self.checker.count(message.from.id);
-        }
-        let Some(j) = self.machines.iter().position(|m| m.name == *to) else { return };
-        if matches!(message.body, Body::Append(_) | Body::Part(_)) {
-            self.machines[j].received += 1;
-        }
-        let blocked = self.machines[i].cut || self.links.contains(&(i, j));
-        if blocked || self.rng.random_bool(self.weather.loss) {
-            return;
-        }
-        let copies = if self.rng.random_bool(self.weather.doubling) { 2 } else { 1 };
-        for _ in 0..copies {
-            let late = self.rng.random_bool(self.weather.late);
-            let delay = self.rng.random_range(200..if late { 300_000 } else { 2_000 });
-            self.post(delay, Event::Deliver(j, message.clone()));
-        }
-    }
-}
-
-/// Starts three machines and waits for a leader that has committed.
-pub fn calm(seed: u64, size: usize) -> Cluster {
-    let mut cluster = Cluster::new(seed, size, Variant::Right);
-    assert!(cluster.run_until(5_000, |c| c.checker.members.0.len() == size && c.leads().is_some()));
-    cluster
 }
--- a/hawthornkeel_core/tests/isolated_leader.rs
+++ b/hawthornkeel_core/tests/isolated_leader.rs
@@ -6,7 +6,7 @@
 use rstest::rstest;
 
 use crate::driver::Cluster;
-use crate::driver::calm;
+use crate::driver::waits::calm;
 
 const MINUTE_MS: u64 = 60_000;
 
--- a/hawthornkeel_core/tests/lost_disks.rs
+++ b/hawthornkeel_core/tests/lost_disks.rs
@@ -6,7 +6,7 @@
 
 use crate::driver::Cluster;
 use crate::driver::Variant;
-use crate::driver::calm;
+use crate::driver::waits::calm;
 
 /// Loses the disk of a machine and starts it again.
 fn replace(cluster: &mut Cluster, i: usize) {
--- a/hawthornkeel_core/tests/slow_follower.rs
+++ b/hawthornkeel_core/tests/slow_follower.rs
@@ -9,7 +9,7 @@
 use hawthornkeel_core::replica::ProposalId;
 
 use crate::driver::Cluster;
-use crate::driver::calm;
+use crate::driver::waits::calm;
 
 /// Commits `count` commands.
 fn load(cluster: &mut Cluster, from: u64, count: u64) {
