--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -119,6 +119,16 @@
         }
     }
 
+    /// Cuts the ways between `one` and the instances of `others`, or mends them.
+    pub fn set_cut_between(&self, one: &str, others: &[&str], cut: bool) {
+        let is_other = |name: &String| others.contains(&name.as_str());
+        for ((from, to), relay) in &*self.relays.lock().unwrap() {
+            if (from == one && is_other(to)) || (to == one && is_other(from)) {
+                relay.set_cut(cut);
+            }
+        }
+    }
+
     /// Returns the address at which `from` reaches an instance.
     fn way(&self, from: &str, to: &Placed) -> SocketAddr {
         let address = to.socket.local_addr().unwrap();
