--- a/hawthornkeel/benches/control.rs
+++ b/hawthornkeel/benches/control.rs
@@ -163,7 +163,7 @@
     let until = Instant::now() + RUN;
     for _ in 0..claimers {
         let (latency, open) = (latency.clone(), open.clone());
-        let (refused, unknown) = (refused.clone(), unknown.clone());
+        let (all, refused, unknown) = (all.clone(), refused.clone(), unknown.clone());
         let parts = parts.clone();
         monoio::spawn(async move {
             while Instant::now() < until {
@@ -225,6 +225,8 @@
             .await;
         }
         let pause = async { monoio::time::sleep(RUN).await };
+        // Connections of the start are left to settle first.
+        monoio::time::sleep(RUN).await;
         let idle = usage(&cluster, &names, pause).await;
         report("idle", size, &names, &idle);
         let loaded = usage(&cluster, &names, change(&parts)).await;
