--- a/hawthornkeel/src/control/start.rs
+++ b/hawthornkeel/src/control/start.rs
@@ -16,6 +16,9 @@
 /// Share of the election time that the leader's lease leaves unused, as its divisor.
 const DRIFT_DIVISOR: u32 = 10;
 
+/// Share of the entries between snapshots that stay in the log for slow followers, as its divisor.
+const RETAIN_DIVISOR: u64 = 10;
+
 /// What an instance has of the control plane.
 #[derive(Clone)]
 pub struct Parts {
@@ -49,6 +52,7 @@
         heartbeat: Duration::from_millis(control.heartbeat_ms),
         drift: election / DRIFT_DIVISOR,
         snapshot_entries: control.snapshot_entries,
+        retain_entries: control.snapshot_entries / RETAIN_DIVISOR,
         ..LogSettings::default()
     }
 }
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -48,6 +48,8 @@
     relays: Mutex<Vec<((String, String), Relay)>>,
     /// Whether instances reach each other through relays.
     relayed: bool,
+    /// Log entries between snapshots.
+    snapshot_entries: u64,
 }
 
 struct Placed {
@@ -99,6 +101,7 @@
             instances: specs.into_iter().map(place).collect(),
             relays: Mutex::default(),
             relayed: false,
+            snapshot_entries: settings::Control::default().snapshot_entries,
         }
     }
 
@@ -146,6 +149,11 @@
         address
     }
 
+    /// Sets the log entries between snapshots for instances started from now on.
+    pub fn set_snapshots(&mut self, entries: u64) {
+        self.snapshot_entries = entries;
+    }
+
     /// Sets the bounds for instances started from now on.
     pub fn set_tuning(&mut self, tuning: Tuning) {
         self.tuning = tuning;
@@ -162,6 +170,7 @@
             enabled: control,
             data: self.folder.path().join(format!("{name}-data")),
             founders: founders.map(|p| InstanceName::new(p.spec.name)).collect(),
+            snapshot_entries: self.snapshot_entries,
             ..settings::Control::default()
         };
         settings
