--- a/hawthornkeel_config/src/checks/settings.rs
+++ b/hawthornkeel_config/src/checks/settings.rs
@@ -60,6 +60,9 @@
         let accepted = "the names of the first voters, this instance or peers with control = true";
         reader.report("control.founders", "no founders".to_owned(), accepted);
     }
+    // The places of list items aren't known, so a repeated name is reported at the list.
+    let founders = control.founders.iter().map(|f| f.as_str());
+    unique(reader, founders.map(|name| ("control.founders".to_owned(), name)));
     for founder in &control.founders {
         check_founder(reader, settings, founder);
     }
--- a/hawthornkeel_config/tests/settings_findings.rs
+++ b/hawthornkeel_config/tests/settings_findings.rs
@@ -102,6 +102,11 @@
     "founders = [\"entry-9\"]",
     "12:12 control.founders: \"entry-9\" is neither a peer nor this instance"
 )]
+#[case::founder_twice(
+    "founders = [\"entry-1\", \"entry-2\"]",
+    "founders = [\"entry-1\", \"entry-1\"]",
+    "12:12 control.founders: the name \"entry-1\" stands twice"
+)]
 #[case::founder_without_control(
     "founders = [\"entry-1\", \"entry-2\"]",
     "founders = [\"entry-3\"]",
