--- a/hawthornkeel/src/target/pool.rs
+++ b/hawthornkeel/src/target/pool.rs
@@ -1,6 +1,7 @@
 //! Idle connections to targets.
 
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
@@ -15,7 +16,7 @@
 pub(crate) struct Pool {
     max_idle: usize,
     idle_time: Duration,
-    targets: RefCell<IndexMap<SocketAddr, Vec<Idle>>>,
+    targets: RefCell<IndexMap<SocketAddr, VecDeque<Idle>>>,
 }
 
 struct Idle {
@@ -33,7 +34,7 @@
     pub(crate) async fn take(&self, address: SocketAddr) -> Option<Connection> {
         loop {
             // The borrow ends before the check, which may let other tasks run.
-            let idle = self.targets.borrow_mut().get_mut(&address)?.pop()?;
+            let idle = self.targets.borrow_mut().get_mut(&address)?.pop_back()?;
             let mut connection = idle.connection;
             if idle.since.elapsed() < self.idle_time && connection.is_quiet().await {
                 return Some(connection);
@@ -45,10 +46,13 @@
     pub(crate) fn put(&self, address: SocketAddr, connection: Connection) {
         let mut targets = self.targets.borrow_mut();
         let idle = targets.entry(address).or_default();
-        let old = |i: &Idle| i.since.elapsed() >= self.idle_time;
-        idle.retain(|i| !old(i));
+        let now = Instant::now();
+        // The first has been idle longest, as the last is the first to be taken.
+        while idle.front().is_some_and(|i| now.duration_since(i.since) >= self.idle_time) {
+            idle.pop_front();
+        }
         if idle.len() < self.max_idle {
-            idle.push(Idle { connection, since: Instant::now() });
+            idle.push_back(Idle { connection, since: now });
         }
     }
 
--- a/hawthornkeel_fakes/src/caller.rs
+++ b/hawthornkeel_fakes/src/caller.rs
@@ -43,6 +43,10 @@
     pub first: u64,
     /// Time after which a request is given up.
     pub timeout: Duration,
+    /// Whether latencies run from the sending, not from when it was due.
+    ///
+    /// Timers are a millisecond off: this leaves the caller's own delay out of short latencies.
+    pub from_sending: bool,
     /// Whether the answer must carry the request's mark.
     pub check: bool,
 }
@@ -58,6 +62,7 @@
             count: 100,
             first: 0,
             timeout: Duration::from_secs(30),
+            from_sending: false,
             check: true,
         }
     }
@@ -67,7 +72,7 @@
 pub struct Seen {
     /// Requests by outcome.
     pub outcomes: IndexMap<String, u64>,
-    /// Latencies of whole answers from the time they were due to be sent, in microseconds.
+    /// Latencies of whole answers, in microseconds.
     pub latency: Histogram<u64>,
 }
 
@@ -113,6 +118,7 @@
 }
 
 async fn one(state: Rc<State>, number: u64, due: Instant) {
+    let start = if state.load.from_sending { Instant::now() } else { due };
     let mark = format!("{}{}", generate::MARK, state.load.first + number);
     let outcome = match timeout(state.load.timeout, exchange(&state, &mark)).await {
         Ok(Ok(reply)) => judge(&state.load, &mark, &reply),
@@ -121,7 +127,7 @@
     };
     let mut seen = state.seen.borrow_mut();
     if outcome == ANSWERED {
-        let micros = due.elapsed().as_micros() as u64;
+        let micros = start.elapsed().as_micros() as u64;
         seen.latency.saturating_record(micros.max(1));
     }
     *seen.outcomes.entry(outcome).or_default() += 1;
--- /dev/null
+++ b/hawthornkeel_fakes/tests/cold_target.rs
@@ -0,0 +1,42 @@
+//! A cold stand-in target bears what it is told to, falls over above it and warms up.
+
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::caller;
+use hawthornkeel_fakes::caller::ANSWERED;
+use hawthornkeel_fakes::caller::Load;
+use hawthornkeel_fakes::record::Report;
+use hawthornkeel_fakes::thread;
+use hawthornkeel_fakes::thread::TargetThread;
+
+/// Sends `count` calls at once and returns how many were answered.
+fn burst(target: TargetThread, count: u64) -> u64 {
+    let load = Load { address: target.address, rate: 1e6, count, ..Load::default() };
+    thread::block_on(caller::run(load)).unwrap().unwrap().count(ANSWERED)
+}
+
+fn start() -> TargetThread {
+    let behaviour =
+        Behaviour { floor_ms: 100, cold_bears: Some(2), warm_after: 4, ..Behaviour::default() };
+    TargetThread::start(behaviour).unwrap()
+}
+
+#[test]
+fn falls_over_above_what_it_bears() {
+    let target = start();
+    assert_eq!(burst(target, 3), 0);
+    let report = target.report().unwrap();
+    assert_eq!((report.falls, report.incarnation, report.running), (1, 2, 0));
+    assert_eq!(report.cold_peak, 3);
+}
+
+#[test]
+fn warms_up_and_turns_cold_again() {
+    let target = start();
+    assert_eq!((burst(target, 2), burst(target, 2)), (2, 2));
+    // Four answers make it warm.
+    assert_eq!(burst(target, 8), 8);
+    target.restart().unwrap();
+    assert_eq!(burst(target, 3), 0);
+    let report: Report = target.report().unwrap();
+    assert_eq!((report.falls, report.incarnation, report.peak), (1, 3, 8));
+}
