Refusals need proof, an abort tells handlers, silent new connections are closed

(1) A 503 without a word on whether the call ran counted as not run also for a call that may not be repeated; something between may answer 503 for a target that ran it, and "not run" must be true. (2) An abort dropped a connection without setting the caller's left signal: work spawned for it went on. Change: CallError::Refused carries not_run, read from a problem body's "ran"; an unrepeatable call refused without it is Status(503), whose outcome is unknown. The left signal is set wherever an answer was not sent whole. A new connection gets the receive time for its first byte. Ruled out: a header of our own for refusals; the problem body says it already.

--- a/hawthornkeel/src/http/connection.rs
+++ b/hawthornkeel/src/http/connection.rs
@@ -1,14 +1,10 @@
 //! One caller's connection: requests in, answers out, one after the other.
 
 use std::cell::Cell;
-use std::future::Future;
-use std::io;
 use std::net::SocketAddr;
-use std::pin::pin;
 use std::time::Duration;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 use http::HeaderMap;
 use http::Method;
 use http::Version;
@@ -20,29 +16,22 @@
 use monoio::net::TcpStream;
 use monoio::time::timeout;
 
-use crate::http::channel::Piece;
-use crate::http::channel::Receiver;
 use crate::http::framing;
 use crate::http::framing::BodyLength;
 use crate::http::framing::BodyReader;
 use crate::http::framing::ReadError;
-use crate::http::message::Body;
 use crate::http::message::Head;
 use crate::http::message::Request;
-use crate::http::message::Response;
 use crate::http::problem::Code;
 use crate::http::problem::Problem;
 use crate::http::reader::Reader;
+use crate::http::sending;
+use crate::http::sending::Sending;
 use crate::http::server::Handler;
 use crate::http::server::Shared;
 use crate::http::signal::Signal;
-use crate::http::writer;
-use crate::http::writer::Framing;
 use crate::http::writer::Writer;
 
-/// Bytes of later requests that are read while one is worked on, at most.
-const MAX_AHEAD: usize = 64 * 1024;
-
 /// Bytes that are read and dropped after a refusal, so that the caller gets to read it.
 const MAX_DISCARDED: usize = 256 * 1024;
 
@@ -80,6 +69,20 @@
     }
 }
 
+/// Sets `left` on being dropped before the answer was sent whole, also where an abort drops it.
+struct Watching {
+    left: Signal,
+    done: bool,
+}
+
+impl Drop for Watching {
+    fn drop(&mut self) {
+        if !self.done {
+            self.left.set();
+        }
+    }
+}
+
 /// Serves one connection to its end.
 pub(crate) async fn run<H: Handler>(stream: TcpStream, peer: SocketAddr, shared: &Shared<H>) {
     // Answers are written whole or by the token: waiting for more would only add delay.
@@ -87,7 +90,10 @@
     let (read, write) = stream.into_split();
     let mut reader = Reader::new(read);
     let mut writer = Writer::new(write, shared.limits.stall);
-    while wait_for_bytes(&mut reader, shared).await {
+    // A new connection is for a request: one that brings none gets no longer than one that does.
+    let mut idle = shared.limits.receive.min(shared.limits.idle);
+    while wait_for_bytes(&mut reader, idle, shared).await {
+        idle = shared.limits.idle;
         match exchange(&mut reader, &mut writer, peer, shared).await {
             Next::Keep => {}
             Next::Close => break,
@@ -97,7 +103,7 @@
 }
 
 /// Waits for the first byte of a request and tells whether one came.
-async fn wait_for_bytes<H>(reader: &mut Reader, shared: &Shared<H>) -> bool {
+async fn wait_for_bytes<H>(reader: &mut Reader, idle: Duration, shared: &Shared<H>) -> bool {
     let mut stripped = false;
     loop {
         // One line end before a request is allowed and means nothing.
@@ -110,7 +116,7 @@
             return true;
         }
         monoio::select! {
-            filled = timeout(shared.limits.idle, reader.fill(0)) => {
+            filled = timeout(idle, reader.fill(0)) => {
                 if !matches!(filled, Ok(Ok(1..))) {
                     return false;
                 }
@@ -197,128 +203,30 @@
     body: Bytes,
 ) -> Next {
     let left = Signal::new();
+    let mut watching = Watching { left: left.clone(), done: false };
     let wants_close = asks_close(&parts);
     let chunks = parts.version == Version::HTTP_11;
     let empty = parts.method == Method::HEAD;
     let request = Request { head: head_of(&parts), body, peer, left: left.clone() };
-    let response = watch(reader, &left, shared.handler.handle(request)).await;
+    let response = sending::watch(reader, &left, shared.handler.handle(request)).await;
     if left.is_set() {
         return Next::Close;
     }
     let close = wants_close || shared.control.drain.is_set() || shared.control.stop.is_set();
-    let sent = send(reader, writer, response, &left, Sending { close, chunks, empty }).await;
-    if sent.is_err() {
-        left.set();
-    }
+    let sent =
+        sending::send(reader, writer, response, &left, Sending { close, chunks, empty }).await;
+    watching.done = sent.is_ok();
     match sent {
         Ok(()) if !close => Next::Keep,
         _ => Next::Close,
     }
 }
 
-/// Runs `work` to its end and sets `left` where the caller closes the connection before.
-async fn watch<T>(reader: &mut Reader, left: &Signal, work: impl Future<Output = T>) -> T {
-    let mut work = pin!(work);
-    while reader.buffered() < MAX_AHEAD {
-        monoio::select! {
-            done = &mut work => return done,
-            filled = reader.fill(0) => {
-                if !matches!(filled, Ok(1..)) {
-                    left.set();
-                    break;
-                }
-            }
-        }
-    }
-    work.await
-}
-
-/// How an answer is sent.
-#[derive(Clone, Copy)]
-struct Sending {
-    /// Whether the connection is closed after it.
-    close: bool,
-    /// Whether the caller understands chunks.
-    chunks: bool,
-    /// Whether only the head is sent.
-    empty: bool,
-}
-
-async fn send(
-    reader: &mut Reader,
-    writer: &mut Writer,
-    response: Response,
-    left: &Signal,
-    sending: Sending,
-) -> io::Result<()> {
-    let mut out = BytesMut::new();
-    let Response { status, headers, body } = response;
-    match body {
-        Body::Whole(data) => {
-            writer::encode_head(
-                status,
-                &headers,
-                Framing::Length(data.len()),
-                sending.close,
-                &mut out,
-            );
-            if !sending.empty {
-                out.extend_from_slice(&data);
-            }
-            writer.write_all(out.freeze()).await
-        }
-        Body::Stream(receiver) => {
-            let framing = if sending.chunks { Framing::Chunked } else { Framing::Close };
-            writer::encode_head(status, &headers, framing, sending.close, &mut out);
-            writer.write_all(out.freeze()).await?;
-            if sending.empty {
-                return Ok(());
-            }
-            send_stream(reader, writer, receiver, left, framing).await
-        }
-    }
-}
-
-async fn send_stream(
-    reader: &mut Reader,
-    writer: &mut Writer,
-    mut receiver: Receiver,
-    left: &Signal,
-    framing: Framing,
-) -> io::Result<()> {
-    loop {
-        let piece = watch(reader, left, next_or_left(&mut receiver, left)).await;
-        let mut out = BytesMut::new();
-        match piece {
-            Some(Piece::Data(data)) if data.is_empty() => continue,
-            Some(Piece::Data(data)) if framing == Framing::Chunked => {
-                writer::encode_chunk(&data, &mut out);
-                writer.write_all(out.freeze()).await?;
-            }
-            Some(Piece::Data(data)) => writer.write_all(data).await?,
-            Some(Piece::End) if framing == Framing::Chunked => {
-                return writer.write_all(Bytes::from_static(b"0\r\n\r\n")).await;
-            }
-            Some(Piece::End) => return Err(io::ErrorKind::ConnectionAborted.into()),
-            // The missing last chunk tells the caller that the answer is not whole.
-            Some(Piece::Broken) | None => return Err(io::ErrorKind::ConnectionAborted.into()),
-        }
-    }
-}
-
-/// Returns the next piece, or `None` once the caller has left.
-async fn next_or_left(receiver: &mut Receiver, left: &Signal) -> Option<Piece> {
-    monoio::select! {
-        piece = receiver.next() => Some(piece),
-        () = left.wait() => None,
-    }
-}
-
 /// Writes a refusal and closes, reading what is still on its way so that the refusal arrives.
 async fn refuse(reader: &mut Reader, writer: &mut Writer, problem: Problem) {
     let response = problem.into_response();
-    let sending = Sending { close: true, chunks: true, empty: false };
-    if send(reader, writer, response, &Signal::new(), sending).await.is_err() {
+    let how = Sending { close: true, chunks: true, empty: false };
+    if sending::send(reader, writer, response, &Signal::new(), how).await.is_err() {
         return;
     }
     writer.shutdown().await;
--- a/hawthornkeel/src/http/mod.rs
+++ b/hawthornkeel/src/http/mod.rs
@@ -6,6 +6,7 @@
 pub mod message;
 pub mod problem;
 pub mod reader;
+mod sending;
 pub mod server;
 pub mod signal;
 mod writer;
--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use http::StatusCode;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::http::message::Response;
@@ -103,7 +104,7 @@
 }
 
 /// Whether a refused request ran.
-#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Default, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// No stage ran and none will.
--- a/hawthornkeel/src/http/server.rs
+++ b/hawthornkeel/src/http/server.rs
@@ -37,7 +37,7 @@
     pub max_held: usize,
     /// Open connections, at most; more wait to be accepted.
     pub max_connections: usize,
-    /// Time for a caller to send a whole request.
+    /// Time for a caller to send a whole request, and for a new connection to begin one.
     pub receive: Duration,
     /// Time that a connection may stay open between requests.
     pub idle: Duration,
--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -9,7 +9,9 @@
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
+use serde::Deserialize;
 
+use crate::http::problem::Ran;
 use crate::target::call::Call;
 use crate::target::call::RESUME_OFFSET;
 use crate::target::connection;
@@ -162,13 +164,13 @@
                 ) if !watch.left().is_zero() => {
                     self.inner.pool.forget(address);
                 }
-                other => return self.accept(address, other?).await,
+                other => return self.accept(address, call, other?).await,
             }
         }
         let limit = self.inner.limits.connect.min(watch.left());
         let connection = Connection::open(address, limit).await?;
         let open = self.send(connection, false, call, request, watch).await?;
-        self.accept(address, open).await
+        self.accept(address, call, open).await
     }
 
     async fn send(
@@ -186,16 +188,23 @@
     }
 
     /// Turns an answer that is no success into an error, reading it whole to keep the connection.
-    async fn accept(&self, address: SocketAddr, mut open: Open) -> Result<Open, CallError> {
+    async fn accept(
+        &self,
+        address: SocketAddr,
+        call: &Call,
+        mut open: Open,
+    ) -> Result<Open, CallError> {
         let status = open.answered.status;
         if status.is_success() {
             return Ok(open);
         }
-        let error = status_error(status, &open.answered.headers);
-        if read_whole(&mut open).await.is_ok() {
+        let retry_after = connection::retry_after(&open.answered.headers);
+        let body = read_whole(&mut open).await;
+        let not_run = body.as_ref().is_ok_and(says_not_run);
+        if body.is_ok() {
             self.put_back(address, open);
         }
-        Err(error)
+        Err(status_error(status, retry_after, not_run, call.idempotent))
     }
 }
 
@@ -218,18 +227,32 @@
     echo.and_then(|e| e.parse().ok()) == Some(offset)
 }
 
+/// Tells whether a refusal's body says that the call did not run, as [`Problem`]s do.
+///
+/// [`Problem`]: crate::http::problem::Problem
+fn says_not_run(body: &Bytes) -> bool {
+    let refusal = serde_json::from_slice::<Refusal>(body);
+    refusal.is_ok_and(|r| r.ran == Ran::NotRun)
+}
+
+#[derive(Deserialize)]
+struct Refusal {
+    ran: Ran,
+}
+
 /// Returns the error that an answer's status stands for.
 ///
-/// Targets answer 429 and 503 before they run a call, and say so with `x-ran` where they don't.
-fn status_error(status: StatusCode, headers: &HeaderMap) -> CallError {
-    let may_have_run = headers.get("x-ran").is_some_and(|v| v.as_bytes() != b"not-run");
+/// Something between may answer 503 for a target that has run the call: a refusal of a call that
+/// may not be repeated counts as one only where the target says that it did not run.
+fn status_error(
+    status: StatusCode,
+    retry_after: Option<Duration>,
+    not_run: bool,
+    idempotent: bool,
+) -> CallError {
+    let status = status.as_u16();
     match status {
-        StatusCode::TOO_MANY_REQUESTS | StatusCode::SERVICE_UNAVAILABLE if !may_have_run => {
-            CallError::Refused {
-                status: status.as_u16(),
-                retry_after: connection::retry_after(headers),
-            }
-        }
-        _ => CallError::Status(status.as_u16()),
+        429 | 503 if not_run || idempotent => CallError::Refused { status, retry_after, not_run },
+        _ => CallError::Status(status),
     }
 }
--- a/hawthornkeel/src/target/error.rs
+++ b/hawthornkeel/src/target/error.rs
@@ -9,12 +9,14 @@
 pub enum CallError {
     /// Not a byte was sent: the target can't have run the call.
     NotSent(String),
-    /// The target refused the call and says that it did not run it.
+    /// The target refused the call.
     Refused {
         /// Status.
         status: u16,
         /// Time after which the target asks to come back.
         retry_after: Option<Duration>,
+        /// Whether the target says that the call did not run; always so for an unrepeatable call.
+        not_run: bool,
     },
     /// No byte came for the progress time or the whole time; the call may have run.
     Silent,
@@ -35,7 +37,7 @@
 impl CallError {
     /// Tells whether the call certainly did not run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::Refused { .. })
+        matches!(self, Self::NotSent(_) | Self::Refused { not_run: true, .. })
     }
 
     /// Returns the name of the error for logs and metrics.
--- a/hawthornkeel/tests/http_bounds.rs
+++ b/hawthornkeel/tests/http_bounds.rs
@@ -145,6 +145,20 @@
     assert_eq!(caller.read_to_close().unwrap(), b"");
 }
 
+#[test]
+fn new_connection_without_request_closed() {
+    let address = start(Limits { receive: Duration::from_millis(100), ..Limits::default() });
+    let mut caller = RawCaller::connect(address).unwrap();
+    assert_eq!(caller.read_to_close().unwrap(), b"");
+    // Between requests the longer bound holds.
+    let mut caller = RawCaller::connect(address).unwrap();
+    for _ in 0..2 {
+        caller.send("GET / HTTP/1.1\r\nHost: a\r\n\r\n").unwrap();
+        assert_eq!(caller.answer().unwrap().status, 200);
+        std::thread::sleep(Duration::from_millis(200));
+    }
+}
+
 #[test]
 fn connections_wait_at_cap() {
     let address = start(Limits { max_connections: 2, ..Limits::default() });
--- a/hawthornkeel/tests/http_stop.rs
+++ b/hawthornkeel/tests/http_stop.rs
@@ -27,6 +27,8 @@
     released: Arc<AtomicUsize>,
     phase: Arc<AtomicUsize>,
     stopping: Arc<AtomicUsize>,
+    /// Held requests whose caller's leaving was told.
+    told: Arc<AtomicUsize>,
     ended: mpsc::Receiver<()>,
 }
 
@@ -40,16 +42,24 @@
     let phase = Arc::new(AtomicUsize::new(0));
     let stopping = Arc::new(AtomicUsize::new(0));
     let seen = stopping.clone();
+    let told = Arc::new(AtomicUsize::new(0));
+    let tell = told.clone();
     let (ended_sender, ended) = mpsc::channel();
     let (run, release, step) = (running.clone(), released.clone(), phase.clone());
     let address = thread::start(async move |sender| {
         let server = Server::bind("127.0.0.1:0".parse().unwrap(), Limits::default()).unwrap();
         sender.send(server.address()).unwrap();
         monoio::spawn(follow(server.control(), step, seen));
-        server.serve(move |request: Request| hold(request, run.clone(), release.clone())).await;
+        server
+            .serve(move |request: Request| {
+                hold(request, run.clone(), release.clone(), tell.clone())
+            })
+            .await;
         ended_sender.send(()).unwrap();
+        // What the handlers left running goes on.
+        sleep(LIMIT).await;
     });
-    Held { address: address.unwrap(), running, released, phase, stopping, ended }
+    Held { address: address.unwrap(), running, released, phase, stopping, told, ended }
 }
 
 async fn follow(control: Control, phase: Arc<AtomicUsize>, stopping: Arc<AtomicUsize>) {
@@ -62,7 +72,17 @@
     }
 }
 
-async fn hold(request: Request, running: Arc<AtomicUsize>, released: Arc<AtomicUsize>) -> Response {
+async fn hold(
+    request: Request,
+    running: Arc<AtomicUsize>,
+    released: Arc<AtomicUsize>,
+    told: Arc<AtomicUsize>,
+) -> Response {
+    let left = request.left.clone();
+    monoio::spawn(async move {
+        left.wait().await;
+        told.fetch_add(1, Ordering::SeqCst);
+    });
     running.fetch_add(1, Ordering::SeqCst);
     while request.head.path == "/held" && released.load(Ordering::SeqCst) == 0 {
         sleep(STEP).await;
@@ -147,4 +167,5 @@
     server.enter(ABORT);
     assert_eq!(held.read_to_close().unwrap(), b"");
     server.ended.recv_timeout(LIMIT).unwrap();
+    assert!(thread::eventually(LIMIT, || server.told.load(Ordering::SeqCst) == 1));
 }
--- a/hawthornkeel/tests/target_answers.rs
+++ b/hawthornkeel/tests/target_answers.rs
@@ -26,6 +26,11 @@
     }
 }
 
+fn refused(not_run: bool) -> CallError {
+    let retry_after = Some(Duration::from_secs(1));
+    CallError::Refused { status: 503, retry_after, not_run }
+}
+
 /// Calls and checks that a whole answer, where one comes, is the call's own.
 async fn answer(client: &Client, target: TargetThread, call: &Call) -> Result<(), CallError> {
     let answer = client.call(target.address, call).await?;
@@ -44,7 +49,7 @@
 #[case::dropped(Fault::Drop, CallError::Reset("closed before the answer".to_owned()))]
 #[case::garbage(Fault::Garbage, CallError::Malformed("head can't be parsed"))]
 #[case::failed(Fault::Fail, CallError::Status(500))]
-#[case::refused(Fault::Refuse, CallError::Refused { status: 503, retry_after: Some(Duration::from_secs(1)) })]
+#[case::refused(Fault::Refuse, refused(true))]
 fn fault_ends_its_call_only(
     #[case] fault: Fault,
     #[case] expected: CallError,
@@ -69,6 +74,22 @@
     assert_eq!(report.running, 0);
 }
 
+#[rstest]
+#[case::unrepeatable(false, CallError::Status(503))]
+#[case::idempotent(true, refused(false))]
+fn bare_refusal_proves_nothing(#[case] idempotent: bool, #[case] expected: CallError) {
+    let faulty = Behaviour { fault: Fault::RefuseBare, ..Behaviour::default() };
+    let target = TargetThread::start(faulty).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let call = Call { idempotent, ..call(1) };
+        let error = answer(&client, target, &call).await.unwrap_err();
+        assert_eq!(error, expected);
+        assert!(!error.is_not_run());
+    })
+    .unwrap();
+}
+
 #[rstest]
 fn doubled_answer_reaches_none(
     #[values(true, false)] echo: bool,
--- a/hawthornkeel_fakes/src/behaviour.rs
+++ b/hawthornkeel_fakes/src/behaviour.rs
@@ -28,8 +28,10 @@
     Crossed,
     /// The answer ends in the middle, under the length of the whole.
     Truncated,
-    /// The call is refused with 503 before it runs.
+    /// The call is refused with 503 before it runs, and the answer says so.
     Refuse,
+    /// The call is refused with 503 before it runs, and the answer does not say so.
+    RefuseBare,
     /// The call runs and ends in a 500.
     Fail,
     /// The connection is closed before the call runs.
--- a/hawthornkeel_fakes/src/target.rs
+++ b/hawthornkeel_fakes/src/target.rs
@@ -208,7 +208,8 @@
         let fault = self.target.next_fault();
         match fault {
             Fault::Close => return Err(End),
-            Fault::Refuse => return self.refuse(&request).await,
+            Fault::Refuse => return self.refuse(&request, b"{\"ran\":\"not-run\"}").await,
+            Fault::RefuseBare => return self.refuse(&request, b"{}").await,
             _ => {}
         }
         let Some(index) = self.target.begin(&request) else { return Err(End) };
@@ -222,10 +223,10 @@
         result
     }
 
-    async fn refuse(&mut self, request: &Received) -> Result<(), End> {
+    async fn refuse(&mut self, request: &Received, body: &[u8]) -> Result<(), End> {
         self.target.shared.report.borrow_mut().refused += 1;
         let fields = format!("{}retry-after: 1\r\n", self.echo(request.header("x-request-id")));
-        Ok(self.wire.write(wire::encode_answer(503, &fields, b"{}")).await?)
+        Ok(self.wire.write(wire::encode_answer(503, &fields, body)).await?)
     }
 
     async fn answer(&mut self, request: &Received, fault: Fault, run: usize) -> Result<(), End> {
