HTTP server: idle connections make room at the connection cap

Cause: at the cap, callers waited in the listener's queue for as long as idle connections were kept (75 s), with no answer at all. Change: at the cap, idle connections are closed after 500 ms without a request, and answers say Connection: close, so that callers who wait are let in. Ruled out: accepting above the cap to answer 503; it needs descriptors beyond the cap for the very callers that it is there to bound.

--- a/hawthornkeel/src/http/connection.rs
+++ b/hawthornkeel/src/http/connection.rs
@@ -41,7 +41,7 @@
 /// Time to come back after the bodies held for all callers reached their bound.
 const HELD_RETRY: Duration = Duration::from_secs(1);
 
-/// Time that a stop waits for a request on each idle connection before it closes it.
+/// Time that an idle connection which is to end waits for a request that may be on its way.
 const LAST_LOOK: Duration = Duration::from_millis(500);
 
 /// What becomes of a connection after an answer.
@@ -121,8 +121,8 @@
                     return false;
                 }
             }
-            () = shared.control.stop.wait() => {
-                // A request that was on its way when the stop began is still answered.
+            () = must_end(shared) => {
+                // A request that is on its way is still answered.
                 let filled = timeout(LAST_LOOK, reader.fill(0)).await;
                 if !matches!(filled, Ok(Ok(1..))) {
                     return false;
@@ -132,6 +132,14 @@
     }
 }
 
+/// Waits until idle connections are to end: for a stop, or to make room for others.
+async fn must_end<H>(shared: &Shared<H>) {
+    monoio::select! {
+        () = shared.control.stop.wait() => {}
+        () = shared.wait_crowded() => {}
+    }
+}
+
 /// Reads one request, has it answered and writes the answer.
 async fn exchange<H: Handler>(
     reader: &mut Reader,
@@ -212,7 +220,8 @@
     if left.is_set() {
         return Next::Close;
     }
-    let close = wants_close || shared.control.drain.is_set() || shared.control.stop.is_set();
+    let ending = shared.control.drain.is_set() || shared.control.stop.is_set();
+    let close = wants_close || ending || shared.is_full();
     let sent =
         sending::send(reader, writer, response, &left, Sending { close, chunks, empty }).await;
     watching.done = sent.is_ok();
--- a/hawthornkeel/src/http/server.rs
+++ b/hawthornkeel/src/http/server.rs
@@ -1,6 +1,7 @@
 //! Accept loop, its bounds and its planned stop.
 
 use std::cell::Cell;
+use std::cell::RefCell;
 use std::error::Error;
 use std::fmt;
 use std::future::Future;
@@ -19,6 +20,7 @@
 use crate::http::message::Request;
 use crate::http::message::Response;
 use crate::http::signal::Signal;
+use crate::http::signal::Wait;
 
 /// Pause after an accept that failed, which is most often a lack of descriptors.
 const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
@@ -35,7 +37,7 @@
     pub max_body: usize,
     /// Bytes of bodies held for all connections together, at most.
     pub max_held: usize,
-    /// Open connections, at most; more wait to be accepted.
+    /// Open connections, at most; more wait to be accepted, and idle ones make room for them.
     pub max_connections: usize,
     /// Time for a caller to send a whole request, and for a new connection to begin one.
     pub receive: Duration,
@@ -116,6 +118,24 @@
     /// Bytes of bodies held now.
     pub(crate) held: Cell<usize>,
     open: Cell<usize>,
+    /// Set, and replaced by a new one, while connections wait for room.
+    crowded: RefCell<Signal>,
+}
+
+impl<H> Shared<H> {
+    /// Tells whether no further connection would be accepted.
+    pub(crate) fn is_full(&self) -> bool {
+        self.open.get() >= self.limits.max_connections
+    }
+
+    /// Waits until idle connections should make room.
+    pub(crate) fn wait_crowded(&self) -> Wait {
+        self.crowded.borrow().wait()
+    }
+
+    fn make_room(&self) {
+        self.crowded.take().set();
+    }
 }
 
 /// Server that listens and has not begun to accept.
@@ -159,6 +179,7 @@
             control: self.control,
             held: Cell::new(0),
             open: Cell::new(0),
+            crowded: RefCell::default(),
         });
         let ended = Rc::new(Ended::default());
         accept_loop(&self.listener, &shared, &ended).await;
@@ -194,7 +215,8 @@
 ) {
     let stop = &shared.control.stop;
     while !stop.is_set() {
-        if shared.open.get() >= shared.limits.max_connections {
+        if shared.is_full() {
+            shared.make_room();
             monoio::select! {
                 () = ended.wait() => {}
                 () = stop.wait() => {}
@@ -221,7 +243,7 @@
     shared: &Rc<Shared<H>>,
     ended: &Rc<Ended>,
 ) {
-    while shared.open.get() < shared.limits.max_connections {
+    while !shared.is_full() {
         match timeout(LAST_ACCEPT, listener.accept()).await {
             Ok(Ok((stream, peer))) => start(stream, peer, shared, ended),
             _ => return,
