--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -5,6 +5,7 @@
 
 use hawthornkeel_core::request::refusal::Ran;
 use http::StatusCode;
+use serde::Deserialize;
 use serde::Serialize;
 
 use crate::http::message::Response;
