--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -1,9 +1,9 @@
 //! Comparison of a pool's targets for a call.
 
+use crate::routing::hot::Class;
+use crate::routing::hot::Hot;
 use crate::routing::pool::PoolState;
 use crate::routing::settings::RouterSettings;
-use crate::routing::target::Class;
-use crate::routing::target::Hot;
 use crate::routing::types::Decision;
 use crate::routing::types::Permit;
 use crate::routing::types::Reason;
@@ -159,9 +159,8 @@
     if request.repeat == Repeat::Hedge {
         return false;
     }
-    let no_warm = !pool.hot.iter().any(|h| h.warm);
     let needed = match pool.times.high() {
-        Some(high) if !no_warm => high * COLD_SLACK,
+        Some(high) if pool.warm > 0 => high * COLD_SLACK,
         _ => pool.median(),
     };
     now + needed.max(request.floor) <= latest
@@ -169,8 +168,14 @@
 
 /// Finds the best open targets of the first tier that has any which take work.
 fn scan(pool: &PoolState, view: &View<'_>) -> Scan {
-    if view.tried.is_empty() {
-        return pass(pool, view, Tier::Any);
+    let quick = quick_scan(pool, view);
+    if view.tried.is_empty() && view.repeat != Repeat::MayHaveRun {
+        return quick;
+    }
+    let bests = [quick.near.0, quick.far.0, quick.cold.0];
+    let mut found = bests.into_iter().filter_map(|i| pool.hot.get(i).map(|h| (i, h))).peekable();
+    if found.peek().is_some() && found.all(|(i, h)| is_fresh(pool, view, i, h)) {
+        return quick;
     }
     let tiers: &[Tier] = match view.repeat {
         Repeat::MayHaveRun => &[Tier::OtherCentre, Tier::OtherTarget, Tier::Any],
@@ -187,16 +192,35 @@
     last
 }
 
+/// Tells whether no tier leaves a target out and nothing bars it.
+fn is_fresh(pool: &PoolState, view: &View<'_>, index: usize, hot: &Hot) -> bool {
+    let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
+    let retry = view.repeat == Repeat::MayHaveRun;
+    let same = |i: &usize| *i == index || (retry && centre(i) == Some(hot.centre));
+    let barred = retry && hot.failing;
+    !barred && !view.tried.iter().any(same)
+}
+
+/// Finds the best open targets of all.
+fn quick_scan(pool: &PoolState, view: &View<'_>) -> Scan {
+    let start = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
+    let scores = &pool.scores;
+    let none = Scan::default();
+    Scan {
+        near: scores.near.lowest(start).unwrap_or(none.near),
+        far: scores.far.lowest(start).unwrap_or(none.far),
+        cold: scores.cold.lowest(start).filter(|_| view.cold).unwrap_or(none.cold),
+        any_near: pool.near_usable > 0,
+        usable: true,
+        candidates: scores.open(),
+    }
+}
+
 /// Finds the best open targets of a tier, starting at a position that changes from call to call.
 fn pass(pool: &PoolState, view: &View<'_>, tier: Tier) -> Scan {
     let mut scan = Scan::default();
     let split = view.turn.checked_rem(pool.hot.len()).unwrap_or(0);
     let (head, tail) = pool.hot.split_at(split);
-    if tier == Tier::Any && view.repeat != Repeat::MayHaveRun && view.cold {
-        scan.add(tail, split, |_, _| true, |_, _| false);
-        scan.add(head, 0, |_, _| true, |_, _| false);
-        return scan;
-    }
     let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
     let centres: Vec<u16> = view.tried.iter().filter_map(centre).collect();
     let keep = |index: usize, hot: &Hot| match tier {
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -10,12 +10,13 @@
 use crate::names::TargetName;
 use crate::routing::budget::Budget;
 use crate::routing::fair::FairQueue;
+use crate::routing::hot::Hot;
 use crate::routing::router::EntryInfo;
+use crate::routing::scores::Scores;
 use crate::routing::settings::RouterSettings;
 use crate::routing::shares;
 use crate::routing::shares::CentreCount;
 use crate::routing::subset;
-use crate::routing::target::Hot;
 use crate::routing::target::Target;
 use crate::routing::times::Times;
 use crate::time::Instant;
@@ -27,6 +28,8 @@
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
+/// Weight of a new sample in the average of the last calls.
+const RECENT_WEIGHT: f64 = 0.1;
 /// Failed calls in a row, over all targets, after which the pool as a whole fails.
 const FAILS_AFTER: u32 = 2;
 /// Time after a failure during which repeated calls wait while the pool as a whole fails.
@@ -48,6 +51,11 @@
     centres: IndexSet<CentreName>,
     /// What a choice reads, in the order of `targets`.
     pub hot: Vec<Hot>,
+    pub scores: Scores,
+    /// Near targets that take work and aren't down.
+    pub near_usable: u32,
+    /// Targets that take work and are proved warm.
+    pub warm: u32,
     /// Sum of the targets' capacities.
     pub capacity: u64,
     /// Calls that wait, but for those in `repeats`.
@@ -55,6 +63,8 @@
     /// Calls that wait and may have run before.
     pub repeats: FairQueue,
     pub times: Times,
+    /// Average of the last calls of all targets, in microseconds.
+    pub recent: f64,
     pub retries: Budget,
     pub hedges: Budget,
     /// Admitted requests that still need this pool.
@@ -81,10 +91,14 @@
             targets: IndexMap::new(),
             centres: IndexSet::new(),
             hot: Vec::new(),
+            scores: Scores::default(),
+            near_usable: 0,
+            warm: 0,
             capacity: 0,
             queue: FairQueue::default(),
             repeats: FairQueue::default(),
             times: Times::default(),
+            recent: 0.0,
             retries: Budget::new(set.retry_share, set.retry_burst),
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
             committed: 0,
@@ -104,7 +118,11 @@
     }
 
     /// Takes an answer of any target.
-    pub fn answered(&mut self) {
+    pub fn answered(&mut self, latency: Duration) {
+        let micros = latency.as_micros() as f64;
+        let first = self.recent == 0.0;
+        self.recent =
+            if first { micros } else { self.recent + (micros - self.recent) * RECENT_WEIGHT };
         self.failures = 0;
         self.retry_at = Instant::ZERO;
     }
@@ -176,6 +194,7 @@
         let name = target.info.name.clone();
         if self.targets.insert(name, target).is_none() {
             self.hot.push(Hot::default());
+            self.scores.push();
         }
     }
 
@@ -184,7 +203,8 @@
         let (_, target) = self.targets.swap_remove_index(index)?;
         if index < self.hot.len() {
             let hot = self.hot.swap_remove(index);
-            self.capacity -= u64::from(hot.capacity);
+            self.scores.swap_remove(index);
+            self.uncount(&hot);
         }
         Some(target)
     }
@@ -197,13 +217,30 @@
         else {
             return;
         };
-        self.capacity -= u64::from(hot.capacity);
+        let old = *hot;
         *hot = target.hot(now, &self.config, latency, set);
-        self.capacity += u64::from(hot.capacity);
+        let new = *hot;
         if now < target.down_until {
             let reopen = target.down_until;
             self.reopen = Some(self.reopen.map_or(reopen, |r| r.min(reopen)));
         }
+        self.uncount(&old);
+        self.count(&new);
+        self.scores.set(index, &new);
+    }
+
+    /// Adds a target to the sums.
+    fn count(&mut self, hot: &Hot) {
+        self.capacity += u64::from(hot.capacity);
+        self.near_usable += u32::from(hot.near && hot.usable);
+        self.warm += u32::from(hot.warm);
+    }
+
+    /// Takes a target out of the sums.
+    fn uncount(&mut self, hot: &Hot) {
+        self.capacity -= u64::from(hot.capacity);
+        self.near_usable -= u32::from(hot.near && hot.usable);
+        self.warm -= u32::from(hot.warm);
     }
 
     /// Brings what a choice reads of all targets up to date.
