Whether a request ran is one type, the core's

Cause: the core and the HTTP edge each had an enum for it. Change: the edge uses hawthornkeel_core::request::refusal::Ran.

--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -5,7 +5,6 @@
 
 use hawthornkeel_core::request::refusal::Ran;
 use http::StatusCode;
-use serde::Deserialize;
 use serde::Serialize;
 
 use crate::http::message::Response;
--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -6,12 +6,12 @@
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use hawthornkeel_core::request::refusal::Ran;
 use http::HeaderMap;
 use http::Method;
 use http::StatusCode;
 use serde::Deserialize;
 
-use crate::http::problem::Ran;
 use crate::target::call::Call;
 use crate::target::call::RESUME_OFFSET;
 use crate::target::connection;
--- a/hawthornkeel/tests/http_problem.rs
+++ b/hawthornkeel/tests/http_problem.rs
@@ -6,7 +6,7 @@
 use hawthornkeel::http::message::Response;
 use hawthornkeel::http::problem::Code;
 use hawthornkeel::http::problem::Problem;
-use hawthornkeel::http::problem::Ran;
+use hawthornkeel_core::request::refusal::Ran;
 use rstest::rstest;
 use serde_json::Value;
 
