Orders to targets under fencing numbers; prompt prefixes as routing hints

Cause: fencing numbers were drawn from the log but no order carried them; routing got no prefix. Ruled out: letting every control instance send orders (two leaders could order at once where the target ignores numbers). Change: OrderGate lets only a leader with its lease send, one order a target at a time; for targets that ignore numbers a new leader first waits out the old lease and the longest order. POST /admin/order. Calls carry the hash of workspace, stage and the first 512 bytes of the body.

--- a/hawthornkeel/src/admin.rs
+++ b/hawthornkeel/src/admin.rs
@@ -1,5 +1,7 @@
 //! Endpoint of operators and of metrics.
 
+use std::rc::Rc;
+
 use http::Method;
 use http::StatusCode;
 use metrics_exporter_prometheus::PrometheusHandle;
@@ -8,6 +10,9 @@
 
 use crate::control::admin::Admin;
 use crate::control::admin::SubmitRequest;
+use crate::control::orders::OrderRequest;
+use crate::control::orders::Orders;
+use crate::entry::context::Context;
 use crate::http::message::Request;
 use crate::http::message::Response;
 use crate::http::problem::Code;
@@ -23,12 +28,23 @@
 pub struct AdminHandler {
     admin: Admin,
     metrics: PrometheusHandle,
+    orders: Option<TargetOrders>,
+}
+
+/// Orders to the targets that an entry knows.
+pub struct TargetOrders {
+    /// Entry whose targets and document are used.
+    pub context: Rc<Context>,
+    /// Sends orders while this instance leads.
+    pub orders: Orders,
 }
 
 impl AdminHandler {
     /// Creates the handler.
-    pub fn new(admin: Admin, metrics: PrometheusHandle) -> Self {
-        Self { admin, metrics }
+    ///
+    /// Only an instance with the entry and the control role takes orders to targets.
+    pub fn new(admin: Admin, metrics: PrometheusHandle, orders: Option<TargetOrders>) -> Self {
+        Self { admin, metrics, orders }
     }
 
     async fn route(&self, request: Request) -> Result<Response, Problem> {
@@ -43,10 +59,20 @@
             (Method::POST, "/admin/bring-back") => {
                 Ok(json(&self.admin.bring_back(parse(&request)?).await))
             }
+            (Method::POST, "/admin/order") => self.order(parse(&request)?).await,
             _ => Err(Problem::not_run(Code::NotFound)),
         }
     }
 
+    async fn order(&self, request: OrderRequest) -> Result<Response, Problem> {
+        let Some(TargetOrders { context, orders }) = &self.orders else {
+            return Err(Problem::not_run(Code::NotFound));
+        };
+        let target = context.order_target(&request.target);
+        let target = target.ok_or_else(|| Problem::not_run(Code::NotFound))?;
+        Ok(json(&orders.order(&target, request.order).await))
+    }
+
     fn scrape(&self) -> Response {
         Response::whole(StatusCode::OK, METRICS_TYPE, self.metrics.render())
     }
--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -13,6 +13,7 @@
 pub mod gossip;
 pub mod node;
 pub mod open;
+pub mod orders;
 pub mod pending;
 pub mod saver;
 pub mod sources;
--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -13,6 +13,7 @@
 use hawthornkeel_core::lease::MemberId;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::routing::Router;
 use hawthornkeel_core::routing::RouterSettings;
@@ -23,6 +24,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
+use crate::control::orders::OrderTarget;
 use crate::entry::claims::ClaimStore;
 use crate::entry::controllers::lease::LeaseMember;
 use crate::entry::environment::Environment;
@@ -122,6 +124,16 @@
         Some(peer.data_centre.clone())
     }
 
+    /// Returns what an order to the target called `name` needs, where it is known.
+    pub fn order_target(&self, name: &TargetName) -> Option<OrderTarget> {
+        let targets = self.targets.borrow();
+        let target = targets.iter().find(|t| t.name == *name)?;
+        let environment = self.environment()?;
+        let fencing = environment.document.pool(target.pool.as_str())?.fencing;
+        let address = target.address.parse().ok()?;
+        Some(OrderTarget { name: name.clone(), address, fencing })
+    }
+
     /// Returns a message about grants as it goes to a peer.
     pub fn grant_message(&self, message: GrantMessage) -> EntryMessage {
         EntryMessage::Grant { from: self.member.clone(), message }
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -27,6 +27,7 @@
 use hawthornkeel_core::state::command::ClaimOutcome;
 use hawthornkeel_core::state::command::Settle;
 use hawthornkeel_core::time::Instant;
+use xxhash_rust::xxh3::Xxh3;
 
 use crate::entry::call;
 use crate::entry::call::CallPlan;
@@ -39,6 +40,9 @@
 use crate::http::signal::Signal;
 use crate::telemetry;
 
+/// Bytes of the caller's body that count as the prompt's prefix.
+const PREFIX_BYTES: usize = 512;
+
 /// What a request waits for: ends in the state machine's next input.
 type Operation = Pin<Box<dyn Future<Output = Step>>>;
 
@@ -249,12 +253,21 @@
             floor: stage.floor(),
             remaining: later().map(Stage::floor).sum(),
             later: later().map(|s| s.pool.clone()).collect(),
-            prefix: None,
+            prefix: Some(self.prefix_hash(&stage)),
             excluded: self.excluded.clone(),
             repeat: self.repeat,
         })
     }
 
+    /// Returns the hash that calls with the same prompt prefix have in common.
+    fn prefix_hash(&self, stage: &Stage) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(self.draft.workspace.as_str().as_bytes());
+        hasher.update(stage.name.as_str().as_bytes());
+        hasher.update(self.input.get(..PREFIX_BYTES).unwrap_or(&self.input));
+        hasher.digest()
+    }
+
     fn start_claim(&mut self, claim: Claim) {
         let store = self.context.claims.clone();
         let work = async move { Step::Other(store.claim(claim).await) };
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -8,13 +8,16 @@
 
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::lease::LeaseSettings;
+use hawthornkeel_core::orders::OrderSettings;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::admin::AdminHandler;
+use crate::admin::TargetOrders;
 use crate::control::error::ControlFailure;
 use crate::control::node::Control;
 use crate::control::open::OpenError;
 use crate::control::open::open_control;
+use crate::control::orders::Orders;
 use crate::control::start;
 use crate::control::start::Parts;
 use crate::entry::claims::ClaimStore;
@@ -97,28 +100,31 @@
     let control =
         if settings.control.enabled { Some(open_control(&settings, &endpoint)?) } else { None };
     let parts = start::start(&settings, &endpoint, control);
+    let context = settings.entry.enabled.then(|| open_entry(&settings, &endpoint, &parts));
     if let Some(address) = settings.instance.admin {
-        serve_admin(address, &parts, metrics)?;
+        let orders = context.as_ref().and_then(|c| target_orders(&settings, c, &parts));
+        serve_admin(address, AdminHandler::new(parts.admin.clone(), metrics, orders))?;
     }
     let failed = control_failure(parts.control.clone());
     let report = monoio::select! {
-        report = serve(settings, &endpoint, &parts, stop) => report?,
+        report = serve(&settings, context, stop) => report?,
         failure = failed => return Err(RunError::Failed(failure)),
     };
     endpoint.close();
     Ok(report)
 }
 
+/// Serves callers where the instance is an entry, and waits for the request to stop.
 async fn serve(
-    settings: Settings,
-    endpoint: &Endpoint,
-    parts: &Parts,
+    settings: &Settings,
+    context: Option<Rc<Context>>,
     stop: StopRequest,
 ) -> Result<StopReport, RunError> {
-    if settings.entry.enabled {
-        return serve_entry(settings, endpoint, parts, stop).await;
-    }
-    Ok(wait_for_stop(stop).await)
+    let Some(context) = context else {
+        return Ok(wait_for_stop(stop).await);
+    };
+    let listen = settings.entry.listen.ok_or(RunError::NoAddress)?;
+    Ok(Started::listen(context, listen)?.serve(stop).await)
 }
 
 /// Waits until the control role has failed; for ever where there is none.
@@ -129,32 +135,37 @@
     }
 }
 
-fn serve_admin(
-    address: SocketAddr,
-    parts: &Parts,
-    metrics: PrometheusHandle,
-) -> Result<(), RunError> {
+fn serve_admin(address: SocketAddr, handler: AdminHandler) -> Result<(), RunError> {
     let server = Server::bind(address, Limits::default())?;
-    monoio::spawn(server.serve(AdminHandler::new(parts.admin.clone(), metrics)));
+    monoio::spawn(server.serve(handler));
     Ok(())
 }
 
-async fn serve_entry(
-    settings: Settings,
-    endpoint: &Endpoint,
+/// Returns what orders to targets need, where the instance is an entry and has the control role.
+fn target_orders(
+    settings: &Settings,
+    context: &Rc<Context>,
     parts: &Parts,
-    stop: StopRequest,
-) -> Result<StopReport, RunError> {
-    let listen = settings.entry.listen.ok_or(RunError::NoAddress)?;
+) -> Option<TargetOrders> {
+    let control = parts.control.clone()?;
+    // A leader's lease is shorter than the time after which its followers elect another.
+    let lease = Duration::from_millis(settings.control.election_ms);
+    let settings = OrderSettings { lease, ..OrderSettings::default() };
+    let orders = Orders::start(control, context.client.clone(), settings);
+    Some(TargetOrders { context: Rc::clone(context), orders })
+}
+
+/// Creates the state of the entry role, which begins to follow the published state.
+fn open_entry(settings: &Settings, endpoint: &Endpoint, parts: &Parts) -> Rc<Context> {
     let wiring = Wiring {
         claims: ClaimStore::Control(parts.client.clone()),
         outlet: Outlet::Peers(endpoint.clone()),
-        lease: lease_settings(&settings),
+        lease: lease_settings(settings),
     };
-    let context = Rc::new(Context::new(settings, wiring));
+    let context = Rc::new(Context::new(settings.clone(), wiring));
     receive_entry_frames(&context, endpoint);
     monoio::spawn(document::follow(Rc::clone(&context), parts.watch.clone()));
-    Ok(Started::listen(context, listen)?.serve(stop).await)
+    context
 }
 
 fn lease_settings(settings: &Settings) -> LeaseSettings {
--- a/hawthornkeel_core/src/lib.rs
+++ b/hawthornkeel_core/src/lib.rs
@@ -10,6 +10,7 @@
 pub mod ids;
 pub mod lease;
 pub mod names;
+pub mod orders;
 pub mod replica;
 pub mod request;
 pub mod routing;
