--- a/hawthornkeel/src/disk/files.rs
+++ b/hawthornkeel/src/disk/files.rs
@@ -6,7 +6,7 @@
 use std::io::Write;
 
 /// Writes and syncs of open files.
-pub trait Files: Debug + Send + 'static {
+pub trait Files: Clone + Debug + Send + 'static {
     /// Writes all of `data` at the file's position.
     ///
     /// # Errors
--- a/hawthornkeel/src/disk/folder.rs
+++ b/hawthornkeel/src/disk/folder.rs
@@ -55,18 +55,31 @@
     path: &Path,
     data: &[u8],
     files: &mut F,
+) -> Result<File, DiskError> {
+    let file = write_aside(path, data, files)?;
+    put_in_force(path)?;
+    Ok(file)
+}
+
+/// Writes the content of `path` to a file beside it, and syncs that.
+pub(super) fn write_aside<F: Files>(
+    path: &Path,
+    data: &[u8],
+    files: &mut F,
 ) -> Result<File, DiskError> {
     let aside = path.with_extension(UNFINISHED);
     let mut file = File::create(&aside).map_err(|e| DiskError::io(&aside, e))?;
     files.write(&mut file, data).map_err(|e| DiskError::io(&aside, e))?;
     files.sync(&file).map_err(|e| DiskError::io(&aside, e))?;
-    fs::rename(&aside, path).map_err(|e| DiskError::io(path, e))?;
-    if let Some(parent) = path.parent() {
-        sync_folder(parent)?;
-    }
     Ok(file)
 }
 
+/// Renames what was written aside to `path`.
+pub(super) fn put_in_force(path: &Path) -> Result<(), DiskError> {
+    fs::rename(path.with_extension(UNFINISHED), path).map_err(|e| DiskError::io(path, e))?;
+    path.parent().map_or(Ok(()), sync_folder)
+}
+
 /// Removes files whose writing was broken off.
 pub(super) fn remove_unfinished(path: &Path) -> Result<(), DiskError> {
     for file in list(path)? {
--- a/hawthornkeel/src/disk/mod.rs
+++ b/hawthornkeel/src/disk/mod.rs
@@ -198,16 +198,27 @@
             self.begin_segment()?;
             self.last = snapshot.index;
         }
+        let first = self.first_kept(keep);
+        snapshot::write_aside(&self.path, snapshot, first, &mut self.files)?;
+        self.adopt_snapshot(snapshot.index, first)
+    }
+
+    /// Returns the number of the first segment that a snapshot leaves.
+    fn first_kept(&self, keep: Keep) -> u64 {
         let current = self.segments.last().map_or(1, |s| s.number);
-        let first = match keep {
+        match keep {
             Keep::Nothing => current,
             Keep::From(index) => {
                 let kept = self.segments.iter().find(|s| s.last >= index);
                 kept.map_or(current, |s| s.number)
             }
-        };
-        snapshot::write(&self.path, snapshot, first, &mut self.files)?;
-        snapshot::remove_older(&self.path, snapshot.index)?;
+        }
+    }
+
+    /// Puts a snapshot that was written aside in force, and removes what it replaces.
+    fn adopt_snapshot(&mut self, index: LogIndex, first: u64) -> Result<(), DiskError> {
+        snapshot::put_in_force(&self.path, index)?;
+        snapshot::remove_older(&self.path, index)?;
         for segment in self.segments.extract_if(.., |s| s.number < first) {
             folder::remove(&segment::path(&self.path, segment.number))?;
         }
--- a/hawthornkeel/src/disk/snapshot.rs
+++ b/hawthornkeel/src/disk/snapshot.rs
@@ -39,18 +39,23 @@
     folder.join(format!("{PREFIX}{:016x}", index.0))
 }
 
-/// Writes a snapshot, with the first segment of the log that counts.
-pub(super) fn write<F: Files>(
+/// Writes a snapshot aside, with the first segment of the log that counts.
+pub(super) fn write_aside<F: Files>(
     folder: &Path,
     snapshot: &Snapshot,
     first: u64,
     files: &mut F,
 ) -> Result<(), DiskError> {
     let data = frame::encode_file(Kind::Snapshot, &Content { first, snapshot })?;
-    folder::write_whole(&path(folder, snapshot.index), &data, files)?;
+    folder::write_aside(&path(folder, snapshot.index), &data, files)?;
     Ok(())
 }
 
+/// Puts the snapshot at `index` in force, which was written aside.
+pub(super) fn put_in_force(folder: &Path, index: LogIndex) -> Result<(), DiskError> {
+    folder::put_in_force(&path(folder, index))
+}
+
 /// Reads the latest snapshot, if there is one.
 pub(super) fn read(folder: &Path) -> Result<Option<Found>, DiskError> {
     let numbers = folder::numbers(folder, PREFIX)?;
--- a/hawthornkeel/src/disk/writer.rs
+++ b/hawthornkeel/src/disk/writer.rs
@@ -7,28 +7,51 @@
 use std::thread;
 use std::thread::JoinHandle;
 
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::replica::Keep;
 use hawthornkeel_core::replica::Save;
+use hawthornkeel_core::replica::Snapshot;
 use hawthornkeel_core::replica::Ticket;
 
 use crate::disk::Disk;
 use crate::disk::error::DiskError;
 use crate::disk::files::Files;
+use crate::disk::snapshot;
 
 /// What the writer reports.
 #[derive(Debug)]
 pub enum Report {
     /// The save with this ticket and all before it are on disk.
+    ///
+    /// Snapshots of the replica's own state ([`Keep::From`]) may still be on their way.
     Synced(Ticket),
     /// A write or sync failed. Nothing more is written and the process must stop.
     Failed(DiskError),
 }
 
+/// Order to the thread.
+enum Order {
+    /// Write a save.
+    Save(Ticket, Save),
+    /// Write a snapshot while the log goes on, and say so by the sender.
+    Snapshot(Ticket, Snapshot, Keep, Sender<Order>),
+    /// The snapshot that was being written is written.
+    Written,
+}
+
+/// Snapshot that is being written aside.
+struct Job {
+    index: LogIndex,
+    first: u64,
+    thread: JoinHandle<Result<(), DiskError>>,
+}
+
 /// Writer of a data folder on a thread of its own.
 ///
 /// Dropping it writes what it was handed, and waits for that.
 #[derive(Debug)]
 pub struct DiskWriter {
-    sender: Option<Sender<(Ticket, Save)>>,
+    sender: Option<Sender<Order>>,
     thread: Option<JoinHandle<()>>,
 }
 
@@ -40,11 +63,16 @@
     /// Returns the error of the operating system where it has no thread left.
     pub fn start<F: Files>(
         disk: Disk<F>,
-        report: impl FnMut(Report) + Send + 'static,
+        mut report: impl FnMut(Report) + Send + 'static,
     ) -> io::Result<Self> {
         let (sender, receiver) = mpsc::channel();
         let thread = thread::Builder::new().name("disk".to_owned());
-        let thread = thread.spawn(move || run(disk, &receiver, report))?;
+        let thread = thread.spawn(move || {
+            let mut worker = Worker { disk, job: None };
+            if let Err(error) = worker.run(&receiver, &mut report) {
+                report(Report::Failed(error));
+            }
+        })?;
         Ok(Self { sender: Some(sender), thread: Some(thread) })
     }
 
@@ -52,10 +80,15 @@
     ///
     /// After a failure it is dropped, and never reported as synced.
     pub fn save(&self, ticket: Ticket, save: Save) {
-        if let Some(sender) = &self.sender {
-            // The thread ends only after it has reported a failure.
-            let _ = sender.send((ticket, save));
-        }
+        let Some(sender) = &self.sender else { return };
+        let order = match save {
+            Save::Snapshot { snapshot, keep: keep @ Keep::From(_) } => {
+                Order::Snapshot(ticket, snapshot, keep, sender.clone())
+            }
+            save => Order::Save(ticket, save),
+        };
+        // The thread ends only after it has reported a failure.
+        let _ = sender.send(order);
     }
 }
 
@@ -68,23 +101,86 @@
     }
 }
 
-/// Writes saves until there are none to come or one fails; those that wait share one sync.
-fn run<F: Files>(
-    mut disk: Disk<F>,
-    receiver: &Receiver<(Ticket, Save)>,
-    mut report: impl FnMut(Report),
-) {
-    while let Ok((mut ticket, first)) = receiver.recv() {
-        let mut saves = vec![first];
-        while saves.len() < disk.settings.group_saves {
-            let Ok((next, save)) = receiver.try_recv() else { break };
-            ticket = next;
-            saves.push(save);
+/// State of the thread.
+struct Worker<F: Files> {
+    disk: Disk<F>,
+    job: Option<Job>,
+}
+
+impl<F: Files> Worker<F> {
+    /// Writes until there is nothing to come; saves that wait share one sync.
+    fn run(
+        &mut self,
+        receiver: &Receiver<Order>,
+        report: &mut impl FnMut(Report),
+    ) -> Result<(), DiskError> {
+        let mut saves = Vec::new();
+        while let Ok(order) = receiver.recv() {
+            let mut ticket = self.take(order, &mut saves)?;
+            while saves.len() < self.disk.settings.group_saves {
+                let Ok(order) = receiver.try_recv() else { break };
+                ticket = self.take(order, &mut saves)?.or(ticket);
+            }
+            self.disk.write(&saves)?;
+            saves.clear();
+            if let Some(ticket) = ticket {
+                report(Report::Synced(ticket));
+            }
         }
-        if let Err(error) = disk.write(&saves) {
-            report(Report::Failed(error));
-            return;
+        Ok(())
+    }
+
+    /// Takes in an order, and returns the ticket that is on disk once `saves` are.
+    fn take(&mut self, order: Order, saves: &mut Vec<Save>) -> Result<Option<Ticket>, DiskError> {
+        match order {
+            Order::Save(ticket, save) => {
+                // A snapshot that replaces the log must not be followed by an older one.
+                if matches!(save, Save::Snapshot { .. }) {
+                    self.finish_job()?;
+                }
+                saves.push(save);
+                Ok(Some(ticket))
+            }
+            Order::Snapshot(ticket, snapshot, keep, done) => {
+                // What it may drop must be known to the folder.
+                self.disk.write(saves)?;
+                saves.clear();
+                self.finish_job()?;
+                self.start_job(snapshot, keep, done)?;
+                Ok(Some(ticket))
+            }
+            Order::Written => {
+                self.finish_job()?;
+                Ok(None)
+            }
         }
-        report(Report::Synced(ticket));
+    }
+
+    /// Starts to write a snapshot aside.
+    fn start_job(
+        &mut self,
+        snapshot: Snapshot,
+        keep: Keep,
+        done: Sender<Order>,
+    ) -> Result<(), DiskError> {
+        let (index, first) = (snapshot.index, self.disk.first_kept(keep));
+        let (path, mut files) = (self.disk.path.clone(), self.disk.files.clone());
+        let thread = thread::Builder::new().name("snapshot".to_owned());
+        let thread = thread.spawn(move || {
+            let written = snapshot::write_aside(&path, &snapshot, first, &mut files);
+            let _ = done.send(Order::Written);
+            written
+        });
+        let thread = thread.map_err(|e| DiskError::io(&self.disk.path, e))?;
+        self.job = Some(Job { index, first, thread });
+        Ok(())
+    }
+
+    /// Waits for the snapshot that is being written, if any, and puts it in force.
+    fn finish_job(&mut self) -> Result<(), DiskError> {
+        let Some(job) = self.job.take() else { return Ok(()) };
+        // A thread that panicked wrote nothing that counts.
+        let written = job.thread.join().unwrap_or(Err(DiskError::Poisoned));
+        written.and_then(|()| self.disk.adopt_snapshot(job.index, job.first))
     }
 }
--- a/hawthornkeel/tests/disk_faults.rs
+++ b/hawthornkeel/tests/disk_faults.rs
@@ -6,6 +6,8 @@
 use std::io;
 use std::path::Path;
 use std::sync::Arc;
+use std::sync::Condvar;
+use std::sync::Mutex;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
@@ -19,11 +21,15 @@
 use hawthornkeel::disk::Kernel;
 use hawthornkeel::disk::Recovered;
 use hawthornkeel::disk::Report;
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::replica::Keep;
+use hawthornkeel_core::replica::Save;
 use hawthornkeel_core::replica::Ticket;
 use rstest::rstest;
 use tempfile::TempDir;
 
 use crate::saves::entries;
+use crate::saves::snapshot;
 
 /// What fails, and how often that was tried.
 #[derive(Clone, Debug)]
@@ -78,6 +84,33 @@
     }
 }
 
+/// Holds back large files, such as snapshots, until they are released.
+#[derive(Clone, Debug, Default)]
+struct HeldBack {
+    released: Arc<(Mutex<bool>, Condvar)>,
+}
+
+impl HeldBack {
+    fn release(&self) {
+        *self.released.0.lock().unwrap() = true;
+        self.released.1.notify_all();
+    }
+}
+
+impl Files for HeldBack {
+    fn write(&mut self, file: &mut File, data: &[u8]) -> io::Result<()> {
+        if data.len() > 1_000 {
+            let released = self.released.0.lock().unwrap();
+            drop(self.released.1.wait_while(released, |r| !*r).unwrap());
+        }
+        Kernel.write(file, data)
+    }
+
+    fn sync(&mut self, file: &File) -> io::Result<()> {
+        Kernel.sync(file)
+    }
+}
+
 fn open(path: &Path) -> Result<(Disk, Recovered), DiskError> {
     Disk::open(path, DiskSettings::default())
 }
@@ -141,6 +174,53 @@
     assert_eq!(open(folder.path()).unwrap().1.stored.entries.len(), 500);
 }
 
+#[test]
+fn snapshot_holds_up_no_save() {
+    let folder = TempDir::new().unwrap();
+    let files = HeldBack::default();
+    let opened = Disk::open_with(folder.path(), DiskSettings::default(), files.clone());
+    let (sender, reports) = mpsc::channel();
+    let writer = DiskWriter::start(opened.unwrap().0, move |r| sender.send(r).unwrap()).unwrap();
+    writer.save(Ticket(1), entries(1, 9));
+    let keep = Keep::From(LogIndex(6));
+    writer.save(Ticket(2), Save::Snapshot { snapshot: snapshot(8), keep });
+    writer.save(Ticket(3), entries(10, 10));
+    let mut synced = Ticket(0);
+    while synced < Ticket(3) {
+        match reports.recv_timeout(Duration::from_secs(20)) {
+            Ok(Report::Synced(ticket)) => synced = ticket,
+            other => {
+                files.release();
+                panic!("after {synced:?}: {other:?}");
+            }
+        }
+    }
+    files.release();
+    // A snapshot that replaces the log comes after the one on its way.
+    writer.save(Ticket(4), Save::Snapshot { snapshot: snapshot(20), keep: Keep::Nothing });
+    writer.save(Ticket(5), entries(21, 22));
+    drop(writer);
+    let (_, found) = open(folder.path()).unwrap();
+    assert_eq!(found.stored.snapshot, Some(snapshot(20)));
+    assert_eq!(found.stored.entries.len(), 2);
+}
+
+#[test]
+fn failed_snapshot_is_reported() {
+    let folder = TempDir::new().unwrap();
+    let files = Failing::new(Fails::Sync);
+    let opened = Disk::open_with(folder.path(), DiskSettings::default(), files.clone());
+    let (sender, reports) = mpsc::channel();
+    let writer = DiskWriter::start(opened.unwrap().0, move |r| sender.send(r).unwrap()).unwrap();
+    files.left.store(1, Ordering::SeqCst);
+    let keep = Keep::From(LogIndex(1));
+    writer.save(Ticket(1), Save::Snapshot { snapshot: snapshot(8), keep });
+    drop(writer);
+    let last = reports.iter().last();
+    assert!(matches!(last, Some(Report::Failed(DiskError::Io { .. }))), "{last:?}");
+    assert_eq!(open(folder.path()).unwrap().1.stored.snapshot, None);
+}
+
 #[test]
 fn folder_is_locked() {
     let folder = TempDir::new().unwrap();
--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -145,6 +145,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Keep {
     /// Entries from this position on stay; those before it may be dropped.
+    ///
+    /// Nothing waits for such a snapshot: it may reach the disk after later saves, as long as the
+    /// entries and the older snapshot are dropped only then.
     From(LogIndex),
     /// All entries are dropped: the log goes on after the snapshot.
     Nothing,
--- a/hawthornkeel_core/src/replica/follow.rs
+++ b/hawthornkeel_core/src/replica/follow.rs
@@ -168,6 +168,7 @@
             Keep::Nothing
         };
         self.commit = snapshot.index;
+        self.grown = 0;
         self.snapshot = Some(snapshot.clone());
         let ticket = self.saves.issue(self.log.last());
         let save = Save::Snapshot { snapshot: snapshot.clone(), keep };
--- a/hawthornkeel_core/src/replica/lead.rs
+++ b/hawthornkeel_core/src/replica/lead.rs
@@ -199,8 +199,11 @@
 
     /// Asks for the replicated state if enough was applied since the last snapshot.
     pub(super) fn ask_snapshot(&mut self) {
-        let since = self.snapshot.as_ref().map_or(LogIndex(0), |s| s.index);
-        if !self.asked && self.commit.0 - since.0 >= self.settings.snapshot_entries {
+        let (since, bytes) =
+            self.snapshot.as_ref().map_or((LogIndex(0), 0), |s| (s.index, s.data.len()));
+        let entries = self.commit.0 - since.0;
+        // A large state is written only as often as the log grows by its size.
+        if !self.asked && entries >= self.settings.snapshot_entries && self.grown >= bytes {
             self.asked = true;
             self.actions.push(Action::TakeSnapshot);
         }
@@ -221,6 +224,7 @@
         self.log.compact(drop);
         self.log.forget_members(index);
         self.snapshot = Some(snapshot.clone());
+        self.grown = 0;
         let ticket = self.saves.issue(self.log.last());
         let save = Save::Snapshot { snapshot, keep: Keep::From(log::next(drop)) };
         self.actions.push(Action::Save { ticket, save });
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -112,6 +112,8 @@
     stand_at: Instant,
     commit: LogIndex,
     snapshot: Option<Snapshot>,
+    /// Entries applied since the last snapshot, in bytes.
+    grown: usize,
     /// Whether a snapshot was asked for and not handed in.
     asked: bool,
     /// Snapshot that is being received.
@@ -139,6 +141,7 @@
             stand_at: now,
             commit: LogIndex(0),
             snapshot: None,
+            grown: 0,
             asked: false,
             incoming: None,
             actions: Vec::new(),
@@ -308,6 +311,7 @@
             return;
         }
         let entries = self.log.span(self.commit, commit);
+        self.grown += entries.iter().map(Entry::size).sum::<usize>();
         self.commit = commit;
         let applied = entries.into_iter().map(|entry| {
             let proposal = match &mut self.part {
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -23,7 +23,7 @@
     pub hello: Duration,
     /// Time that a read waits for the leader's lease at most.
     pub read_wait: Duration,
-    /// Entries applied since the last snapshot that call for the next.
+    /// Entries applied since the last snapshot that call for the next, once they are as large as it.
     pub snapshot_entries: u64,
     /// Entries before a snapshot that stay in the log for slow followers.
     pub retain_entries: u64,
