--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -22,6 +22,9 @@
     /// Time passed: due at [`Replica::deadline`](crate::replica::Replica::deadline) at the latest.
     Tick,
     /// A message came in.
+    ///
+    /// The caller has checked that the sender's certificate is for the name in it, and that this
+    /// instance has the control role: the leader adds whoever announces itself as a learner.
     Message(Message),
     /// A save and all those before it are on disk.
     Synced {
