Findings: limits themselves are accepted

Change: limit_itself_is_accepted for the document and the settings. Conclusion: the checks' bounds are held from both sides.

--- a/hawthornkeel_config/tests/document_findings.rs
+++ b/hawthornkeel_config/tests/document_findings.rs
@@ -176,6 +176,14 @@
     assert_eq!(unknown.map(|f| (f.line, f.column)), Some((1, 42)));
 }
 
+#[rstest]
+#[case::deadline("deadline_ms = 8000", "deadline_ms = 101")]
+#[case::cold_limit("cold_limit = 2", "cold_limit = 8")]
+#[case::one_attempt("idempotent = false", "idempotent = false\nmax_attempts = 1")]
+fn limit_itself_is_accepted(#[case] from: &str, #[case] to: &str) {
+    assert_eq!(shown(&findings(from, to)), Vec::<String>::new());
+}
+
 #[test]
 fn one_fault_draws_no_other() {
     let findings = findings("warm_limit = 8\ncold_limit = 2", "warm_limit = 0\ncold_limit = 99");
--- a/hawthornkeel_config/tests/settings_findings.rs
+++ b/hawthornkeel_config/tests/settings_findings.rs
@@ -155,6 +155,13 @@
     assert_eq!(shown, [expected]);
 }
 
+#[rstest]
+#[case::stop("[control]", "drain_ms = 900\nstop_ms = 900\n[control]")]
+#[case::election("[peers]\nlisten", "election_ms = 300\n[peers]\nlisten")]
+fn limit_itself_is_accepted(#[case] from: &str, #[case] to: &str) {
+    assert!(findings(from, to).is_empty());
+}
+
 #[test]
 fn no_role_is_a_fault() {
     let text = VALID.replace("enabled = true", "enabled = false");
