--- a/hawthornkeel_core/src/request/refusal.rs
+++ b/hawthornkeel_core/src/request/refusal.rs
@@ -3,10 +3,11 @@
 use std::fmt;
 use std::time::Duration;
 
+use serde::Deserialize;
 use serde::Serialize;
 
 /// Whether a refused request ran.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize)]
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 #[serde(rename_all = "kebab-case")]
 pub enum Ran {
     /// No stage was dispatched to a target, and none will be.
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -6,7 +6,10 @@
 use crate::ids::Incarnation;
 use crate::lease::LeaseSettings;
 use crate::lease::message::GrantId;
+use crate::routing::hot::Class;
+use crate::routing::hot::Hot;
 use crate::routing::limit::Limit;
+use crate::routing::refusals::Refusals;
 use crate::routing::settings::RouterSettings;
 use crate::routing::types::Liveness;
 use crate::routing::types::LoadReport;
@@ -29,8 +32,6 @@
 const UNREPORTED_FACTOR: f64 = 2.0;
 /// Time for which a target that refused a call is left alone.
 const REFUSED_PAUSE: Duration = Duration::from_millis(20);
-/// Time of refusals only, at light load, after which a target is taken for cold.
-const REFUSED_SPAN: Duration = Duration::from_secs(2);
 /// Part of a grant's time after which a request for one gets a new number.
 const RENUMBER_PART: u32 = 4;
 /// Time after a failure or a pause during which only first calls probe a target.
@@ -67,39 +68,6 @@
     pub sent: Instant,
 }
 
-/// How a target can be chosen now.
-#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
-pub(crate) enum Class {
-    /// Not at all.
-    #[default]
-    Closed,
-    /// Warm and of the own data centre.
-    Near,
-    /// Warm and of another data centre.
-    Far,
-    /// Cold, with a grant in hand.
-    Cold,
-}
-
-/// What a choice reads of a target: small and kept apart, so that a scan of many is quick.
-#[derive(Clone, Copy, Debug, Default)]
-pub(crate) struct Hot {
-    /// Expected time of a call, in microseconds.
-    pub score: f32,
-    /// Calls that the target is expected to bear for this entry.
-    pub capacity: u16,
-    /// Number of the data centre in the pool.
-    pub centre: u16,
-    pub class: Class,
-    pub near: bool,
-    /// Whether the target takes work and is proved warm.
-    pub warm: bool,
-    /// Whether the target takes work and isn't down.
-    pub usable: bool,
-    /// Whether the last call failed.
-    pub failing: bool,
-}
-
 /// State that an entry keeps of one target.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -136,8 +104,8 @@
     pub others: f64,
     pub reported: Option<Instant>,
     pub failures: u32,
-    /// First refusal since the last answer.
-    pub refused_since: Option<Instant>,
+    /// Refusals since the last answer.
+    pub refusals: Option<Refusals>,
     pub down_until: Instant,
     /// Time from which a repeated call may go, where the target failed last.
     pub retry_at: Instant,
@@ -172,7 +140,7 @@
             others: 0.0,
             reported: None,
             failures: 0,
-            refused_since: None,
+            refusals: None,
             down_until: Instant::ZERO,
             retry_at: Instant::ZERO,
             grants: Vec::new(),
@@ -205,6 +173,9 @@
         let all = f64::from(report.running) + f64::from(report.waiting);
         self.others = (all - f64::from(self.running)).max(0.0);
         self.reported = Some(now);
+        if let Some(run) = &mut self.refusals {
+            run.reported(all);
+        }
         self.bound(most);
         if new {
             self.retired = self.incarnation;
@@ -310,7 +281,7 @@
     pub fn answered(&mut self, now: Instant, incarnation: Option<Incarnation>) -> bool {
         self.heard = now;
         self.failures = 0;
-        self.refused_since = None;
+        self.refusals = None;
         self.down_until = Instant::ZERO;
         self.retry_at = Instant::ZERO;
         let other = self.incarnation.is_some() && incarnation != self.incarnation;
@@ -339,11 +310,9 @@
     pub fn refused(&mut self, now: Instant, most: f64) -> bool {
         self.heard = now;
         self.limit.refused(now);
-        let since = *self.refused_since.get_or_insert(now);
         self.down_until = self.down_until.max(now + REFUSED_PAUSE);
-        let reported = self.reported.is_some_and(|at| at.since(since) >= REFUSED_SPAN);
-        let light = self.others + f64::from(self.running) < most / 2.0;
-        reported && light
+        let run = self.refusals.get_or_insert(Refusals::new(now));
+        run.refused(now, most)
     }
 
     /// Tells whether a grant would be of use now.
