--- a/hawthornkeel/benches/http_edge.rs
+++ b/hawthornkeel/benches/http_edge.rs
@@ -92,6 +92,12 @@
     let target = TargetThread::start(Behaviour { token_ms: 30_000, ..Behaviour::default() })?;
     let proxy = Proxy::start(target.address)?;
     let added = measure_latency(target.address, proxy.address)?;
+    let (ran, waited) = proxy.scheduled()?;
+    println!(
+        "scheduled=proxy ran_ms={} waited_for_core_ms={}",
+        ran.as_millis(),
+        waited.as_millis()
+    );
     measure_rate("direct", target.address)?;
     let before = proxy.busy()?;
     let done = measure_rate("proxied", proxy.address)?;
@@ -209,6 +215,14 @@
         Ok(Self { child, address: line.trim().parse()? })
     }
 
+    /// Returns the time run and the time spent ready to run and waiting for a core.
+    fn scheduled(&self) -> Result<(Duration, Duration), Failure> {
+        let text = fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))?;
+        let mut nanos = text.split(' ').map(str::parse::<u64>);
+        let mut next = || Ok::<_, Failure>(Duration::from_nanos(nanos.next().ok_or("no time")??));
+        Ok((next()?, next()?))
+    }
+
     /// Returns the processor time used.
     fn busy(&self) -> Result<Duration, Failure> {
         let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
