--- /dev/null
+++ b/hawthornkeel/src/cli/trial.rs
@@ -0,0 +1,29 @@
+//! Command `trial`: a document in one process with built-in targets.
+
+use hawthornkeel_config::load::read_text;
+use hawthornkeel_config::parse_document;
+use hawthornkeel_config::settings::Log;
+
+use crate::cli::command::TrialOptions;
+use crate::cli::error::CliError;
+use crate::cli::run::failed;
+use crate::cli::run::report_stop;
+use crate::logging;
+use crate::runtime;
+use crate::stop::StopRequest;
+use crate::trial;
+
+/// Runs a document until the process is asked to stop.
+///
+/// # Errors
+/// Fails where the document has errors, an address can't be used, or a planned stop cut requests
+/// off.
+pub fn trial(options: &TrialOptions) -> Result<(), CliError> {
+    let text = read_text(&options.document)?;
+    let document = parse_document(&options.document.display().to_string(), &text)?;
+    logging::init(&Log::default().filter).map_err(failed)?;
+    let stop = StopRequest::from_signals().map_err(failed)?;
+    let trial = trial::run(document, options.listen, stop);
+    let report = runtime::block_on(trial).map_err(failed)?.map_err(failed)?;
+    report_stop(report)
+}
