Bench of service by second while a data centre moves, through real processes

Change: centre_moves runs six instances over three data centres under 120 requests/s, takes one data centre out and brings it back, and in a second part kills its entries while its targets refuse.

--- /dev/null
+++ b/hawthornkeel/benches/centre_moves.rs
@@ -0,0 +1,158 @@
+//! Service by second while a data centre is taken out and brought back, and while it is lost and
+//! returns, through real processes; fails below the stated attainment.
+
+#[path = "../tests/fleet/mod.rs"]
+mod fleet;
+
+use std::net::SocketAddr;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
+
+use fleet::Fleet;
+use fleet::KEY;
+use hawthornkeel_fakes::caller;
+use hawthornkeel_fakes::caller::ANSWERED;
+use hawthornkeel_fakes::caller::Load;
+use hawthornkeel_fakes::caller::Seen;
+use hawthornkeel_fakes::thread::block_on;
+
+/// Requests a second over all entries.
+const RATE: u64 = 120;
+/// Seconds measured.
+const SECONDS: u64 = 24;
+/// Second at which the data centre leaves.
+const LEAVES: u64 = 6;
+/// Second at which it returns.
+const RETURNS: u64 = 14;
+/// Share of requests that are to be answered in full with one fault at a time.
+const ATTAINMENT: f64 = 0.999;
+/// Time that a service or the first token takes, in milliseconds.
+const FLOOR_MS: u64 = 20;
+
+/// What happens to the data centre.
+#[derive(Clone, Copy, Debug)]
+enum Move {
+    /// Operators take it out and bring it back.
+    Ordered,
+    /// Its entries are killed and its targets refuse; both come back.
+    Lost,
+}
+
+fn main() {
+    let mut failed = false;
+    for movement in [Move::Ordered, Move::Lost] {
+        failed |= !run(movement);
+    }
+    std::process::exit(i32::from(failed));
+}
+
+fn run(movement: Move) -> bool {
+    let mut fleet = Fleet::prepare(6, 3);
+    for target in &fleet.targets {
+        target.thread.behave(&format!("{{\"floor_ms\":{FLOOR_MS}}}")).unwrap();
+    }
+    fleet.run();
+    fleet.warm();
+    println!("\n{movement:?}: {RATE} requests/s, leaves at {LEAVES} s, returns at {RETURNS} s");
+    let start = Instant::now();
+    let mut seconds = Vec::new();
+    for second in 0..SECONDS {
+        match second {
+            LEAVES => leave(&mut fleet, movement),
+            RETURNS => come_back(&mut fleet, movement),
+            _ => {}
+        }
+        let out = (LEAVES..RETURNS).contains(&second);
+        seconds.push(callers(&fleet, movement, out, second));
+        let next = start + Duration::from_secs(second + 1);
+        thread::sleep(next.saturating_duration_since(Instant::now()));
+    }
+    report(seconds)
+}
+
+/// Calls for one second at the entries that the balancer has ready.
+fn callers(fleet: &Fleet, movement: Move, out: bool, second: u64) -> Vec<JoinHandle<Seen>> {
+    let gone = |centre: &str| matches!(movement, Move::Lost) && out && centre == "dc-0";
+    let ready =
+        |address: &SocketAddr| fleet::get(*address, "/ready").is_some_and(|a| a.status == 200);
+    let live = fleet.instances.iter().filter(|i| !gone(&i.centre)).map(|i| i.listen);
+    let addresses: Vec<_> = live.filter(ready).collect();
+    let count = RATE / addresses.len().max(1) as u64;
+    let load = |(at, address): (usize, SocketAddr)| Load {
+        address,
+        path: "/v1/pipelines/draft".to_owned(),
+        fields: format!("authorization: Bearer {KEY}\r\n"),
+        rate: count as f64,
+        count,
+        first: (second * 100 + at as u64) * 1_000,
+        timeout: Duration::from_secs(10),
+        ..Load::default()
+    };
+    let start = |load: Load| thread::spawn(|| block_on(caller::run(load)).unwrap().unwrap());
+    addresses.into_iter().enumerate().map(load).map(start).collect()
+}
+
+fn leave(fleet: &mut Fleet, movement: Move) {
+    match movement {
+        Move::Ordered => {
+            fleet.order(1, "take-out", 10, "dc-0").unwrap();
+        }
+        Move::Lost => {
+            for at in [0, 3] {
+                fleet.kill(at);
+            }
+            behave(fleet, "{\"fault\":\"refuse\"}");
+        }
+    }
+}
+
+fn come_back(fleet: &mut Fleet, movement: Move) {
+    match movement {
+        Move::Ordered => {
+            fleet.order(1, "bring-back", 11, "dc-0").unwrap();
+        }
+        Move::Lost => {
+            behave(fleet, "{\"fault\":\"none\"}");
+            for at in [0, 3] {
+                fleet.spawn(at);
+            }
+        }
+    }
+}
+
+fn behave(fleet: &Fleet, fields: &str) {
+    let near = fleet.targets.iter().filter(|t| t.listed.data_centre == "dc-0");
+    near.for_each(|t| t.thread.behave(fields).unwrap());
+}
+
+/// Prints the service by second; returns whether the bound holds.
+fn report(seconds: Vec<Vec<JoinHandle<Seen>>>) -> bool {
+    println!("second  sent  answered  p99 ms  others");
+    let (mut sent, mut answered, mut worst) = (0, 0, 1.0_f64);
+    for (second, callers) in seconds.into_iter().enumerate() {
+        let seen: Vec<Seen> = callers.into_iter().map(|c| c.join().unwrap()).collect();
+        let all: u64 = seen.iter().flat_map(|s| s.outcomes.values()).sum();
+        let full: u64 = seen.iter().map(|s| s.count(ANSWERED)).sum();
+        let p99 = seen.iter().map(|s| s.latency.value_at_quantile(0.99)).max().unwrap_or(0);
+        let others: Vec<_> = seen
+            .iter()
+            .flat_map(|s| &s.outcomes)
+            .filter(|(name, _)| *name != ANSWERED)
+            .map(|(name, count)| format!("{name}={count}"))
+            .collect();
+        println!(
+            "{second:>6}  {all:>4}  {full:>8}  {:>6.1}  {}",
+            p99 as f64 / 1e3,
+            others.join(" ")
+        );
+        worst = worst.min(full as f64 / all.max(1) as f64);
+        (sent, answered) = (sent + all, answered + full);
+    }
+    let attainment = answered as f64 / sent.max(1) as f64;
+    let held = attainment >= ATTAINMENT;
+    let verdict = if held { "ok" } else { "BELOW THE BOUND" };
+    println!("attainment {attainment:.4} (bound {ATTAINMENT}), worst second {worst:.3}: {verdict}");
+    held
+}
