Bring back the tests of orders by the target client

Cause: wrote its process test over tests/target_orders.rs, which held four tests of the target client; a check must never be lost.

--- a/hawthornkeel/tests/target_orders.rs
+++ b/hawthornkeel/tests/target_orders.rs
@@ -1,38 +1,74 @@
-//! Orders to targets through the leader, before and after it is killed.
+//! Load reports of targets, and orders with fencing numbers.
 
-mod fleet;
+use std::time::Duration;
 
-use fleet::Fleet;
-use fleet::PATIENCE;
-use fleet::post;
-use hawthornkeel_fakes::thread::eventually;
+use hawthornkeel::target::call::Call;
+use hawthornkeel::target::client::Client;
+use hawthornkeel::target::client::ClientLimits;
+use hawthornkeel::target::error::CallError;
+use hawthornkeel::target::order::FencedOrder;
+use hawthornkeel::target::order::Order;
+use hawthornkeel::target::order::OrderResult;
+use hawthornkeel_core::ids::FencingNumber;
+use hawthornkeel_core::ids::Incarnation;
+use hawthornkeel_fakes::behaviour::Behaviour;
+use hawthornkeel_fakes::thread;
+use hawthornkeel_fakes::thread::TargetThread;
+use rstest::rstest;
 
-const ORDER: &str =
-    "{\"target\":\"writers-dc-0\",\"order\":\"load-model\",\"model\":\"draft-large\"}";
+fn load_model(fencing: u64) -> FencedOrder {
+    let order = Order::LoadModel { model: "dossier".into(), version: Some("3".to_owned()) };
+    FencedOrder { fencing: FencingNumber(fencing), order }
+}
+
+#[rstest]
+#[case::checked(true, OrderResult::RefusedOld)]
+#[case::ignored(false, OrderResult::Accepted)]
+fn old_number_meets_fencing(#[case] fencing: bool, #[case] expected: OrderResult) {
+    let target = TargetThread::start(Behaviour { fencing, ..Behaviour::default() }).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let call = Call::default();
+        for (number, expected) in [
+            (7, OrderResult::Accepted),
+            (7, OrderResult::Accepted),
+            (6, expected),
+            (8, OrderResult::Accepted),
+        ] {
+            let result = client.order(target.address, &call, &load_model(number)).await;
+            assert_eq!(result, expected, "{number}");
+        }
+    })
+    .unwrap();
+    let orders = target.report().unwrap().orders;
+    assert_eq!(orders.len(), 4);
+    assert_eq!(orders[0].body["order"], "load-model");
+    assert_eq!(orders[0].body["version"], "3");
+}
 
-/// Sends the order at an instance until the target has taken it.
-fn order(fleet: &Fleet, at: usize) {
-    let mut last = None;
-    let taken = eventually(PATIENCE, || {
-        last = post(fleet.instances[at].admin, "/admin/order", "", ORDER);
-        last.as_ref().is_some_and(|a| a.body.contains("\"accepted\""))
-    });
-    assert!(taken, "{last:?}\n{}", fleet.log(at));
+#[test]
+fn unreachable_target_fails_order() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let result = client.order(closed, &Call::default(), &load_model(1)).await;
+        assert!(matches!(result, OrderResult::Failed(CallError::NotSent(_))), "{result:?}");
+    })
+    .unwrap();
 }
 
 #[test]
-fn numbers_rise_across_leaders() {
-    let mut fleet = Fleet::start(4, 2);
-    let first = fleet.leader();
-    order(&fleet, first);
-    let other = (first + 1) % 3;
-    let refused = post(fleet.instances[other].admin, "/admin/order", "", ORDER).unwrap();
-    assert!(refused.body.contains("not-leader"), "{refused:?}");
-    fleet.kill(first);
-    let second = fleet.leader();
-    order(&fleet, second);
-    let target = fleet.targets.iter().find(|t| t.listed.name == "writers-dc-0").unwrap();
-    let orders = target.thread.report().unwrap().orders;
-    assert_eq!(orders.len(), 2, "{orders:?}");
-    assert!(orders[0].fencing < orders[1].fencing, "{orders:?}");
+fn load_report_tells_restart() {
+    let cold = Behaviour { cold_bears: Some(1), ..Behaviour::default() };
+    let target = TargetThread::start(cold).unwrap();
+    thread::block_on(async {
+        let client = Client::new(ClientLimits::default());
+        let call = Call { progress: Duration::from_secs(2), ..Call::default() };
+        let before = client.load(target.address, &call).await.unwrap();
+        assert_eq!((before.incarnation, before.cold), (Incarnation(1), Some(true)));
+        target.restart().unwrap();
+        let after = client.load(target.address, &call).await.unwrap();
+        assert_eq!(after.incarnation, Incarnation(2));
+    })
+    .unwrap();
 }
