A leader that stops hands over to a voter

Cause: a planned stop of the leader left the group without one for one to two election times. Change: Input::HandOver. The leader takes nothing new, waits until all is committed and a voter has the whole log, gives up its lease and asks that voter to stand at once. Votes for it are given although the others heard the old leader a moment ago. Random histories hand over too. Ruled out: answering reads until the successor leads, for which no lease stands.

--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -37,6 +37,11 @@
     Read(ReadId),
     /// A change of the members.
     Change(ProposalId, Change),
+    /// This replica is to stop: a leader hands over to a voter that has its whole log.
+    ///
+    /// It refuses proposals and reads from here on, and leads on after an election time in which
+    /// no voter was ready.
+    HandOver,
     /// The replicated state as of an applied entry, asked for by [`Action::TakeSnapshot`].
     Snapshot {
         /// Last entry that the state includes.
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -68,6 +68,7 @@
             term: crate::ids::Term(self.hard.term.0 + 1),
             last_index: self.log.last(),
             last_term: self.log.last_term(),
+            handed: false,
         }
     }
 
@@ -81,8 +82,8 @@
     }
 
     /// Raises the term and asks for votes.
-    fn ask_votes(&mut self) {
-        let candidacy = self.candidacy();
+    pub(super) fn ask_votes(&mut self, handed: bool) {
+        let candidacy = Candidacy { handed, ..self.candidacy() };
         let vote = Some(self.node.id);
         self.set_hard(HardState { term: candidacy.term, vote, ..self.hard });
         self.part = Part::Candidate(Votes::default());
@@ -110,7 +111,7 @@
             return;
         }
         if matches!(self.part, Part::PreCandidate(_)) {
-            self.ask_votes();
+            self.ask_votes(false);
         } else {
             self.lead();
         }
--- a/hawthornkeel_core/src/replica/lead.rs
+++ b/hawthornkeel_core/src/replica/lead.rs
@@ -65,6 +65,7 @@
         self.refuse_late_readers();
         self.repair_members();
         self.replicate();
+        self.hand_over();
     }
 
     /// Sends a round of heartbeats.
@@ -123,6 +124,7 @@
     pub(super) fn propose(&mut self, proposals: Vec<Proposal>) {
         for proposal in proposals {
             let reason = match &self.part {
+                Part::Leader(leader) if leader.hand_until.is_some() => Refusal::NotLeader(None),
                 Part::Leader(leader) if leader.pending_bytes < self.settings.pending_bytes => {
                     let index = self.add_entry(Payload::Command(proposal.data));
                     self.note_proposal(index, proposal.id);
@@ -164,7 +166,9 @@
 
     /// Takes in a linearizable read.
     pub(super) fn read(&mut self, id: ReadId) {
-        if let Part::Leader(leader) = &mut self.part {
+        if let Part::Leader(leader) = &mut self.part
+            && leader.hand_until.is_none()
+        {
             leader.readers.push_back(Reader { id, since: self.now });
             self.serve_readers();
         } else {
--- a/hawthornkeel_core/src/replica/leader.rs
+++ b/hawthornkeel_core/src/replica/leader.rs
@@ -53,6 +53,8 @@
     pub(super) readers: VecDeque<Reader>,
     /// Replicas without a group that announced themselves, by name.
     pub(super) joining: IndexMap<InstanceName, ReplicaId>,
+    /// When to give up handing over, while that is under way.
+    pub(super) hand_until: Option<Instant>,
     /// Proposals that are not committed, in bytes.
     pub(super) pending_bytes: usize,
     rounds: VecDeque<Round>,
@@ -69,6 +71,7 @@
             peers: IndexMap::new(),
             readers: VecDeque::new(),
             joining: IndexMap::new(),
+            hand_until: None,
             pending_bytes: 0,
             rounds: VecDeque::new(),
             proposals: VecDeque::new(),
--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -111,7 +111,9 @@
     /// have a quorum of different members.
     fn is_changeable(&self) -> bool {
         let Part::Leader(leader) = &self.part else { return false };
-        self.commit >= leader.first && self.log.members_index() <= self.commit
+        leader.hand_until.is_none()
+            && self.commit >= leader.first
+            && self.log.members_index() <= self.commit
     }
 
     /// Returns the members after a change, if it is allowed.
--- a/hawthornkeel_core/src/replica/message.rs
+++ b/hawthornkeel_core/src/replica/message.rs
@@ -42,6 +42,8 @@
     Vote(Candidacy),
     /// Answers a vote request.
     VoteReply(VoteReply),
+    /// Asks a voter to stand for election at once; the leader has given up its lease.
+    TakeOver,
     /// Renews the leader's lease.
     Heartbeat(Heartbeat),
     /// Answers a heartbeat.
@@ -99,6 +101,8 @@
     pub last_index: LogIndex,
     /// Term of that entry.
     pub last_term: Term,
+    /// Whether the leader of the term before has given up its lease for this candidate.
+    pub handed: bool,
 }
 
 /// Answer to a request for a vote or a pre-vote.
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -28,6 +28,7 @@
 mod election;
 mod follow;
 mod formation;
+mod handover;
 mod lead;
 mod leader;
 mod log;
@@ -197,6 +198,7 @@
             Input::Propose(proposals) => self.propose(proposals),
             Input::Read(id) => self.read(id),
             Input::Change(id, change) => self.change(id, change),
+            Input::HandOver => self.start_hand_over(),
             Input::Snapshot { index, data } => self.take_snapshot(index, data),
         }
         self.finish()
--- a/hawthornkeel_core/src/replica/receive.rs
+++ b/hawthornkeel_core/src/replica/receive.rs
@@ -37,7 +37,7 @@
         match &message.body {
             // Neither changes the term by itself: a member that was cut off disturbs nobody.
             Body::PreVote(candidacy) => self.receive_pre_vote(&message.from, *candidacy),
-            Body::Vote(_) if self.in_lease() => {}
+            Body::Vote(candidacy) if self.in_lease() && !candidacy.handed => {}
             // Comes from voters whose term may be lower than the candidate's.
             Body::PreVoteReply(reply) => {
                 self.follow_term(message.term);
@@ -58,6 +58,7 @@
         match message.body {
             Body::Vote(candidacy) => self.receive_vote(&from, candidacy),
             Body::VoteReply(reply) => self.receive_vote_reply(&from, reply),
+            Body::TakeOver => self.take_over(),
             Body::Heartbeat(heartbeat) => self.receive_heartbeat(&from, heartbeat),
             Body::HeartbeatReply(reply) => self.receive_heartbeat_reply(&from, reply),
             Body::Append(append) => self.receive_append(&from, append),
--- a/hawthornkeel_core/src/replica/transfer.rs
+++ b/hawthornkeel_core/src/replica/transfer.rs
@@ -115,6 +115,7 @@
         }
         self.advance_commit();
         self.replicate_to(from.id);
+        self.hand_over();
     }
 
     /// Takes in an answer to a part of a snapshot.
--- a/hawthornkeel_core/tests/isolated_leader.rs
+++ b/hawthornkeel_core/tests/isolated_leader.rs
@@ -2,6 +2,7 @@
 
 mod driver;
 
+use hawthornkeel_core::replica::Input;
 use hawthornkeel_core::replica::Role;
 use rstest::rstest;
 
@@ -57,6 +58,25 @@
     assert_eq!(cluster.checker.fault, None);
 }
 
+#[rstest]
+fn planned_stop_hands_over(#[values(3, 5)] size: usize) {
+    for seed in 0..50 {
+        let mut cluster = calm(seed, size);
+        let old = cluster.leads().unwrap();
+        (0..20).for_each(|command| cluster.propose(old, command));
+        cluster.run(0);
+        cluster.handle(old, Input::HandOver);
+        cluster.propose(old, 99);
+        // Far less than an election time of 250 ms.
+        let handed = cluster.run_until(60, |c| c.leader().is_some_and(|l| l != old));
+        assert!(handed, "seed {seed}: no other leader");
+        assert_eq!(cluster.checker.accepted.len(), 20, "seed {seed}");
+        assert!(cluster.checker.refused.contains(&99) && cluster.checker.lost.is_empty());
+        assert!(cluster.run_until(500, |c| c.leads().is_some()));
+        assert_eq!(cluster.checker.fault, None);
+    }
+}
+
 #[test]
 fn frozen_leader_has_no_lease() {
     let mut cluster = calm(3, 3);
--- a/hawthornkeel_core/tests/leader_rules.rs
+++ b/hawthornkeel_core/tests/leader_rules.rs
@@ -161,7 +161,8 @@
     alone.now = alone.now + election;
     alone.receive(Body::Heartbeat(Heartbeat { round: 1, commit: LogIndex(1) }));
     let heard = alone.now;
-    let vote = Candidacy { term: Term(4), last_index: LogIndex(9), last_term: Term(3) };
+    let vote =
+        Candidacy { term: Term(4), last_index: LogIndex(9), last_term: Term(3), handed: false };
     // The pre-vote may have been given before the heartbeat.
     alone.now = heard + (election - Duration::from_millis(1));
     alone.receive_from(3, Term(4), Body::Vote(vote));
--- a/hawthornkeel_core/tests/random_histories.rs
+++ b/hawthornkeel_core/tests/random_histories.rs
@@ -7,6 +7,7 @@
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 
+use hawthornkeel_core::replica::Input;
 use rand::Rng;
 
 use crate::driver::Cluster;
@@ -23,7 +24,7 @@
 /// One random fault.
 fn disturb(cluster: &mut Cluster) {
     let i = cluster.rng.random_range(0..cluster.machines.len());
-    match cluster.rng.random_range(0..11) {
+    match cluster.rng.random_range(0..12) {
         0 | 1 => cluster.kill(i),
         2 | 3 if cluster.bears_loss() => cluster.wipe(i),
         4 => {
@@ -39,6 +40,10 @@
             let leader = cluster.leader().unwrap_or(i);
             cluster.machines[leader].cut = true;
         }
+        8 => {
+            let leader = cluster.leader().unwrap_or(i);
+            cluster.handle(leader, Input::HandOver);
+        }
         // The leader and another lose sight of each other, or only one of them does.
         _ => {
             let leader = cluster.leader().unwrap_or(0);
