--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -74,7 +74,7 @@
     Remove(ReplicaId),
 }
 
-/// Action of a replica, to be carried out in order.
+/// Action of a replica, to be carried out in order and before the next input is handed in.
 #[derive(Clone, Debug)]
 pub enum Action {
     /// Write to disk and sync; then hand in [`Input::Synced`] with the ticket.
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -3,7 +3,6 @@
 //! A [`Replica`] is driven by [`Replica::handle`] and does no I/O. The clock that `now` comes from
 //! must be monotonic, go on while the process or machine is stopped (`CLOCK_BOOTTIME` on Linux),
 //! and be read right before each call.
-
 //!
 //! # Identity
 //!
