--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -3,7 +3,6 @@
 //! A [`Replica`] is driven by [`Replica::handle`] and does no I/O. The clock that `now` comes from
 //! must be monotonic, go on while the process or machine is stopped (`CLOCK_BOOTTIME` on Linux),
 //! and be read right before each call.
-
 //!
 //! # Identity
 //!
@@ -28,6 +27,7 @@
 mod election;
 mod follow;
 mod formation;
+mod handover;
 mod lead;
 mod leader;
 mod log;
@@ -197,6 +197,7 @@
             Input::Propose(proposals) => self.propose(proposals),
             Input::Read(id) => self.read(id),
             Input::Change(id, change) => self.change(id, change),
+            Input::HandOver => self.start_hand_over(),
             Input::Snapshot { index, data } => self.take_snapshot(index, data),
         }
         self.finish()
