Connections nobody uses are closed; a slow peer is not taken for a silent one

Cause: every instance asks all control instances at its start, and the connections were kept alive for good: idle control instances had 4.4 KB/s at 8 instances and 11.9 KB/s at 64, datagrams without UDP heads. And a call with a short timeout closed a connection to a peer that was only slow. Change: a connection unused for 10 s is closed; one counts as silent only after 600 ms without any datagram, longer than the time between keep-alive pings.

--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -31,7 +31,7 @@
 /// Time for which a source holds a call while there is nothing newer, in milliseconds.
 const HOLD_MS: u32 = 700;
 /// Longest hold that this instance grants to a caller, in milliseconds.
-const MAX_HOLD_MS: u32 = 10_000;
+const MAX_HOLD_MS: u32 = 5_000;
 /// Age from which on a source counts as cut off: longer than four holds, one behind the other.
 const MAX_AGE: Duration = Duration::from_millis(3_500);
 /// Time after which a better source is tried again.
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -29,6 +29,11 @@
 use crate::peer::runtime::Traffic;
 use crate::peer::wire;
 
+/// Shortest wait of a call after which a connection that brought nothing at all counts as silent.
+///
+/// Longer than the time between keep-alive pings: a peer that is only slow has acknowledged one.
+const SILENCE: Duration = Duration::from_millis(600);
+
 /// Endpoint of an instance, on one thread; clones share it.
 #[derive(Clone)]
 pub struct Endpoint {
@@ -116,6 +121,11 @@
         self.inner.dropped.get()
     }
 
+    /// Returns the number of connections that peers have opened.
+    pub fn accepted(&self) -> usize {
+        self.inner.server.open_connections()
+    }
+
     /// Returns the traffic of all connections so far.
     pub fn traffic(&self) -> &Arc<Traffic> {
         &self.inner.traffic
@@ -173,7 +183,8 @@
             Ok(Ok(Frame::Refused(refusal))) => Err(PeerError::Refused(refusal)),
             Ok(answer) => answer,
             Err(_) => {
-                if connection.stats().udp_rx.datagrams == received {
+                let silent = connection.stats().udp_rx.datagrams == received;
+                if silent && timeout >= SILENCE {
                     link.replace_silent(&connection);
                 }
                 Err(PeerError::TimedOut { sent: true })
--- a/hawthornkeel/src/peer/link.rs
+++ b/hawthornkeel/src/peer/link.rs
@@ -34,6 +34,12 @@
 const FIRST_BACKOFF: Duration = Duration::from_millis(50);
 /// Longest wait after a connection could not be made.
 const MAX_BACKOFF: Duration = Duration::from_millis(1_000);
+/// Time without a frame or call after which a connection is closed, to save its keep-alive pings.
+///
+/// Longer than the longest call.
+const UNUSED: Duration = Duration::from_secs(10);
+/// Connection closed because nobody used it.
+const CODE_UNUSED: VarInt = VarInt::from_u32(3);
 /// Connection closed because its peer had gone silent.
 const CODE_SILENT: VarInt = VarInt::from_u32(2);
 
@@ -60,6 +66,8 @@
     queue: RefCell<VecDeque<Bytes>>,
     queued_bytes: Cell<usize>,
     queued: Signal,
+    /// Last time that the connection was asked for.
+    used: Cell<Instant>,
     closed: Cell<bool>,
 }
 
@@ -88,6 +96,7 @@
             queue: RefCell::default(),
             queued_bytes: Cell::new(0),
             queued: Signal::default(),
+            used: Cell::new(Instant::now()),
             closed: Cell::new(false),
         });
         monoio::spawn(write_queued(Rc::downgrade(&link)));
@@ -148,6 +157,7 @@
     /// Fails where none could be made, or where the last failure was a moment ago.
     pub async fn connection(self: &Rc<Self>) -> Result<Connection, PeerError> {
         let mut dialed = false;
+        self.used.set(Instant::now());
         loop {
             let seen = self.changed.count();
             match self.live(dialed)? {
@@ -193,6 +203,7 @@
             let state = match link.dial().await {
                 Ok((connection, stream)) => {
                     tracing::info!(event = "peer-connected", peer = %link.peer, address = %link.address);
+                    monoio::spawn(close_unused(Rc::downgrade(&link), connection.clone()));
                     State::Up { connection, stream: Some(stream) }
                 }
                 Err(error) => link.failed(backoff, &error),
@@ -279,6 +290,19 @@
     PeerError::Unreachable(error.to_string())
 }
 
+/// Closes `connection` once nobody has used it for a while.
+async fn close_unused(link: Weak<Link>, connection: Connection) {
+    loop {
+        let Some(used) = link.upgrade().map(|l| l.used.get()) else { return };
+        let Some(rest) = UNUSED.checked_sub(used.elapsed()) else { break };
+        monoio::time::sleep(rest + Duration::from_millis(1)).await;
+        if connection.close_reason().is_some() {
+            return;
+        }
+    }
+    connection.close(CODE_UNUSED, b"unused");
+}
+
 /// Writes the queued frames in order, each connection's on one stream.
 async fn write_queued(link: Weak<Link>) {
     let mut current: Option<(usize, SendStream)> = None;
