--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -5,6 +5,7 @@
 
 pub mod admin;
 pub mod batch;
+mod carry;
 pub mod client;
 pub mod clock;
 pub mod error;
