--- a/hawthornkeel_config/tests/settings_findings.rs
+++ b/hawthornkeel_config/tests/settings_findings.rs
@@ -102,6 +102,11 @@
     "founders = [\"entry-9\"]",
     "12:12 control.founders: \"entry-9\" is neither a peer nor this instance"
 )]
+#[case::founder_twice(
+    "founders = [\"entry-1\", \"entry-2\"]",
+    "founders = [\"entry-1\", \"entry-1\"]",
+    "12:12 control.founders: the name \"entry-1\" stands twice"
+)]
 #[case::founder_without_control(
     "founders = [\"entry-1\", \"entry-2\"]",
     "founders = [\"entry-3\"]",
@@ -150,6 +155,13 @@
     assert_eq!(shown, [expected]);
 }
 
+#[rstest]
+#[case::stop("[control]", "drain_ms = 900\nstop_ms = 900\n[control]")]
+#[case::election("[peers]\nlisten", "election_ms = 300\n[peers]\nlisten")]
+fn limit_itself_is_accepted(#[case] from: &str, #[case] to: &str) {
+    assert!(findings(from, to).is_empty());
+}
+
 #[test]
 fn no_role_is_a_fault() {
     let text = VALID.replace("enabled = true", "enabled = false");
--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -22,6 +22,9 @@
     /// Time passed: due at [`Replica::deadline`](crate::replica::Replica::deadline) at the latest.
     Tick,
     /// A message came in.
+    ///
+    /// The caller has checked that the sender's certificate is for the name in it, and that this
+    /// instance has the control role: the leader adds whoever announces itself as a learner.
     Message(Message),
     /// A save and all those before it are on disk.
     Synced {
@@ -145,6 +148,9 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Keep {
     /// Entries from this position on stay; those before it may be dropped.
+    ///
+    /// Nothing waits for such a snapshot: it may reach the disk after later saves, as long as the
+    /// entries and the older snapshot are dropped only then.
     From(LogIndex),
     /// All entries are dropped: the log goes on after the snapshot.
     Nothing,
--- a/hawthornkeel_core/src/replica/follow.rs
+++ b/hawthornkeel_core/src/replica/follow.rs
@@ -165,10 +165,10 @@
             Keep::From(log::next(snapshot.index))
         } else {
             self.log.reset(&snapshot);
-            self.saves.replaced();
             Keep::Nothing
         };
         self.commit = snapshot.index;
+        self.grown = 0;
         self.snapshot = Some(snapshot.clone());
         let ticket = self.saves.issue(self.log.last());
         let save = Save::Snapshot { snapshot: snapshot.clone(), keep };
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -127,10 +127,10 @@
     ready: &mut Vec<Ready>,
     set: &RouterSettings,
 ) {
-    while pool.hot.iter().any(|h| h.open && h.cold) {
-        let Some((place, waiting)) = queue.latest() else {
+    while let Some((place, waiting)) = queue.latest() {
+        if pool.scores.cold.count == 0 {
             return;
-        };
+        }
         let call = waiting.request.call;
         if !may_use_cold(pool, now, &waiting.request, waiting.latest) {
             return;
@@ -153,10 +153,10 @@
     set: &RouterSettings,
 ) {
     let mut passed = Passed::default();
-    while pool.hot.iter().any(|h| h.open) {
-        let Some((place, waiting)) = queue.next(&passed) else {
+    while let Some((place, waiting)) = queue.next(&passed) {
+        if pool.scores.open() == 0 {
             return;
-        };
+        }
         *turn = turn.wrapping_add(1);
         let call = waiting.request.call;
         let sent = send(pool, now, &waiting.request, waiting.latest, *turn as usize, set);
--- a/hawthornkeel_core/src/routing/cold.rs
+++ b/hawthornkeel_core/src/routing/cold.rs
@@ -12,6 +12,7 @@
 use crate::names::CentreName;
 use crate::names::PoolName;
 use crate::names::TargetName;
+use crate::routing::hot::Class;
 use crate::routing::pool::PoolState;
 use crate::routing::router::GrantOutput;
 use crate::routing::router::KnownIssuer;
@@ -216,7 +217,7 @@
     next: &mut u64,
 ) -> Vec<Ask> {
     let mut asks = Vec::new();
-    let near_room = pool.hot.iter().any(|h| h.near && h.open);
+    let near_room = pool.hot.iter().any(|h| h.near && h.class != Class::Closed);
     let in_hand = |t: &Target| !t.near && (t.pending.is_some() || !t.grants.is_empty());
     let mut far_busy = near_room && pool.targets.values().any(in_hand);
     for target in pool.targets.values_mut() {
