A claimed call that the target declares not run is sent elsewhere; fleets get addresses of their own

Cause: (1) a refusal with the target's word that nothing ran ended as unknown. (2) Two fleets of tests could be given the same free port, seen as a stand-in's address answered by another instance. Change: CallFailure::Declined counts as not run; each fleet listens on its own loopback address.

--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -162,6 +162,7 @@
 fn failure(error: &CallError) -> CallFailure {
     match error {
         CallError::NotSent(_) => CallFailure::NotSent,
+        CallError::Refused { not_run: true, .. } => CallFailure::Declined,
         CallError::Refused { .. } => CallFailure::Refused,
         CallError::Silent => CallFailure::Silent,
         CallError::Truncated => CallFailure::Truncated,
@@ -175,7 +176,7 @@
 fn outcome(failure: CallFailure) -> CallOutcome {
     match failure {
         CallFailure::NotSent => CallOutcome::ConnectFailed,
-        CallFailure::Refused => CallOutcome::Refused,
+        CallFailure::Declined | CallFailure::Refused => CallOutcome::Refused,
         CallFailure::Silent => CallOutcome::TimedOut,
         CallFailure::Reset => CallOutcome::Reset,
         CallFailure::Truncated | CallFailure::Crossed | CallFailure::Malformed => {
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 use std::fs;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::UdpSocket;
@@ -10,6 +11,8 @@
 use std::process::Child;
 use std::process::Command;
 use std::process::Stdio;
+use std::sync::atomic::AtomicU8;
+use std::sync::atomic::Ordering;
 use std::time::Duration;
 
 use hawthornkeel::peer::certificate;
@@ -177,14 +180,15 @@
     /// Prepares a fleet none of whose instances runs yet.
     pub fn prepare(count: usize, centres: usize) -> Self {
         let root = TempDir::new().unwrap();
+        let address = own_address();
         let centre = |at: usize| format!("dc-{}", at % centres);
         let instances: Vec<_> = (0..count)
             .map(|at| Instance {
                 name: format!("entry-{at}"),
                 centre: centre(at),
-                listen: free_tcp(),
-                admin: free_tcp(),
-                peer: free_udp(),
+                listen: free_tcp(address),
+                admin: free_tcp(address),
+                peer: free_udp(address),
                 control: at < 3,
                 settings: root.path().join(format!("entry-{at}.toml")),
                 child: None,
@@ -487,10 +491,17 @@
     Target { thread, listed }
 }
 
-fn free_tcp() -> SocketAddr {
-    TcpListener::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+/// Returns a loopback address that no other fleet uses, so that their ports can't meet.
+fn own_address() -> IpAddr {
+    static FLEETS: AtomicU8 = AtomicU8::new(1);
+    let [_, _, high, low] = std::process::id().to_be_bytes();
+    IpAddr::from([127, 64 | (high & 63), low, FLEETS.fetch_add(1, Ordering::Relaxed)])
 }
 
-fn free_udp() -> SocketAddr {
-    UdpSocket::bind("127.0.0.1:0").unwrap().local_addr().unwrap()
+fn free_tcp(address: IpAddr) -> SocketAddr {
+    TcpListener::bind((address, 0)).unwrap().local_addr().unwrap()
+}
+
+fn free_udp(address: IpAddr) -> SocketAddr {
+    UdpSocket::bind((address, 0)).unwrap().local_addr().unwrap()
 }
--- a/hawthornkeel_core/src/request/failure.rs
+++ b/hawthornkeel_core/src/request/failure.rs
@@ -7,6 +7,8 @@
 pub enum CallFailure {
     /// No byte of the call was sent: it did not run.
     NotSent,
+    /// The target answered that it did not run the call.
+    Declined,
     /// The target answered that it takes no more work at present.
     Refused,
     /// No progress was made for the progress timeout.
@@ -38,7 +40,7 @@
     /// A refusal counts as a possible run: a service may refuse after it has begun.
     pub fn evidence(self) -> Evidence {
         match self {
-            Self::NotSent => Evidence::DidNotRun,
+            Self::NotSent | Self::Declined => Evidence::DidNotRun,
             Self::Refused
             | Self::Silent
             | Self::Reset
@@ -54,6 +56,7 @@
         match self {
             Self::Status(status) => status >= 500,
             Self::NotSent
+            | Self::Declined
             | Self::Refused
             | Self::Silent
             | Self::Reset
@@ -68,6 +71,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent => f.write_str("not-sent"),
+            Self::Declined => f.write_str("declined"),
             Self::Refused => f.write_str("refused"),
             Self::Silent => f.write_str("silent"),
             Self::Reset => f.write_str("reset"),
--- a/hawthornkeel_core/tests/request_run.rs
+++ b/hawthornkeel_core/tests/request_run.rs
@@ -123,11 +123,13 @@
     assert!(run.ended());
 }
 
-#[test]
-fn unsent_claimed_call_is_sent_elsewhere_under_the_same_claim() {
+#[rstest]
+#[case(CallFailure::NotSent)]
+#[case(CallFailure::Declined)]
+fn claimed_call_that_did_not_run_is_sent_under_the_same_claim(#[case] failure: CallFailure) {
     let mut run = run(vec![stage("sign", false)], Some("k"));
     let actions = dispatch(&mut run, true);
-    let next = fail(&mut run, &actions, CallFailure::NotSent);
+    let next = fail(&mut run, &actions, failure);
     assert!(matches!(next[..], [Action::Route { .. }]));
     let again = run.handle(NOW, Input::Routed);
     assert!(matches!(again[..], [Action::Dispatch { .. }]));
