--- /dev/null
+++ b/hawthornkeel/src/peer/frame.rs
@@ -0,0 +1,194 @@
+//! Messages between instances.
+
+use std::sync::Arc;
+
+use hawthornkeel_core::ids::LogIndex;
+use hawthornkeel_core::ids::Term;
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Members;
+use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::state::command::CentreOrder;
+use hawthornkeel_core::state::command::Command;
+use hawthornkeel_core::state::command::Outcome;
+use hawthornkeel_core::state::published::Published;
+use hawthornkeel_core::state::takeout::Hold;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::entry::outlet::EntryMessage;
+
+/// Message between instances.
+///
+/// A variant is never removed or moved without a new [`wire::VERSION`](crate::peer::wire::VERSION).
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Frame {
+    /// First frame of a connection: the name that the sender claims.
+    Hello(InstanceName),
+    /// Answers a call that can't be served.
+    Refused(Refusal),
+    /// Message of the replicated log, one-way.
+    Replica(Message),
+    /// Call: carry out a command.
+    Propose(Command),
+    /// Answers [`Frame::Propose`].
+    Proposed(Proposed),
+    /// Call: the published state once it is newer than what the caller has.
+    Follow(Follow),
+    /// Answers [`Frame::Follow`].
+    Followed(Followed),
+    /// Orders to take data centres out, with what is known of their place in the log; one-way.
+    TakeOuts(Vec<Hold>),
+    /// Call: who leads the control instances.
+    Lead,
+    /// Answers [`Frame::Lead`].
+    LeadReply(Lead),
+    /// Call: what the instance has in force.
+    Status,
+    /// Answers [`Frame::Status`].
+    StatusReply(InstanceStatus),
+    /// Between entries, one-way.
+    Entry(EntryMessage),
+}
+
+/// Kind of a frame, by which its handler is found.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq)]
+pub enum FrameKind {
+    /// Of [`Frame::Hello`].
+    Hello,
+    /// Of [`Frame::Replica`].
+    Replica,
+    /// Of [`Frame::Propose`].
+    Propose,
+    /// Of [`Frame::Follow`].
+    Follow,
+    /// Of [`Frame::TakeOuts`].
+    TakeOuts,
+    /// Of [`Frame::Lead`].
+    Lead,
+    /// Of [`Frame::Status`].
+    Status,
+    /// Of every answer to a call.
+    Answer,
+    /// Of [`Frame::Entry`].
+    Entry,
+}
+
+impl Frame {
+    /// Returns the frame's kind.
+    pub fn kind(&self) -> FrameKind {
+        match self {
+            Self::Hello(_) => FrameKind::Hello,
+            Self::Replica(_) => FrameKind::Replica,
+            Self::Propose(_) => FrameKind::Propose,
+            Self::Follow(_) => FrameKind::Follow,
+            Self::TakeOuts(_) => FrameKind::TakeOuts,
+            Self::Status => FrameKind::Status,
+            Self::Lead => FrameKind::Lead,
+            Self::Entry(_) => FrameKind::Entry,
+            Self::Refused(_)
+            | Self::Proposed(_)
+            | Self::Followed(_)
+            | Self::LeadReply(_)
+            | Self::StatusReply(_) => FrameKind::Answer,
+        }
+    }
+}
+
+/// Why a call can't be served.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Refusal {
+    /// The frame's protocol version is not known to the receiver, which speaks `known`.
+    Version {
+        /// Version of the frame.
+        found: u16,
+        /// Version of the receiver.
+        known: u16,
+    },
+    /// The receiver has no handler for this kind of frame.
+    Unsupported,
+    /// The frame can't be decoded.
+    Malformed,
+}
+
+/// Answer to a proposal.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Proposed {
+    /// The command is committed, with this outcome.
+    Outcome(Outcome),
+    /// The command is not in the log and never will be from this call.
+    NotProposed {
+        /// Instance that leads, where the receiver knows it.
+        leader: Option<InstanceName>,
+    },
+    /// The command may or may not get committed.
+    Unknown,
+}
+
+/// Who leads the control instances, as one of them knows it.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Lead {
+    /// Whether the sender leads and its lease stands.
+    pub own: bool,
+    /// Instance that leads, if the sender knows one.
+    pub leader: Option<InstanceName>,
+}
+
+/// Request for the published state.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum Follow {
+    /// The state once it is newer than `after`.
+    Newer {
+        /// Log position of the state that the caller has, or `None` for nothing.
+        after: Option<LogIndex>,
+        /// Time to hold the call while there is nothing newer, in milliseconds.
+        wait_ms: u32,
+    },
+    /// The state with everything that was acknowledged so far, which only a leader can give.
+    Latest,
+}
+
+/// Answer to a request for the published state.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Followed {
+    /// State, where it is newer than the caller's.
+    pub published: Option<Published>,
+    /// Orders to take data centres out that the sender knows.
+    pub holds: Vec<Hold>,
+    /// Time since the sender's state was last known to be that of a group with a leader, in
+    /// milliseconds, or `None` if it never was.
+    pub age_ms: Option<u64>,
+}
+
+/// What an instance has in force.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct InstanceStatus {
+    /// Instance.
+    pub name: InstanceName,
+    /// Log position of the state in force, or `None` before the first.
+    pub index: Option<LogIndex>,
+    /// Version of the environment document in force; zero before the first.
+    pub version: Version,
+    /// SHA-256 of the document's text in hexadecimal.
+    pub hash: Arc<str>,
+    /// Data centres that get no new work from this instance.
+    pub taken_out: Vec<CentreName>,
+    /// Orders to take data centres out that are not in the log as far as the instance knows.
+    pub unlogged: Vec<CentreOrder>,
+    /// Its part in the replicated log, if it has the control role.
+    pub control: Option<ControlStatus>,
+}
+
+/// Part of an instance in the replicated log.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ControlStatus {
+    /// Who leads.
+    pub lead: Lead,
+    /// Term.
+    pub term: Term,
+    /// Last entry known to be committed.
+    pub commit: LogIndex,
+    /// Members of the group, with the identities of their data folders.
+    pub members: Members,
+}
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -56,6 +56,10 @@
     pub max_connections: usize,
     /// Time for a caller to send a whole request, in milliseconds.
     pub receive_ms: u64,
+    /// Longest call to a cold target, in milliseconds.
+    ///
+    /// A new issuer of grants waits this long, so that no call of an earlier one still runs.
+    pub grant_ms: u64,
     /// Time that a planned stop waits for the balancer to notice, in milliseconds.
     pub drain_ms: u64,
     /// Time after which a planned stop ends what still runs, in milliseconds.
@@ -70,6 +74,7 @@
             max_head: 16 * 1024,
             max_connections: 4096,
             receive_ms: 10_000,
+            grant_ms: 9_000,
             drain_ms: 5_000,
             stop_ms: 30_000,
         }
@@ -92,8 +97,6 @@
     pub heartbeat_ms: u64,
     /// Log entries between snapshots.
     pub snapshot_entries: u64,
-    /// Time for which claims are remembered, in seconds.
-    pub claim_window_s: u64,
 }
 
 impl Default for Control {
@@ -105,7 +108,6 @@
             election_ms: 600,
             heartbeat_ms: 100,
             snapshot_entries: 20_000,
-            claim_window_s: 86_400,
         }
     }
 }
