Refused calls cost no attempt and leave their target open; unchanged lists are passed over

Change: only attempts that may have run count against max_attempts, 16 others at most; only targets that failed are excluded; an unchanged list is handed on every 5 s. Before: refusals_leave_the_attempts_that_may_run fails after the third refusal. After: 23 tests of request_run pass.

--- a/hawthornkeel/src/entry/controllers/targets.rs
+++ b/hawthornkeel/src/entry/controllers/targets.rs
@@ -10,12 +10,15 @@
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::routing::types::Liveness;
 use hawthornkeel_core::routing::types::TargetInfo;
+use hawthornkeel_core::time::Instant;
 use serde::Deserialize;
 
 use crate::entry::context::Context;
 use crate::target::call::Call;
 use crate::target::error::CallError;
 
+/// Time after which an unchanged list is handed to the router again.
+const REPEAT_AFTER: Duration = Duration::from_secs(5);
 /// Time for one poll.
 const POLL_TIMEOUT: Duration = Duration::from_secs(2);
 
@@ -42,20 +45,29 @@
         return;
     };
     let pause = Duration::from_millis(context.settings.platform.poll_ms);
+    let mut taken = None;
     loop {
         match poll(&context, address).await {
-            Ok(list) => {
-                let now = context.clock.now();
-                context.router.borrow_mut().update_targets(now, &list);
-                *context.targets.borrow_mut() = list;
-                context.pump();
-            }
+            Ok(list) => take_list(&context, list, &mut taken),
             Err(error) => tracing::warn!(event = "platform-poll-failed", %error),
         }
         monoio::time::sleep(pause).await;
     }
 }
 
+/// Hands the list to the router where it changed or the last one is old.
+fn take_list(context: &Context, list: Vec<TargetInfo>, taken: &mut Option<Instant>) {
+    let now = context.clock.now();
+    let fresh = taken.is_some_and(|at| now.since(at) < REPEAT_AFTER);
+    if fresh && *context.targets.borrow() == list {
+        return;
+    }
+    context.router.borrow_mut().update_targets(now, &list);
+    *context.targets.borrow_mut() = list;
+    *taken = Some(now);
+    context.pump();
+}
+
 async fn poll(context: &Context, address: SocketAddr) -> Result<Vec<TargetInfo>, CallError> {
     let path = context.settings.platform.path.clone();
     let call = Call { path, timeout: POLL_TIMEOUT, progress: POLL_TIMEOUT, ..Call::default() };
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -66,6 +66,7 @@
     previous: Option<Bytes>,
     text: Rc<std::cell::RefCell<String>>,
     chosen: Option<HeldPermit>,
+    called: Option<TargetName>,
     excluded: Vec<TargetName>,
     repeat: Repeat,
     operation: Option<Operation>,
@@ -92,6 +93,7 @@
             previous: None,
             text: Rc::default(),
             chosen: None,
+            called: None,
             excluded: Vec::new(),
             repeat: Repeat::First,
             operation: None,
@@ -190,7 +192,13 @@
                 self.previous = Some(answer.clone());
                 self.next_stage();
             }
-            Input::Failed { failure, .. } => self.repeat = repeat_after(*failure, self.repeat),
+            Input::Failed { failure, .. } => {
+                self.repeat = repeat_after(*failure, self.repeat);
+                // A target that refuses may have room a moment later; the router knows when.
+                if !matches!(failure, CallFailure::Refused | CallFailure::Declined) {
+                    self.excluded.extend(self.called.take());
+                }
+            }
             _ => {}
         }
     }
@@ -295,9 +303,7 @@
         let Some(plan) = self.call_plan(id, resume) else {
             return;
         };
-        if let Some(permit) = permit.permit() {
-            self.excluded.push(permit.target.clone());
-        }
+        self.called = permit.permit().map(|p| p.target.clone());
         let context = Rc::clone(&self.context);
         let work = async move { Step::Other(call::run(context, permit, plan).await) };
         self.operation = Some(Box::pin(work));
--- a/hawthornkeel_core/src/request/run.rs
+++ b/hawthornkeel_core/src/request/run.rs
@@ -33,8 +33,8 @@
 const SETTLE_MARGIN: Duration = Duration::from_secs(2);
 /// Time between looks at a claim that another attempt holds.
 const HELD_POLL: Duration = Duration::from_millis(100);
-/// Attempts to send a claimed call, at most; all but the last were never sent.
-const UNSENT_ATTEMPTS: u16 = 8;
+/// Attempts at a stage that did not run, at most, beside those that may have run.
+const IDLE_ATTEMPTS: u16 = 16;
 /// Time to come back after where a quorum is missing.
 const QUORUM_RETRY: Duration = Duration::from_secs(2);
 
@@ -96,6 +96,8 @@
     phase: Phase,
     stage: StageIndex,
     attempt: AttemptNumber,
+    /// Attempts at the stage that may have run.
+    spent: u16,
     received: usize,
     claimant: Option<Claimant>,
     trace: Trace,
@@ -111,6 +113,7 @@
             phase: Phase::New,
             stage: StageIndex(0),
             attempt: AttemptNumber(0),
+            spent: 0,
             received: 0,
             claimant: None,
             trace: Trace::Nothing,
@@ -183,6 +186,7 @@
     /// Begins the current stage where the deadline leaves time for the rest.
     fn begin_stage(&mut self, now: Instant) -> Vec<Action> {
         self.attempt = AttemptNumber(0);
+        self.spent = 0;
         self.received = 0;
         if self.out_of_time(now) {
             return self.refuse(RefusalCode::DeadlineUnreachable, None);
@@ -300,15 +304,19 @@
 
     /// Retries, resumes or refuses after a failed call.
     fn failed(&mut self, now: Instant, failure: CallFailure, received: usize) -> Vec<Action> {
-        if failure.evidence() == Evidence::MayHaveRun {
+        let may_have_run = failure.evidence() == Evidence::MayHaveRun;
+        if may_have_run {
             self.trace = Trace::Some;
             if let Some(claimant) = self.claimant.take() {
                 return self.outcome_unknown(claimant);
             }
         }
         self.received = self.received.max(received);
+        if failure != CallFailure::Refused {
+            self.spent = self.spent.saturating_add(u16::from(may_have_run));
+        }
         let next = self.attempt.0.saturating_add(1);
-        if !failure.worth_retry() || next >= self.attempt_limit() {
+        if !failure.worth_retry() || !self.has_attempts(next) {
             return self.refuse(RefusalCode::StageFailed, None);
         }
         if self.out_of_time(now) {
@@ -318,14 +326,13 @@
         self.route()
     }
 
-    /// Returns the attempts at the current stage, at most.
+    /// Tells whether attempt `next` may be made.
     ///
-    /// A claimed call that was never sent is dispatched again under the same claim.
-    fn attempt_limit(&self) -> u16 {
-        match self.claimant {
-            Some(_) => UNSENT_ATTEMPTS,
-            None => self.current().map_or(0, |s| s.max_attempts),
-        }
+    /// Attempts that did not run, or were refused, don't count against the stage's own limit.
+    fn has_attempts(&self, next: u16) -> bool {
+        let limit = self.current().map_or(0, |s| s.max_attempts);
+        let idle = next.saturating_sub(self.spent);
+        self.spent < limit && idle <= IDLE_ATTEMPTS
     }
 
     /// Records that a stage was dispatched with an unknown outcome and says so at once.
--- a/hawthornkeel_core/tests/request_run.rs
+++ b/hawthornkeel_core/tests/request_run.rs
@@ -224,3 +224,29 @@
     let last = run.handle(NOW, Input::Started);
     assert_eq!(refusal(&last), (RefusalCode::KeyRequired, Ran::NotRun));
 }
+
+#[test]
+fn refusals_leave_the_attempts_that_may_run() {
+    let mut run = run(vec![stage("read", true)], None);
+    let mut actions = dispatch(&mut run, false);
+    for _ in 0..5 {
+        let next = fail(&mut run, &actions, CallFailure::Refused);
+        assert!(matches!(next[..], [Action::Route { .. }]), "{next:?}");
+        actions = run.handle(NOW, Input::Routed);
+    }
+    let last = answer(&mut run, &actions, "read");
+    assert_eq!(last, vec![Action::Finish(Bytes::from("read"))]);
+}
+
+#[test]
+fn endless_refusals_end() {
+    let mut run = run(vec![stage("read", true)], None);
+    let mut actions = dispatch(&mut run, false);
+    let mut count = 0;
+    while !run.ended() {
+        fail(&mut run, &actions, CallFailure::Refused);
+        actions = run.handle(NOW, Input::Routed);
+        count += 1;
+        assert!(count < 100, "refusals are retried without end");
+    }
+}
