A stopping leader hands over, and the control role ends after its last save

Cause: a planned stop left the lease to run out, and claims waited for an election. Change: instance::run hands the lead over, waits for that up to an election time, and ends the role. Before (without the hand-over): stopped_leader_hands_over fails, an election is waited for. After: planned_stop 2 of 2 pass. Conclusion: holds in these runs.

--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -229,6 +229,11 @@
         self.inner.failed.notify();
     }
 
+    /// Hands the lead over to another voter, as before a planned stop; nothing happens elsewhere.
+    pub fn hand_over(&self) {
+        self.input(Input::HandOver);
+    }
+
     /// Ends the control role of a planned stop: what was handed to the disk is written first.
     pub fn stop(&self) {
         self.fail(ControlFailure::Stopped);
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -110,10 +110,26 @@
         report = serve(&settings, context, stop) => report?,
         failure = failed => return Err(RunError::Failed(failure)),
     };
+    if let Some(control) = &parts.control {
+        stop_control(control, Duration::from_millis(settings.control.election_ms)).await;
+    }
     endpoint.close();
     Ok(report)
 }
 
+/// Hands the lead over, for as long as that may take, and ends the control role.
+async fn stop_control(control: &Control, limit: Duration) {
+    let mut waited = Duration::ZERO;
+    control.hand_over();
+    while control.lead().own && waited < limit {
+        monoio::time::sleep(POLL).await;
+        waited += POLL;
+    }
+    // A voter that was just told to take over gets the message before the endpoint is closed.
+    monoio::time::sleep(POLL).await;
+    control.stop();
+}
+
 /// Serves callers where the instance is an entry, and waits for the request to stop.
 async fn serve(
     settings: &Settings,
--- a/hawthornkeel/tests/planned_stop.rs
+++ b/hawthornkeel/tests/planned_stop.rs
@@ -37,3 +37,23 @@
     assert_eq!(fleet.wait_exit(0), Some(0), "{}", fleet.log(0));
     assert!(fleet.log(0).contains("cut=0"), "{}", fleet.log(0));
 }
+
+#[test]
+fn stopped_leader_hands_over() {
+    let mut fleet = Fleet::start(4, 2);
+    let leader = fleet.leader();
+    let others = [(leader + 1) % 3, (leader + 2) % 3];
+    let waits = |fleet: &Fleet| -> usize {
+        others.iter().map(|at| fleet.log(*at).matches("role=PreCandidate").count()).sum()
+    };
+    let before = waits(&fleet);
+    fleet.signal(leader, Signal::TERM);
+    assert_eq!(fleet.wait_exit(leader), Some(0), "{}", fleet.log(leader));
+    let signed = eventually(PATIENCE, || {
+        let answer = fleet.call(3, "release", "after-stop", "{}");
+        answer.is_some_and(|a| a.status == 200)
+    });
+    assert!(signed, "{}", fleet.log(3));
+    let log = fleet.log(others[0]);
+    assert_eq!(waits(&fleet), before, "an election had to be waited for:\n{log}");
+}
