--- a/hawthornkeel/benches/centre_moves.rs
+++ b/hawthornkeel/benches/centre_moves.rs
@@ -4,6 +4,7 @@
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
 
+use std::fs;
 use std::net::SocketAddr;
 use std::thread;
 use std::thread::JoinHandle;
@@ -69,7 +70,23 @@
         let next = start + Duration::from_secs(second + 1);
         thread::sleep(next.saturating_duration_since(Instant::now()));
     }
-    report(seconds)
+    let held = report(seconds);
+    report_processes(&fleet);
+    held
+}
+
+/// Prints the memory and the processor time of each process since its start.
+fn report_processes(fleet: &Fleet) {
+    for (at, instance) in fleet.instances.iter().enumerate() {
+        let pid = fleet.pid(at).as_raw_nonzero();
+        let status = fs::read_to_string(format!("/proc/{pid}/status")).unwrap_or_default();
+        let memory = status.lines().find(|l| l.starts_with("VmRSS")).unwrap_or_default();
+        let stat = fs::read_to_string(format!("/proc/{pid}/stat")).unwrap_or_default();
+        // Fields 14 and 15, user and system time, in ticks of 10 ms.
+        let ticks: u64 =
+            stat.split(' ').skip(13).take(2).filter_map(|f| f.parse::<u64>().ok()).sum();
+        println!("{}: {memory}, processor time {} ms", instance.name, ticks * 10);
+    }
 }
 
 /// Calls for one second at the entries that the balancer has ready.
