Smaller modules: a request's endings, its profile, the fleet's exchanges; one content hash

Change: request::run::ending and request::profile; tests/fleet/exchange.rs; content_hash of the config crate serves all; only targets that the entry sends to are polled for load.

--- a/hawthornkeel/src/control/admin.rs
+++ b/hawthornkeel/src/control/admin.rs
@@ -3,6 +3,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornkeel_config::content_hash;
 use hawthornkeel_core::ids::OperationNumber;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
@@ -20,8 +21,6 @@
 use hawthornkeel_core::state::takeout::Heard;
 use serde::Deserialize;
 use serde::Serialize;
-use sha2::Digest;
-use sha2::Sha256;
 
 use crate::control::client::ControlClient;
 use crate::control::client::ControlError;
@@ -122,7 +121,7 @@
     /// Submits an environment document, which the caller has checked.
     pub async fn submit(&self, request: SubmitRequest) -> SubmitResponse {
         let SubmitRequest { operator, operation, expected, text } = request;
-        let hash = content_hash(&text);
+        let hash = Arc::from(content_hash(&text));
         let submit = Submit { operator, operation, expected, text, hash };
         tracing::info!(event = "submit", operator = %submit.operator, %operation, %expected);
         match self.client.propose(Command::Submit(submit), ORDER_TIMEOUT).await {
@@ -183,13 +182,6 @@
     }
 }
 
-/// Returns the SHA-256 of `text` in hexadecimal.
-pub fn content_hash(text: &str) -> Arc<str> {
-    let digest = Sha256::digest(text.as_bytes());
-    let hash: String = digest.iter().map(|byte| format!("{byte:02x}")).collect();
-    Arc::from(hash)
-}
-
 fn order(request: CentreRequest, state: CentreState) -> CentreOrder {
     let CentreRequest { operator, operation, centre } = request;
     tracing::info!(event = "centre-order", %operator, %operation, %centre, ?state);
--- a/hawthornkeel/src/entry/controllers/load.rs
+++ b/hawthornkeel/src/entry/controllers/load.rs
@@ -20,14 +20,20 @@
 /// Polls until the process ends.
 pub async fn run(context: Rc<Context>) {
     loop {
-        let targets = context.targets.borrow().clone();
-        for target in targets {
+        for target in known_targets(&context) {
             monoio::spawn(poll(Rc::clone(&context), target));
         }
         monoio::time::sleep(POLL_PAUSE).await;
     }
 }
 
+/// Returns the targets that this entry sends to: a few of each pool in a large fleet.
+fn known_targets(context: &Context) -> Vec<TargetInfo> {
+    let router = context.router.borrow();
+    let targets = context.targets.borrow();
+    targets.iter().filter(|t| router.knows(&t.name)).cloned().collect()
+}
+
 async fn poll(context: Rc<Context>, target: TargetInfo) {
     let Ok(address) = target.address.parse::<SocketAddr>() else {
         return;
--- a/hawthornkeel/src/entry/filter.rs
+++ b/hawthornkeel/src/entry/filter.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use bytes::Bytes;
+use hawthornkeel_config::content_hash;
 use hawthornkeel_core::document::Pipeline;
 use hawthornkeel_core::names::WorkspaceName;
 use http::Method;
@@ -146,7 +147,7 @@
     let unauthorized = || Problem::not_run(Code::Unauthorized);
     let field = head.header(AUTHORIZATION.as_str()).ok_or_else(unauthorized)?;
     let key = field.strip_prefix("Bearer ").ok_or_else(unauthorized)?;
-    let digest = hexadecimal(&Sha256::digest(key.trim().as_bytes()));
+    let digest = content_hash(key.trim());
     let name = context.settings.keys.get(&digest).ok_or_else(unauthorized)?;
     let Some(workspace) = environment.document.workspace(name.as_str()) else {
         return Err(Problem::not_run(Code::Forbidden).with_detail("the key's workspace is gone"));
@@ -209,12 +210,3 @@
     let problem = Problem::not_run(Code::NotReady).with_detail(detail);
     problem.with_retry_after(NOT_READY_RETRY)
 }
-
-/// Returns `bytes` in hexadecimal.
-pub fn hexadecimal(bytes: &[u8]) -> String {
-    use std::fmt::Write;
-    bytes.iter().fold(String::new(), |mut text, byte| {
-        let _ = write!(text, "{byte:02x}");
-        text
-    })
-}
--- a/hawthornkeel/src/entry/serve.rs
+++ b/hawthornkeel/src/entry/serve.rs
@@ -6,8 +6,8 @@
 use futures_channel::oneshot;
 use hawthornkeel_core::ids::RequestId;
 use hawthornkeel_core::names::WorkspaceName;
+use hawthornkeel_core::request::profile::Profile;
 use hawthornkeel_core::request::refusal::Ran;
-use hawthornkeel_core::request::run::Profile;
 use hawthornkeel_core::request::run::Run;
 
 use crate::entry::context::Context;
--- a/hawthornkeel/src/trial.rs
+++ b/hawthornkeel/src/trial.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornkeel_config::content_hash;
 use hawthornkeel_config::settings::Instance;
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::document::Document;
@@ -15,15 +16,12 @@
 use hawthornkeel_core::routing::types::Liveness;
 use hawthornkeel_core::routing::types::TargetInfo;
 use indexmap::IndexMap;
-use sha2::Digest;
-use sha2::Sha256;
 
 use crate::entry::claims::ClaimStore;
 use crate::entry::claims::LocalState;
 use crate::entry::context::Context;
 use crate::entry::context::Wiring;
 use crate::entry::controllers::document::apply_document;
-use crate::entry::filter::hexadecimal;
 use crate::entry::outlet::Outlet;
 use crate::entry::start::Started;
 use crate::entry::start::StopReport;
@@ -95,9 +93,7 @@
 
 /// Returns a key for each workspace: `trial-` and its name.
 fn keys(document: &Document) -> IndexMap<String, WorkspaceName> {
-    let digest = |name: &WorkspaceName| {
-        hexadecimal(&Sha256::digest(format!("{KEY_PREFIX}{name}").as_bytes()))
-    };
+    let digest = |name: &WorkspaceName| content_hash(&format!("{KEY_PREFIX}{name}"));
     document.workspaces.iter().map(|w| (digest(&w.name), w.name.clone())).collect()
 }
 
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+mod exchange;
+
 use std::fs;
 use std::net::IpAddr;
 use std::net::SocketAddr;
@@ -28,6 +30,11 @@
 use rustix::process::kill_process;
 use tempfile::TempDir;
 
+pub use crate::fleet::exchange::Answer;
+pub use crate::fleet::exchange::call_at;
+pub use crate::fleet::exchange::get;
+pub use crate::fleet::exchange::post;
+
 /// Time for anything to come about in a test.
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// Caller's key of the one workspace.
@@ -413,68 +420,6 @@
     }
 }
 
-/// Answer to a caller or operator.
-#[derive(Clone, Debug)]
-pub struct Answer {
-    /// Status.
-    pub status: u16,
-    /// Body.
-    pub body: String,
-}
-
-impl Answer {
-    /// Returns the value of a field of a refusal.
-    pub fn field(&self, name: &str) -> String {
-        let value: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
-        value[name].as_str().unwrap_or_default().to_owned()
-    }
-}
-
-/// Calls a pipeline at the address of an instance.
-pub fn call_at(address: SocketAddr, pipeline: &str, key: &str, body: &str) -> Option<Answer> {
-    let key = match key {
-        "" => String::new(),
-        key => format!("idempotency-key: {key}\r\n"),
-    };
-    let fields = format!("authorization: Bearer {KEY}\r\n{key}");
-    post(address, &format!("/v1/pipelines/{pipeline}"), &fields, body)
-}
-
-/// Sends a GET request; nothing is returned where no whole answer came.
-pub fn get(address: SocketAddr, path: &str) -> Option<Answer> {
-    exchange(address, "GET", path, "", "")
-}
-
-/// Sends a POST request; nothing is returned where no whole answer came.
-pub fn post(address: SocketAddr, path: &str, fields: &str, body: &str) -> Option<Answer> {
-    exchange(address, "POST", path, fields, body)
-}
-
-fn exchange(
-    address: SocketAddr,
-    method: &str,
-    path: &str,
-    fields: &str,
-    body: &str,
-) -> Option<Answer> {
-    use std::io::Read;
-    use std::io::Write;
-
-    let mut stream = std::net::TcpStream::connect_timeout(&address, PATIENCE).ok()?;
-    stream.set_read_timeout(Some(PATIENCE)).ok()?;
-    let request = format!(
-        "{method} {path} HTTP/1.1\r\nhost: test\r\nconnection: close\r\n{fields}\
-         content-length: {}\r\n\r\n{body}",
-        body.len()
-    );
-    stream.write_all(request.as_bytes()).ok()?;
-    let mut text = String::new();
-    stream.read_to_string(&mut text).ok()?;
-    let (head, body) = text.split_once("\r\n\r\n")?;
-    let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some(Answer { status, body: body.to_owned() })
-}
-
 fn leads(status: &serde_json::Value) -> bool {
     status["control"]["lead"]["own"] == true
 }
--- a/hawthornkeel_core/src/request/run.rs
+++ b/hawthornkeel_core/src/request/run/mod.rs
@@ -1,23 +1,21 @@
 //! State machine of one request: stages in order, attempts, claims and the final answer.
 
-use std::sync::Arc;
+mod ending;
+
 use std::time::Duration;
 
 use bytes::Bytes;
 
-use crate::document::Pipeline;
 use crate::document::Stage;
 use crate::ids::AttemptNumber;
 use crate::ids::CallId;
-use crate::ids::RequestId;
 use crate::ids::StageIndex;
-use crate::names::InstanceName;
-use crate::names::WorkspaceName;
 use crate::request::event::Action;
 use crate::request::event::ClaimFailure;
 use crate::request::event::Input;
 use crate::request::failure::CallFailure;
 use crate::request::failure::Evidence;
+use crate::request::profile::Profile;
 use crate::request::refusal::Ran;
 use crate::request::refusal::Refusal;
 use crate::request::refusal::RefusalCode;
@@ -38,25 +36,6 @@
 /// Time to come back after where a quorum is missing.
 const QUORUM_RETRY: Duration = Duration::from_secs(2);
 
-/// What a request is, fixed at its arrival.
-#[derive(Clone, Debug)]
-pub struct Profile {
-    /// Identity of the request.
-    pub id: RequestId,
-    /// Entry instance that serves it.
-    pub instance: InstanceName,
-    /// Workspace of the caller.
-    pub workspace: WorkspaceName,
-    /// Pipeline that it runs through.
-    pub pipeline: Arc<Pipeline>,
-    /// Idempotency key that the caller gave.
-    pub key: Option<Arc<str>>,
-    /// Digest of the request's body.
-    pub digest: u64,
-    /// Time by which the whole answer is due.
-    pub deadline: Instant,
-}
-
 /// What a request waits for.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Phase {
@@ -358,112 +337,6 @@
         self.begin_stage(now)
     }
 
-    /// Ends a request whose caller has left, but for a claimed call: its answer is recorded, so
-    /// that a resend gets it.
-    fn caller_left(&mut self) -> Vec<Action> {
-        if self.claimant.is_some() {
-            self.left = true;
-            return Vec::new();
-        }
-        self.abandon()
-    }
-
-    /// Records how a claimed call ended after its caller was told that the outcome is unknown.
-    fn late(&mut self, current: CallId, input: Input) -> Vec<Action> {
-        let settlement = match input {
-            Input::Answered { call, answer } if call == current => Settlement::Done(answer),
-            Input::Failed { call, .. } if call == current => Settlement::Unknown,
-            _ => return Vec::new(),
-        };
-        let claimant = self.claimant.take();
-        let settle = claimant.and_then(|c| self.settle(c, settlement));
-        self.phase = Phase::Ended;
-        settle.map(Action::SettleLater).into_iter().collect()
-    }
-
-    /// Ends a request whose time is over.
-    fn abandon(&mut self) -> Vec<Action> {
-        let code = RefusalCode::DeadlinePassed;
-        match self.phase.clone() {
-            Phase::Calling(call) => self.abandon_call(call),
-            Phase::Claiming => {
-                let mut actions = vec![Action::Unroute];
-                let settle = self.settle(self.new_claimant(), Settlement::Released);
-                actions.extend(settle.map(Action::SettleLater));
-                actions.extend(self.refuse(code, None));
-                actions
-            }
-            Phase::Recording(answer) => self.end_recorded(answer, code),
-            Phase::Releasing(refusal) => self.end(Action::Refuse(refusal)),
-            Phase::Held => {
-                let refusal = Refusal {
-                    code: RefusalCode::InProgress,
-                    ran: Ran::Unknown,
-                    retry_after: Some(QUORUM_RETRY),
-                };
-                self.end(Action::Refuse(refusal))
-            }
-            Phase::Routing => {
-                let mut actions = vec![Action::Unroute];
-                actions.extend(self.refuse(code, None));
-                actions
-            }
-            Phase::New | Phase::Late(_) | Phase::Ended => self.refuse(code, None),
-        }
-    }
-
-    /// Ends a request in the middle of a call.
-    fn abandon_call(&mut self, call: CallId) -> Vec<Action> {
-        self.trace = Trace::Some;
-        if self.claimant.is_none() {
-            let mut actions = vec![Action::Cancel(call)];
-            actions.extend(self.refuse(RefusalCode::DeadlinePassed, None));
-            return actions;
-        }
-        // The call goes on, so that a late answer can still be recorded for a resend.
-        self.phase = Phase::Late(call);
-        let code = RefusalCode::OutcomeUnknown;
-        vec![Action::Refuse(Refusal { code, ran: Ran::Unknown, retry_after: Some(SETTLE_MARGIN) })]
-    }
-
-    /// Ends a request whose answer is known while its record is not confirmed.
-    fn end_recorded(&mut self, answer: Bytes, code: RefusalCode) -> Vec<Action> {
-        self.stage = StageIndex(self.stage.0.saturating_add(1));
-        self.claimant = None;
-        if self.current().is_none() {
-            return self.end(Action::Finish(answer));
-        }
-        self.refuse(code, None)
-    }
-
-    /// Gives the permit back and refuses.
-    fn unroute_and_refuse(&mut self, code: RefusalCode, ran: Ran) -> Vec<Action> {
-        let refusal = Refusal { code, ran, retry_after: None };
-        let mut actions = vec![Action::Unroute];
-        actions.extend(self.end(Action::Refuse(refusal)));
-        actions
-    }
-
-    /// Refuses; a claim that is held and was not used is released first, on record.
-    fn refuse(&mut self, code: RefusalCode, retry_after: Option<Duration>) -> Vec<Action> {
-        let refusal = Refusal { code, ran: self.ran(), retry_after };
-        let claimant = self.claimant.take();
-        let settle = claimant.and_then(|c| self.settle(c, Settlement::Released));
-        match settle {
-            Some(settle) => {
-                self.phase = Phase::Releasing(refusal);
-                vec![Action::Settle(settle)]
-            }
-            None => self.end(Action::Refuse(refusal)),
-        }
-    }
-
-    /// Ends the request with its final answer.
-    fn end(&mut self, last: Action) -> Vec<Action> {
-        self.phase = Phase::Ended;
-        vec![last]
-    }
-
     /// Returns what can truly be said about whether the request ran.
     fn ran(&self) -> Ran {
         match (self.recorded, self.trace) {
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -217,6 +217,12 @@
         })
     }
 
+    /// Tells whether this entry sends to a target.
+    pub fn knows(&self, target: &TargetName) -> bool {
+        let pool = self.homes.get(target).and_then(|p| self.pools.get(p));
+        pool.and_then(|p| p.targets.get(target)).is_some_and(|t| t.known)
+    }
+
     /// Returns the number of targets of a pool that this entry sends to.
     pub fn known_targets(&self, pool: &PoolName) -> usize {
         self.pools.get(pool).map_or(0, |p| p.targets.values().filter(|t| t.known).count())
