--- /dev/null
+++ b/hawthornkeel/tests/cold_restart.rs
@@ -0,0 +1,63 @@
+//! A target that restarts cold under load from every entry.
+
+mod fleet;
+
+use std::thread;
+use std::time::Duration;
+
+use fleet::Fleet;
+use fleet::KEY;
+use hawthornkeel_fakes::caller;
+use hawthornkeel_fakes::caller::ANSWERED;
+use hawthornkeel_fakes::caller::Load;
+use hawthornkeel_fakes::thread::block_on;
+
+/// Calls that a cold target bears at once, one more than the document allows.
+const BEARS: u32 = 2;
+/// Share of requests that are to be answered in full with one fault at a time.
+const ATTAINMENT: f64 = 0.999;
+
+#[test]
+fn restarted_target_is_not_overrun() {
+    restart_under_load(25, 150);
+}
+
+#[test]
+fn restarted_busy_target_is_not_overrun() {
+    restart_under_load(60, 360);
+}
+
+/// Restarts a target while each entry sends `rate` requests a second, `count` in all.
+fn restart_under_load(rate: u64, count: u64) {
+    let mut fleet = Fleet::prepare(4, 2);
+    for target in fleet.pool("writers") {
+        let fields = format!("{{\"floor_ms\":20,\"cold_bears\":{BEARS},\"warm_after\":4}}");
+        target.thread.behave(&fields).unwrap();
+    }
+    fleet.run();
+    fleet.warm();
+    let load = |at: usize| Load {
+        address: fleet.instances[at].listen,
+        path: "/v1/pipelines/draft".to_owned(),
+        fields: format!("authorization: Bearer {KEY}\r\n"),
+        rate: rate as f64,
+        count,
+        first: at as u64 * 10_000,
+        ..Load::default()
+    };
+    let start = |load: Load| thread::spawn(|| block_on(caller::run(load)).unwrap().unwrap());
+    let callers: Vec<_> = (0..4).map(load).map(start).collect();
+    let target = fleet.targets.iter().find(|t| t.listed.name == "writers-dc-0").unwrap();
+    let before = target.thread.report().unwrap();
+    // The load has to stand before the restart comes.
+    thread::sleep(Duration::from_secs(2));
+    target.thread.restart().unwrap();
+    let mut answered = 0;
+    for caller in callers {
+        answered += caller.join().unwrap().count(ANSWERED);
+    }
+    let after = target.thread.report().unwrap();
+    assert_eq!(after.falls, before.falls, "the cold target fell over");
+    let sent = 4 * count;
+    assert!(answered as f64 >= ATTAINMENT * sent as f64, "{answered} of {sent} answered");
+}
