Peers say whether they are entries

Cause: an instance set aside for control counted as an entry in the choice of lease voters and of the shares of limits, but has no voter; a data centre with two such could never warm its targets. Ruled out: guessing from the control role (today's control instances are entries too). Change: peers.peer.entry, true by default; only entries vote, share limits and hear announcements. Conclusion: instances can be set aside for control by settings alone.

--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -172,7 +172,8 @@
         id: MemberId { name: p.name.clone(), boot: 0 },
         centre: p.data_centre.clone(),
     };
-    let mut entries: Vec<_> = settings.peers.peers.iter().map(peer).collect();
+    let peers = settings.peers.peers.iter().filter(|p| p.entry);
+    let mut entries: Vec<_> = peers.map(peer).collect();
     let centre = settings.instance.data_centre.clone();
     entries.push(EntryInfo { id: own.clone(), centre });
     entries
--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -161,7 +161,7 @@
 
 fn announce(context: &Rc<Context>, announcement: GrantMessage) {
     let own = context.settings.instance.name.clone();
-    let peers = context.settings.peers.peers.iter().map(|p| p.name.clone());
+    let peers = context.settings.peers.peers.iter().filter(|p| p.entry).map(|p| p.name.clone());
     for name in peers.chain([own]) {
         send(context, &name, context.grant_message(announcement.clone()));
     }
--- a/hawthornkeel/tests/control_sources.rs
+++ b/hawthornkeel/tests/control_sources.rs
@@ -23,6 +23,7 @@
         address: "127.0.0.1:1".parse().unwrap(),
         data_centre: CentreName::new(CENTRES[at % CENTRES.len()]),
         control: at < CONTROLS,
+        entry: true,
     };
     (0..count).map(place).collect()
 }
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -242,6 +242,7 @@
         address,
         data_centre: CentreName::new(placed.spec.centre),
         control: placed.spec.control,
+        entry: true,
     }
 }
 
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -49,7 +49,7 @@
 /// Returns another instance's entry in the settings.
 pub fn peer(name: &str, address: SocketAddr) -> Peer {
     let data_centre = CentreName::new("east");
-    Peer { name: InstanceName::new(name), address, data_centre, control: true }
+    Peer { name: InstanceName::new(name), address, data_centre, control: true, entry: true }
 }
 
 /// Returns settings of `name` with the certificate `issued`.
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -61,6 +61,7 @@
     Key::required("address", Kind::Address),
     Key::required("data_centre", Kind::Name),
     Key::new("control", Kind::Flag, "false"),
+    Key::new("entry", Kind::Flag, "true"),
 ];
 
 /// Keys of the platform's list.
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -141,6 +141,14 @@
     /// Whether it has the control role.
     #[serde(default)]
     pub control: bool,
+    /// Whether it has the entry role.
+    #[serde(default = "serves_callers")]
+    pub entry: bool,
+}
+
+/// Returns the default of [`Peer::entry`]: today every instance is an entry.
+fn serves_callers() -> bool {
+    true
 }
 
 /// The platform's list of instances.
--- a/hawthornkeel_config/tests/schema_keys.rs
+++ b/hawthornkeel_config/tests/schema_keys.rs
@@ -70,6 +70,7 @@
         address,
         data_centre: CentreName::new("d"),
         control: false,
+        entry: true,
     });
     compare(SETTINGS, &Table::try_from(settings).expect("settings are a table"), "");
 }
