An entry is ready once it has heard an issuer of grants

Cause: after a data centre's entries were killed and came back, their first callers waited up to 2 s: the entries were ready before they knew whom to ask for grants (announcements come every second). Ruled out: the targets' own ramp (they answer in 45 ms), the loss itself (seconds 6 to 14 are level). Change: GET /ready also waits for an issuer, 5 s at most. What remains is the wait for near targets, whose voters restarted as well.

--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -21,6 +21,7 @@
 use hawthornkeel_core::routing::types::CallOutcome;
 use hawthornkeel_core::routing::types::Decision;
 use hawthornkeel_core::routing::types::TargetInfo;
+use hawthornkeel_core::time::Instant;
 use indexmap::IndexMap;
 
 use crate::clock::Clock;
@@ -58,6 +59,8 @@
     pub targets: RefCell<Vec<TargetInfo>>,
     /// Environment in force, once known.
     pub environment: RefCell<Option<Rc<Environment>>>,
+    /// Time from which the instance counts as ready without an issuer of grants.
+    pub ready_by: Cell<Option<Instant>>,
     /// Requests in progress by workspace.
     pub running: RefCell<IndexMap<WorkspaceName, u32>>,
     /// Requests whose answer or record is still to come.
@@ -103,6 +106,7 @@
             outlet: wiring.outlet,
             targets: RefCell::default(),
             environment: RefCell::default(),
+            ready_by: Cell::default(),
             running: RefCell::default(),
             open: Cell::default(),
             draining: Signal::new(),
@@ -115,6 +119,24 @@
         self.environment.borrow().clone()
     }
 
+    /// Returns what the instance lacks to serve callers, if anything.
+    ///
+    /// An entry that has just started knows no warm target. It waits for an issuer of grants, so
+    /// that its first callers need not, but not for ever: none may be there.
+    pub fn lacks(&self) -> Option<&'static str> {
+        if self.environment.borrow().is_none() {
+            return Some("no environment document yet");
+        }
+        if self.targets.borrow().is_empty() {
+            return Some("no targets known yet");
+        }
+        let waited = self.ready_by.get().is_some_and(|by| self.clock.now() >= by);
+        if !waited && !self.router.borrow().knows_issuer() {
+            return Some("no issuer of grants heard yet");
+        }
+        None
+    }
+
     /// Returns the data centre of an instance that the settings name.
     pub fn centre_of(&self, name: &InstanceName) -> Option<CentreName> {
         if *name == self.settings.instance.name {
--- a/hawthornkeel/src/entry/controllers/document.rs
+++ b/hawthornkeel/src/entry/controllers/document.rs
@@ -1,6 +1,7 @@
 //! Controller of the document: brings what the instance follows into force.
 
 use std::rc::Rc;
+use std::time::Duration;
 
 use hawthornkeel_config::parse_document;
 use hawthornkeel_core::document::Document;
@@ -12,6 +13,9 @@
 use crate::entry::context::Context;
 use crate::entry::environment::Environment;
 
+/// Time after its first document for which an entry waits for an issuer before it is ready.
+const READY_WAIT: Duration = Duration::from_secs(5);
+
 /// Brings a document into force, unless one of the same or a later version is.
 pub fn apply_document(context: &Context, version: Version, document: Document) {
     let current = context.environment().map_or(Version(0), |e| e.version);
@@ -25,6 +29,9 @@
         router.update_targets(context.clock.now(), &context.targets.borrow());
     }
     context.lease.borrow_mut().apply_document(&document);
+    if context.ready_by.get().is_none() {
+        context.ready_by.set(Some(context.clock.now() + READY_WAIT));
+    }
     let environment = Environment::new(version, document);
     *context.environment.borrow_mut() = Some(Rc::new(environment));
     tracing::info!(event = "document-in-force", %version);
--- a/hawthornkeel/src/entry/serve.rs
+++ b/hawthornkeel/src/entry/serve.rs
@@ -41,11 +41,8 @@
         if self.context.draining.is_set() {
             return Problem::not_run(Code::Stopping).into_response();
         }
-        if self.context.environment().is_none() {
-            return filter::not_ready("no environment document yet").into_response();
-        }
-        if self.context.targets.borrow().is_empty() {
-            return filter::not_ready("no targets known yet").into_response();
+        if let Some(lack) = self.context.lacks() {
+            return filter::not_ready(lack).into_response();
         }
         Response::json("{\"ready\":true}")
     }
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -217,6 +217,11 @@
         })
     }
 
+    /// Tells whether any data centre's issuer of grants is known.
+    pub fn knows_issuer(&self) -> bool {
+        !self.issuers.is_empty()
+    }
+
     /// Tells whether this entry sends to a target.
     pub fn knows(&self, target: &TargetName) -> bool {
         let pool = self.homes.get(target).and_then(|p| self.pools.get(p));
