One clock for decisions, which goes on while the machine is suspended

Cause: the entry's leases were counted on a clock that stops during a suspend, so a holder could act on an old lease; the control role had its own clock. Change: clock.rs serves both.

--- a/hawthornkeel/src/clock.rs
+++ b/hawthornkeel/src/clock.rs
@@ -1,30 +1,22 @@
-//! Clocks of the process: the monotonic one that decisions take, and the wall clock.
+//! Clocks of the process: the one that decisions take, and the wall clock.
 
 use std::time::Duration;
-use std::time::Instant as StdInstant;
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
 use hawthornkeel_core::time::Instant;
 use hawthornkeel_core::time::WallTime;
+use rustix::time::ClockId;
+use rustix::time::clock_gettime;
 
-/// Monotonic clock with its origin at the process's start.
-#[derive(Clone, Copy, Debug)]
-pub struct Clock {
-    origin: StdInstant,
-}
-
-impl Default for Clock {
-    fn default() -> Self {
-        Self { origin: StdInstant::now() }
-    }
-}
+/// Clock that decisions take: leases on it run out while the machine is suspended.
+#[derive(Clone, Copy, Debug, Default)]
+pub struct Clock;
 
 impl Clock {
-    /// Returns the present point on the monotonic clock.
+    /// Returns the present point.
     pub fn now(&self) -> Instant {
-        let micros = u64::try_from(self.origin.elapsed().as_micros()).unwrap_or(u64::MAX);
-        Instant::from_micros(micros)
+        boot_now()
     }
 
     /// Returns the time until `point`, or zero where it has passed.
@@ -33,6 +25,14 @@
     }
 }
 
+/// Returns the present point on the clock that goes on while the machine is suspended.
+pub fn boot_now() -> Instant {
+    let time = clock_gettime(ClockId::Boottime);
+    let seconds = u64::try_from(time.tv_sec).unwrap_or_default();
+    let nanos = u64::try_from(time.tv_nsec).unwrap_or_default();
+    Instant::from_micros(seconds.saturating_mul(1_000_000).saturating_add(nanos / 1_000))
+}
+
 /// Returns the present point on the wall clock; a clock before the epoch reads as the epoch.
 pub fn wall_now() -> WallTime {
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -7,7 +7,6 @@
 pub mod batch;
 mod carry;
 pub mod client;
-pub mod clock;
 pub mod error;
 pub mod follow;
 pub mod gather;
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -28,9 +28,9 @@
 use indexmap::IndexMap;
 use rand_chacha::ChaCha8Rng;
 
+use crate::clock::boot_now;
 use crate::clock::wall_now;
 use crate::control::batch;
-use crate::control::clock::boot_now;
 use crate::control::error::ControlFailure;
 use crate::control::pending::BatchLimits;
 use crate::control::pending::Pending;
--- a/hawthornkeel/src/control/orders.rs
+++ b/hawthornkeel/src/control/orders.rs
@@ -20,7 +20,7 @@
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::control::clock::boot_now;
+use crate::clock::boot_now;
 use crate::control::node::Control;
 use crate::peer::frame::Proposed;
 use crate::target::call::Call;
--- a/hawthornkeel/src/entry/context.rs
+++ b/hawthornkeel/src/entry/context.rs
@@ -84,7 +84,7 @@
 impl Context {
     /// Creates the state of an entry that knows no document and no target yet.
     pub fn new(settings: Settings, wiring: Wiring) -> Self {
-        let clock = Clock::default();
+        let clock = Clock;
         let own = settings.instance.data_centre.clone();
         let member = MemberId { name: settings.instance.name.clone(), boot: rand::random() };
         let entries = entry_infos(&settings, &member);
