Slow calls are waited for; a claimed call is never given up before the deadline

Cause: a plain service that answered after more than 3 s counted as silent: a stage slowed to 4 s failed every request, and a signature of 4 s ended as unknown. An answer after the deadline could not be recorded, because the call ended with its permit. Ruled out: no limit at all for calls that may be repeated (a silent connection would take the whole deadline). Change: a call that may be repeated counts as silent after 60% of its time, 3 s at least; one that may not is waited for until 2 s after the deadline, unless a grant bounds it.

--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -27,8 +27,12 @@
 use crate::target::stream::Event;
 use crate::telemetry;
 
-/// Time without a byte after which a call counts as silent.
-const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
+/// Shortest time without a byte after which a call that may be repeated counts as silent.
+const MIN_PROGRESS: Duration = Duration::from_secs(3);
+/// Share of a call's time after which it counts as silent: the rest is left for another target.
+const PROGRESS_SHARE: f64 = 0.6;
+/// Time after the deadline for which the answer to a claimed call is still taken, to record it.
+const LATE_ANSWER: Duration = Duration::from_secs(2);
 
 /// What a call needs beside its permit.
 pub struct CallPlan {
@@ -46,6 +50,8 @@
     pub input: Bytes,
     /// Answer of the stage before.
     pub previous: Option<Bytes>,
+    /// Time by which the whole answer to the caller is due.
+    pub deadline: Instant,
     /// Bytes of the answer that earlier attempts received.
     pub resume: usize,
     /// Text that earlier attempts received, which this one adds to.
@@ -99,10 +105,14 @@
         .parse()
         .map_err(|_| CallError::NotSent("address can't be parsed".to_owned()))?;
     let until = permit.permit().map_or(Instant::ZERO, |p| p.until);
-    let timeout = context.clock.until(until);
-    if timeout.is_zero() {
+    let left = context.clock.until(until);
+    if left.is_zero() {
         return Err(CallError::NotSent("permit expired".to_owned()));
     }
+    let granted = permit.permit().is_some_and(|p| p.grant.is_some());
+    let late = context.clock.until(plan.deadline) + LATE_ANSWER;
+    // A grant bounds its call; beside that, a call that can't be repeated is never given up early.
+    let timeout = if plan.stage.idempotent || granted { left } else { late };
     let call = encode(plan, timeout);
     match plan.pool.kind {
         PoolKind::Service => {
@@ -113,6 +123,14 @@
     }
 }
 
+/// Returns the time without a byte after which a call counts as silent.
+fn progress(stage: &Stage, timeout: Duration) -> Duration {
+    match stage.idempotent {
+        true => timeout.mul_f64(PROGRESS_SHARE).max(MIN_PROGRESS).min(timeout),
+        false => timeout,
+    }
+}
+
 fn encode(plan: &CallPlan, timeout: Duration) -> Call {
     let previous = plan.previous.as_deref();
     let call = Call {
@@ -121,7 +139,7 @@
         key: plan.key.as_ref().map(|k| k.to_string()),
         priority: plan.priority,
         timeout,
-        progress: PROGRESS_TIMEOUT.min(timeout),
+        progress: progress(&plan.stage, timeout),
         ..Call::default()
     };
     match plan.pool.kind {
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -316,6 +316,7 @@
             key: self.draft.key.clone(),
             input: self.input.clone(),
             previous: self.previous.clone(),
+            deadline: self.run.profile().deadline,
             resume,
             text: Rc::clone(&self.text),
             reply: (last && self.reply.wants_tokens()).then(|| Rc::clone(&self.reply)),
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -37,6 +37,8 @@
 
 /// Time for anything to come about in a test.
 pub const PATIENCE: Duration = Duration::from_secs(30);
+/// Longest call to a cold target, in milliseconds; short, so that fleets start soon.
+const GRANT_MS: u64 = 2_000;
 /// Caller's key of the one workspace.
 pub const KEY: &str = "key-of-makers";
 /// SHA-256 of [`KEY`].
@@ -186,6 +188,11 @@
 
     /// Prepares a fleet none of whose instances runs yet.
     pub fn prepare(count: usize, centres: usize) -> Self {
+        Self::prepare_granting(count, centres, GRANT_MS)
+    }
+
+    /// Prepares a fleet whose calls to cold targets last `grant_ms` milliseconds at most.
+    pub fn prepare_granting(count: usize, centres: usize, grant_ms: u64) -> Self {
         let root = TempDir::new().unwrap();
         let address = own_address();
         let centre = |at: usize| format!("dc-{}", at % centres);
@@ -208,7 +215,7 @@
         let platform = PlatformThread::start(list).unwrap();
         let fleet = Self { instances, targets, platform, root };
         for at in 0..count {
-            fleet.write_settings(at);
+            fleet.write_settings(at, grant_ms);
         }
         fleet
     }
@@ -378,14 +385,14 @@
         self.root.path().join(format!("data-{at}"))
     }
 
-    fn write_settings(&self, at: usize) {
+    fn write_settings(&self, at: usize, grant_ms: u64) {
         let keys = self.root.path().join("keys");
         fs::create_dir_all(&keys).unwrap();
         let own = &self.instances[at];
         let issued = certificate::issue(&keys, &own.name.as_str().into()).unwrap();
         let mut text = format!(
             "[instance]\nname = \"{}\"\ndata_centre = \"{}\"\nadmin = \"{}\"\n\
-             [entry]\nenabled = true\nlisten = \"{}\"\ngrant_ms = 2000\ndrain_ms = 500\n\
+             [entry]\nenabled = true\nlisten = \"{}\"\ngrant_ms = {grant_ms}\ndrain_ms = 500\n\
              stop_ms = 10000\n[platform]\naddress = \"{}\"\npoll_ms = 100\n\
              [keys]\n{KEY_HASH} = \"makers\"\n",
             own.name, own.centre, own.admin, own.listen, self.platform.address
