Last read: one send to voters, no dead refusal codes, one repair of a disk in tests

Cause: reading the whole change once more found the send to all voters twice, the voters' names copied 50 times a second where nothing was due, two refusal codes that nothing gives, two flags handed about that belong to the drive, and the replacement of a disk written twice in tests. Ruled out: merging the two kinds of signal (one is set once, the other counts events). Conclusion: behaviour as before.

--- a/hawthornkeel/src/entry/controllers/lease.rs
+++ b/hawthornkeel/src/entry/controllers/lease.rs
@@ -51,11 +51,6 @@
     pub fn apply_document(&mut self, document: &Document) {
         self.issuer.apply_document(document);
     }
-
-    /// Returns the names of the voters.
-    pub fn voters(&self) -> Vec<InstanceName> {
-        self.holder.voters().to_vec()
-    }
 }
 
 /// Runs until the process ends.
@@ -80,31 +75,30 @@
 
 /// Gives up the lease, so that another member need not wait for its end.
 pub fn resign(context: &Rc<Context>) {
-    let (resign, voters) = {
-        let mut lease = context.lease.borrow_mut();
-        (lease.holder.resign(), lease.voters())
-    };
-    for voter in voters {
-        send(context, &voter, EntryMessage::Vote(resign.clone()));
-    }
+    let resign = context.lease.borrow_mut().holder.resign();
+    send_to_voters(context, &resign);
 }
 
 /// Asks for votes where a round is due; a member that stops does not ask for a lease anew.
 fn tick(context: &Rc<Context>) {
     let now = context.clock.now();
-    let (ask, voters) = {
+    let ask = {
         let mut lease = context.lease.borrow_mut();
         // Only a voter can hold the lease, so that few instances ask.
-        let votes = lease.voters().contains(&context.settings.instance.name);
+        let votes = lease.voters.contains_key(&context.settings.instance.data_centre);
         let asks = votes && (!context.draining.is_set() || lease.holder.holds(now));
-        let ask = asks.then(|| lease.holder.tick(now)).flatten();
-        (ask, lease.voters())
-    };
-    let Some(ask) = ask else {
-        return;
+        asks.then(|| lease.holder.tick(now)).flatten()
     };
+    if let Some(ask) = ask {
+        send_to_voters(context, &ask);
+    }
+}
+
+/// Sends `message` to every voter of the own data centre's lease.
+fn send_to_voters(context: &Rc<Context>, message: &VoteMessage) {
+    let voters = context.lease.borrow().holder.voters().to_vec();
     for voter in voters {
-        send(context, &voter, EntryMessage::Vote(ask.clone()));
+        send(context, &voter, EntryMessage::Vote(message.clone()));
     }
 }
 
--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -69,6 +69,10 @@
     excluded: Vec<TargetName>,
     repeat: Repeat,
     operation: Option<Operation>,
+    /// Whether the state machine knows that the deadline has passed.
+    expired: bool,
+    /// Whether the state machine knows that the caller has left.
+    gone: bool,
 }
 
 impl Drive {
@@ -96,6 +100,8 @@
             excluded: Vec::new(),
             repeat: Repeat::First,
             operation: None,
+            expired: false,
+            gone: false,
         }
     }
 
@@ -136,8 +142,6 @@
     }
 
     async fn run_admitted(&mut self) {
-        let mut expired = false;
-        let mut gone = false;
         let now = self.context.clock.now();
         let mut actions = self.run.handle(now, Input::Started);
         loop {
@@ -145,13 +149,13 @@
             if self.run.ended() {
                 return;
             }
-            let input = self.next_input(&mut expired, &mut gone).await;
+            let input = self.next_input().await;
             actions = self.run.handle(self.context.clock.now(), input);
         }
     }
 
     /// Waits for the operation in progress, the deadline or the caller's leaving.
-    async fn next_input(&mut self, expired: &mut bool, gone: &mut bool) -> Input {
+    async fn next_input(&mut self) -> Input {
         let clock = self.context.clock;
         let left = clock.until(self.run.profile().deadline);
         let operation = async {
@@ -162,12 +166,12 @@
         };
         let step = monoio::select! {
             step = operation => step,
-            () = monoio::time::sleep(left), if !*expired => {
-                *expired = true;
+            () = monoio::time::sleep(left), if !self.expired => {
+                self.expired = true;
                 return Input::DeadlinePassed;
             }
-            () = self.left.wait(), if !*gone => {
-                *gone = true;
+            () = self.left.wait(), if !self.gone => {
+                self.gone = true;
                 return Input::CallerLeft;
             }
         };
--- a/hawthornkeel/src/entry/refuse.rs
+++ b/hawthornkeel/src/entry/refuse.rs
@@ -50,7 +50,5 @@
         RefusalCode::NoCapacity => Code::NoTarget,
         RefusalCode::StageFailed => Code::StageFailed,
         RefusalCode::WorkspaceLimit => Code::WorkspaceLimit,
-        RefusalCode::Stopping => Code::Stopping,
-        RefusalCode::NotReady => Code::NotReady,
     }
 }
--- a/hawthornkeel/tests/control_leader.rs
+++ b/hawthornkeel/tests/control_leader.rs
@@ -15,6 +15,7 @@
 use support::cluster::Spec;
 use support::operator::accepted;
 use support::operator::leader;
+use support::operator::replace_disk;
 use support::operator::request;
 use support::operator::status;
 use support::operator::submit;
@@ -93,15 +94,7 @@
         for number in 1..=50 {
             assert_eq!(submit(&parts, request(number, number - 1, "old")).await, accepted(number));
         }
-        let before = voters(&parts, "c2").await;
-        cluster.kill("c1");
-        cluster.wipe("c1");
-        cluster.start("c1");
-        wait_for("the replacement as voter", async || {
-            let now = voters(&parts, "c2").await;
-            now.len() == 3 && now.iter().filter(|v| !before.contains(v)).count() == 1
-        })
-        .await;
+        replace_disk(&mut cluster, &parts, "c1", "c2").await;
         // A second loss right after the repair loses nothing.
         cluster.kill("c2");
         assert_eq!(submit(&parts, request(50, 49, "old")).await, accepted(50));
--- a/hawthornkeel/tests/control_snapshots.rs
+++ b/hawthornkeel/tests/control_snapshots.rs
@@ -6,10 +6,10 @@
 use support::cluster::Cluster;
 use support::cluster::Spec;
 use support::operator::accepted;
+use support::operator::replace_disk;
 use support::operator::request;
 use support::operator::status;
 use support::operator::submit;
-use support::operator::voters;
 use support::operator::wait_for;
 use support::run;
 
@@ -35,15 +35,7 @@
         for number in 1..=CHANGES {
             assert_eq!(submit(&parts, request(number, number - 1, "old")).await, accepted(number));
         }
-        let before = voters(&parts, "c2").await;
-        cluster.kill("c1");
-        cluster.wipe("c1");
-        cluster.start("c1");
-        wait_for("the replacement as voter", async || {
-            let now = voters(&parts, "c2").await;
-            now.len() == 3 && now.iter().filter(|v| !before.contains(v)).count() == 1
-        })
-        .await;
+        replace_disk(&mut cluster, &parts, "c1", "c2").await;
         cluster.kill("c2");
         // What came before the snapshot is still known: a resend gets the first outcome.
         assert_eq!(submit(&parts, request(1, 0, "old")).await, accepted(1));
--- a/hawthornkeel/tests/support/operator.rs
+++ b/hawthornkeel/tests/support/operator.rs
@@ -13,6 +13,8 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::replica::Standing;
 
+use crate::support::cluster::Cluster;
+
 /// Time for one call of a test.
 const CALL: Duration = Duration::from_secs(1);
 
@@ -85,3 +87,16 @@
     let voters = control.members.0.into_iter().filter(|m| m.standing == Standing::Voter);
     voters.map(|m| (m.node.name.as_str().to_owned(), m.node.id.0)).collect()
 }
+
+/// Replaces the disk of `lost` and waits until `at` counts the replacement among three voters.
+pub async fn replace_disk(cluster: &mut Cluster, parts: &Parts, lost: &str, at: &str) {
+    let before = voters(parts, at).await;
+    cluster.kill(lost);
+    cluster.wipe(lost);
+    cluster.start(lost);
+    wait_for("the replacement as voter", async || {
+        let now = voters(parts, at).await;
+        now.len() == 3 && now.iter().filter(|v| !before.contains(v)).count() == 1
+    })
+    .await;
+}
--- a/hawthornkeel_core/src/request/refusal.rs
+++ b/hawthornkeel_core/src/request/refusal.rs
@@ -51,10 +51,6 @@
     StageFailed,
     /// The workspace has as many requests in progress as it may.
     WorkspaceLimit,
-    /// The instance is stopping.
-    Stopping,
-    /// The instance has no environment document yet.
-    NotReady,
 }
 
 impl RefusalCode {
@@ -71,8 +67,6 @@
             Self::NoCapacity => "no-capacity",
             Self::StageFailed => "stage-failed",
             Self::WorkspaceLimit => "workspace-limit",
-            Self::Stopping => "stopping",
-            Self::NotReady => "not-ready",
         }
     }
 }
