A late answer of an old incarnation no longer undoes a restart; reports tell of one too

Cause: an answer of an incarnation other than the known one always counted as newer, so an answer to a call given before a restart made the old incarnation the known one again; and an answer without a name cleared the known incarnation, so that a load report, which only compared with a known one, told of no restart in the product, where answers never named any. Ruled out: marking the replaced incarnation alone. After two restarts an answer of the first would have retired the present one for good. Change: the incarnations of a target have a module of their own. An answer to a call that was given before the present incarnation was heard of is late unless it names that one; a late one proves nothing. A permit of a warm target carries the incarnation that was proved, and `Router::named` takes a name before the call has ended. Conclusion: load reports and answers now both tell of a restart, in whichever order they come.

--- a/hawthornkeel_core/src/routing/cold.rs
+++ b/hawthornkeel_core/src/routing/cold.rs
@@ -65,7 +65,7 @@
         let Some(state) = found.target() else {
             return;
         };
-        let known = if doubt == Doubt::Overload { state.incarnation } else { None };
+        let known = if doubt == Doubt::Overload { state.named.present } else { None };
         let was_warm = state.suspect();
         let centre = state.info.centre.clone();
         found.refresh(now);
@@ -125,7 +125,8 @@
         let Some(state) = found.target() else {
             return;
         };
-        if state.proof.as_ref() == Some(grant) && state.incarnation == incarnation {
+        let same = incarnation.is_none() || state.named.present == incarnation;
+        if state.proof.as_ref() == Some(grant) && same {
             state.warmth = Warmth::Warm;
             state.limit.restart();
             found.refresh(now);
@@ -145,7 +146,7 @@
                 continue;
             }
             target.pending = None;
-            if let (Warmth::Warm, Some(incarnation)) = (target.warmth, target.incarnation) {
+            if let (Warmth::Warm, Some(incarnation)) = (target.warmth, target.named.present) {
                 warm.push(GrantMessage::Vouch { target: target.info.name.clone(), incarnation });
             }
         }
--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -1,8 +1,10 @@
 //! What the end of a call tells about its target.
 
+use crate::ids::Incarnation;
 use crate::lease::Doubt;
 use crate::lease::message::GrantOutcome;
 use crate::names::TargetName;
+use crate::routing::incarnation::Word;
 use crate::routing::router::Found;
 use crate::routing::router::Router;
 use crate::routing::target::Warmth;
@@ -39,6 +41,17 @@
         self.suspect_restart(now, target);
     }
 
+    /// Takes the incarnation that the target named on a call, which need not have ended.
+    pub fn named(&mut self, now: Instant, permit: &Permit, incarnation: Incarnation) {
+        let Some(mut found) = self.find(&permit.target) else {
+            return;
+        };
+        let word = found.target().map(|t| t.named.answer(now, permit.given, incarnation));
+        if word == Some(Word::New) {
+            self.suspect_restart(now, &permit.target);
+        }
+    }
+
     /// Takes a target for restarted and so possibly cold.
     pub(crate) fn suspect_restart(&mut self, now: Instant, target: &TargetName) {
         self.suspect(now, target, Doubt::Restart, true);
@@ -64,9 +77,12 @@
                 }
                 let step = target.measure(latency, usual);
                 target.limit.answered(running);
-                target.proof = permit.grant.clone();
-                let other = target.answered(now, incarnation);
-                let doubt = doubt(target.warmth, other, step);
+                target.answered(now);
+                let word = incarnation.map(|i| target.named.answer(now, permit.given, i));
+                if word != Some(Word::Late) {
+                    target.proof = permit.grant.clone();
+                }
+                let doubt = doubt(target.warmth, word, step);
                 pool.answered(latency);
                 if let Some(prefix) = permit.prefix {
                     pool.remember(prefix, &permit.target, 0);
@@ -102,9 +118,9 @@
 }
 
 /// Returns the doubt that an answer raises.
-fn doubt(warmth: Warmth, other: bool, step: bool) -> Option<Doubt> {
-    match (warmth, other, step) {
-        (Warmth::Warm, true, _) => Some(Doubt::Restart),
+fn doubt(warmth: Warmth, word: Option<Word>, step: bool) -> Option<Doubt> {
+    match (warmth, word, step) {
+        (Warmth::Warm, Some(Word::New), _) => Some(Doubt::Restart),
         (Warmth::Warm, _, true) => Some(Doubt::Overload),
         _ => None,
     }
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -7,6 +7,7 @@
 pub(crate) mod fair;
 pub(crate) mod finish;
 pub(crate) mod hot;
+pub(crate) mod incarnation;
 pub mod limit;
 pub(crate) mod pick;
 pub(crate) mod pool;
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -131,6 +131,7 @@
         grant = Some(used.id);
     }
     let reason = if target.is_down() { Reason::Probe } else { pick.reason };
+    let incarnation = target.named.present.filter(|_| grant.is_none());
     target.running += 1;
     let (name, address) = (target.info.name.clone(), target.info.address.clone());
     let permit = Permit {
@@ -140,6 +141,7 @@
         given: now,
         until,
         grant,
+        incarnation,
         prefix: request.prefix,
     };
     if retry {
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -3,11 +3,12 @@
 use std::time::Duration;
 
 use crate::document::Pool;
-use crate::ids::Incarnation;
 use crate::lease::LeaseSettings;
 use crate::lease::message::GrantId;
 use crate::routing::hot::Class;
 use crate::routing::hot::Hot;
+use crate::routing::incarnation::Named;
+use crate::routing::incarnation::Word;
 use crate::routing::limit::Limit;
 use crate::routing::refusals::Refusals;
 use crate::routing::settings::RouterSettings;
@@ -86,9 +87,7 @@
     /// Whether operators have taken out the target's data centre.
     pub taken_out: bool,
     pub warmth: Warmth,
-    pub incarnation: Option<Incarnation>,
-    /// Incarnation before the present one, whose late reports don't count.
-    pub retired: Option<Incarnation>,
+    pub named: Named,
     pub sequence: Option<u64>,
     /// Grant of the last answered call, until the target is suspected.
     pub proof: Option<GrantId>,
@@ -127,8 +126,7 @@
             leaving: false,
             taken_out: false,
             warmth: Warmth::Cold,
-            incarnation: None,
-            retired: None,
+            named: Named::new(now),
             sequence: None,
             proof: None,
             losses: 0,
@@ -160,13 +158,11 @@
     /// Takes a load report; returns whether it shows that the target has restarted.
     pub fn take_report(&mut self, now: Instant, report: &LoadReport, most: f64) -> bool {
         self.heard = now;
-        let late = report.incarnation.is_some() && report.incarnation == self.retired;
-        if late {
+        let word = report.incarnation.map(|i| self.named.report(now, i));
+        if word == Some(Word::Late) {
             return false;
         }
-        let new = report.incarnation.is_some()
-            && self.incarnation.is_some()
-            && report.incarnation != self.incarnation;
+        let new = word == Some(Word::New);
         let lower = report.sequence.is_some() && report.sequence < self.sequence;
         self.sequence = report.sequence;
         self.leaving = report.leaving || (self.leaving && !new);
@@ -177,10 +173,6 @@
             run.reported(all);
         }
         self.bound(most);
-        if new {
-            self.retired = self.incarnation;
-            self.incarnation = report.incarnation;
-        }
         new || (lower && report.incarnation.is_none())
     }
 
@@ -278,19 +270,13 @@
         self.short > self.long * STEP_RATIO && self.short > pool_micros * STEP_RATIO
     }
 
-    /// Takes an answer; returns whether it came from another incarnation than the known one.
-    pub fn answered(&mut self, now: Instant, incarnation: Option<Incarnation>) -> bool {
+    /// Takes an answer.
+    pub fn answered(&mut self, now: Instant) {
         self.heard = now;
         self.failures = 0;
         self.refusals = None;
         self.down_until = Instant::ZERO;
         self.retry_at = Instant::ZERO;
-        let other = self.incarnation.is_some() && incarnation != self.incarnation;
-        if other {
-            self.retired = self.incarnation;
-        }
-        self.incarnation = incarnation;
-        other
     }
 
     /// Takes a failure; once there are `DOWN_AFTER` in a row, the target is left alone a while.
--- a/hawthornkeel_core/src/routing/types.rs
+++ b/hawthornkeel_core/src/routing/types.rs
@@ -208,6 +208,8 @@
     pub until: Instant,
     /// Grant that the call is made under, where the target is cold.
     pub grant: Option<GrantId>,
+    /// Incarnation that was proved warm, which alone may get the call; any where absent.
+    pub incarnation: Option<Incarnation>,
     /// Hash of the prompt's prefix, where the stage has one.
     pub(crate) prefix: Option<u64>,
 }
