Test fleets are warm once each instance's own data centre is

Cause: late_answers failed once (`answer_after_the_deadline_is_kept_for_the_resend`, late_answers.rs:50, `call=.../1/0 stage=sign outcome=silent millis=7999` under reason=cold_grant). `Fleet::warm` says that the last calls to the instance's own data centre needed no grant, but took the last call to any data centre; as all its calls had one prefix, a far target that was warm kept them, and the own one stayed cold. Ruled out: the call itself; a call under a grant is bounded by its grant, as docs/DESIGN.md says. It is stricter than before.

--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -168,8 +168,11 @@
     /// Has every instance call the targets until none needs a grant.
     pub fn warm(&self) {
         for at in 0..self.instances.len() {
+            let mut number = 0;
             let warm = || {
-                let answer = self.call(at, "warm", "", "{}");
+                // Calls of one prefix would stay with the first target that is warm.
+                number += 1;
+                let answer = self.call(at, "warm", "", &format!("{{\"number\":{number}}}"));
                 answer.is_some_and(|a| a.status == 200) && self.is_warm(at)
             };
             assert!(eventually(PATIENCE, warm), "not warm:\n{}", self.log(at));
@@ -181,8 +184,8 @@
         let log = self.log(at);
         let routes = || log.lines().rev().filter(|l| l.contains("event=route "));
         POOLS.iter().all(|pool| {
-            let pool = format!("pool={pool} ");
-            routes().find(|l| l.contains(&pool)).is_some_and(|l| !l.contains("cold_grant"))
+            let target = format!("target={pool}-{} ", self.instances[at].centre);
+            routes().find(|l| l.contains(&target)).is_some_and(|l| !l.contains("cold_grant"))
         })
     }
 
