--- a/hawthornkeel/src/entry/controllers/load.rs
+++ b/hawthornkeel/src/entry/controllers/load.rs
@@ -1,4 +1,4 @@
-//! Controller of load: polls the targets' own reports, which lag.
+//! Controller of load: polls the targets' own reports, which lag, and watches idle connections.
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -17,6 +17,9 @@
 /// Time for one poll.
 const POLL_TIMEOUT: Duration = Duration::from_secs(1);
 
+/// Time between two looks at the idle connections.
+const WATCH_PAUSE: Duration = Duration::from_millis(50);
+
 /// Polls until the process ends.
 pub async fn run(context: Rc<Context>) {
     loop {
@@ -27,6 +30,40 @@
     }
 }
 
+/// Watches the idle connections until the process ends.
+///
+/// A target may close them for being idle, so one that has named its incarnation is asked for it at
+/// once. One that never has is taken for restarted where it closes a connection right after its use.
+pub async fn watch(context: Rc<Context>) {
+    loop {
+        monoio::time::sleep(WATCH_PAUSE).await;
+        for lost in context.client.take_lost().await {
+            if let Some(target) = target_at(&context, lost.address) {
+                take_lost(&context, target, lost.recent);
+            }
+        }
+    }
+}
+
+fn target_at(context: &Context, address: SocketAddr) -> Option<TargetInfo> {
+    let address = address.to_string();
+    let targets = context.targets.borrow();
+    targets.iter().find(|t| *t.address == *address).cloned()
+}
+
+/// Takes the loss of an idle connection to a target.
+fn take_lost(context: &Rc<Context>, target: TargetInfo, recent: bool) {
+    let now = context.clock.now();
+    let mut router = context.router.borrow_mut();
+    let named = router.status(&target.name).is_some_and(|s| s.incarnation.is_some());
+    tracing::debug!(event = "connection-lost", target = %target.name, named, recent);
+    if recent && !named {
+        router.connection_lost(now, &target.name);
+    }
+    drop(router);
+    monoio::spawn(poll(Rc::clone(context), target));
+}
+
 /// Returns the targets that this entry sends to: a few of each pool in a large fleet.
 fn known_targets(context: &Context) -> Vec<TargetInfo> {
     let router = context.router.borrow();
--- a/hawthornkeel/src/entry/start.rs
+++ b/hawthornkeel/src/entry/start.rs
@@ -42,6 +42,7 @@
         let server = Server::bind(address, limits(&context.settings.entry))?;
         monoio::spawn(controllers::targets::run(Rc::clone(&context)));
         monoio::spawn(controllers::load::run(Rc::clone(&context)));
+        monoio::spawn(controllers::load::watch(Rc::clone(&context)));
         monoio::spawn(controllers::lease::run(Rc::clone(&context)));
         monoio::spawn(controllers::queue::run(Rc::clone(&context)));
         Ok(Self { context, server })
--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -17,6 +17,7 @@
 use crate::target::connection::Connection;
 use crate::target::connection::Watch;
 use crate::target::error::CallError;
+use crate::target::pool::Lost;
 use crate::target::pool::Pool;
 use crate::target::pool::Taken;
 use crate::target::process::Process;
@@ -88,6 +89,11 @@
         self.inner.pool.forget(address);
     }
 
+    /// Closes idle connections that their targets have closed, and returns whose they were.
+    pub async fn take_lost(&self) -> Vec<Lost> {
+        self.inner.pool.take_lost().await
+    }
+
     /// Calls a plain service and returns its whole answer.
     ///
     /// Dropping the future closes the connection, which cancels the call.
--- a/hawthornkeel/src/target/mod.rs
+++ b/hawthornkeel/src/target/mod.rs
@@ -8,7 +8,7 @@
 pub mod error;
 pub mod load;
 pub mod order;
-mod pool;
+pub mod pool;
 pub mod process;
 mod refusal;
 mod sse;
--- a/hawthornkeel/src/target/pool.rs
+++ b/hawthornkeel/src/target/pool.rs
@@ -39,6 +39,15 @@
     pub(crate) lost: bool,
 }
 
+/// Loss of an idle connection.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Lost {
+    /// Address of the target.
+    pub address: SocketAddr,
+    /// Whether the connection was used so recently that its loss tells of a restart.
+    pub recent: bool,
+}
+
 impl Pool {
     /// Creates a pool that keeps `max_idle` connections a target, each for `idle_time`.
     pub(crate) fn new(max_idle: usize, idle_time: Duration) -> Self {
@@ -79,6 +88,40 @@
         false
     }
 
+    /// Closes idle connections that their targets have closed; returns whose and how recent.
+    ///
+    /// Connections of a target are looked at from the one that was used last, up to an open one.
+    pub(crate) async fn take_lost(&self) -> Vec<Lost> {
+        self.close_old();
+        let addresses: Vec<SocketAddr> = self.targets.borrow().keys().copied().collect();
+        let mut lost = Vec::new();
+        for address in addresses {
+            let mut found: Option<Lost> = None;
+            while let Some(mut idle) = self.pop(address) {
+                if idle.connection.is_quiet().await {
+                    self.targets.borrow_mut().entry(address).or_default().push_back(idle);
+                    break;
+                }
+                let recent = idle.since.elapsed() < RECENT;
+                found.get_or_insert(Lost { address, recent });
+            }
+            lost.extend(found);
+        }
+        lost
+    }
+
+    /// Closes connections that were idle for too long, and forgets targets without any.
+    fn close_old(&self) {
+        let now = Instant::now();
+        let old = |i: &Idle| now.duration_since(i.since) >= self.idle_time;
+        self.targets.borrow_mut().retain(|_, idle| {
+            while idle.front().is_some_and(old) {
+                idle.pop_front();
+            }
+            !idle.is_empty()
+        });
+    }
+
     /// Takes out the connection that was used last.
     fn pop(&self, address: SocketAddr) -> Option<Idle> {
         // The borrow ends before any check, which may let other tasks run.
--- a/hawthornkeel/tests/cold_restart.rs
+++ b/hawthornkeel/tests/cold_restart.rs
@@ -19,19 +19,28 @@
 
 #[test]
 fn restarted_target_is_not_overrun() {
-    restart_under_load(25, 150);
+    restart_under_load(25, 150, true);
 }
 
 #[test]
 fn restarted_busy_target_is_not_overrun() {
-    restart_under_load(60, 360);
+    restart_under_load(60, 360, true);
+}
+
+#[test]
+fn restarted_target_with_unnamed_answers_is_not_overrun() {
+    restart_under_load(60, 360, false);
 }
 
 /// Restarts a target while each entry sends `rate` requests a second, `count` in all.
-fn restart_under_load(rate: u64, count: u64) {
+///
+/// The answers of the targets name their incarnations, or only their load reports do.
+fn restart_under_load(rate: u64, count: u64, named: bool) {
     let mut fleet = Fleet::prepare(4, 2);
     for target in fleet.pool("writers") {
-        let fields = format!("{{\"floor_ms\":20,\"cold_bears\":{BEARS},\"warm_after\":4}}");
+        let fields = format!(
+            "{{\"floor_ms\":20,\"cold_bears\":{BEARS},\"warm_after\":4,\"named\":{named}}}"
+        );
         target.thread.behave(&fields).unwrap();
     }
     fleet.run();
--- a/hawthornkeel/tests/target_restarts.rs
+++ b/hawthornkeel/tests/target_restarts.rs
@@ -13,6 +13,7 @@
 use hawthornkeel::target::client::ClientLimits;
 use hawthornkeel::target::completion::COMPLETIONS;
 use hawthornkeel::target::error::CallError;
+use hawthornkeel::target::pool::Lost;
 use hawthornkeel::target::process::Heard;
 use hawthornkeel::target::process::Process;
 use hawthornkeel_core::ids::CallId;
@@ -159,6 +160,21 @@
     .unwrap();
 }
 
+#[test]
+fn closed_idle_connection_is_noticed_once() {
+    let address = start_closing(2, "");
+    let client = Client::new(ClientLimits::default());
+    thread::block_on(async {
+        client.call(address, &call(Process::Any, true)).await.unwrap();
+        assert_eq!(client.take_lost().await, [], "still open");
+        client.call(address, &call(Process::Any, true)).await.unwrap();
+        monoio::time::sleep(Duration::from_millis(20)).await;
+        assert_eq!(client.take_lost().await, [Lost { address, recent: true }]);
+        assert_eq!(client.take_lost().await, []);
+    })
+    .unwrap();
+}
+
 #[rstest]
 fn closed_recent_connection_tells_of_an_unnamed_process(#[values(true, false)] idempotent: bool) {
     let address = start_closing(1, "");
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -4,6 +4,7 @@
 
 use crate::document::Document;
 use crate::document::Workspace;
+use crate::ids::Incarnation;
 use crate::ids::RequestId;
 use crate::lease::GrantMessage;
 use crate::lease::LeaseSettings;
@@ -83,6 +84,8 @@
     pub takes_work: bool,
     /// Whether the target fails and gets nothing but probes.
     pub down: bool,
+    /// Incarnation that the target named last, if it named any.
+    pub incarnation: Option<Incarnation>,
 }
 
 /// Router of one entry instance: chooses targets, keeps limits, budgets and waiting calls.
@@ -214,6 +217,7 @@
             limit: state.limit.calls(),
             takes_work: state.takes_work(),
             down: state.is_down(),
+            incarnation: state.named.present,
         })
     }
 
