--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -132,6 +132,7 @@
         grant_end = Some(used.until);
     }
     let reason = if target.is_down() { Reason::Probe } else { pick.reason };
+    let incarnation = target.named.present.filter(|_| grant.is_none());
     target.running += 1;
     let (name, address) = (target.info.name.clone(), target.info.address.clone());
     let permit = Permit {
@@ -142,6 +143,7 @@
         until,
         grant,
         grant_end,
+        incarnation,
         prefix: request.prefix,
     };
     if retry {
--- a/hawthornkeel_core/src/routing/types.rs
+++ b/hawthornkeel_core/src/routing/types.rs
@@ -210,6 +210,8 @@
     pub grant: Option<GrantId>,
     /// Time at which that grant ends, which may be after `until`.
     pub grant_end: Option<Instant>,
+    /// Incarnation that was proved warm, which alone may get the call; any where absent.
+    pub incarnation: Option<Incarnation>,
     /// Hash of the prompt's prefix, where the stage has one.
     pub(crate) prefix: Option<u64>,
 }
