A request keeps the document that it was admitted under

Cause: a call took its pool from the environment in force at its dispatch. Where a new document had removed the pool since (during a claim, or a wait for a turn), no call was made and nothing else was awaited, so the request hung until its deadline. The router dropped a removed pool with its waiting calls, which were then never decided, and refused the later stages of admitted requests. Ruled out: refusing at once where the pool is gone. It is a true refusal, but gives up requests that can be served. Keeping pools for a time instead: the last admitted request is the right end. Change: the draft holds the environment. The router keeps a pool that the document no longer names until no admitted request needs it. A route without a stage and a call without permit or plan end in an input of their own, never in nothing. Conclusion: holds for claims, waits and later stages. The claim window alone was not brought about in a test: its code path is gone.

--- a/hawthornkeel/src/entry/drive.rs
+++ b/hawthornkeel/src/entry/drive.rs
@@ -240,6 +240,7 @@
 
     fn start_route(&mut self, index: StageIndex, attempt: AttemptNumber) {
         let Some(request) = self.stage_request(index, attempt) else {
+            self.operation = Some(ready(Input::NotRouted { retry_after: None }));
             return;
         };
         let context = Rc::clone(&self.context);
@@ -295,10 +296,9 @@
     }
 
     fn start_call(&mut self, id: CallId, resume: usize) {
-        let Some(permit) = self.chosen.take() else {
-            return;
-        };
-        let Some(plan) = self.call_plan(id, resume) else {
+        let (Some(permit), Some(plan)) = (self.chosen.take(), self.call_plan(id, resume)) else {
+            let failure = CallFailure::NotSent;
+            self.operation = Some(ready(Input::Failed { call: id, failure, received: resume }));
             return;
         };
         self.called = permit.permit().map(|p| p.target.clone());
@@ -309,8 +309,7 @@
 
     fn call_plan(&self, id: CallId, resume: usize) -> Option<CallPlan> {
         let stage = self.stage(id.stage)?;
-        let environment = self.context.environment()?;
-        let pool = environment.document.pool(stage.pool.as_str())?.clone();
+        let pool = self.draft.environment.document.pool(stage.pool.as_str())?.clone();
         let last = usize::from(id.stage.0) + 1 == self.draft.pipeline.stages.len();
         Some(CallPlan {
             id,
@@ -354,6 +353,11 @@
     }
 }
 
+/// Returns the operation that ends in `input` at once.
+fn ready(input: Input) -> Operation {
+    Box::pin(std::future::ready(Step::Other(input)))
+}
+
 /// Returns how the next attempt repeats the stage after `failure`.
 fn repeat_after(failure: CallFailure, before: Repeat) -> Repeat {
     match (failure.evidence(), before) {
--- a/hawthornkeel/src/entry/environment.rs
+++ b/hawthornkeel/src/entry/environment.rs
@@ -9,7 +9,7 @@
 use indexmap::IndexMap;
 
 /// Environment document in force at this instance.
-#[derive(Clone, Debug)]
+#[derive(Clone, Debug, Default)]
 pub struct Environment {
     /// Version of the document.
     pub version: Version,
--- a/hawthornkeel/src/entry/filter.rs
+++ b/hawthornkeel/src/entry/filter.rs
@@ -1,5 +1,6 @@
 //! Filter chain: what a request passes before it is admitted.
 
+use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
@@ -35,6 +36,8 @@
 /// Request as the filters have understood it so far.
 #[derive(Clone, Debug, Default)]
 pub struct Draft {
+    /// Environment that the request is admitted under and keeps to its end.
+    pub environment: Rc<Environment>,
     /// Pipeline called.
     pub pipeline: Arc<Pipeline>,
     /// Workspace of the caller.
@@ -84,7 +87,7 @@
     let Some(environment) = context.environment() else {
         return Err(not_ready("no environment document yet"));
     };
-    let mut draft = Draft::default();
+    let mut draft = Draft { environment: Rc::clone(&environment), ..Draft::default() };
     for filter in CHAIN {
         filter.apply(context, &environment, head, body, &mut draft)?;
     }
--- a/hawthornkeel_core/src/routing/admit.rs
+++ b/hawthornkeel_core/src/routing/admit.rs
@@ -157,8 +157,12 @@
 
     /// Notes that an admitted request no longer needs a pool.
     fn uncommit(&mut self, pool: &PoolName) {
-        if let Some(pool) = self.pools.get_mut(pool) {
-            pool.committed = pool.committed.saturating_sub(1);
+        let Some(pool) = self.pools.get_mut(pool) else {
+            return;
+        };
+        pool.committed = pool.committed.saturating_sub(1);
+        if pool.is_over() {
+            self.drop_removed();
         }
     }
 }
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -69,6 +69,8 @@
     pub hedges: Budget,
     /// Admitted requests that still need this pool.
     pub committed: u64,
+    /// Whether the document no longer names the pool: it ends with the last request that needs it.
+    pub removed: bool,
     /// Time at which a target that is left alone may open again.
     pub reopen: Option<Instant>,
     /// Failed calls since the last answer of any target.
@@ -102,6 +104,7 @@
             retries: Budget::new(set.retry_share, set.retry_burst),
             hedges: Budget::new(set.hedge_share, HEDGE_BURST),
             committed: 0,
+            removed: false,
             reopen: None,
             failures: 0,
             retry_at: Instant::ZERO,
@@ -112,6 +115,11 @@
         }
     }
 
+    /// Tells whether the pool is neither named by the document nor needed by a request.
+    pub fn is_over(&self) -> bool {
+        self.removed && self.committed == 0
+    }
+
     /// Returns the median time of a call, or zero while none was measured.
     pub fn median(&self) -> Duration {
         self.times.median().unwrap_or_default()
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -132,10 +132,13 @@
 
     /// Takes the document's pools and workspaces; what was measured of pools that stay is kept.
     ///
-    /// Targets of pools that are new are known from the next list on.
+    /// Targets of pools that are new are known from the next list on. A removed pool goes on
+    /// serving the requests that were admitted before.
     pub fn apply_document(&mut self, document: &Document) {
-        self.pools.retain(|name, _| document.pool(name.as_str()).is_some());
-        self.homes.retain(|_, pool| self.pools.contains_key(pool));
+        for (name, pool) in &mut self.pools {
+            pool.removed = document.pool(name.as_str()).is_none();
+        }
+        self.drop_removed();
         for pool in &document.pools {
             let settings = &self.settings;
             let new = || PoolState::new(pool.clone(), settings);
@@ -264,6 +267,12 @@
         }
     }
 
+    /// Drops the pools that the document no longer names and that no request needs.
+    pub(crate) fn drop_removed(&mut self) {
+        self.pools.retain(|_, pool| !pool.is_over());
+        self.homes.retain(|_, pool| self.pools.contains_key(pool));
+    }
+
     /// Drops targets that are neither listed nor heard for long.
     fn drop_absent(&mut self, now: Instant) {
         let age = self.settings.drop_after;
--- /dev/null
+++ b/hawthornkeel_core/tests/removed_pools.rs
@@ -0,0 +1,80 @@
+//! Admitted requests keep the pools that they were admitted under, until the last has ended.
+
+mod common;
+
+use std::time::Duration;
+
+use hawthornkeel_core::document::Document;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_core::routing::Admission;
+use hawthornkeel_core::routing::Decision;
+use hawthornkeel_core::routing::Reason;
+use hawthornkeel_core::routing::RequestPlan;
+use hawthornkeel_core::routing::Router;
+use hawthornkeel_core::routing::RouterSettings;
+
+use common::answered;
+use common::at;
+use common::document;
+use common::request;
+use common::sent;
+use common::target;
+use common::warm_router;
+
+/// Creates a router with one warm target that bears one call.
+fn router() -> Router {
+    warm_router(&document(1, &[("w", 1)]), &[target("t0", "a")], RouterSettings::default())
+}
+
+/// Admits request `number` to the pool `p`.
+fn admit(router: &mut Router, number: u128) {
+    let plan = RequestPlan {
+        request: RequestId(number),
+        workspace: "w".into(),
+        pools: vec!["p".into()],
+        deadline: at(8_000),
+        floor: Duration::from_millis(1),
+    };
+    assert_eq!(router.admit(at(0), &plan), Admission::Admitted);
+}
+
+#[test]
+fn waiting_call_of_a_removed_pool_gets_its_turn() {
+    let mut router = router();
+    admit(&mut router, 1);
+    admit(&mut router, 2);
+    let permit = sent(router.choose(at(0), &request(1, "w")));
+    let waits = router.choose(at(0), &request(2, "w"));
+    assert!(matches!(waits, Decision::Wait { .. }), "{waits:?}");
+    router.apply_document(&Document::default());
+    router.finished(at(100), permit, answered());
+    let ready = router.take_ready(at(100));
+    assert!(ready.iter().any(|r| r.call == request(2, "w").call), "never decided: {ready:?}");
+}
+
+#[test]
+fn removed_pool_serves_admitted_requests_and_ends_with_the_last() {
+    let mut router = router();
+    admit(&mut router, 1);
+    admit(&mut router, 2);
+    router.apply_document(&Document::default());
+    router.update_targets(at(0), &[target("t0", "a")]);
+    let permit = sent(router.choose(at(0), &request(1, "w")));
+    router.finished(at(100), permit, answered());
+    router.leave(at(100), RequestId(1));
+    assert_eq!(router.known_targets(&"p".into()), 1, "the second request still needs the pool");
+    router.leave(at(200), RequestId(2));
+    assert_eq!(router.known_targets(&"p".into()), 0);
+    let late = router.choose(at(200), &request(3, "w"));
+    assert!(matches!(late, Decision::Refuse { reason: Reason::UnknownPool, .. }), "{late:?}");
+}
+
+#[test]
+fn pool_that_is_named_again_stays() {
+    let mut router = router();
+    admit(&mut router, 1);
+    router.apply_document(&Document::default());
+    router.apply_document(&document(1, &[("w", 1)]));
+    router.leave(at(100), RequestId(1));
+    sent(router.choose(at(100), &request(2, "w")));
+}
