Hedged calls: a slow call is raced by one at another target

Cause: the router decided hedges, but no state machine asked for one and no entry made one, so a call stuck at one target was waited for until its silence or deadline. Ruled out: hedges that wait in the queue (load on a stage that is slow already); cancelling the slow call first (a retry like any other); a second shared text buffer for streamed answers (two sources). Change: Run takes HedgeDue and answers with Hedge and Cancel; a stage is raced once for each attempt, within its max_attempts, never where it may not be repeated or its answer is streamed to the caller. The first whole answer wins; answers are matched by call. Router: hedges in a step of their own, which costs budget only where one is sent, and sends none while calls wait, while the pool fails as a whole, to a failing target, or to or of a cold one. hedge_after takes the permit. Entry: second operation beside the first, with its own text; cancelled calls are recorded (outcome cancelled, wasted time). run/mod.rs and drive.rs are split into modules of one job. Faults found on the way: a hedge refused for the deadline still cost budget; a hedge could go to a failing target. Before: process test with the timer off: 503 deadline-unreachable instead of 200. Wrong versions seen to fail, one by one: loser not cancelled; retry while the other runs; attempts, streaming, time or idempotence not looked at; resume from the hedge's bytes; end cancels one; match by stage; hedged twice; hedge while calls wait; budget spent at each ask, before a refusal, or ignored; failing or cold target hedged; cold call hedged; a cancellation counted as a failure; another delay. In processes: hedging always (2 runs of a signature), cancel without effect (the slow run ends whole). Streamed answers are not hedged. Seen: late_answers::answer_after_the_deadline_is_kept_for_the_resend failed in two runs of two; the signature went to a far target under a grant, which bounds the call.

--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -20,6 +20,7 @@
 use crate::entry::context::Context;
 use crate::entry::permit::HeldPermit;
 use crate::entry::reply::Reply;
+use crate::entry::unfinished::Unfinished;
 use crate::target::call::Call;
 use crate::target::client::Client;
 use crate::target::completion::COMPLETIONS;
@@ -56,6 +57,8 @@
     pub resume: usize,
     /// Text that earlier attempts received, which this one adds to.
     pub text: Rc<RefCell<String>>,
+    /// Whether the call races another one for the same stage.
+    pub hedge: bool,
     /// Where pieces of the answer go as they come, if anywhere.
     pub reply: Option<Rc<Reply>>,
 }
@@ -73,7 +76,9 @@
         let stage = plan.stage.name.as_str().to_owned();
         metrics::counter!(telemetry::COLD_CALLS, "stage" => stage).increment(1);
     }
+    let unfinished = Unfinished::new(&context, &plan);
     let result = attempt(&context, &permit, &plan).await;
+    unfinished.end();
     let latency = context.clock.now().since(started);
     record(&plan, latency, &result);
     match result {
@@ -216,7 +221,7 @@
         }
         Err(_) => metrics::counter!(telemetry::WASTED_MILLIS, &labels).increment(millis),
     }
-    if plan.id.attempt.0 > 0 {
+    if plan.id.attempt.0 > 0 && !plan.hedge {
         metrics::counter!(telemetry::RETRIES, &labels).increment(1);
     }
     let [(_, stage)] = labels;
--- /dev/null
+++ b/hawthornkeel/src/entry/drive/ending.rs
@@ -0,0 +1,36 @@
+//! Final answers and refusals.
+
+use bytes::Bytes;
+use hawthornkeel_core::request::refusal::Refusal;
+
+use crate::entry::drive::Drive;
+use crate::entry::refuse;
+use crate::telemetry;
+
+impl Drive {
+    pub(super) async fn finish(&self, answer: Bytes) {
+        let profile = self.run.profile();
+        let request = format!("{:032x}", profile.id.0);
+        tracing::info!(event = "answered", request, pipeline = %profile.pipeline.name);
+        metrics::counter!(telemetry::ANSWERS).increment(1);
+        self.record_time();
+        self.reply.finish(&answer).await;
+    }
+
+    /// Records the time from arrival to the final answer.
+    fn record_time(&self) {
+        let pipeline = self.draft.pipeline.name.as_str().to_owned();
+        let elapsed = self.context.clock.now().since(self.arrived);
+        metrics::histogram!(telemetry::REQUEST_SECONDS, "pipeline" => pipeline)
+            .record(elapsed.as_secs_f64());
+    }
+
+    pub(super) async fn refuse(&self, refusal: Refusal) {
+        let request = format!("{:032x}", self.run.profile().id.0);
+        let code = refusal.code.as_str();
+        tracing::info!(event = "refused", request, code, ran = %refusal.ran);
+        metrics::counter!(telemetry::REFUSALS, "code" => code).increment(1);
+        self.record_time();
+        self.reply.refuse(refuse::problem(refusal)).await;
+    }
+}
--- /dev/null
+++ b/hawthornkeel/src/entry/drive/routes.rs
@@ -0,0 +1,61 @@
+//! Questions to the router: which target runs a stage.
+
+use std::rc::Rc;
+
+use hawthornkeel_core::document::Stage;
+use hawthornkeel_core::ids::AttemptNumber;
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::ids::StageIndex;
+use hawthornkeel_core::request::event::Input;
+use hawthornkeel_core::routing::types::StageRequest;
+use xxhash_rust::xxh3::Xxh3;
+
+use crate::entry::drive::Drive;
+use crate::entry::drive::ready;
+use crate::entry::route::route;
+
+/// Bytes of the caller's body that count as the prompt's prefix.
+const PREFIX_BYTES: usize = 512;
+
+impl Drive {
+    pub(super) fn start_route(&mut self, index: StageIndex, attempt: AttemptNumber) {
+        let Some(request) = self.stage_request(index, attempt) else {
+            self.operation = Some(ready(Input::NotRouted { retry_after: None }));
+            return;
+        };
+        let context = Rc::clone(&self.context);
+        self.operation = Some(Box::pin(route(context, request)));
+    }
+
+    pub(super) fn stage_request(
+        &self,
+        index: StageIndex,
+        attempt: AttemptNumber,
+    ) -> Option<StageRequest> {
+        let stage = self.stage(index)?;
+        let later = || self.draft.pipeline.stages.iter().skip(usize::from(index.0) + 1);
+        let profile = self.run.profile();
+        Some(StageRequest {
+            call: CallId { request: profile.id, stage: index, attempt },
+            workspace: profile.workspace.clone(),
+            pool: stage.pool.clone(),
+            priority: self.draft.priority,
+            deadline: profile.deadline,
+            floor: stage.floor(),
+            remaining: later().map(Stage::floor).sum(),
+            later: later().map(|s| s.pool.clone()).collect(),
+            prefix: Some(self.prefix_hash(&stage)),
+            excluded: self.excluded.clone(),
+            repeat: self.repeat,
+        })
+    }
+
+    /// Returns the hash that calls with the same prompt prefix have in common.
+    fn prefix_hash(&self, stage: &Stage) -> u64 {
+        let mut hasher = Xxh3::new();
+        hasher.update(self.draft.workspace.as_str().as_bytes());
+        hasher.update(stage.name.as_str().as_bytes());
+        hasher.update(self.input.get(..PREFIX_BYTES).unwrap_or(&self.input));
+        hasher.digest()
+    }
+}
--- a/hawthornkeel/src/entry/mod.rs
+++ b/hawthornkeel/src/entry/mod.rs
@@ -15,3 +15,4 @@
 pub mod route;
 pub mod serve;
 pub mod start;
+pub mod unfinished;
--- a/hawthornkeel/src/entry/route.rs
+++ b/hawthornkeel/src/entry/route.rs
@@ -39,6 +39,18 @@
     }
 }
 
+/// Has the router choose a target without a wait.
+pub fn route_now(context: &Rc<Context>, request: &StageRequest) -> Option<HeldPermit> {
+    let decision = context.router.borrow_mut().choose(context.clock.now(), request);
+    log_decision(request, &decision);
+    match decision {
+        Decision::Send { address, permit, .. } => {
+            Some(HeldPermit::new(Rc::clone(context), permit, address))
+        }
+        Decision::Wait { .. } | Decision::Refuse { .. } => None,
+    }
+}
+
 /// Takes a call out of the queue where its wait is given up.
 struct WaitGuard {
     context: Rc<Context>,
--- a/hawthornkeel/src/entry/serve.rs
+++ b/hawthornkeel/src/entry/serve.rs
@@ -77,6 +77,7 @@
             pipeline: Arc::clone(&draft.pipeline),
             key: draft.key.clone(),
             digest: draft.digest,
+            streamed: draft.streamed,
             deadline: now + draft.budget,
         });
         let reply = Reply::new(id, draft.streamed, sender);
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -16,6 +16,8 @@
 pub const CALLS: &str = "hawthornkeel_calls_total";
 /// Calls to targets that repeat an earlier one, by stage.
 pub const RETRIES: &str = "hawthornkeel_retries_total";
+/// Calls to targets that race another call for the same stage, by stage.
+pub const HEDGES: &str = "hawthornkeel_hedges_total";
 /// Calls to cold targets under a grant, by stage.
 pub const COLD_CALLS: &str = "hawthornkeel_cold_calls_total";
 /// Time of calls to targets in seconds, by stage: the busy time of a stage is its sum.
--- a/hawthornkeel_core/src/request/event.rs
+++ b/hawthornkeel_core/src/request/event.rs
@@ -47,6 +47,8 @@
         /// Bytes of the answer received, from which a stream can resume.
         received: usize,
     },
+    /// A call has gone on for so long that a second one is worth it.
+    HedgeDue(CallId),
     /// The time asked for has passed.
     Woken,
     /// The deadline has passed.
@@ -85,6 +87,9 @@
         /// Bytes of the answer received by earlier attempts, from which an engine resumes.
         resume: usize,
     },
+    /// Call another target beside the call in progress, from the start of the answer, where one is
+    /// free at once and the hedge budget allows it; [`CallFailure::NotSent`] is reported if not.
+    Hedge(CallId),
     /// End a call that is in progress.
     Cancel(CallId),
     /// Record how the claim ended, and report [`Input::Settled`].
--- a/hawthornkeel_core/src/request/profile.rs
+++ b/hawthornkeel_core/src/request/profile.rs
@@ -23,6 +23,8 @@
     pub key: Option<Arc<str>>,
     /// Digest of the request's body.
     pub digest: u64,
+    /// Whether pieces of the last stage's answer are given to the caller as they come.
+    pub streamed: bool,
     /// Time by which the whole answer is due.
     pub deadline: Instant,
 }
--- a/hawthornkeel_core/src/request/run/ending.rs
+++ b/hawthornkeel_core/src/request/run/ending.rs
@@ -16,6 +16,7 @@
 use crate::request::run::Run;
 use crate::request::run::SETTLE_MARGIN;
 use crate::request::run::Trace;
+use crate::request::run::calls::Calls;
 use crate::state::command::Settlement;
 
 impl Run {
@@ -46,7 +47,7 @@
     pub(super) fn abandon(&mut self) -> Vec<Action> {
         let code = RefusalCode::DeadlinePassed;
         match self.phase.clone() {
-            Phase::Calling(call) => self.abandon_call(call),
+            Phase::Calling(calls) => self.abandon_calls(calls),
             Phase::Claiming => {
                 let mut actions = vec![Action::Unroute];
                 let settle = self.settle(self.new_claimant(), Settlement::Released);
@@ -73,14 +74,15 @@
         }
     }
 
-    /// Ends a request in the middle of a call.
-    pub(super) fn abandon_call(&mut self, call: CallId) -> Vec<Action> {
+    /// Ends a request in the middle of its calls.
+    pub(super) fn abandon_calls(&mut self, calls: Calls) -> Vec<Action> {
         self.trace = Trace::Some;
-        if self.claimant.is_none() {
-            let mut actions = vec![Action::Cancel(call)];
+        let claimed = calls.all().next().filter(|_| self.claimant.is_some());
+        let Some(call) = claimed else {
+            let mut actions: Vec<Action> = calls.all().map(Action::Cancel).collect();
             actions.extend(self.refuse(RefusalCode::DeadlinePassed, None));
             return actions;
-        }
+        };
         // The call goes on, so that a late answer can still be recorded for a resend.
         self.phase = Phase::Late(call);
         let code = RefusalCode::OutcomeUnknown;
--- a/hawthornkeel_core/src/request/run/mod.rs
+++ b/hawthornkeel_core/src/request/run/mod.rs
@@ -1,5 +1,8 @@
 //! State machine of one request: stages in order, attempts, claims and the final answer.
 
+mod calling;
+mod calls;
+mod claiming;
 mod ending;
 
 use std::time::Duration;
@@ -11,17 +14,13 @@
 use crate::ids::CallId;
 use crate::ids::StageIndex;
 use crate::request::event::Action;
-use crate::request::event::ClaimFailure;
 use crate::request::event::Input;
-use crate::request::failure::CallFailure;
-use crate::request::failure::Evidence;
 use crate::request::profile::Profile;
 use crate::request::refusal::Ran;
 use crate::request::refusal::Refusal;
 use crate::request::refusal::RefusalCode;
-use crate::state::command::Claim;
+use crate::request::run::calls::Calls;
 use crate::state::command::ClaimKey;
-use crate::state::command::ClaimOutcome;
 use crate::state::command::Claimant;
 use crate::state::command::Settle;
 use crate::state::command::Settlement;
@@ -29,10 +28,6 @@
 
 /// Time beyond the deadline after which an unsettled claim counts as unknown.
 const SETTLE_MARGIN: Duration = Duration::from_secs(2);
-/// Time between looks at a claim that another attempt holds.
-const HELD_POLL: Duration = Duration::from_millis(100);
-/// Attempts at a stage that did not run, at most, beside those that may have run.
-const IDLE_ATTEMPTS: u16 = 16;
 /// Time to come back after where a quorum is missing.
 const QUORUM_RETRY: Duration = Duration::from_secs(2);
 
@@ -47,8 +42,8 @@
     Claiming,
     /// The end of another attempt's claim.
     Held,
-    /// The answer to a call.
-    Calling(CallId),
+    /// The answer to a call or to its hedge.
+    Calling(Calls),
     /// The answer to a claimed call whose caller was told already that its outcome is unknown.
     Late(CallId),
     /// The record of an answer, to go on with the next stage.
@@ -140,14 +135,15 @@
             (Phase::Claiming, Input::Claimed(outcome)) => self.claimed(now, outcome),
             (Phase::Claiming, Input::NotClaimed(failure)) => self.not_claimed(failure),
             (Phase::Held, Input::Woken) => self.route(),
-            (Phase::Calling(current), Input::Answered { call, answer }) if call == current => {
-                self.answered(now, answer)
+            (Phase::Calling(calls), Input::Answered { call, answer }) if calls.has(call) => {
+                self.answered(now, calls, call, answer)
             }
-            (Phase::Calling(current), Input::Failed { call, failure, received })
-                if call == current =>
+            (Phase::Calling(calls), Input::Failed { call, failure, received })
+                if calls.has(call) =>
             {
-                self.failed(now, failure, received)
+                self.call_failed(now, calls, call, failure, received)
             }
+            (Phase::Calling(calls), Input::HedgeDue(call)) => self.hedge(now, calls, call),
             (Phase::Recording(answer), Input::Settled) => self.advance(now, answer),
             (Phase::Releasing(refusal), Input::Settled) => self.end(Action::Refuse(refusal)),
             _ => Vec::new(),
@@ -193,137 +189,6 @@
         self.claim(now)
     }
 
-    /// Asks for the claim on the current stage.
-    fn claim(&mut self, now: Instant) -> Vec<Action> {
-        let Some(key) = self.claim_key() else {
-            return self.refuse(RefusalCode::KeyRequired, None);
-        };
-        let left = self.profile.deadline.since(now) + SETTLE_MARGIN;
-        self.phase = Phase::Claiming;
-        vec![Action::Claim(Claim {
-            key,
-            digest: self.profile.digest,
-            claimant: self.new_claimant(),
-            settle_ms: u64::try_from(left.as_millis()).unwrap_or(u64::MAX),
-        })]
-    }
-
-    /// Acts on the decision about the claim.
-    fn claimed(&mut self, now: Instant, outcome: ClaimOutcome) -> Vec<Action> {
-        match outcome {
-            ClaimOutcome::Granted => {
-                self.claimant = Some(self.new_claimant());
-                if self.out_of_time(now) {
-                    let mut actions = vec![Action::Unroute];
-                    actions.extend(self.refuse(RefusalCode::DeadlineUnreachable, None));
-                    return actions;
-                }
-                self.dispatch()
-            }
-            ClaimOutcome::Held(_) => {
-                self.phase = Phase::Held;
-                vec![Action::Unroute, Action::Wait(HELD_POLL)]
-            }
-            ClaimOutcome::Done(answer) => {
-                self.recorded = true;
-                let mut actions = vec![Action::Unroute];
-                actions.extend(self.advance(now, answer));
-                actions
-            }
-            ClaimOutcome::DoneDropped => {
-                self.recorded = true;
-                self.unroute_and_refuse(RefusalCode::OutcomeUnknown, Ran::Done)
-            }
-            ClaimOutcome::Unknown => {
-                self.unroute_and_refuse(RefusalCode::OutcomeUnknown, Ran::Unknown)
-            }
-            ClaimOutcome::Released | ClaimOutcome::Full => {
-                let mut actions = vec![Action::Unroute];
-                actions.extend(self.refuse(RefusalCode::NoCapacity, Some(QUORUM_RETRY)));
-                actions
-            }
-            ClaimOutcome::Mismatch => {
-                let ran = self.ran();
-                self.unroute_and_refuse(RefusalCode::KeyReused, ran)
-            }
-        }
-    }
-
-    /// Refuses after a claim that was not decided; nothing is dispatched under it later.
-    fn not_claimed(&mut self, failure: ClaimFailure) -> Vec<Action> {
-        let mut actions = vec![Action::Unroute];
-        if failure == ClaimFailure::Undecided {
-            let claimant = self.new_claimant();
-            actions.extend(self.settle(claimant, Settlement::Released).map(Action::SettleLater));
-        }
-        actions.extend(self.refuse(RefusalCode::NoQuorum, Some(QUORUM_RETRY)));
-        actions
-    }
-
-    /// Calls the chosen target.
-    fn dispatch(&mut self) -> Vec<Action> {
-        let call = CallId { request: self.profile.id, stage: self.stage, attempt: self.attempt };
-        self.phase = Phase::Calling(call);
-        vec![Action::Dispatch { call, resume: self.received }]
-    }
-
-    /// Takes in a whole answer: recorded before it is used where the stage may not be repeated.
-    fn answered(&mut self, now: Instant, answer: Bytes) -> Vec<Action> {
-        self.trace = Trace::Some;
-        let Some(claimant) = self.claimant.clone() else {
-            return self.advance(now, answer);
-        };
-        let Some(settle) = self.settle(claimant, Settlement::Done(answer.clone())) else {
-            return self.advance(now, answer);
-        };
-        self.recorded = true;
-        self.phase = Phase::Recording(answer);
-        vec![Action::Settle(settle)]
-    }
-
-    /// Retries, resumes or refuses after a failed call.
-    fn failed(&mut self, now: Instant, failure: CallFailure, received: usize) -> Vec<Action> {
-        let may_have_run = failure.evidence() == Evidence::MayHaveRun;
-        if may_have_run {
-            self.trace = Trace::Some;
-            if let Some(claimant) = self.claimant.take() {
-                return self.outcome_unknown(claimant);
-            }
-        }
-        self.received = self.received.max(received);
-        if failure != CallFailure::Refused {
-            self.spent = self.spent.saturating_add(u16::from(may_have_run));
-        }
-        let next = self.attempt.0.saturating_add(1);
-        if !failure.worth_retry() || !self.has_attempts(next) {
-            return self.refuse(RefusalCode::StageFailed, None);
-        }
-        if self.out_of_time(now) {
-            return self.refuse(RefusalCode::DeadlineUnreachable, None);
-        }
-        self.attempt = AttemptNumber(next);
-        self.route()
-    }
-
-    /// Tells whether attempt `next` may be made.
-    ///
-    /// Attempts that did not run, or were refused, don't count against the stage's own limit.
-    fn has_attempts(&self, next: u16) -> bool {
-        let limit = self.current().map_or(0, |s| s.max_attempts);
-        let idle = next.saturating_sub(self.spent);
-        self.spent < limit && idle <= IDLE_ATTEMPTS
-    }
-
-    /// Records that a stage was dispatched with an unknown outcome and says so at once.
-    fn outcome_unknown(&mut self, claimant: Claimant) -> Vec<Action> {
-        let refusal =
-            Refusal { code: RefusalCode::OutcomeUnknown, ran: Ran::Unknown, retry_after: None };
-        let settle = self.settle(claimant, Settlement::Unknown);
-        let mut actions: Vec<_> = settle.map(Action::SettleLater).into_iter().collect();
-        actions.extend(self.end(Action::Refuse(refusal)));
-        actions
-    }
-
     /// Goes on with the next stage, or finishes after the last.
     fn advance(&mut self, now: Instant, answer: Bytes) -> Vec<Action> {
         self.claimant = None;
--- a/hawthornkeel_core/src/routing/budget.rs
+++ b/hawthornkeel_core/src/routing/budget.rs
@@ -32,9 +32,4 @@
         }
         allowed
     }
-
-    /// Gives back a repeated call that was not made.
-    pub fn refund(&mut self) {
-        self.tokens = (self.tokens + 1.0).min(self.burst);
-    }
 }
--- a/hawthornkeel_core/src/routing/choose.rs
+++ b/hawthornkeel_core/src/routing/choose.rs
@@ -3,7 +3,6 @@
 use std::time::Duration;
 
 use crate::ids::CallId;
-use crate::names::PoolName;
 use crate::routing::fair::FairQueue;
 use crate::routing::fair::Passed;
 use crate::routing::fair::Waiting;
@@ -13,6 +12,7 @@
 use crate::routing::router::Router;
 use crate::routing::settings::RouterSettings;
 use crate::routing::types::Decision;
+use crate::routing::types::Permit;
 use crate::routing::types::Ready;
 use crate::routing::types::Reason;
 use crate::routing::types::Repeat;
@@ -21,6 +21,8 @@
 
 /// Shortest time that a refused caller is told to wait.
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
+/// Multiple of the time within which 95 in 100 calls are answered, after which a hedge is worth it.
+const HEDGE_FACTOR: u32 = 2;
 /// Longest time until a waiting call is looked at again.
 const WAKE_MAX: Duration = Duration::from_millis(50);
 
@@ -36,10 +38,12 @@
         };
         pool.reopen(now, set);
         pool.wanted = Some(now);
-        if let Err(reason) = spend(pool, request.repeat) {
-            return refuse(reason, RETRY_AFTER_MIN, 0);
-        }
         let latest = before(request.deadline, later);
+        match request.repeat {
+            Repeat::First => pool.earn(),
+            Repeat::NotRun | Repeat::MayHaveRun => {}
+            Repeat::Hedge => return hedge(pool, now, request, latest, turn, set),
+        }
         let work = pool.median().max(request.floor);
         if now + request.floor > latest || (now + work > latest && !pool.may_try(now)) {
             return refuse(Reason::Deadline, work, 0);
@@ -51,10 +55,6 @@
         {
             return sent;
         }
-        if request.repeat == Repeat::Hedge {
-            pool.hedges.refund();
-            return refuse(Reason::HedgeBudget, RETRY_AFTER_MIN, 0);
-        }
         enqueue(pool, now, request, latest, weight, work)
     }
 
@@ -80,9 +80,13 @@
         times.min().unwrap_or(now + WAKE_MAX).max(now).min(now + WAKE_MAX)
     }
 
-    /// Returns the time after which a hedge of a call to `pool` is worth it, once measured.
-    pub fn hedge_after(&self, pool: &PoolName) -> Option<Duration> {
-        self.pools.get(pool)?.times.high().map(|t| t * 2)
+    /// Returns the time after which a hedge of a call under `permit` is worth it, once measured.
+    ///
+    /// A call to a cold target has none: cancelled, it would neither warm the target nor free its
+    /// grant.
+    pub fn hedge_after(&self, permit: &Permit) -> Option<Duration> {
+        let pool = self.pools.get(&permit.pool).filter(|_| permit.grant.is_none())?;
+        pool.times.high().map(|t| t * HEDGE_FACTOR)
     }
 
     /// Sends and refuses waiting calls of one pool; repeated calls first, since they are older.
@@ -169,18 +173,28 @@
     }
 }
 
-/// Counts a first call and takes a hedge from its budget; a retry is taken when it is sent.
-fn spend(pool: &mut PoolState, repeat: Repeat) -> Result<(), Reason> {
-    match repeat {
-        Repeat::First => {
-            pool.retries.earn();
-            pool.hedges.earn();
-            Ok(())
-        }
-        Repeat::NotRun | Repeat::MayHaveRun => Ok(()),
-        Repeat::Hedge if pool.hedges.spend() => Ok(()),
-        Repeat::Hedge => Err(Reason::HedgeBudget),
+/// Sends a hedge where the budget allows it and another target is free at once.
+///
+/// None is sent while calls wait or the pool as a whole fails: it would add load to a slow stage.
+fn hedge(
+    pool: &mut PoolState,
+    now: Instant,
+    request: &StageRequest,
+    latest: Instant,
+    turn: usize,
+    set: &RouterSettings,
+) -> Decision {
+    let timely = now + pool.median().max(request.floor) <= latest;
+    let busy = pool.queue.len() + pool.repeats.len() > 0 || now < pool.retry_at;
+    if timely
+        && !busy
+        && pool.hedges.allows()
+        && let Some(sent) = send(pool, now, request, latest, turn, set)
+    {
+        pool.hedges.spend();
+        return sent;
     }
+    refuse(Reason::HedgeBudget, RETRY_AFTER_MIN, 0)
 }
 
 /// Lets a call wait, or refuses it where it can't be served in time.
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -169,7 +169,7 @@
 /// Finds the best open targets of the first tier that has any which take work.
 fn scan(pool: &PoolState, view: &View<'_>) -> Scan {
     let quick = quick_scan(pool, view);
-    if view.tried.is_empty() && view.repeat != Repeat::MayHaveRun {
+    if view.tried.is_empty() && matches!(view.repeat, Repeat::First | Repeat::NotRun) {
         return quick;
     }
     let bests = [quick.near.0, quick.far.0, quick.cold.0];
@@ -196,8 +196,9 @@
 fn is_fresh(pool: &PoolState, view: &View<'_>, index: usize, hot: &Hot) -> bool {
     let centre = |i: &usize| pool.hot.get(*i).map(|h| h.centre);
     let retry = view.repeat == Repeat::MayHaveRun;
+    let hedge = view.repeat == Repeat::Hedge;
     let same = |i: &usize| *i == index || (retry && centre(i) == Some(hot.centre));
-    let barred = retry && hot.failing;
+    let barred = (retry || hedge) && hot.failing;
     !barred && !view.tried.iter().any(same)
 }
 
@@ -229,8 +230,10 @@
         Tier::Any => true,
     };
     let retry = view.repeat == Repeat::MayHaveRun;
+    let hedge = view.repeat == Repeat::Hedge;
     let bar = |index: usize, hot: &Hot| {
         (hot.class == Class::Cold && !view.cold)
+            || (hedge && hot.failing)
             || (retry && hot.failing && rests(pool, view, index))
     };
     scan.add(tail, split, keep, bar);
@@ -263,7 +266,9 @@
         (far, far_score, Reason::NearGone)
     };
     let place = request.prefix.and_then(|p| pool.place(p)).filter(|i| !tried.contains(i));
+    let hedge = request.repeat == Repeat::Hedge;
     let held = place.and_then(|i| pool.hot.get(i).map(|h| (i, h)));
+    let held = held.filter(|(_, h)| !(hedge && h.failing));
     match held {
         Some((place, hot))
             if matches!(hot.class, Class::Near | Class::Far)
--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -23,8 +23,6 @@
 
 /// Prompt prefixes whose place is remembered, at most.
 const PREFIXES: usize = 4096;
-/// Hedges allowed beyond the share after a quiet time.
-const HEDGE_BURST: f64 = 2.0;
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -102,7 +100,7 @@
             times: Times::default(),
             recent: 0.0,
             retries: Budget::new(set.retry_share, set.retry_burst),
-            hedges: Budget::new(set.hedge_share, HEDGE_BURST),
+            hedges: Budget::new(set.hedge_share, set.hedge_burst),
             committed: 0,
             removed: false,
             reopen: None,
@@ -125,6 +123,12 @@
         self.times.median().unwrap_or_default()
     }
 
+    /// Counts a first call, from which the budgets of repeated calls grow.
+    pub fn earn(&mut self) {
+        self.retries.earn();
+        self.hedges.earn();
+    }
+
     /// Takes an answer of any target.
     pub fn answered(&mut self, latency: Duration) {
         let micros = latency.as_micros() as f64;
--- a/hawthornkeel_core/src/routing/settings.rs
+++ b/hawthornkeel_core/src/routing/settings.rs
@@ -21,6 +21,8 @@
     pub retry_burst: f64,
     /// Hedges allowed for each first attempt.
     pub hedge_share: f64,
+    /// Hedges allowed beyond the share after a quiet time.
+    pub hedge_burst: f64,
     /// Entries of a data centre that know a target, at most.
     pub target_entries: usize,
     /// Targets of a pool that an entry knows, at least, as far as there are as many.
@@ -46,6 +48,7 @@
             retry_share: 0.1,
             retry_burst: 40.0,
             hedge_share: 0.01,
+            hedge_burst: 2.0,
             target_entries: 8,
             pool_targets: 8,
             sample: 16,
--- a/hawthornkeel_core/tests/common/mod.rs
+++ b/hawthornkeel_core/tests/common/mod.rs
@@ -96,6 +96,20 @@
     }
 }
 
+/// Plays the issuers: grants the first request that is due, and returns the grant.
+pub fn grant(router: &mut Router, now: Instant) -> GrantId {
+    for out in router.take_messages(now) {
+        let GrantMessage::Request { number, target, .. } = out.message else {
+            continue;
+        };
+        let (grant, lasts) = (GrantId { issuer: out.issuer, number }, Duration::from_secs(9));
+        let granted = grant.clone();
+        router.handle_grant(now, &GrantMessage::Granted { number, grant, target, lasts });
+        return granted;
+    }
+    panic!("no grant was asked for");
+}
+
 /// Creates a router in data centre `a`, whose targets are all proved warm at their own shares.
 pub fn warm_router(
     document: &Document,
--- a/hawthornkeel_core/tests/request_run.rs
+++ b/hawthornkeel_core/tests/request_run.rs
@@ -36,6 +36,7 @@
         pipeline: Arc::new(pipeline),
         key: key.map(Arc::from),
         digest: 1,
+        streamed: false,
         deadline: NOW + Duration::from_secs(8),
     })
 }
