--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -23,8 +23,6 @@
 
 /// Prompt prefixes whose place is remembered, at most.
 const PREFIXES: usize = 4096;
-/// Hedges allowed beyond the share after a quiet time.
-const HEDGE_BURST: f64 = 2.0;
 /// Time between two calls that measure a pool which seems too slow for any deadline.
 const TRY_PAUSE: Duration = Duration::from_millis(250);
 
@@ -69,6 +67,8 @@
     pub hedges: Budget,
     /// Admitted requests that still need this pool.
     pub committed: u64,
+    /// Whether the document no longer names the pool: it ends with the last request that needs it.
+    pub removed: bool,
     /// Time at which a target that is left alone may open again.
     pub reopen: Option<Instant>,
     /// Failed calls since the last answer of any target.
@@ -100,8 +100,9 @@
             times: Times::default(),
             recent: 0.0,
             retries: Budget::new(set.retry_share, set.retry_burst),
-            hedges: Budget::new(set.hedge_share, HEDGE_BURST),
+            hedges: Budget::new(set.hedge_share, set.hedge_burst),
             committed: 0,
+            removed: false,
             reopen: None,
             failures: 0,
             retry_at: Instant::ZERO,
@@ -112,11 +113,22 @@
         }
     }
 
+    /// Tells whether the pool is neither named by the document nor needed by a request.
+    pub fn is_over(&self) -> bool {
+        self.removed && self.committed == 0
+    }
+
     /// Returns the median time of a call, or zero while none was measured.
     pub fn median(&self) -> Duration {
         self.times.median().unwrap_or_default()
     }
 
+    /// Counts a first call, from which the budgets of repeated calls grow.
+    pub fn earn(&mut self) {
+        self.retries.earn();
+        self.hedges.earn();
+    }
+
     /// Takes an answer of any target.
     pub fn answered(&mut self, latency: Duration) {
         let micros = latency.as_micros() as f64;
