Lost data centre: its entries hold no share, its targets are tried once heard

Cause: at 80% with one of four data centres gone for 10 s the draft pool bears 93 of 107 requests a second, so that 133 requests wait, evenly spread 22 an entry or 1.4 s. (1) The returned entries counted for shares at once, while the returned targets stayed down until their next probe, up to 4 s later. Ruled out: the estimate itself (committed work over slots: it told the truth); the share of the spare time for workspaces above their fair share (all refused were of the largest one, but with even backlogs none comes near it); a rule keyed on the list of entries (the product's never changes). Change: a load report after a silence of `report_age` lets a target that is down be tried at once, and one more failure brings it down again. A data centre in which targets are down and none is heard is lost: its entries get no share of others' targets until one of its targets is heard. Failing first: centre_return: "tried once it is heard" (twice) and "left: 4, right: 16: nobody else reaches the target".

--- a/hawthornkeel_core/benches/policy/entry.rs
+++ b/hawthornkeel_core/benches/policy/entry.rs
@@ -78,7 +78,7 @@
 }
 
 impl Entry {
-    /// Starts an entry that knows nothing but the list and the document.
+    /// Starts an entry that knows nothing but its settings, the list and the document.
     pub fn start(
         now: Instant,
         index: usize,
--- a/hawthornkeel_core/benches/policy/links.rs
+++ b/hawthornkeel_core/benches/policy/links.rs
@@ -5,11 +5,9 @@
 use hawthornkeel_core::lease::GrantMessage;
 use hawthornkeel_core::lease::VoteMessage;
 use hawthornkeel_core::names::CentreName;
-use hawthornkeel_core::routing::EntryInfo;
 use hawthornkeel_core::routing::LoadReport;
 use hawthornkeel_core::routing::TargetInfo;
 
-use crate::entry::Entry;
 use crate::entry::Policy;
 use crate::entry::voters;
 use crate::sites::CENTRES;
@@ -75,15 +73,10 @@
         }
     }
 
-    /// Tells an entry the platform's list and the entries that it can reach.
+    /// Tells an entry the platform's list of targets.
     pub fn list(&mut self, entry: usize) {
-        let centre = self.entries[entry].centre.clone();
-        let seen = |e: &&Entry| e.alive && self.linked(&e.centre, &centre);
-        let info = |e: &Entry| EntryInfo { id: e.id.clone(), centre: e.centre.clone() };
-        let entries: Vec<EntryInfo> = self.entries.iter().filter(seen).map(info).collect();
         let targets: Vec<TargetInfo> = self.targets.iter().map(|t| t.info.clone()).collect();
         if let Policy::Ours(ours) = &mut self.entries[entry].policy {
-            ours.router.set_entries(self.now, &entries);
             ours.router.update_targets(self.now, &targets);
         }
         self.at(self.now + LIST_PAUSE, Event::List { entry });
--- a/hawthornkeel_core/src/routing/mod.rs
+++ b/hawthornkeel_core/src/routing/mod.rs
@@ -4,6 +4,7 @@
 pub mod budget;
 pub(crate) mod choose;
 pub(crate) mod cold;
+mod contact;
 pub(crate) mod fair;
 pub(crate) mod finish;
 pub(crate) mod hot;
--- a/hawthornkeel_core/src/routing/router.rs
+++ b/hawthornkeel_core/src/routing/router.rs
@@ -96,6 +96,8 @@
     /// Pool of each target.
     pub(crate) homes: IndexMap<TargetName, PoolName>,
     pub(crate) taken_out: Vec<CentreName>,
+    /// Data centres to which contact is lost.
+    pub(crate) lost: Vec<CentreName>,
     pub(crate) workspaces: IndexMap<WorkspaceName, WorkspaceState>,
     /// Sum of the weights of the document's workspaces.
     pub(crate) weights: f64,
@@ -120,6 +122,7 @@
             pools: IndexMap::new(),
             homes: IndexMap::new(),
             taken_out: Vec::new(),
+            lost: Vec::new(),
             workspaces: IndexMap::new(),
             weights: 0.0,
             requests: IndexMap::new(),
@@ -162,6 +165,7 @@
             self.take_listed(now, info);
         }
         self.drop_absent(now);
+        self.lost = self.lost_centres(now);
         self.choose_subset();
         self.refresh_all(now);
     }
@@ -172,6 +176,7 @@
         if !entries.iter().any(|e| e.id.name == self.own.id.name) {
             self.entries.push(self.own.clone());
         }
+        self.lost = self.lost_centres(now);
         self.choose_subset();
         self.refresh_all(now);
     }
@@ -191,7 +196,8 @@
             return;
         };
         let most = f64::from(found.pool.config.warm_limit);
-        let restarted = found.target().is_some_and(|t| t.take_report(now, &report, most));
+        let age = found.settings.report_age;
+        let restarted = found.target().is_some_and(|t| t.take_report(now, &report, most, age));
         found.refresh(now);
         if restarted {
             self.suspect_restart(now, target);
@@ -303,14 +309,6 @@
         self.bound_limits();
     }
 
-    /// Works out the own shares of the targets' limits.
-    fn bound_limits(&mut self) {
-        let places = self.settings.target_entries;
-        for pool in self.pools.values_mut() {
-            pool.share_out(&self.own, &self.entries, places);
-        }
-    }
-
     /// Brings what choices read of all targets up to date.
     pub(crate) fn refresh_all(&mut self, now: Instant) {
         for pool in self.pools.values_mut() {
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -158,7 +158,15 @@
     }
 
     /// Takes a load report; returns whether it shows that the target has restarted.
-    pub fn take_report(&mut self, now: Instant, report: &LoadReport, most: f64) -> bool {
+    ///
+    /// A report is the first after a silence where none came for `age`.
+    pub fn take_report(
+        &mut self,
+        now: Instant,
+        report: &LoadReport,
+        most: f64,
+        age: Duration,
+    ) -> bool {
         self.heard = now;
         let late = report.incarnation.is_some() && report.incarnation == self.retired;
         if late {
@@ -172,6 +180,9 @@
         self.leaving = report.leaving || (self.leaving && !new);
         let all = f64::from(report.running) + f64::from(report.waiting);
         self.others = (all - f64::from(self.running)).max(0.0);
+        if self.is_silent(now, age) {
+            self.reached(now);
+        }
         self.reported = Some(now);
         if let Some(run) = &mut self.refusals {
             run.reported(all);
@@ -184,6 +195,30 @@
         new || (lower && report.incarnation.is_none())
     }
 
+    /// Tells whether no load report came for `age`.
+    fn is_silent(&self, now: Instant, age: Duration) -> bool {
+        self.reported.is_none_or(|at| now.since(at) >= age)
+    }
+
+    /// Tells whether the target gives signs of itself: reports, or answers where it never reported.
+    pub fn is_heard(&self, now: Instant, age: Duration) -> bool {
+        match self.reported {
+            Some(_) => !self.is_silent(now, age),
+            None => !self.is_down(),
+        }
+    }
+
+    /// Notes that the target is heard again after a silence: one that is down may be tried at once.
+    ///
+    /// One more failure brings it down again.
+    fn reached(&mut self, now: Instant) {
+        if self.is_down() {
+            self.failures = DOWN_AFTER - 1;
+            self.down_until = now;
+            self.retry_at = now;
+        }
+    }
+
     /// Bounds the own limit by what the target bears in all and others are known to use.
     pub fn bound(&mut self, most: f64) {
         let own = f64::from(self.running);
