--- a/hawthornkeel_core/benches/policy/faults.rs
+++ b/hawthornkeel_core/benches/policy/faults.rs
@@ -1,4 +1,4 @@
-//! Faults of the bench, each at a fixed time.
+//! What the faults of the bench do.
 
 use std::time::Duration;
 
@@ -20,6 +20,8 @@
 const COLD_POOL: &str = "draft";
 /// Number of targets that turn cold again.
 const COLD_COUNT: usize = 2;
+/// Entry that is killed, outside of the data centre that is cut off.
+const KILLED: usize = 1;
 /// Time until a caller sends again after its entry was lost.
 const RESUBMIT: Duration = Duration::from_millis(5);
 
@@ -53,6 +55,19 @@
         }
     }
 
+    /// Returns the fault's name beside that of another.
+    pub fn short(self) -> &'static str {
+        match self {
+            Self::None => "none",
+            Self::Slow => "slow",
+            Self::Fail => "fail",
+            Self::Burst => "burst",
+            Self::Cold => "cold",
+            Self::Centre => "centre",
+            Self::Kill => "kill",
+        }
+    }
+
     /// Returns the time between the fault's start and its end.
     pub fn lasts(self) -> Duration {
         Duration::from_secs(match self {
@@ -71,9 +86,9 @@
 }
 
 impl World {
-    /// Starts or ends the fault of the run.
-    pub fn fault(&mut self, on: bool) {
-        match self.run.fault {
+    /// Starts or ends a fault.
+    pub fn fault(&mut self, fault: Fault, on: bool) {
+        match fault {
             Fault::None => {}
             Fault::Slow => self.each(SLOW_POOL, |t| t.slow = if on { 10.0 } else { 1.0 }),
             Fault::Fail => self.each(FAILING_POOL, |t| t.failing = on),
@@ -82,8 +97,8 @@
             Fault::Cold => {}
             Fault::Centre if on => self.cut_off(),
             Fault::Centre => self.cut = None,
-            Fault::Kill if on => self.kill(0),
-            Fault::Kill => self.revive(0),
+            Fault::Kill if on => self.kill(KILLED),
+            Fault::Kill => self.revive(KILLED),
         }
     }
 
--- a/hawthornkeel_core/benches/policy/flow.rs
+++ b/hawthornkeel_core/benches/policy/flow.rs
@@ -41,7 +41,8 @@
         if open.is_empty() || self.now >= deadline {
             return self.end_unserved(workspace, arrived);
         }
-        let entry = open[self.rng.random_range(0..open.len())];
+        let rng = if self.now == arrived { &mut self.arrivals } else { &mut self.rng };
+        let entry = open[rng.random_range(0..open.len())];
         self.next_id += 1;
         let id = RequestId(u128::from(self.next_id));
         let request = Request {
--- a/hawthornkeel_core/benches/policy/stats.rs
+++ b/hawthornkeel_core/benches/policy/stats.rs
@@ -19,6 +19,9 @@
     pub wasted: [f64; POOLS.len()],
     pub calls: [u64; POOLS.len()],
     pub repeated: [u64; POOLS.len()],
+    /// First calls since the start of the measure, and repeated ones of those that may have run.
+    pub firsts: [u64; POOLS.len()],
+    pub reruns: [u64; POOLS.len()],
     /// Calls that the targets of each pool could answer over the measure, given the fault.
     pub can_do: [f64; POOLS.len()],
     /// Cold targets that fell over.
--- a/hawthornkeel_core/benches/policy/world.rs
+++ b/hawthornkeel_core/benches/policy/world.rs
@@ -22,6 +22,7 @@
 use crate::entry::Entry;
 use crate::entry::PolicyKind;
 use crate::faults::Fault;
+use crate::schedule::Schedule;
 use crate::sites::DEADLINE;
 use crate::sites::ENTRIES;
 use crate::sites::POOLS;
@@ -63,7 +64,7 @@
     pub kind: PolicyKind,
     /// Share of what the targets bear.
     pub load: f64,
-    pub fault: Fault,
+    pub schedule: Schedule,
     pub seed: u64,
 }
 
@@ -112,13 +113,16 @@
     ToIssuer { from: usize, to: usize, message: GrantMessage },
     ToEntry { to: usize, message: GrantMessage },
     List { entry: usize },
-    Fault { on: bool },
+    Fault { fault: Fault, on: bool },
 }
 
 /// State of the loop.
 pub struct World {
     pub now: Instant,
     pub run: Run,
+    /// Draws what callers do, which is the same under both policies.
+    pub arrivals: ChaCha8Rng,
+    /// Draws everything else.
     pub rng: ChaCha8Rng,
     pub targets: Vec<Target>,
     pub entries: Vec<Entry>,
@@ -149,7 +153,8 @@
         Self {
             now: Instant::ZERO,
             run,
-            rng: ChaCha8Rng::seed_from_u64(run.seed),
+            arrivals: ChaCha8Rng::seed_from_u64(run.seed),
+            rng: ChaCha8Rng::seed_from_u64(!run.seed),
             entries: (0..ENTRIES).map(entry).collect(),
             targets,
             boots: 0,
@@ -167,8 +172,9 @@
     /// Runs to the end and returns the figures.
     pub fn play(mut self) -> Stats {
         self.at(CALLERS_AT, Event::Arrive);
-        self.at(FAULT_AT, Event::Fault { on: true });
-        self.at(FAULT_AT + self.run.fault.lasts(), Event::Fault { on: false });
+        for step in self.run.schedule.steps() {
+            self.at(step.at, Event::Fault { fault: step.fault, on: step.on });
+        }
         for entry in 0..self.entries.len() {
             self.at(Instant::from_millis(entry as u64), Event::Tick { entry });
             self.at(Instant::from_millis(1_000 + 100 * entry as u64), Event::List { entry });
@@ -228,7 +234,7 @@
             Event::Vote { from, to, centre, message } => self.vote(from, to, centre, message),
             Event::ToIssuer { from, to, message } => self.issuer_hears(from, to, message),
             Event::ToEntry { to, message } => self.entry_hears(to, message),
-            Event::Fault { on } => self.fault(on),
+            Event::Fault { fault, on } => self.fault(fault, on),
         }
     }
 
@@ -247,12 +253,12 @@
         if self.now >= END_AT {
             return;
         }
-        let half: bool = self.rng.random();
-        let workspace = if half { 0 } else { self.rng.random_range(1..WEIGHTS.len()) };
+        let half: bool = self.arrivals.random();
+        let workspace = if half { 0 } else { self.arrivals.random_range(1..WEIGHTS.len()) };
         self.submit(workspace, self.now);
         let load = if self.now < LOAD_AT { WARM_LOAD } else { self.run.load * self.burst };
         let rate = load * crate::faults::bearable(&self.targets);
-        let draw: f64 = self.rng.random_range(f64::MIN_POSITIVE..1.0);
+        let draw: f64 = self.arrivals.random_range(f64::MIN_POSITIVE..1.0);
         self.at(self.now + Duration::from_secs_f64(-draw.ln() / rate), Event::Arrive);
     }
 
@@ -262,6 +268,10 @@
             return;
         };
         let (entry, stage, repeated) = (request.entry, request.stage, request.attempt > 0);
+        if self.now >= MEASURE_AT {
+            self.stats.firsts[stage] += u64::from(!repeated);
+            self.stats.reruns[stage] += u64::from(request.ran);
+        }
         if Self::counts(request.arrived) {
             self.stats.calls[stage] += 1;
             self.stats.repeated[stage] += u64::from(repeated);
