Shares are rounded so that an entry's sum stays at its fair total

Cause: each share of a target was rounded up or down by a hash of its own. At today's size an entry has 4 of 32 calls of a pool, over four targets; its sum came out anywhere from 3 to 7, so that under full load entries drained unequally. Change: one rounding for an entry's shares of a pool carries the fraction on, so that the sum stays within one call. Entries of a data centre start at offsets spread evenly over one call, so that the sums at a target hold as well. Targets that the entry doesn't send to take no part.

--- a/hawthornkeel_core/src/routing/pool.rs
+++ b/hawthornkeel_core/src/routing/pool.rs
@@ -16,6 +16,7 @@
 use crate::routing::settings::RouterSettings;
 use crate::routing::shares;
 use crate::routing::shares::CentreCount;
+use crate::routing::shares::Rounding;
 use crate::routing::subset;
 use crate::routing::target::Target;
 use crate::routing::times::Times;
@@ -170,7 +171,7 @@
             return;
         };
         let list: Vec<CentreCount> = counts.values().copied().collect();
-        let hash = subset::name_hash(own.id.name.as_str());
+        let mut rounding = rounding(own, entries);
         let most = f64::from(self.config.warm_limit);
         let mut parts: Vec<Option<f64>> = vec![None; list.len()];
         for target in self.targets.values_mut() {
@@ -181,8 +182,7 @@
                 continue;
             };
             let part = *part.get_or_insert_with(|| shares::share(&list, centre, entry, places));
-            let rank = subset::rank(hash, subset::name_hash(target.info.name.as_str()));
-            target.share = shares::round(part * most, rank);
+            target.share = if target.known { rounding.whole(part * most) } else { 0.0 };
             target.bound(most);
         }
     }
@@ -297,3 +297,11 @@
         self.places.insert(prefix, place);
     }
 }
+
+/// Returns the rounding of an entry's shares, by its place among those of its data centre.
+fn rounding(own: &EntryInfo, entries: &[EntryInfo]) -> Rounding {
+    let near = entries.iter().filter(|e| e.centre == own.centre);
+    let count = near.clone().count();
+    let index = near.filter(|e| e.id.name < own.id.name).count();
+    Rounding::new(index, count)
+}
--- a/hawthornkeel_core/src/routing/shares.rs
+++ b/hawthornkeel_core/src/routing/shares.rs
@@ -44,10 +44,27 @@
     (near + far) / (from.targets as f64 * knowing)
 }
 
-/// Rounds a share up or down to whole calls, by a hash, so that sums over entries hold on average.
-pub fn round(share: f64, hash: u64) -> f64 {
-    let fraction = hash as f64 / u64::MAX as f64;
-    (share + fraction).floor()
+/// Rounding of one entry's shares to whole calls, which keeps their sum within one call.
+///
+/// Entries of a data centre start at offsets spread evenly over one call, so that the sums of their
+/// shares of each target hold as well.
+#[derive(Clone, Copy, Debug)]
+pub struct Rounding {
+    sum: f64,
+}
+
+impl Rounding {
+    /// Creates the rounding of the entry with number `index` of `count` in its data centre.
+    pub fn new(index: usize, count: usize) -> Self {
+        Self { sum: (index as f64 + 0.5) / count.max(1) as f64 }
+    }
+
+    /// Returns the next share, up or down to a whole call.
+    pub fn whole(&mut self, share: f64) -> f64 {
+        let before = self.sum.floor();
+        self.sum += share;
+        self.sum.floor() - before
+    }
 }
 
 /// Returns the fair total of a data centre's entries, in whole targets.
