Cuts between data centres and silent connections, through real processes

Cause: docs/PROOFS.md listed network cuts between processes as not proved. Ruled out: the machine's packet filter (no tool of the machine is to be used); a relay that refuses or drops bytes of a connection (a real cut holds them and lets them go on later, and answers no SYN). Change: the relay of datagrams moves to hawthornkeel_fakes and can be cut one way; stream_relay holds bytes while cut, leaves new connections unanswered (listener with a full queue) and can lose track of its open connections. fleet/network.rs lays one relay for each ordered pair of instances and for each data centre and target. centre_cuts and silent_targets are new; the assertions of control_isolation and peer_silence are as before. Seen failing, each on a wrong version in place: - never refusing at once: cut_off_centre_serves_what_it_can "at 0: answered 79, deadline-unreachable 1" (with the next one), isolated_leader_... and muted_leader_... give up waiting for the refusal - calls that count as silent only at their deadline: silent_connections_are_replaced "503 deadline-unreachable" - elections without pre-votes: cut_off_centre_... "the term was disturbed: left Some(24), right Some(3)" - an order to take out that holds only once logged: take_out_is_heard_in_the_cut_off_centre "new work where the order was heard, left 4, right 0" - a signature sent on an idle connection: signature_gone_silent_is_unknown "502 outcome-unknown" take_out_is_heard_by_the_others was not seen failing: not spreading the order at once is made up for by its repetition. A signature whose target can't be reached at all is told unknown, since its first stage ran; that is what stands.

--- a/hawthornkeel/tests/fleet/exchange.rs
+++ b/hawthornkeel/tests/fleet/exchange.rs
@@ -13,6 +13,8 @@
 pub struct Answer {
     /// Status.
     pub status: u16,
+    /// Header fields in lower case, one a line.
+    pub fields: String,
     /// Body.
     pub body: String,
 }
@@ -20,8 +22,17 @@
 impl Answer {
     /// Returns the value of a field of a refusal.
     pub fn field(&self, name: &str) -> String {
+        self.value(name).as_str().unwrap_or_default().to_owned()
+    }
+
+    /// Returns what the last stage answered; nothing where the request was refused.
+    pub fn result(&self) -> Option<serde_json::Value> {
+        (self.status == 200).then(|| self.value("answer"))
+    }
+
+    fn value(&self, name: &str) -> serde_json::Value {
         let value: serde_json::Value = serde_json::from_str(&self.body).unwrap_or_default();
-        value[name].as_str().unwrap_or_default().to_owned()
+        value[name].clone()
     }
 }
 
@@ -64,5 +75,6 @@
     stream.read_to_string(&mut text).ok()?;
     let (head, body) = text.split_once("\r\n\r\n")?;
     let status = head.split(' ').nth(1)?.parse().ok()?;
-    Some(Answer { status, body: body.to_owned() })
+    let fields = head.split_once("\r\n").map_or("", |(_, fields)| fields).to_lowercase();
+    Some(Answer { status, fields, body: body.to_owned() })
 }
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 mod exchange;
+mod network;
 
 use std::fs;
 use std::net::IpAddr;
@@ -34,6 +35,7 @@
 pub use crate::fleet::exchange::call_at;
 pub use crate::fleet::exchange::get;
 pub use crate::fleet::exchange::post;
+pub use crate::fleet::network::Network;
 
 /// Time for anything to come about in a test.
 pub const PATIENCE: Duration = Duration::from_secs(30);
@@ -136,6 +138,8 @@
     pub targets: Vec<Target>,
     /// Stand-in platform.
     pub platform: PlatformThread,
+    /// Network between the data centres, where it can be cut.
+    network: Option<Network>,
     root: TempDir,
 }
 
@@ -193,6 +197,26 @@
 
     /// Prepares a fleet whose calls to cold targets last `grant_ms` milliseconds at most.
     pub fn prepare_granting(count: usize, centres: usize, grant_ms: u64) -> Self {
+        let fleet = Self::place(count, centres);
+        fleet.write_settings(grant_ms);
+        fleet
+    }
+
+    /// Prepares a fleet whose data centres can be cut off from each other.
+    pub fn prepare_relayed(count: usize, centres: usize) -> Self {
+        let mut fleet = Self::place(count, centres);
+        fleet.network = Some(Network::new(&fleet.instances, &fleet.targets));
+        fleet.write_settings(GRANT_MS);
+        fleet
+    }
+
+    /// Returns the network of a fleet that was prepared with one.
+    pub fn network(&self) -> &Network {
+        self.network.as_ref().unwrap()
+    }
+
+    /// Places instances and targets.
+    fn place(count: usize, centres: usize) -> Self {
         let root = TempDir::new().unwrap();
         let address = own_address();
         let centre = |at: usize| format!("dc-{}", at % centres);
@@ -213,11 +237,7 @@
         let listed = targets.iter().map(|t| t.listed.clone()).collect();
         let list = List { instances: listed, ..List::default() };
         let platform = PlatformThread::start(list).unwrap();
-        let fleet = Self { instances, targets, platform, root };
-        for at in 0..count {
-            fleet.write_settings(at, grant_ms);
-        }
-        fleet
+        Self { instances, targets, platform, network: None, root }
     }
 
     /// Starts the process of an instance.
@@ -314,6 +334,11 @@
         self.own_status(at)?["version"].as_u64()
     }
 
+    /// Returns the term that a control instance is in.
+    pub fn term_at(&self, at: usize) -> Option<u64> {
+        self.own_status(at)?["control"]["term"].as_u64()
+    }
+
     /// Returns the number of the instance that leads the control group.
     pub fn leader(&self) -> usize {
         let mut leader = None;
@@ -385,17 +410,26 @@
         self.root.path().join(format!("data-{at}"))
     }
 
-    fn write_settings(&self, at: usize, grant_ms: u64) {
+    fn write_settings(&self, grant_ms: u64) {
         let keys = self.root.path().join("keys");
         fs::create_dir_all(&keys).unwrap();
+        for at in 0..self.instances.len() {
+            self.write_own(at, grant_ms);
+        }
+    }
+
+    fn write_own(&self, at: usize, grant_ms: u64) {
+        let keys = self.root.path().join("keys");
         let own = &self.instances[at];
+        let network = self.network.as_ref();
+        let platform = network.map_or(self.platform.address, |n| n.platform(&own.centre));
         let issued = certificate::issue(&keys, &own.name.as_str().into()).unwrap();
         let mut text = format!(
             "[instance]\nname = \"{}\"\ndata_centre = \"{}\"\nadmin = \"{}\"\n\
              [entry]\nenabled = true\nlisten = \"{}\"\ngrant_ms = {grant_ms}\ndrain_ms = 500\n\
              stop_ms = 10000\n[platform]\naddress = \"{}\"\npoll_ms = 100\n\
              [keys]\n{KEY_HASH} = \"makers\"\n",
-            own.name, own.centre, own.admin, own.listen, self.platform.address
+            own.name, own.centre, own.admin, own.listen, platform
         );
         if own.control {
             text += &format!(
@@ -409,10 +443,11 @@
             own.peer, issued.certificate, issued.key, issued.authority
         );
         for peer in self.instances.iter().filter(|i| i.name != own.name) {
+            let address = network.map_or(peer.peer, |n| n.peer(&own.name, &peer.name));
             text += &format!(
                 "[[peers.peer]]\nname = \"{}\"\naddress = \"{}\"\ndata_centre = \"{}\"\n\
                  control = {}\n",
-                peer.name, peer.peer, peer.centre, peer.control
+                peer.name, address, peer.centre, peer.control
             );
         }
         fs::write(&own.settings, text).unwrap();
--- a/hawthornkeel/tests/peer_silence.rs
+++ b/hawthornkeel/tests/peer_silence.rs
@@ -10,8 +10,8 @@
 use hawthornkeel::peer::frame::Followed;
 use hawthornkeel::peer::frame::FrameKind;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_fakes::relay::Relay;
 use support::peer;
-use support::relay::Relay;
 use support::run;
 use support::settings;
 use support::socket;
@@ -20,7 +20,7 @@
 /// Returns `a`, which reaches `b` through the relay, and `b`, which answers status calls.
 fn relayed(folder: &TempDir) -> (Endpoint, Endpoint, Relay) {
     let at_b = socket();
-    let relay = Relay::new(at_b.local_addr().unwrap());
+    let relay = Relay::new(at_b.local_addr().unwrap()).unwrap();
     let b = Endpoint::with_socket(at_b, &settings(folder.path(), "b", Vec::new())).unwrap();
     b.on_call(FrameKind::Status, |_, _| async { Frame::Followed(Followed::default()) });
     let peers = vec![peer("b", relay.address)];
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -20,12 +20,11 @@
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_fakes::relay::Relay;
 use rustix::time::ClockId;
 use rustix::time::clock_gettime;
 use tempfile::TempDir;
 
-use super::relay::Relay;
-
 /// Time between looks at whether an instance is to end.
 const POLL: Duration = Duration::from_millis(20);
 
@@ -143,7 +142,7 @@
         if let Some((_, relay)) = relays.iter().find(|(known, _)| *known == ends) {
             return relay.address;
         }
-        let relay = Relay::new(address);
+        let relay = Relay::new(address).unwrap();
         let address = relay.address;
         relays.push((ends, relay));
         address
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -3,7 +3,6 @@
 
 pub mod cluster;
 pub mod operator;
-pub mod relay;
 
 use std::future::Future;
 use std::net::SocketAddr;
--- a/hawthornkeel_fakes/src/lib.rs
+++ b/hawthornkeel_fakes/src/lib.rs
@@ -7,6 +7,8 @@
 pub mod platform;
 pub mod raw;
 pub mod record;
+pub mod relay;
+pub mod stream_relay;
 pub mod target;
 pub mod thread;
 pub mod wire;
