The next grant for a cold target is asked for once the last call was answered

The log of an entry that came back shows calls under grants to one far target 210 ms apart, although each takes 21 ms: the pause after which an unanswered request is sent again (200 ms) also held back the next request, and a new entry needs four answers before it takes the target for warm. Ruled out: the targets (they answer in 21 ms) and the issuer (the first grant came after 19 ms). Change: only an answered call under a grant lets the next request go at once. What remains is four answers, one after the other.

--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -65,6 +65,9 @@
                 let step = target.measure(latency, usual);
                 target.limit.answered(running);
                 target.proof = permit.grant.clone();
+                if permit.grant.is_some() {
+                    target.ask_again(now);
+                }
                 let other = target.answered(now, incarnation);
                 let doubt = doubt(target.warmth, other, step);
                 pool.answered(latency);
--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target.rs
@@ -345,6 +345,15 @@
         Some(pending.number)
     }
 
+    /// Lets the next grant be asked for at once, after a call under the last one was answered.
+    ///
+    /// After a failed call the pause stands: grants of calls that may still run stay used up.
+    pub fn ask_again(&mut self, now: Instant) {
+        if self.pending.is_none() {
+            self.ask_after = now;
+        }
+    }
+
     /// Takes the target for possibly cold; returns whether it was taken for warm before.
     pub fn suspect(&mut self) -> bool {
         self.losses = self.losses.wrapping_add(1);
