A poll that goes silent closes the idle connections; a connect is given up before TCP repeats it

Cause: (1) connections to a target that went silent were forgotten only by a call with time left for a second try. (2) a target behind a cut cost each call 1 s: the time for a connection to open equalled the time after which TCP first repeats its SYN, which could hardly help. Ruled out: a shorter time without a byte for calls (slow stages are to be waited for). Change: the idle connections are closed whenever a used connection is blamed; 300 ms to connect. stream_relay waits until its listener holds a connection before it fills the queue: a cut could leave room for one connection on a busy machine. Before: target_connections silent_poll_replaces_all "Silent" and unanswered_connect_is_given_up "1.001447557s".

--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -40,7 +40,7 @@
         Self {
             max_idle: 64,
             idle: Duration::from_secs(30),
-            connect: Duration::from_secs(1),
+            connect: Duration::from_millis(300),
             max_answer: 4 << 20,
         }
     }
@@ -154,15 +154,11 @@
         if let Some(connection) = pooled {
             let tried = self.send(connection, true, call, request.clone(), watch).await;
             match tried {
-                // The connection is blamed before the target: it may have been lost on the way,
-                // or bring a second answer to an earlier call.
-                Err(
-                    CallError::NotSent(_)
-                    | CallError::Reset(_)
-                    | CallError::Silent
-                    | CallError::Crossed,
-                ) if !watch.left().is_zero() => {
+                Err(error) if is_blamed_on_connection(&error) => {
                     self.inner.pool.forget(address);
+                    if watch.left().is_zero() {
+                        return Err(error);
+                    }
                 }
                 other => return self.accept(address, call, other?).await,
             }
@@ -208,6 +204,15 @@
     }
 }
 
+/// Tells whether a connection that was used before is blamed for `error` before its target: it may
+/// have been lost on the way, or bring a second answer to an earlier call.
+fn is_blamed_on_connection(error: &CallError) -> bool {
+    matches!(
+        error,
+        CallError::NotSent(_) | CallError::Reset(_) | CallError::Silent | CallError::Crossed
+    )
+}
+
 async fn read_whole(open: &mut Open) -> Result<Bytes, CallError> {
     let Open { connection, answered, watch } = open;
     let body = &mut answered.body;
--- a/hawthornkeel/tests/target_connections.rs
+++ b/hawthornkeel/tests/target_connections.rs
@@ -1,6 +1,7 @@
 //! Connections to targets: reuse, silence, staleness and abandonment.
 
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use hawthornkeel::target::call::Call;
@@ -12,11 +13,16 @@
 use hawthornkeel_fakes::behaviour::Behaviour;
 use hawthornkeel_fakes::behaviour::Fault;
 use hawthornkeel_fakes::record::Outcome;
+use hawthornkeel_fakes::stream_relay::StreamRelay;
 use hawthornkeel_fakes::thread;
 use hawthornkeel_fakes::thread::TargetThread;
 use monoio::time::timeout;
 
 const LIMIT: Duration = Duration::from_secs(5);
+/// Time for a poll.
+const POLL: Duration = Duration::from_millis(200);
+/// Time after which TCP first repeats what opens a connection (RFC 6298).
+const SYN_REPEAT: Duration = Duration::from_secs(1);
 
 fn call(number: u128) -> Call {
     Call {
@@ -96,6 +102,42 @@
     assert_eq!((report.connections, report.runs.len()), (2, 4));
 }
 
+#[test]
+fn silent_poll_replaces_all() {
+    let (target, client) = start(Behaviour { floor_ms: 20, ..Behaviour::default() });
+    thread::block_on(async {
+        // Two idle connections, both of which go silent.
+        let tasks = [1, 2].map(|number| {
+            let client = client.clone();
+            let task = async move { client.call(target.address, &call(number)).await.map(drop) };
+            monoio::spawn(task)
+        });
+        for task in tasks {
+            task.await.unwrap();
+        }
+        target.silence().unwrap();
+        // A poll has no time for a second try; the next call does not meet the other connection.
+        let poll = Call { timeout: POLL, progress: POLL, ..call(3) };
+        assert_eq!(client.call(target.address, &poll).await.unwrap_err(), CallError::Silent);
+        let patient = Call { progress: LIMIT, ..call(4) };
+        client.call(target.address, &patient).await.unwrap();
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().connections, 3);
+}
+
+#[test]
+fn unanswered_connect_is_given_up() {
+    let (target, client) = start(Behaviour::default());
+    let relay = StreamRelay::new(target.address).unwrap();
+    relay.set_cut(true).unwrap();
+    let patient = Call { progress: LIMIT, ..call(1) };
+    let start = Instant::now();
+    let result = thread::block_on(client.call(relay.address, &patient)).unwrap();
+    assert!(matches!(result, Err(CallError::NotSent(_))), "{result:?}");
+    assert!(start.elapsed() < SYN_REPEAT, "{:?}", start.elapsed());
+}
+
 #[test]
 fn silent_target_gets_one_run() {
     let (target, client) = start(Behaviour { fault: Fault::Silent, ..Behaviour::default() });
--- a/hawthornkeel_fakes/src/stream_relay.rs
+++ b/hawthornkeel_fakes/src/stream_relay.rs
@@ -6,6 +6,7 @@
 use std::io;
 use std::io::Read;
 use std::io::Write;
+use std::iter;
 use std::net::IpAddr;
 use std::net::Ipv4Addr;
 use std::net::Shutdown;
@@ -29,8 +30,6 @@
 const OWN_CONNECT: Duration = Duration::from_millis(100);
 /// Connections that wait to be accepted, at most.
 const BACKLOG: i32 = 128;
-/// Connections that fill the queue of a listener without a backlog, with room to spare.
-const FILLERS: usize = 8;
 /// Bytes carried at once.
 const PIECE: usize = 16 * 1024;
 
@@ -49,6 +48,8 @@
     /// Connections before this one are silent for good.
     silent_before: AtomicU64,
     cut: AtomicBool,
+    /// Whether a connection was accepted during a cut and no other one will be.
+    holding: AtomicBool,
     stop: AtomicBool,
     /// Connections that fill the listener's queue while the relay is cut.
     fillers: Mutex<Vec<TcpStream>>,
@@ -68,6 +69,7 @@
             opened: AtomicU64::new(0),
             silent_before: AtomicU64::new(0),
             cut: AtomicBool::new(false),
+            holding: AtomicBool::new(false),
             stop: AtomicBool::new(false),
             fillers: Mutex::default(),
         });
@@ -101,7 +103,11 @@
         // With its queue full, the listener drops what would open a connection.
         listen(&self.shared.listener, 0)?;
         let connect = || TcpStream::connect_timeout(&self.address, OWN_CONNECT);
-        fillers.extend((0..FILLERS).map_while(|_| connect().ok()));
+        while !self.shared.holding.load(Ordering::SeqCst) {
+            fillers.extend(connect().ok());
+            thread::sleep(POLL);
+        }
+        fillers.extend(iter::from_fn(|| connect().ok()));
         Ok(())
     }
 }
@@ -132,11 +138,13 @@
 
 fn accept(shared: &Arc<Shared>) {
     while let Ok((near, _)) = shared.listener.accept() {
-        // Nothing is accepted during a cut, so that the queue stays full.
         let number = shared.opened.load(Ordering::SeqCst);
+        // Nothing more is accepted during a cut, so that the queue stays full.
+        shared.holding.store(shared.cut.load(Ordering::SeqCst), Ordering::SeqCst);
         if !shared.wait(number) {
             return;
         }
+        shared.holding.store(false, Ordering::SeqCst);
         shared.opened.fetch_add(1, Ordering::SeqCst);
         // A connection that breaks is the other end's to open again.
         let _ = relay(shared, number, near);
