--- a/hawthornkeel/benches/centre_moves.rs
+++ b/hawthornkeel/benches/centre_moves.rs
@@ -1,5 +1,5 @@
-//! Service by second while a data centre is taken out and brought back, and while it is lost and
-//! returns, through real processes; fails below the stated attainment.
+//! Service by second while a data centre is taken out and brought back, while it is lost and returns,
+//! and while it is cut off, through real processes; fails below the stated attainment.
 
 #[path = "../tests/fleet/mod.rs"]
 mod fleet;
@@ -39,18 +39,23 @@
     Ordered,
     /// Its entries are killed and its targets refuse; both come back.
     Lost,
+    /// It is cut off silently from the others, and its callers go on reaching it.
+    CutOff,
 }
 
 fn main() {
     let mut failed = false;
-    for movement in [Move::Ordered, Move::Lost] {
+    for movement in [Move::Ordered, Move::Lost, Move::CutOff] {
         failed |= !run(movement);
     }
     std::process::exit(i32::from(failed));
 }
 
 fn run(movement: Move) -> bool {
-    let mut fleet = Fleet::prepare(6, 3);
+    let mut fleet = match movement {
+        Move::CutOff => Fleet::prepare_relayed(6, 3),
+        Move::Ordered | Move::Lost => Fleet::prepare(6, 3),
+    };
     for target in &fleet.targets {
         target.thread.behave(&format!("{{\"floor_ms\":{FLOOR_MS}}}")).unwrap();
     }
@@ -122,6 +127,7 @@
             }
             behave(fleet, "{\"fault\":\"refuse\"}");
         }
+        Move::CutOff => fleet.network().set_cut("dc-0", true),
     }
 }
 
@@ -136,6 +142,7 @@
                 fleet.spawn(at);
             }
         }
+        Move::CutOff => fleet.network().set_cut("dc-0", false),
     }
 }
 
