--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -42,7 +42,7 @@
         Self {
             max_idle: 64,
             idle: Duration::from_secs(30),
-            connect: Duration::from_secs(1),
+            connect: Duration::from_millis(300),
             max_answer: 4 << 20,
         }
     }
@@ -162,11 +162,14 @@
         let mut first = None;
         if let Some(connection) = pooled.connection {
             match self.reuse(address, connection, call, request.clone(), watch).await {
-                Err(error) if is_connection(&error) && !watch.left().is_zero() => {
+                Err(error) if is_connection(&error) => {
                     self.inner.pool.forget(address);
                     if call.process == Process::Recent && pooled.recent && is_lost(&error) {
                         return Err(lost_error(error));
                     }
+                    if watch.left().is_zero() {
+                        return Err(error);
+                    }
                     first = Some(error);
                 }
                 other => return self.accept(address, call, other?).await,
--- a/hawthornkeel_core/src/routing/finish.rs
+++ b/hawthornkeel_core/src/routing/finish.rs
@@ -82,6 +82,9 @@
                 if word != Some(Word::Late) {
                     target.proof = permit.grant.clone();
                 }
+                if permit.grant.is_some() {
+                    target.ask_again(now);
+                }
                 let doubt = doubt(target.warmth, word, step);
                 pool.answered(latency);
                 if let Some(prefix) = permit.prefix {
