Tokens that reached an entry together go on in one write

Cause: each token cost one timer a chunk and a write, one string for its JSON and one for its event, one channel send and one write, also where several had come with one read; strace on a slowed entry showed 16,248 sends for 2,981 reads that brought something. Ruled out: the second read of each token, which ends in EAGAIN: monoio's readiness can't be asked for less. Delaying a token to send it with another was not tried. Each token stays an event and each piece a chunk.

--- /dev/null
+++ b/hawthornkeel/tests/token_events.rs
@@ -0,0 +1,48 @@
+//! Streamed answers to callers: tokens that come together go on in one piece, each its own event.
+
+use futures_channel::oneshot;
+use hawthornkeel::entry::reply::Reply;
+use hawthornkeel::entry::reply::TokenEvents;
+use hawthornkeel::http::channel::Piece;
+use hawthornkeel::http::channel::Receiver;
+use hawthornkeel::http::message::Body;
+use hawthornkeel_core::ids::RequestId;
+use hawthornkeel_fakes::thread;
+
+async fn next(receiver: &mut Receiver) -> String {
+    match receiver.next().await {
+        Piece::Data(data) => String::from_utf8(data.to_vec()).unwrap(),
+        other => panic!("no piece: {other:?}"),
+    }
+}
+
+#[test]
+fn each_token_is_an_event_of_its_own() {
+    thread::block_on(async {
+        let (sender, response) = oneshot::channel();
+        let reply = Reply::new(RequestId(1), true, sender);
+        let mut events = TokenEvents::default();
+        events.add("a \"b\"");
+        events.add("c\n");
+        reply.tokens(events).await;
+        reply.finish(b"{\"text\":\"ac\"}").await;
+        let Body::Stream(mut receiver) = response.await.unwrap().body else { panic!("no stream") };
+        let expected = "event: token\ndata: {\"text\":\"a \\\"b\\\"\"}\n\n\
+                        event: token\ndata: {\"text\":\"c\\n\"}\n\n";
+        assert_eq!(next(&mut receiver).await, expected);
+        assert!(next(&mut receiver).await.starts_with("event: answer\ndata: "));
+        assert_eq!(receiver.next().await, Piece::End);
+    })
+    .unwrap();
+}
+
+#[test]
+fn piece_is_bounded() {
+    let mut events = TokenEvents::default();
+    let mut tokens = 0;
+    while !events.is_full() {
+        events.add("word ");
+        tokens += 1;
+    }
+    assert!((50..500).contains(&tokens), "{tokens} tokens in a piece");
+}
