--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -20,13 +20,11 @@
 use crate::entry::context::Context;
 use crate::entry::permit::HeldPermit;
 use crate::entry::reply::Reply;
-use crate::entry::reply::TokenEvents;
 use crate::target::call::Call;
 use crate::target::client::Client;
 use crate::target::completion::COMPLETIONS;
 use crate::target::error::CallError;
 use crate::target::stream::Event;
-use crate::target::stream::TokenStream;
 use crate::telemetry;
 
 /// Shortest time without a byte after which a call that may be repeated counts as silent.
@@ -172,30 +170,13 @@
         tokens = tokens.saturating_add(1);
         plan.text.borrow_mut().push_str(&text);
         if let Some(reply) = &plan.reply {
-            let mut events = TokenEvents::default();
-            events.add(&text);
-            tokens = tokens.saturating_add(add_ready(&mut stream, plan, &mut events));
-            reply.tokens(events).await;
+            reply.token(&text).await;
         }
     }
     let body = compose::engine_answer(&plan.text.borrow());
     Ok(Answered { body, tokens })
 }
 
-/// Adds the tokens that have come already, as far as one piece holds them, and returns how many.
-fn add_ready(stream: &mut TokenStream, plan: &CallPlan, events: &mut TokenEvents) -> u32 {
-    let mut tokens: u32 = 0;
-    while !events.is_full() {
-        let Some(Event::Token { text, .. }) = stream.take_ready() else {
-            break;
-        };
-        tokens = tokens.saturating_add(1);
-        plan.text.borrow_mut().push_str(&text);
-        events.add(&text);
-    }
-    tokens
-}
-
 fn failure(error: &CallError) -> CallFailure {
     match error {
         CallError::NotSent(_) => CallFailure::NotSent,
--- a/hawthornkeel/src/entry/reply.rs
+++ b/hawthornkeel/src/entry/reply.rs
@@ -13,13 +13,7 @@
 use crate::http::problem::Problem;
 
 /// Pieces of a streamed answer that wait for a slow caller, at most.
-const STREAM_PIECES: usize = 16;
-
-/// Bytes from which no further token is added to a piece.
-const PIECE_BYTES: usize = 4 * 1024;
-
-/// Bytes that an event has beside its text, about.
-const EVENT_BYTES: usize = 64;
+const STREAM_PIECES: usize = 64;
 
 /// Text of one streamed piece.
 #[derive(Serialize)]
@@ -27,28 +21,6 @@
     text: &'a str,
 }
 
-/// Events of tokens, one for each, encoded to be sent in one piece.
-#[derive(Default)]
-pub struct TokenEvents {
-    data: Vec<u8>,
-}
-
-impl TokenEvents {
-    /// Adds the event of one token.
-    pub fn add(&mut self, text: &str) {
-        self.data.reserve(text.len().saturating_add(EVENT_BYTES));
-        self.data.extend_from_slice(b"event: token\ndata: ");
-        // Writing into memory can't fail.
-        let _ = serde_json::to_writer(&mut self.data, &TokenEvent { text });
-        self.data.extend_from_slice(b"\n\n");
-    }
-
-    /// Tells whether the piece is large enough to be sent without further tokens.
-    pub fn is_full(&self) -> bool {
-        self.data.len() >= PIECE_BYTES
-    }
-}
-
 /// Where a request's answer goes.
 pub struct Reply {
     request: RequestId,
@@ -77,9 +49,10 @@
         self.streamed
     }
 
-    /// Gives the events of tokens that came together, waiting while the caller reads slowly.
-    pub async fn tokens(&self, events: TokenEvents) {
-        self.send(Bytes::from(events.data)).await;
+    /// Gives a piece of text, waiting while the caller reads slowly.
+    pub async fn token(&self, text: &str) {
+        let event = serde_json::to_string(&TokenEvent { text }).unwrap_or_default();
+        self.send_event("token", event.as_bytes()).await;
     }
 
     /// Gives the whole answer after the last stage's.
@@ -119,14 +92,10 @@
         piece.extend_from_slice(b"\ndata: ");
         piece.extend_from_slice(data);
         piece.extend_from_slice(b"\n\n");
-        self.send(Bytes::from(piece)).await;
-    }
-
-    async fn send(&self, piece: Bytes) {
         let Some(sender) = self.open_stream() else {
             return;
         };
-        let sent = sender.send(piece).await;
+        let sent = sender.send(Bytes::from(piece)).await;
         if sent.is_ok() {
             self.state.replace(State::Streaming(sender));
         }
--- a/hawthornkeel/src/http/channel.rs
+++ b/hawthornkeel/src/http/channel.rs
@@ -130,14 +130,6 @@
         poll_fn(|cx| self.poll_next(cx)).await
     }
 
-    /// Returns the next piece that waits already, if any.
-    pub fn take_ready(&mut self) -> Option<Bytes> {
-        let mut shared = self.shared.borrow_mut();
-        let data = shared.queue.pop_front()?;
-        shared.wake_sender();
-        Some(data)
-    }
-
     fn poll_next(&self, cx: &mut Context<'_>) -> Poll<Piece> {
         let mut shared = self.shared.borrow_mut();
         if let Some(data) = shared.queue.pop_front() {
--- a/hawthornkeel/src/http/framing.rs
+++ b/hawthornkeel/src/http/framing.rs
@@ -236,7 +236,7 @@
     /// Fails where the body is too large, breaks the protocol or ends early.
     pub async fn next(&mut self, reader: &mut Reader) -> Result<Option<Bytes>, ReadError> {
         loop {
-            if let Some(piece) = self.take_buffered(reader)? {
+            if let Some(piece) = self.decode(reader)? {
                 return Ok(Some(piece));
             }
             if self.is_done() {
@@ -268,11 +268,7 @@
         Ok(whole.freeze())
     }
 
-    /// Returns the next piece of what was read already, if any.
-    ///
-    /// # Errors
-    /// Fails where the body is too large or breaks the protocol.
-    pub fn take_buffered(&mut self, reader: &mut Reader) -> Result<Option<Bytes>, ReadError> {
+    fn decode(&mut self, reader: &mut Reader) -> Result<Option<Bytes>, ReadError> {
         let buffer = reader.buffer();
         if buffer.is_empty() {
             return Ok(None);
--- a/hawthornkeel/src/http/mod.rs
+++ b/hawthornkeel/src/http/mod.rs
@@ -4,7 +4,6 @@
 pub(crate) mod connection;
 pub mod framing;
 pub mod message;
-pub(crate) mod patience;
 pub mod problem;
 pub mod reader;
 mod sending;
--- a/hawthornkeel/src/http/sending.rs
+++ b/hawthornkeel/src/http/sending.rs
@@ -20,12 +20,6 @@
 /// Bytes of later requests that are read while one is worked on, at most.
 const MAX_AHEAD: usize = 64 * 1024;
 
-/// Bytes from which no further piece is added to a write.
-const MAX_WRITE: usize = 16 * 1024;
-
-/// Bytes that frame a chunk, about.
-const CHUNK_BYTES: usize = 16;
-
 /// Runs `work` to its end and sets `left` where the caller closes the connection before.
 pub(crate) async fn watch<T>(
     reader: &mut Reader,
@@ -94,52 +88,37 @@
     }
 }
 
-/// Writes the pieces as they come, watching the caller with one read for the whole stream.
 async fn send_stream(
     reader: &mut Reader,
-    writer: &mut Writer,
-    receiver: Receiver,
-    left: &Signal,
-    framing: Framing,
-) -> io::Result<()> {
-    watch(reader, left, write_pieces(writer, receiver, left, framing)).await
-}
-
-async fn write_pieces(
     writer: &mut Writer,
     mut receiver: Receiver,
     left: &Signal,
     framing: Framing,
 ) -> io::Result<()> {
-    let mut leaving = pin!(left.wait());
     loop {
-        let piece = monoio::select! {
-            piece = receiver.next() => piece,
-            // The missing last chunk tells the caller that the answer is not whole.
-            () = &mut leaving => return Err(io::ErrorKind::ConnectionAborted.into()),
-        };
+        let piece = watch(reader, left, next_or_left(&mut receiver, left)).await;
+        let mut out = BytesMut::new();
         match piece {
-            Piece::Data(data) => writer.write_all(join(data, &mut receiver, framing)).await?,
-            Piece::End if framing == Framing::Chunked => {
+            Some(Piece::Data(data)) if data.is_empty() => continue,
+            Some(Piece::Data(data)) if framing == Framing::Chunked => {
+                writer::encode_chunk(&data, &mut out);
+                writer.write_all(out.freeze()).await?;
+            }
+            Some(Piece::Data(data)) => writer.write_all(data).await?,
+            Some(Piece::End) if framing == Framing::Chunked => {
                 return writer.write_all(Bytes::from_static(b"0\r\n\r\n")).await;
             }
-            Piece::End | Piece::Broken => return Err(io::ErrorKind::ConnectionAborted.into()),
+            Some(Piece::End) => return Err(io::ErrorKind::ConnectionAborted.into()),
+            // The missing last chunk tells the caller that the answer is not whole.
+            Some(Piece::Broken) | None => return Err(io::ErrorKind::ConnectionAborted.into()),
         }
     }
 }
 
-/// Returns the bytes of a piece and of those that wait behind it already, to be written at once.
-fn join(first: Bytes, receiver: &mut Receiver, framing: Framing) -> Bytes {
-    let mut out = BytesMut::with_capacity(first.len().saturating_add(CHUNK_BYTES));
-    let mut next = Some(first);
-    while let Some(data) = next {
-        match framing {
-            // An empty chunk would end the body.
-            _ if data.is_empty() => {}
-            Framing::Chunked => writer::encode_chunk(&data, &mut out),
-            _ => out.extend_from_slice(&data),
-        }
-        next = if out.len() < MAX_WRITE { receiver.take_ready() } else { None };
+/// Returns the next piece, or `None` once the caller has left.
+async fn next_or_left(receiver: &mut Receiver, left: &Signal) -> Option<Piece> {
+    monoio::select! {
+        piece = receiver.next() => Some(piece),
+        () = left.wait() => None,
     }
-    out.freeze()
 }
--- a/hawthornkeel/src/http/signal.rs
+++ b/hawthornkeel/src/http/signal.rs
@@ -48,7 +48,7 @@
     pub fn wait(&self) -> Wait {
         let key = self.inner.next.get();
         self.inner.next.set(key.wrapping_add(1));
-        Wait { inner: self.inner.clone(), key, waker: None }
+        Wait { inner: self.inner.clone(), key }
     }
 }
 
@@ -56,29 +56,22 @@
 pub struct Wait {
     inner: Rc<Inner>,
     key: u64,
-    /// Waker that is registered, so that polls by the same task cost no second registration.
-    waker: Option<Waker>,
 }
 
 impl Future for Wait {
     type Output = ();
 
-    fn poll(mut self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
+    fn poll(self: Pin<&mut Self>, cx: &mut Context<'_>) -> Poll<()> {
         if self.inner.set.get() {
             return Poll::Ready(());
         }
-        if !self.waker.as_ref().is_some_and(|w| w.will_wake(cx.waker())) {
-            self.inner.wakers.borrow_mut().insert(self.key, cx.waker().clone());
-            self.waker = Some(cx.waker().clone());
-        }
+        self.inner.wakers.borrow_mut().insert(self.key, cx.waker().clone());
         Poll::Pending
     }
 }
 
 impl Drop for Wait {
     fn drop(&mut self) {
-        if self.waker.is_some() {
-            self.inner.wakers.borrow_mut().swap_remove(&self.key);
-        }
+        self.inner.wakers.borrow_mut().swap_remove(&self.key);
     }
 }
--- a/hawthornkeel/src/http/writer.rs
+++ b/hawthornkeel/src/http/writer.rs
@@ -1,6 +1,5 @@
 //! Writing side of a connection, watched for progress.
 
-use std::fmt::Write;
 use std::io;
 use std::time::Duration;
 
@@ -16,8 +15,7 @@
 use monoio::io::AsyncWriteRent;
 use monoio::io::OwnedWriteHalf;
 use monoio::net::TcpStream;
-
-use crate::http::patience;
+use monoio::time::timeout;
 
 /// How the body of a response is framed.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
@@ -50,7 +48,7 @@
     pub async fn write_all(&mut self, mut data: Bytes) -> io::Result<()> {
         while data.has_remaining() {
             let write = self.half.write(data.clone());
-            let (result, _) = patience::within(self.stall, write).await.ok_or_else(stalled)?;
+            let (result, _) = timeout(self.stall, write).await.map_err(|_| stalled())?;
             let count = result?;
             if count == 0 {
                 return Err(io::ErrorKind::WriteZero.into());
@@ -105,8 +103,7 @@
 
 /// Encodes `data` as one chunk into `out`.
 pub fn encode_chunk(data: &[u8], out: &mut BytesMut) {
-    // Writing into memory can't fail.
-    let _ = write!(out, "{:x}\r\n", data.len());
+    out.put_slice(format!("{:x}\r\n", data.len()).as_bytes());
     out.put_slice(data);
     out.put_slice(b"\r\n");
 }
--- a/hawthornkeel/src/target/connection.rs
+++ b/hawthornkeel/src/target/connection.rs
@@ -165,11 +165,6 @@
         Err(CallError::Malformed("too many interim answers"))
     }
 
-    /// Returns a piece of the answer's body that was read already, if any.
-    pub(crate) fn take_piece(&mut self, body: &mut BodyReader) -> Result<Option<Bytes>, CallError> {
-        body.take_buffered(&mut self.reader).map_err(read_error)
-    }
-
     /// Returns the next piece of the answer's body, `None` once it is whole.
     pub(crate) async fn next_piece(
         &mut self,
--- a/hawthornkeel/src/target/sse.rs
+++ b/hawthornkeel/src/target/sse.rs
@@ -1,6 +1,5 @@
 //! Server-sent events of the completions protocol.
 
-use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
 use serde::Deserialize;
@@ -64,10 +63,8 @@
     /// Returns the next event, `None` where more bytes are needed.
     pub(crate) fn next(&mut self) -> Result<Option<Parsed>, CallError> {
         while let Some(end) = self.buffer.iter().position(|&b| b == b'\n') {
-            let line = self.buffer.get(..end).unwrap_or_default();
-            let parsed = parse_line(line.trim_ascii());
-            self.buffer.advance(end.saturating_add(1));
-            if let Some(parsed) = parsed? {
+            let line = self.buffer.split_to(end.saturating_add(1)).freeze();
+            if let Some(parsed) = parse_line(line.trim_ascii())? {
                 return Ok(Some(parsed));
             }
         }
--- a/hawthornkeel/src/target/stream.rs
+++ b/hawthornkeel/src/target/stream.rs
@@ -2,8 +2,6 @@
 
 use std::net::SocketAddr;
 
-use bytes::Bytes;
-
 use crate::target::client::Client;
 use crate::target::client::Open;
 use crate::target::error::CallError;
@@ -32,14 +30,12 @@
     parser: Parser,
     offset: u64,
     done: bool,
-    /// Error met behind tokens that were taken, kept for the next call.
-    failed: Option<CallError>,
 }
 
 impl TokenStream {
     pub(crate) fn new(client: Client, address: SocketAddr, open: Open, offset: u64) -> Self {
         let parser = Parser::default();
-        Self { client, address, state: Some(open), parser, offset, done: false, failed: None }
+        Self { client, address, state: Some(open), parser, offset, done: false }
     }
 
     /// Returns the bytes of generated text that have come so far.
@@ -63,67 +59,29 @@
         next
     }
 
-    /// Returns the next event if the bytes of a token have come already, without waiting.
-    ///
-    /// The end and errors are left to [`TokenStream::next`].
-    pub fn take_ready(&mut self) -> Option<Event> {
-        match self.parse() {
-            Ok(event) => event,
-            Err(error) => {
-                self.failed = Some(error);
-                None
-            }
-        }
-    }
-
     async fn advance(&mut self) -> Result<Event, CallError> {
-        if let Some(error) = self.failed.take() {
-            return Err(error);
-        }
         loop {
-            if let Some(event) = self.parse()? {
-                return Ok(event);
+            if !self.done {
+                match self.parser.next()? {
+                    Some(Parsed::Text(text)) => return Ok(self.token(text)),
+                    Some(Parsed::Done) => self.done = true,
+                    None => {}
+                }
             }
             let Some(open) = &mut self.state else {
                 return if self.done { Ok(Event::End) } else { Err(CallError::Truncated) };
             };
             let Open { connection, answered, watch } = open;
             match connection.next_piece(&mut answered.body, watch).await? {
-                Some(piece) => self.feed(&piece)?,
+                Some(piece) if self.done && !piece.trim_ascii().is_empty() => {
+                    return Err(CallError::Malformed("bytes after the end of the stream"));
+                }
+                Some(piece) => self.parser.feed(&piece),
                 None => self.finish()?,
             }
         }
     }
 
-    /// Returns the next token of the bytes that have come.
-    fn parse(&mut self) -> Result<Option<Event>, CallError> {
-        while !self.done {
-            match self.parser.next()? {
-                Some(Parsed::Text(text)) => return Ok(Some(self.token(text))),
-                Some(Parsed::Done) => self.done = true,
-                None => match self.take_piece()? {
-                    Some(piece) => self.feed(&piece)?,
-                    None => break,
-                },
-            }
-        }
-        Ok(None)
-    }
-
-    /// Takes a piece of the body that was read already.
-    fn take_piece(&mut self) -> Result<Option<Bytes>, CallError> {
-        let Some(open) = &mut self.state else { return Ok(None) };
-        open.connection.take_piece(&mut open.answered.body)
-    }
-
-    fn feed(&mut self, piece: &Bytes) -> Result<(), CallError> {
-        if self.done && !piece.trim_ascii().is_empty() {
-            return Err(CallError::Malformed("bytes after the end of the stream"));
-        }
-        self.parser.feed(piece);
-        Ok(())
-    }
-
     fn token(&mut self, text: String) -> Event {
         let offset = self.offset;
         self.offset = offset.saturating_add(u64::try_from(text.len()).unwrap_or(u64::MAX));
--- a/hawthornkeel/tests/target_streams.rs
+++ b/hawthornkeel/tests/target_streams.rs
@@ -1,9 +1,6 @@
 //! Streams from engines: order, breaks, going on from an offset, and cancelling.
 
-use std::io::Read;
-use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::time::Duration;
 
 use hawthornkeel::target::call::Call;
@@ -155,37 +152,3 @@
     assert!(report.runs[0].tokens < 8, "{report:?}");
     assert_eq!(report.connections, 2);
 }
-
-/// Answers one call with `body`, head and all in one write, and returns the address.
-fn answer_at_once(body: String) -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    let address = listener.local_addr().unwrap();
-    std::thread::spawn(move || {
-        let (mut stream, _) = listener.accept().unwrap();
-        let mut request = [0; 4096];
-        assert!(stream.read(&mut request).unwrap() > 0);
-        let head = "HTTP/1.1 200 OK\r\ntransfer-encoding: chunked\r\n\r\n";
-        stream.write_all(format!("{head}{body}").as_bytes()).unwrap();
-    });
-    address
-}
-
-#[test]
-fn tokens_that_came_together_need_no_wait_and_hide_no_error() {
-    let chunk = |data: &str| format!("{:x}\r\n{data}\r\n", data.len());
-    let event = |text| chunk(&format!("data: {{\"choices\":[{{\"text\":\"{text}\"}}]}}\n\n"));
-    let body = [event("a"), event("b"), chunk("data: {\n")].concat();
-    let address = answer_at_once(body);
-    let client = Client::new(ClientLimits::default());
-    let token = |offset, text: &str| Event::Token { offset, text: text.to_owned() };
-    thread::block_on(async {
-        let mut stream = client.stream(address, &call(0)).await.unwrap();
-        assert_eq!(stream.next().await, Ok(token(0, "a")));
-        assert_eq!(stream.take_ready(), Some(token(1, "b")));
-        assert_eq!(stream.take_ready(), None);
-        assert_eq!(stream.offset(), 2);
-        let error = stream.next().await.unwrap_err();
-        assert!(matches!(error, CallError::Malformed(_)), "{error:?}");
-    })
-    .unwrap();
-}
