One record of a call's end, also where it is cancelled

Cause: ended and cancelled calls were recorded by two pieces of code that said the same; a cancelled repetition was not counted among the repetitions. Ruled out: none besides. Change: entry/record.rs holds the record of one call, which writes itself as cancelled where it is dropped. Measured: hedged_calls, whole_path, target_restarts and token_events pass.

--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -19,9 +19,9 @@
 use crate::entry::compose;
 use crate::entry::context::Context;
 use crate::entry::permit::HeldPermit;
+use crate::entry::record::CallRecord;
 use crate::entry::reply::Reply;
 use crate::entry::reply::TokenEvents;
-use crate::entry::unfinished::Unfinished;
 use crate::target::call::Call;
 use crate::target::client::Client;
 use crate::target::completion::COMPLETIONS;
@@ -74,25 +74,23 @@
 
 /// Makes the call and gives its permit back.
 pub async fn run(context: Rc<Context>, permit: HeldPermit, plan: CallPlan) -> Input {
-    let started = context.clock.now();
     if permit.permit().is_some_and(|p| p.grant.is_some()) {
         let stage = plan.stage.name.as_str().to_owned();
         metrics::counter!(telemetry::COLD_CALLS, "stage" => stage).increment(1);
     }
     let heard = Heard::default();
-    let unfinished = Unfinished::new(&context, &plan);
+    let record = CallRecord::start(&context, &plan);
     let result = attempt(&context, &permit, &plan, &heard).await;
-    unfinished.end();
-    let latency = context.clock.now().since(started);
-    record(&plan, latency, &result);
     permit.hear(heard.get());
     match result {
         Ok(answered) => {
             let tokens = answered.tokens;
+            let latency = record.answered(tokens);
             permit.finish(CallOutcome::Answered { latency, tokens, incarnation: heard.get() });
             Input::Answered { call: plan.id, answer: answered.body }
         }
         Err(error) => {
+            record.failed(error.name());
             let failure = failure(&error);
             match error {
                 CallError::Restarted => permit.finish_unmet(heard.get()),
@@ -247,23 +245,3 @@
         CallFailure::Status(_) => CallOutcome::Failed,
     }
 }
-
-fn record(plan: &CallPlan, latency: Duration, result: &Result<Answered, CallError>) {
-    let stage = plan.stage.name.as_str().to_owned();
-    let outcome = result.as_ref().map_or_else(CallError::name, |_| "answered");
-    let millis = u64::try_from(latency.as_millis()).unwrap_or(u64::MAX);
-    let labels = [("stage", stage)];
-    metrics::histogram!(telemetry::STAGE_SECONDS, &labels).record(latency.as_secs_f64());
-    match result {
-        Ok(answered) => {
-            metrics::counter!(telemetry::TOKENS, &labels).increment(u64::from(answered.tokens));
-        }
-        Err(_) => metrics::counter!(telemetry::WASTED_MILLIS, &labels).increment(millis),
-    }
-    if plan.id.attempt.0 > 0 && !plan.hedge {
-        metrics::counter!(telemetry::RETRIES, &labels).increment(1);
-    }
-    let [(_, stage)] = labels;
-    metrics::counter!(telemetry::CALLS, "stage" => stage, "outcome" => outcome).increment(1);
-    tracing::info!(event = "call", call = %plan.id, stage = %plan.stage.name, outcome, millis);
-}
--- /dev/null
+++ b/hawthornkeel/src/entry/record.rs
@@ -0,0 +1,87 @@
+//! Record of one call to a target in metrics and logs, also where the call is cancelled.
+
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_core::ids::CallId;
+use hawthornkeel_core::names::StageName;
+use hawthornkeel_core::time::Instant;
+
+use crate::entry::call::CallPlan;
+use crate::entry::context::Context;
+use crate::telemetry;
+
+/// Outcome of a call that was dropped before it ended.
+const CANCELLED: &str = "cancelled";
+
+/// Call in progress; where it is dropped, it is recorded as cancelled and its time as wasted.
+pub struct CallRecord {
+    context: Rc<Context>,
+    id: CallId,
+    stage: StageName,
+    hedge: bool,
+    started: Instant,
+    ended: bool,
+}
+
+impl CallRecord {
+    /// Notes the start of a call.
+    pub fn start(context: &Rc<Context>, plan: &CallPlan) -> Self {
+        Self {
+            context: Rc::clone(context),
+            id: plan.id,
+            stage: plan.stage.name.clone(),
+            hedge: plan.hedge,
+            started: context.clock.now(),
+            ended: false,
+        }
+    }
+
+    /// Records an answer of `tokens` tokens and returns how long it took.
+    pub fn answered(mut self, tokens: u32) -> Duration {
+        self.ended = true;
+        let elapsed = self.write("answered");
+        let stage = self.stage.as_str().to_owned();
+        metrics::counter!(telemetry::TOKENS, "stage" => stage).increment(u64::from(tokens));
+        elapsed
+    }
+
+    /// Records a failure, whose time is wasted.
+    pub fn failed(mut self, outcome: &'static str) {
+        self.ended = true;
+        self.write_wasted(outcome);
+    }
+
+    fn write_wasted(&self, outcome: &'static str) {
+        let elapsed = self.write(outcome);
+        let stage = self.stage.as_str().to_owned();
+        metrics::counter!(telemetry::WASTED_MILLIS, "stage" => stage).increment(millis(elapsed));
+    }
+
+    /// Records what every call has, and returns how long it took.
+    fn write(&self, outcome: &'static str) -> Duration {
+        let elapsed = self.context.clock.now().since(self.started);
+        let stage = self.stage.as_str().to_owned();
+        let labels = [("stage", stage.clone())];
+        metrics::histogram!(telemetry::STAGE_SECONDS, &labels).record(elapsed.as_secs_f64());
+        metrics::counter!(telemetry::CALLS, "stage" => stage, "outcome" => outcome).increment(1);
+        if self.id.attempt.0 > 0 && !self.hedge {
+            metrics::counter!(telemetry::RETRIES, &labels).increment(1);
+        }
+        let millis = millis(elapsed);
+        tracing::info!(event = "call", call = %self.id, stage = %self.stage, outcome, millis);
+        elapsed
+    }
+}
+
+impl Drop for CallRecord {
+    fn drop(&mut self) {
+        if !self.ended {
+            self.write_wasted(CANCELLED);
+        }
+    }
+}
+
+fn millis(elapsed: Duration) -> u64 {
+    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
+}
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -10,7 +10,7 @@
 
 /// Requests answered in full within their deadline.
 pub const ANSWERS: &str = "hawthornkeel_answers_total";
-/// Requests refused, by code and whether they ran.
+/// Requests refused, by code.
 pub const REFUSALS: &str = "hawthornkeel_refusals_total";
 /// Calls to targets, by stage and outcome.
 pub const CALLS: &str = "hawthornkeel_calls_total";
