A target's health and grants in modules of their own

Ruled out: types of their own for the parts, which would need the rest of the target all the same. Change: routing/target/{mod,health,grants}.rs; no logic changed. Measured: all tests of hawthornkeel_core pass.

--- a/hawthornkeel_core/src/routing/target.rs
+++ b/hawthornkeel_core/src/routing/target/mod.rs
@@ -1,9 +1,11 @@
 //! State that an entry keeps of one target.
 
+mod grants;
+mod health;
+
 use std::time::Duration;
 
 use crate::document::Pool;
-use crate::lease::LeaseSettings;
 use crate::lease::message::GrantId;
 use crate::routing::hot::Class;
 use crate::routing::hot::Hot;
@@ -17,26 +19,21 @@
 use crate::routing::types::TargetInfo;
 use crate::time::Instant;
 
+pub(crate) use self::grants::Grant;
+pub(crate) use self::grants::Pending;
+
 /// Weight of a new sample in the short average of call times.
 const SHORT_WEIGHT: f64 = 0.3;
 /// Weight of a new sample in the long average of call times.
 const LONG_WEIGHT: f64 = 0.03;
 /// Ratio of the short average to the long one, and to the pool's, that counts as a step.
 const STEP_RATIO: f64 = 4.0;
-/// Consecutive failures after which a target gets nothing but probes.
-const DOWN_AFTER: u32 = 2;
 /// Part of what a target bears that entries above their own shares leave to others.
 const FULL_SHARE: f64 = 1.0;
 /// Factor on the own use above the share at a target that is reported full.
 const YIELD_FACTOR: f64 = 0.9;
 /// Multiple of the own share that a limit may reach at a target that reports no load.
 const UNREPORTED_FACTOR: f64 = 2.0;
-/// Time for which a target that refused a call is left alone.
-const REFUSED_PAUSE: Duration = Duration::from_millis(20);
-/// Part of a grant's time after which a request for one gets a new number.
-const RENUMBER_PART: u32 = 4;
-/// Time after a failure or a pause during which only first calls probe a target.
-const RETRY_PAUSE: Duration = Duration::from_millis(500);
 /// Share of a call's time that an idle target is expected to take.
 const IDLE_SHARE: f64 = 0.5;
 
@@ -51,24 +48,6 @@
     Warm,
 }
 
-/// Grant in hand.
-#[derive(Clone, Debug)]
-pub(crate) struct Grant {
-    pub id: GrantId,
-    pub got: Instant,
-    /// Time until which a call may be sent: half of the grant's time is left for it then.
-    pub use_by: Instant,
-    /// Time at which the call must have ended.
-    pub until: Instant,
-}
-
-/// Grant request that was sent.
-#[derive(Clone, Copy, Debug)]
-pub(crate) struct Pending {
-    pub number: u64,
-    pub sent: Instant,
-}
-
 /// State that an entry keeps of one target.
 #[derive(Debug)]
 pub(crate) struct Target {
@@ -187,30 +166,6 @@
         new || (lower && report.incarnation.is_none())
     }
 
-    /// Tells whether no load report came for `age`.
-    fn is_silent(&self, now: Instant, age: Duration) -> bool {
-        self.reported.is_none_or(|at| now.since(at) >= age)
-    }
-
-    /// Tells whether the target gives signs of itself: reports, or answers where it never reported.
-    pub fn is_heard(&self, now: Instant, age: Duration) -> bool {
-        match self.reported {
-            Some(_) => !self.is_silent(now, age),
-            None => !self.is_down(),
-        }
-    }
-
-    /// Notes that the target is heard again after a silence: one that is down may be tried at once.
-    ///
-    /// One more failure brings it down again.
-    fn reached(&mut self, now: Instant) {
-        if self.is_down() {
-            self.failures = DOWN_AFTER - 1;
-            self.down_until = now;
-            self.retry_at = now;
-        }
-    }
-
     /// Bounds the own limit by what the target bears in all and others are known to use.
     pub fn bound(&mut self, most: f64) {
         let own = f64::from(self.running);
@@ -236,11 +191,6 @@
         !leaving && !self.taken_out && !self.is_down()
     }
 
-    /// Tells whether the target fails and gets nothing but probes.
-    pub fn is_down(&self) -> bool {
-        self.failures >= DOWN_AFTER
-    }
-
     /// Tells whether a call can be sent now.
     pub fn is_open(&self, now: Instant) -> bool {
         if !self.takes_work() || now < self.down_until {
@@ -305,76 +255,6 @@
         self.short > self.long * STEP_RATIO && self.short > pool_micros * STEP_RATIO
     }
 
-    /// Takes an answer.
-    pub fn answered(&mut self, now: Instant) {
-        self.heard = now;
-        self.failures = 0;
-        self.refusals = None;
-        self.down_until = Instant::ZERO;
-        self.retry_at = Instant::ZERO;
-    }
-
-    /// Takes a failure; once there are `DOWN_AFTER` in a row, the target is left alone a while.
-    pub fn failed(&mut self, now: Instant, at_once: bool, set: &RouterSettings) {
-        self.failures = self.failures.saturating_add(1);
-        if at_once {
-            self.failures = self.failures.max(DOWN_AFTER);
-        }
-        if self.is_down() {
-            let doublings = (self.failures - DOWN_AFTER).min(16);
-            let pause = set.probe_min.saturating_mul(1 << doublings).min(set.probe_max);
-            self.down_until = now + pause;
-        }
-        self.retry_at = self.down_until.max(now) + RETRY_PAUSE;
-    }
-
-    /// Takes a refusal; returns whether it shows that the target bears less than it did.
-    pub fn refused(&mut self, now: Instant, most: f64) -> bool {
-        self.heard = now;
-        self.limit.refused(now);
-        self.down_until = self.down_until.max(now + REFUSED_PAUSE);
-        let run = self.refusals.get_or_insert(Refusals::new(now));
-        run.refused(now, most)
-    }
-
-    /// Tells whether a grant would be of use now.
-    pub fn wants_grant(&self, now: Instant) -> bool {
-        let proved = self.warmth == Warmth::Warm;
-        self.takes_work() && !proved && now >= self.down_until && self.grants.is_empty()
-    }
-
-    /// Returns the number of a grant request that is due now: a new one, or one sent again.
-    ///
-    /// A request that is sent again keeps its number and the time of its first sending, from which
-    /// the grant's time counts.
-    pub fn due_request(
-        &mut self,
-        now: Instant,
-        lease: &LeaseSettings,
-        next: &mut u64,
-    ) -> Option<u64> {
-        if now < self.ask_after {
-            return None;
-        }
-        self.ask_after = now + lease.resend;
-        let old = |p: &Pending| now.since(p.sent) >= lease.grant / RENUMBER_PART;
-        self.pending.take_if(|p| old(p));
-        let pending = self.pending.get_or_insert_with(|| {
-            *next += 1;
-            Pending { number: *next, sent: now }
-        });
-        Some(pending.number)
-    }
-
-    /// Lets the next grant be asked for at once, after a call under the last one was answered.
-    ///
-    /// After a failed call the pause stands: grants of calls that may still run stay used up.
-    pub fn ask_again(&mut self, now: Instant) {
-        if self.pending.is_none() {
-            self.ask_after = now;
-        }
-    }
-
     /// Takes the target for possibly cold; returns whether it was taken for warm before.
     pub fn suspect(&mut self) -> bool {
         self.losses = self.losses.wrapping_add(1);
