Fleets of the tests take ports that the system hands to nobody else

A fleet asked the system for each port and let it go again; the system may hand out the same one twice. Ruled out: the change tested with it (the same tree passed before and after; the instance had not started). Change: each fleet has an address of its own, on which its instances take fixed ports below those handed out. After: none can meet. Seen once only, so that the failure itself was not brought about again.

--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -8,8 +8,6 @@
 use std::fs;
 use std::net::IpAddr;
 use std::net::SocketAddr;
-use std::net::TcpListener;
-use std::net::UdpSocket;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Command;
@@ -41,6 +39,10 @@
 pub const PATIENCE: Duration = Duration::from_secs(30);
 /// Longest call to a cold target, in milliseconds; short, so that fleets start soon.
 const GRANT_MS: u64 = 2_000;
+/// Port of a fleet's first instance: below those that the system hands out, which would meet.
+const FIRST_PORT: u16 = 20_000;
+/// Ports of an instance.
+const PORTS: u16 = 3;
 /// Caller's key of the one workspace.
 pub const KEY: &str = "key-of-makers";
 /// SHA-256 of [`KEY`].
@@ -224,12 +226,13 @@
         let address = own_address();
         let centre = |at: usize| format!("dc-{}", at % centres);
         let instances: Vec<_> = (0..count)
-            .map(|at| Instance {
+            .zip((FIRST_PORT..).step_by(usize::from(PORTS)))
+            .map(|(at, port)| Instance {
                 name: format!("entry-{at}"),
                 centre: centre(at),
-                listen: free_tcp(address),
-                admin: free_tcp(address),
-                peer: free_udp(address),
+                listen: SocketAddr::new(address, port),
+                admin: SocketAddr::new(address, port + 1),
+                peer: SocketAddr::new(address, port + 2),
                 control: at < 3,
                 settings: root.path().join(format!("entry-{at}.toml")),
                 child: None,
@@ -487,11 +490,3 @@
     let [_, _, high, low] = std::process::id().to_be_bytes();
     IpAddr::from([127, 64 | (high & 63), low, FLEETS.fetch_add(1, Ordering::Relaxed)])
 }
-
-fn free_tcp(address: IpAddr) -> SocketAddr {
-    TcpListener::bind((address, 0)).unwrap().local_addr().unwrap()
-}
-
-fn free_udp(address: IpAddr) -> SocketAddr {
-    UdpSocket::bind((address, 0)).unwrap().local_addr().unwrap()
-}
