Long messages between instances are compressed

Cause: each change sends the whole document to every instance; at 1,600 workspaces the busiest would have spent 82 KB/s of its 23 KB/s (calculated). The bench used 10 kB of one letter and no bound on changes. Failing first: document_keeps_the_budget '100177 bytes a second'.

--- a/hawthornkeel/benches/control.rs
+++ b/hawthornkeel/benches/control.rs
@@ -33,6 +33,7 @@
 use hawthornkeel_core::state::command::Claimant;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::Outcome;
+use hawthornkeel_fakes::document::large;
 use hdrhistogram::Histogram;
 use support::cluster::Cluster;
 use support::cluster::Spec;
@@ -55,8 +56,9 @@
 const SIZES: [usize; 4] = [8, 16, 32, 64];
 /// Time of one measurement.
 const RUN: Duration = Duration::from_secs(3);
-/// Time for the connections of the start to settle.
-const SETTLE: Duration = Duration::from_secs(14);
+/// Time for the connections of the start to settle: an instance that found its best source late
+/// tries it again after 15 s.
+const SETTLE: Duration = Duration::from_secs(22);
 /// Time for one claim.
 const TIMEOUT: Duration = Duration::from_secs(5);
 /// Share of a core that control may cost an instance, in percent.
@@ -64,7 +66,11 @@
 /// Bytes a second that control may cost an instance.
 const MAX_BYTES: f64 = 23_000.0;
 /// Changes of the document a second in the measurement of their cost.
-const CHANGES: u64 = 20;
+const CHANGES: u64 = 2;
+/// Changes of the document a second that the users expect.
+const EXPECTED_CHANGES: f64 = 9_200.0 / 86_400.0;
+/// Workspaces that the users expect.
+const WORKSPACES: u32 = 1_600;
 
 fn main() {
     let mut loaded = Vec::new();
@@ -88,9 +94,10 @@
             "{cpu:.2} of the time without batches, {MAX_CPU_SHARE} at most"
         );
     }
-    for (cpu, bytes) in costs {
-        assert!(cpu <= MAX_CPU_PERCENT, "control costs {cpu:.2}% of a core");
-        assert!(bytes <= MAX_BYTES, "control costs {bytes:.0} bytes a second");
+    for cost in costs {
+        assert!(cost.idle_cpu <= MAX_CPU_PERCENT, "{cost:?}: over {MAX_CPU_PERCENT}%");
+        let bytes = cost.expected_bytes();
+        assert!(bytes <= MAX_BYTES, "{cost:?}: {bytes:.0} bytes a second");
     }
 }
 
@@ -210,8 +217,26 @@
     })
 }
 
-/// Measures `size` instances, idle and under changes, and returns the idle maximum of an instance.
-fn cost(size: usize) -> (f64, f64) {
+/// Greatest cost of control to an instance.
+#[derive(Clone, Copy, Debug, Default)]
+struct Greatest {
+    /// Share of a core while idle, in percent.
+    idle_cpu: f64,
+    /// Bytes a second while idle.
+    idle_bytes: f64,
+    /// Bytes a change of the document.
+    change_bytes: f64,
+}
+
+impl Greatest {
+    /// Returns the bytes a second under the changes that the users expect.
+    fn expected_bytes(&self) -> f64 {
+        self.idle_bytes + self.change_bytes * EXPECTED_CHANGES
+    }
+}
+
+/// Measures `size` instances, idle and under changes.
+fn cost(size: usize) -> Greatest {
     let centres = ["east", "west", "south"].into_iter().cycle();
     let mut specs = controls();
     let entry = |(at, centre)| Spec { name: name(at), centre, control: false };
@@ -239,8 +264,17 @@
         report("idle", size, &names, &idle);
         let loaded = usage(&cluster, &names, change(&parts)).await;
         report("changes", size, &names, &loaded);
-        let max = |pick: fn(&Cost) -> f64| idle.iter().map(pick).fold(0.0, f64::max);
-        (max(|c| c.cpu_percent), max(|c| c.bytes))
+        let max =
+            |costs: &[Cost], pick: fn(&Cost) -> f64| costs.iter().map(pick).fold(0.0, f64::max);
+        let idle_bytes = max(&idle, |c| c.bytes);
+        let change_bytes = (max(&loaded, |c| c.bytes) - idle_bytes) / CHANGES as f64;
+        let greatest =
+            Greatest { idle_cpu: max(&idle, |c| c.cpu_percent), idle_bytes, change_bytes };
+        println!(
+            "event=change instances={size} bytes_max={change_bytes:.0} expected_per_second={:.0}",
+            greatest.expected_bytes(),
+        );
+        greatest
     })
 }
 
@@ -249,9 +283,9 @@
     Box::leak(format!("e{at:03}").into_boxed_str())
 }
 
-/// Submits changes of a document of 10 kB.
+/// Submits changes of a document with as many workspaces as are expected.
 async fn change(parts: &Parts) {
-    let text = "x".repeat(10_000);
+    let text = large(WORKSPACES);
     for number in 2..2 + CHANGES * RUN.as_secs() {
         assert_eq!(submit(parts, request(number, number - 1, &text)).await, accepted(number));
         monoio::time::sleep(Duration::from_secs(1) / CHANGES as u32).await;
--- a/hawthornkeel/src/peer/inbound.rs
+++ b/hawthornkeel/src/peer/inbound.rs
@@ -141,7 +141,9 @@
             tracing::warn!(event = "version-refused", peer = %name, found, known = wire::VERSION);
             Frame::Refused(Refusal::Version { found, known: wire::VERSION })
         }
-        Err(WireError::Malformed(_)) => Frame::Refused(Refusal::Malformed),
+        Err(WireError::Malformed(_) | WireError::Form(_) | WireError::Packed) => {
+            Frame::Refused(Refusal::Malformed)
+        }
         Err(error) => return Err(error.to_string()),
     };
     let answer = wire::encode(&answer).map_err(|e| e.to_string())?;
--- a/hawthornkeel/src/peer/mod.rs
+++ b/hawthornkeel/src/peer/mod.rs
@@ -7,6 +7,7 @@
 pub mod frame;
 mod inbound;
 mod link;
+pub mod pack;
 pub mod runtime;
 pub mod signal;
 pub mod wire;
--- a/hawthornkeel/tests/peer_frames.rs
+++ b/hawthornkeel/tests/peer_frames.rs
@@ -13,6 +13,8 @@
 use hawthornkeel::peer::frame::Followed;
 use hawthornkeel::peer::frame::FrameKind;
 use hawthornkeel::peer::frame::Refusal;
+use hawthornkeel::peer::pack;
+use hawthornkeel::peer::pack::Form;
 use hawthornkeel::peer::wire;
 use hawthornkeel::peer::wire::WireError;
 use hawthornkeel_core::ids::LogIndex;
@@ -21,6 +23,7 @@
 use hawthornkeel_core::state::command::CentreState;
 use hawthornkeel_core::state::published::Published;
 use hawthornkeel_core::state::takeout::Hold;
+use hawthornkeel_fakes::document::large;
 use support::peer;
 use support::run;
 use support::settings;
@@ -29,6 +32,11 @@
 use tempfile::TempDir;
 
 const TIMEOUT: Duration = Duration::from_secs(5);
+/// Changes of the document that are expected in a day.
+const CHANGES_A_DAY: f64 = 9_200.0;
+/// Bytes a second that an instance may spend on control.
+const BYTES_A_SECOND: f64 = 23_000.0;
+const SECONDS_A_DAY: f64 = 86_400.0;
 
 /// Returns an endpoint `a` that knows `b`, and `b`.
 fn pair(folder: &TempDir) -> (Endpoint, Endpoint) {
@@ -131,3 +139,23 @@
     let error = wire::encode(&long).unwrap_err();
     assert!(matches!(error, WireError::TooLong(_)));
 }
+
+#[test]
+fn document_keeps_the_budget() {
+    let text = large(1_600);
+    let frame = followed(1, &text);
+    let encoded = wire::encode(&frame).unwrap();
+    // The busiest instance moves a document seven times a change (bench `control`).
+    let moved = encoded.len() as f64 * 7.0 * CHANGES_A_DAY / SECONDS_A_DAY;
+    assert!(moved <= BYTES_A_SECOND, "{moved} bytes a second for {} bytes", text.len());
+    let body = pack::pack(&postcard::to_allocvec(&frame).unwrap()).unwrap();
+    assert_eq!(wire::decode(Form::Packed, &body).unwrap(), frame);
+}
+
+#[test]
+fn unpacked_body_bounded() {
+    let bomb = pack::pack(&vec![0; wire::MAX_BODY + 1]).unwrap();
+    assert!(bomb.len() < wire::MAX_BODY / 100);
+    assert!(matches!(wire::decode(Form::Packed, &bomb), Err(WireError::Packed)));
+    assert!(matches!(wire::decode(Form::Packed, b"no such data"), Err(WireError::Packed)));
+}
--- a/hawthornkeel_fakes/src/lib.rs
+++ b/hawthornkeel_fakes/src/lib.rs
@@ -3,6 +3,7 @@
 pub mod behaviour;
 pub mod caller;
 pub mod control;
+pub mod document;
 pub mod generate;
 pub mod platform;
 pub mod raw;
