The bench of the token path tells what a stream was answered instead

Change: an answer other than 200 ends the stream with its text. Two tries at the check took the second read of an answer for its head ('840 of 1000 streams have begun' was that, not the entry).

--- a/hawthornkeel/benches/token_path.rs
+++ b/hawthornkeel/benches/token_path.rs
@@ -310,6 +310,7 @@
     let mut stream = TcpStream::connect_addr(to).await?;
     stream.set_nodelay(true)?;
     stream.write_all(request.to_vec()).await.0?;
+    let mut answered = false;
     let mut last = None;
     let mut previous = 0;
     let mut buffer = Vec::with_capacity(4096);
@@ -318,6 +319,10 @@
         if count? == 0 {
             return Err("closed".into());
         }
+        if !answered && !filled.starts_with(b"HTTP/1.1 200") {
+            return Err(String::from_utf8_lossy(&filled).into_owned().into());
+        }
+        answered = true;
         let mut events = 0;
         for &byte in &filled {
             // An event ends with an empty line; nothing else in the stream has one.
