One way to drop old idle connections and to put one back

Cause: the watch over idle connections wrote again how the pool drops those that are too old, and twice how one goes back that was only looked at. Ruled out: joining take, is_lost and take_lost, which stop at different connections. Change: drop_old and restore in target/pool.rs; behaviour as before.

--- a/hawthornkeel/src/target/pool.rs
+++ b/hawthornkeel/src/target/pool.rs
@@ -84,7 +84,7 @@
         if !idle.connection.is_quiet().await {
             return recent;
         }
-        self.targets.borrow_mut().entry(address).or_default().push_back(idle);
+        self.restore(address, idle);
         false
     }
 
@@ -99,7 +99,7 @@
             let mut found: Option<Lost> = None;
             while let Some(mut idle) = self.pop(address) {
                 if idle.connection.is_quiet().await {
-                    self.targets.borrow_mut().entry(address).or_default().push_back(idle);
+                    self.restore(address, idle);
                     break;
                 }
                 let recent = idle.since.elapsed() < RECENT;
@@ -113,15 +113,25 @@
     /// Closes connections that were idle for too long, and forgets targets without any.
     fn close_old(&self) {
         let now = Instant::now();
-        let old = |i: &Idle| now.duration_since(i.since) >= self.idle_time;
         self.targets.borrow_mut().retain(|_, idle| {
-            while idle.front().is_some_and(old) {
-                idle.pop_front();
-            }
+            self.drop_old(idle, now);
             !idle.is_empty()
         });
     }
 
+    /// Closes those connections of a target that were idle for too long.
+    fn drop_old(&self, idle: &mut VecDeque<Idle>, now: Instant) {
+        // The first has been idle longest, as the last is the first to be taken.
+        while idle.front().is_some_and(|i| now.duration_since(i.since) >= self.idle_time) {
+            idle.pop_front();
+        }
+    }
+
+    /// Puts a connection back that was only looked at.
+    fn restore(&self, address: SocketAddr, idle: Idle) {
+        self.targets.borrow_mut().entry(address).or_default().push_back(idle);
+    }
+
     /// Takes out the connection that was used last.
     fn pop(&self, address: SocketAddr) -> Option<Idle> {
         // The borrow ends before any check, which may let other tasks run.
@@ -133,10 +143,7 @@
         let mut targets = self.targets.borrow_mut();
         let idle = targets.entry(address).or_default();
         let now = Instant::now();
-        // The first has been idle longest, as the last is the first to be taken.
-        while idle.front().is_some_and(|i| now.duration_since(i.since) >= self.idle_time) {
-            idle.pop_front();
-        }
+        self.drop_old(idle, now);
         if idle.len() < self.max_idle {
             idle.push_back(Idle { connection, since: now });
         }
