Benches that measure a process apart share how it is started and read

Cause: token_path wrote again what http_edge had: start of the program, its address, its memory, its time and its end. Ruled out: the stand-ins' crate, which starts no process. Change: benches/own_process serves both; the measured quantities are the same ones.

--- a/hawthornkeel/benches/http_edge.rs
+++ b/hawthornkeel/benches/http_edge.rs
@@ -4,17 +4,14 @@
 //! the figures are a ratio on the same machine at the same time. The run fails where the added p99
 //! passes 5% of the 30 ms gap between tokens.
 
+mod own_process;
+
 use std::cell::Cell;
 use std::env;
 use std::error::Error;
 use std::fs;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::process::Child;
-use std::process::Command;
 use std::process::ExitCode;
-use std::process::Stdio;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -46,6 +43,8 @@
 use hawthornkeel_fakes::thread;
 use hawthornkeel_fakes::thread::TargetThread;
 
+use crate::own_process::OwnProcess;
+
 /// Requests a second.
 const RATE: f64 = 2_000.0;
 
@@ -90,7 +89,7 @@
 
 fn measure() -> Result<bool, Failure> {
     let target = TargetThread::start(Behaviour { token_ms: 30_000, ..Behaviour::default() })?;
-    let proxy = Proxy::start(target.address)?;
+    let proxy = OwnProcess::start("--proxy", target.address)?;
     let added = measure_latency(target.address, proxy.address)?;
     let (ran, waited) = proxy.scheduled()?;
     println!(
@@ -99,9 +98,9 @@
         waited.as_millis()
     );
     measure_rate("direct", target.address)?;
-    let before = proxy.busy()?;
+    let before = busy(&proxy)?;
     let done = measure_rate("proxied", proxy.address)?;
-    let busy = proxy.busy()?.saturating_sub(before).as_secs_f64() * 1e6 / done as f64;
+    let busy = busy(&proxy)?.saturating_sub(before).as_secs_f64() * 1e6 / done as f64;
     println!("busy=proxy us_a_request={busy:.1}");
     measure_streams(&proxy)?;
     let kept = added <= MAX_ADDED;
@@ -179,7 +178,7 @@
 }
 
 /// Prints the proxy's memory before and with many open streams.
-fn measure_streams(proxy: &Proxy) -> Result<(), Failure> {
+fn measure_streams(proxy: &OwnProcess) -> Result<(), Failure> {
     let before = proxy.memory()?;
     let body = "{\"prompt\":\"ref-1\",\"stream\":true}";
     let length = body.len();
@@ -198,53 +197,12 @@
     Ok(())
 }
 
-/// Proxy in a process of its own, so that its memory is its own.
-struct Proxy {
-    child: Child,
-    address: SocketAddr,
-}
-
-impl Proxy {
-    fn start(target: SocketAddr) -> Result<Self, Failure> {
-        let mut command = Command::new(env::current_exe()?);
-        command.args(["--proxy", &target.to_string()]).stdout(Stdio::piped());
-        let mut child = command.spawn()?;
-        let output = child.stdout.take().ok_or("no output")?;
-        let mut line = String::new();
-        BufReader::new(output).read_line(&mut line)?;
-        Ok(Self { child, address: line.trim().parse()? })
-    }
-
-    /// Returns the time run and the time spent ready to run and waiting for a core.
-    fn scheduled(&self) -> Result<(Duration, Duration), Failure> {
-        let text = fs::read_to_string(format!("/proc/{}/schedstat", self.child.id()))?;
-        let mut nanos = text.split(' ').map(str::parse::<u64>);
-        let mut next = || Ok::<_, Failure>(Duration::from_nanos(nanos.next().ok_or("no time")??));
-        Ok((next()?, next()?))
-    }
-
-    /// Returns the processor time used.
-    fn busy(&self) -> Result<Duration, Failure> {
-        let stat = fs::read_to_string(format!("/proc/{}/stat", self.child.id()))?;
-        let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
-        let ticks = fields[11].parse::<u64>()? + fields[12].parse::<u64>()?;
-        Ok(Duration::from_millis(ticks * TICK_MS))
-    }
-
-    /// Returns the resident memory in bytes.
-    fn memory(&self) -> Result<usize, Failure> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
-        Ok(line.trim().trim_end_matches(" kB").parse::<usize>()? * 1024)
-    }
-}
-
-impl Drop for Proxy {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
+/// Returns the processor time that a process has used.
+fn busy(process: &OwnProcess) -> Result<Duration, Failure> {
+    let stat = fs::read_to_string(format!("/proc/{}/stat", process.id()))?;
+    let fields: Vec<&str> = stat.rsplit(") ").next().unwrap_or("").split(' ').collect();
+    let ticks = fields[11].parse::<u64>()? + fields[12].parse::<u64>()?;
+    Ok(Duration::from_millis(ticks * TICK_MS))
 }
 
 fn run_proxy(target: &str) -> Result<bool, Failure> {
--- /dev/null
+++ b/hawthornkeel/benches/own_process/mod.rs
@@ -0,0 +1,64 @@
+//! Process that is measured apart from the bench that starts it.
+
+#![allow(dead_code)]
+
+use std::env;
+use std::error::Error;
+use std::fs;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+
+type Failure = Box<dyn Error>;
+
+/// This program once more, in a process of its own; dropping it ends the process.
+pub struct OwnProcess {
+    child: Child,
+    /// Address that it listens on, which it prints first.
+    pub address: SocketAddr,
+}
+
+impl OwnProcess {
+    /// Starts this program with `flag` and the address of what it calls.
+    pub fn start(flag: &str, target: SocketAddr) -> Result<Self, Failure> {
+        let mut command = Command::new(env::current_exe()?);
+        command.args([flag, &target.to_string()]).stdout(Stdio::piped());
+        let mut child = command.spawn()?;
+        let output = child.stdout.take().ok_or("no output")?;
+        let mut line = String::new();
+        BufReader::new(output).read_line(&mut line)?;
+        Ok(Self { child, address: line.trim().parse()? })
+    }
+
+    /// Returns the number of the process.
+    pub fn id(&self) -> u32 {
+        self.child.id()
+    }
+
+    /// Returns the time that its first thread has run, and that it was ready and waited for a core.
+    pub fn scheduled(&self) -> Result<(Duration, Duration), Failure> {
+        let text = fs::read_to_string(format!("/proc/{}/schedstat", self.id()))?;
+        let mut nanos = text.split(' ').map(str::parse::<u64>);
+        let mut next = || Ok::<_, Failure>(Duration::from_nanos(nanos.next().ok_or("no time")??));
+        Ok((next()?, next()?))
+    }
+
+    /// Returns the resident memory in bytes.
+    pub fn memory(&self) -> Result<usize, Failure> {
+        let status = fs::read_to_string(format!("/proc/{}/status", self.id()))?;
+        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
+        Ok(line.trim().trim_end_matches(" kB").parse::<usize>()? * 1024)
+    }
+}
+
+impl Drop for OwnProcess {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
--- a/hawthornkeel/benches/token_path.rs
+++ b/hawthornkeel/benches/token_path.rs
@@ -5,17 +5,13 @@
 //! streams, which gives a slope. The time between tokens is compared with that of streams taken from
 //! the engine directly, in turns of one run. The run fails where the added p99 passes 5% of the gap.
 
+mod own_process;
+
 use std::cell::RefCell;
 use std::env;
 use std::error::Error;
-use std::fs;
-use std::io::BufRead;
-use std::io::BufReader;
 use std::net::SocketAddr;
-use std::process::Child;
-use std::process::Command;
 use std::process::ExitCode;
-use std::process::Stdio;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -53,6 +49,8 @@
 use monoio::net::TcpStream;
 use monoio::time::sleep;
 
+use crate::own_process::OwnProcess;
+
 /// Time between the tokens of a stream, in milliseconds.
 const GAP_MS: u64 = 30;
 
@@ -126,7 +124,7 @@
     let before = entry.memory()?;
     let mut points = Vec::new();
     for streams in STREAMS {
-        let seen = thread::block_on(watch(streams, entry.address, Some(&entry)))??;
+        let seen = thread::block_on(watch(streams, entry.address(), Some(&entry)))??;
         let rate = seen.gaps.tokens as f64 / WINDOW.as_secs_f64();
         let busy = seen.busy.as_secs_f64();
         let each = busy * 1e6 / seen.gaps.tokens as f64;
@@ -158,7 +156,7 @@
     let request = request("/v1/pipelines/write", "application/json");
     let mut callers = Vec::new();
     for _ in 0..WHOLE {
-        let mut caller = RawCaller::connect(entry.address)?;
+        let mut caller = RawCaller::connect(entry.address())?;
         caller.send(&request)?;
         callers.push(caller);
     }
@@ -176,7 +174,7 @@
 fn measure_burst(engine: &TargetThread, entry: &Entry) -> Result<(), Failure> {
     engine.behave("{\"token_ms\":0}")?;
     let request = request("/v1/pipelines/burst", "text/event-stream");
-    let mut caller = RawCaller::connect(entry.address)?;
+    let mut caller = RawCaller::connect(entry.address())?;
     let before = entry.busy()?;
     for _ in 0..BURSTS {
         caller.send(&request)?;
@@ -205,7 +203,7 @@
     println!("turn  direct p50    p99  through the entry p50    p99  added p99");
     for turn in 0..TURNS {
         let direct = thread::block_on(watch(COMPARED, engine, None))??.gaps;
-        let through = thread::block_on(watch(COMPARED, entry.address, Some(entry)))??.gaps;
+        let through = thread::block_on(watch(COMPARED, entry.address(), Some(entry)))??.gaps;
         let more = through.at(0.99) - direct.at(0.99);
         println!(
             "{turn:4}  {:7} us {:6}  {:18} us {:6}  {more:9}",
@@ -352,25 +350,18 @@
 
 /// Entry in a process of its own, so that its memory and processor time are its own.
 struct Entry {
-    child: Child,
-    address: SocketAddr,
+    process: OwnProcess,
 }
 
 impl Entry {
     fn start(engine: SocketAddr) -> Result<Self, Failure> {
-        let mut command = Command::new(env::current_exe()?);
-        command.args(["--entry", &engine.to_string()]).stdout(Stdio::piped());
-        let mut child = command.spawn()?;
-        let output = child.stdout.take().ok_or("no output")?;
-        let mut line = String::new();
-        BufReader::new(output).read_line(&mut line)?;
-        Ok(Self { child, address: line.trim().parse()? })
+        Ok(Self { process: OwnProcess::start("--entry", engine)? })
     }
 
     /// Raises the limit of calls to the engine by short calls.
     fn warm(&self) -> Result<(), Failure> {
         std::thread::sleep(START);
-        let mut caller = RawCaller::connect(self.address)?;
+        let mut caller = RawCaller::connect(self.address())?;
         let request = request("/v1/pipelines/short", "*/*");
         for _ in 0..WARMING {
             caller.send(&request)?;
@@ -382,27 +373,19 @@
         Ok(())
     }
 
+    fn address(&self) -> SocketAddr {
+        self.process.address
+    }
+
     /// Returns the time that the entry's first thread has run, which serves callers.
     fn busy(&self) -> Result<Duration, Failure> {
-        let id = self.child.id();
-        let text = fs::read_to_string(format!("/proc/{id}/task/{id}/schedstat"))?;
-        let nanos = text.split(' ').next().ok_or("no time")?;
-        Ok(Duration::from_nanos(nanos.parse()?))
+        let (run, _) = self.process.scheduled()?;
+        Ok(run)
     }
 
     /// Returns the resident memory in bytes.
     fn memory(&self) -> Result<usize, Failure> {
-        let status = fs::read_to_string(format!("/proc/{}/status", self.child.id()))?;
-        let line = status.lines().find_map(|l| l.strip_prefix("VmRSS:")).ok_or("no VmRSS")?;
-        Ok(line.trim().trim_end_matches(" kB").parse::<usize>()? * 1024)
-    }
-}
-
-impl Drop for Entry {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
+        self.process.memory()
     }
 }
 
