--- a/hawthornkeel/src/control/client.rs
+++ b/hawthornkeel/src/control/client.rs
@@ -7,14 +7,13 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::Outcome;
 
+use crate::control::directory::Directory;
 use crate::control::gather::ask_all;
 use crate::control::node::Control;
-use crate::control::sources::control_peers;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
 use crate::peer::frame::Lead;
@@ -68,8 +67,7 @@
 struct Inner {
     endpoint: Endpoint,
     control: Option<Control>,
-    /// Control instances, near ones first, with this one if it has the role.
-    instances: Vec<InstanceName>,
+    directory: Directory,
     leader: RefCell<Option<InstanceName>>,
     /// Since when no control instance was known to lead.
     leaderless: Cell<Option<Instant>>,
@@ -79,14 +77,12 @@
 
 impl ControlClient {
     /// Creates a client; `control` is this instance's own role, if any.
-    pub fn new(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Self {
-        let own = control.as_ref().map(|_| endpoint.name().clone());
-        let instances = own.into_iter().chain(control_peers(settings)).collect();
+    pub fn new(endpoint: &Endpoint, control: Option<Control>, directory: Directory) -> Self {
         Self {
             inner: Rc::new(Inner {
                 endpoint: endpoint.clone(),
                 control,
-                instances,
+                directory,
                 leader: RefCell::default(),
                 leaderless: Cell::default(),
                 refusing: Cell::new(false),
@@ -119,7 +115,7 @@
         let frame = Frame::Propose(command);
         let mut search = Search::default();
         while let Some(remaining) = remaining(deadline) {
-            if search.at >= self.inner.instances.len() {
+            if search.at >= self.inner.directory.controls().len() {
                 if self.is_leaderless() {
                     break;
                 }
@@ -144,13 +140,14 @@
 
     /// Returns the instance to try next: the leader once, then the others in turn.
     fn choose(&self, search: &mut Search) -> Option<InstanceName> {
+        let instances = self.inner.directory.controls();
         let leader = self.inner.leader.borrow().clone();
         if let Some(leader) = leader
-            && self.inner.instances.contains(&leader)
+            && instances.contains(&leader)
         {
             return Some(leader);
         }
-        let instance = self.inner.instances.get(search.at).cloned();
+        let instance = instances.get(search.at).cloned();
         search.at += 1;
         instance
     }
@@ -241,7 +238,7 @@
         if self.inner.control.as_ref().is_some_and(|c| c.lead().own) {
             return Some(own.clone());
         }
-        let peers: Vec<_> = self.inner.instances.iter().filter(|i| *i != own).cloned().collect();
+        let peers = self.inner.directory.others();
         let leads = |f: &Frame| matches!(f, Frame::LeadReply(Lead { own: true, .. }));
         let answers = ask_all(&self.inner.endpoint, &peers, &Frame::Lead, ATTEMPT, leads).await;
         answers.into_iter().find(|(_, f)| leads(f)).map(|(name, _)| name)
--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -10,6 +10,7 @@
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::state::published::Published;
 
 use crate::control::gather::ask_all;
 use crate::control::node::Control;
@@ -98,13 +99,16 @@
     }
 
     /// Returns the state that holds everything acknowledged so far, if this instance leads.
+    pub async fn confirmed(&self) -> Option<Published> {
+        let control = self.control.as_ref()?;
+        control.confirm().await.then(|| control.published())
+    }
+
+    /// Answers with the state that holds everything acknowledged so far, if this instance leads.
     async fn latest(&self) -> Followed {
-        let Some(control) = &self.control else { return Followed::default() };
-        if !control.confirm().await {
-            return Followed::default();
-        }
+        let Some(published) = self.confirmed().await else { return Followed::default() };
         let holds = self.watch.followed(None).holds;
-        Followed { published: Some(control.published()), holds, age_ms: Some(0) }
+        Followed { published: Some(published), holds, age_ms: Some(0) }
     }
 
     /// Returns the state in force here once it is newer than `after`, or nothing after `wait`.
@@ -223,10 +227,13 @@
     async fn own(&self, after: Option<LogIndex>, wait_ms: u32) -> Option<Followed> {
         let control = self.control.as_ref()?;
         let seen = control.changes().count();
+        // After a freeze, what is known of a leader may be over.
+        control.tick();
         let mut published = control.published();
         if after.is_some_and(|a| published.index <= a) {
             let wait = Duration::from_millis(wait_ms.into());
             let _ = monoio::time::timeout(wait, control.changes().after(seen)).await;
+            control.tick();
             published = control.published();
         }
         let lead = control.lead();
--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -7,6 +7,7 @@
 pub mod batch;
 mod carry;
 pub mod client;
+pub mod directory;
 pub mod error;
 pub mod follow;
 pub mod gather;
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -208,6 +208,11 @@
         &self.inner.published
     }
 
+    /// Has the replica do what has become due.
+    pub fn tick(&self) {
+        self.input(Input::Tick);
+    }
+
     /// Notes that a save and all before it are on disk.
     pub fn synced(&self, ticket: Ticket) {
         self.input(Input::Synced { ticket });
--- a/hawthornkeel/src/control/open.rs
+++ b/hawthornkeel/src/control/open.rs
@@ -112,7 +112,7 @@
         let _ = sender.unbounded_send(report);
     })?;
     let options = ControlOptions {
-        node: Node { id: replica, name: settings.instance.name.clone() },
+        node: Node { id: replica, name: endpoint.name().clone() },
         settings: start::log_settings(settings),
         batch: tuning.batch,
         rng: ChaCha8Rng::seed_from_u64(rand::random()),
--- a/hawthornkeel/src/control/pending.rs
+++ b/hawthornkeel/src/control/pending.rs
@@ -124,6 +124,7 @@
 fn size(command: &Command) -> usize {
     let text = match command {
         Command::Submit(submit) => submit.text.len(),
+        Command::Replace(replace) => replace.text.len(),
         Command::Settle(settle) => match &settle.settlement {
             Settlement::Done(answer) => answer.len(),
             Settlement::Released | Settlement::Unknown => 0,
--- a/hawthornkeel/src/control/start.rs
+++ b/hawthornkeel/src/control/start.rs
@@ -3,10 +3,13 @@
 use std::time::Duration;
 
 use hawthornkeel_config::settings::Settings;
+use hawthornkeel_config::settings::Trust;
+use hawthornkeel_core::replica::Admission;
 use hawthornkeel_core::replica::Settings as LogSettings;
 
 use crate::control::admin::Admin;
 use crate::control::client::ControlClient;
+use crate::control::directory::Directory;
 use crate::control::follow::Follower;
 use crate::control::gossip::Gossip;
 use crate::control::node::Control;
@@ -19,6 +22,11 @@
 /// Share of the entries between snapshots that stay in the log for slow followers, as its divisor.
 const RETAIN_DIVISOR: u64 = 10;
 
+/// Time without an answer after which another replica takes a voter's place.
+///
+/// Longer than a restart, so that one doesn't change the members.
+const REPLACE_AFTER: Duration = Duration::from_secs(6);
+
 /// What an instance has of the control plane.
 #[derive(Clone)]
 pub struct Parts {
@@ -28,6 +36,8 @@
     pub watch: Watch,
     /// Way to the control instances.
     pub client: ControlClient,
+    /// Control instances that are known.
+    pub directory: Directory,
     /// Handlers of operators' requests.
     pub admin: Admin,
 }
@@ -36,10 +46,22 @@
 pub fn start(settings: &Settings, endpoint: &Endpoint, control: Option<Control>) -> Parts {
     let follower = Follower::start(settings, endpoint, control.clone());
     let watch = follower.watch().clone();
-    let client = ControlClient::new(settings, endpoint, control.clone());
+    let directory = Directory::new(settings);
+    let client = ControlClient::new(endpoint, control.clone(), directory.clone());
     let gossip = Gossip::start(endpoint, &watch, &client);
     let admin = Admin { endpoint: endpoint.clone(), follower, client: client.clone(), gossip };
-    Parts { control, watch, client, admin }
+    Parts { control, watch, client, directory, admin }
+}
+
+/// Returns which learners become voters by themselves.
+fn admission(settings: &Settings) -> Admission {
+    match settings.peers.trust {
+        Trust::Certificates => Admission::Founders,
+        // A quorum of that many voters outlives the disks that may be lost.
+        Trust::Addresses => {
+            Admission::Open { voters: 2 * settings.control.lost_disks + 1, replace: REPLACE_AFTER }
+        }
+    }
 }
 
 /// Returns the settings of the replicated log that `settings` call for.
@@ -47,7 +69,9 @@
     let control = &settings.control;
     let election = Duration::from_millis(control.election_ms);
     LogSettings {
-        founders: control.founders.clone(),
+        founders: settings.founders(),
+        forms: control.found,
+        admission: admission(settings),
         election,
         heartbeat: Duration::from_millis(control.heartbeat_ms),
         drift: election / DRIFT_DIVISOR,
--- a/hawthornkeel/src/control/watch.rs
+++ b/hawthornkeel/src/control/watch.rs
@@ -4,7 +4,6 @@
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::CentreName;
@@ -14,7 +13,9 @@
 use hawthornkeel_core::state::takeout::Heard;
 use hawthornkeel_core::state::takeout::Hold;
 use hawthornkeel_core::state::takeout::Holds;
+use hawthornkeel_core::time::Instant;
 
+use crate::clock::boot_now;
 use crate::peer::frame::Followed;
 use crate::peer::frame::InstanceStatus;
 use crate::peer::signal::Signal;
@@ -30,6 +31,8 @@
     published: RefCell<Option<Rc<Published>>>,
     holds: RefCell<Holds>,
     /// When the state was last known to be that of a group with a leader.
+    ///
+    /// On the clock that goes on while the machine is suspended.
     confirmed: Cell<Option<Instant>>,
     changed: Signal,
 }
@@ -100,13 +103,14 @@
 
     /// Notes that the state was that of a group with a leader `age` ago.
     pub fn confirm(&self, age: Duration) {
-        let at = Instant::now().checked_sub(age);
+        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
+        let at = boot_now().as_micros().checked_sub(age).map(Instant::from_micros);
         self.inner.confirmed.set(self.inner.confirmed.get().max(at));
     }
 
     /// Returns the time since the state was last known to be that of a group with a leader.
     pub fn age(&self) -> Option<Duration> {
-        self.inner.confirmed.get().map(|at| at.elapsed())
+        self.inner.confirmed.get().map(|at| boot_now().since(at))
     }
 
     /// Answers a follower that has the state at `after`.
--- /dev/null
+++ b/hawthornkeel/src/forward/desks.rs
@@ -0,0 +1,502 @@
+//! Desks of stages: those that this entry keeps, and the way to those of other entries.
+//!
+//! One entry keeps the desk of a pool. Where it can't be reached, the next in the same order takes
+//! over; two entries that keep the desk of one pool for a while cost only calls that wait longer.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use futures_channel::oneshot;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::stages::desk::Action;
+use hawthornkeel_core::stages::desk::CallFailure;
+use hawthornkeel_core::stages::desk::CallNumber;
+use hawthornkeel_core::stages::desk::Desk;
+use hawthornkeel_core::stages::desk::Input;
+use hawthornkeel_core::stages::desk::Item;
+use hawthornkeel_core::stages::desk::PieceOutcome;
+use hawthornkeel_core::stages::job::Handle;
+use hawthornkeel_core::stages::job::Job;
+use hawthornkeel_core::stages::job::JobId;
+use hawthornkeel_core::stages::job::JobOutcome;
+use hawthornkeel_core::table::pool::Pieces;
+use hawthornkeel_platform::fields;
+use hawthornkeel_platform::pieces;
+use hawthornkeel_platform::pieces::Done;
+use indexmap::IndexMap;
+
+use crate::clock::boot_now;
+use crate::forward::calls;
+use crate::forward::calls::Call;
+use crate::forward::calls::Reply;
+use crate::forward::context::Context;
+use crate::forward::exchange::Failure;
+use crate::peer::Frame;
+use crate::peer::frame::Dismiss;
+use crate::peer::frame::FrameKind;
+use crate::peer::frame::Offer;
+use crate::peer::frame::Offered;
+use crate::peer::signal::Signal;
+
+/// Time for which an entry holds an offer while the job is open, in milliseconds.
+const HOLD_MS: u32 = 250;
+/// Time for an entry to answer beyond the hold.
+const ANSWER_TIME: Duration = Duration::from_millis(250);
+/// Entries that are asked to keep the desk of a pool, one after the other, before the own one.
+const MAX_OWNERS: usize = 3;
+/// Time for which an entry that did not answer is passed over.
+const SUSPECT: Duration = Duration::from_millis(2_500);
+/// Time between two looks at what is due.
+const TICK: Duration = Duration::from_millis(20);
+/// Time for a target to take in which results are not needed.
+const FREE_TIME: Duration = Duration::from_millis(1_000);
+
+/// Desks of stages; clones share them.
+#[derive(Clone)]
+pub struct Desks {
+    inner: Rc<Inner>,
+}
+
+struct Inner {
+    context: Rc<Context>,
+    pools: RefCell<IndexMap<PoolName, Pieces>>,
+    desks: RefCell<IndexMap<PoolName, Local>>,
+    /// Entries that did not answer, with when they may be asked again.
+    suspects: RefCell<IndexMap<InstanceName, Instant>>,
+    woken: Signal,
+    ticking: Cell<bool>,
+}
+
+/// Desk that this entry keeps.
+struct Local {
+    desk: Desk,
+    waiters: IndexMap<JobId, Vec<oneshot::Sender<JobOutcome>>>,
+}
+
+/// Results of a stage, which are given up once they are dropped.
+pub struct Results {
+    /// Results, in the order of the pieces.
+    pub handles: Vec<Handle>,
+    pool: PoolName,
+    owner: InstanceName,
+    desks: Desks,
+}
+
+impl Results {
+    /// Gives the results up, as nothing needs them any more.
+    pub fn give_up(&mut self) {
+        let results = std::mem::take(&mut self.handles);
+        if results.is_empty() {
+            return;
+        }
+        self.desks.dismiss(&self.owner, Dismiss { pool: self.pool.clone(), job: None, results });
+    }
+}
+
+impl Drop for Results {
+    fn drop(&mut self) {
+        self.give_up();
+    }
+}
+
+/// Why a stage brought no results.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Undone {
+    /// It can't be done in time: come back later.
+    Refused {
+        /// Time after which there may be room.
+        retry: Duration,
+    },
+    /// Its time has passed.
+    Late,
+    /// Results that it needs are gone.
+    Gone,
+    /// Targets failed it too often.
+    Failed,
+}
+
+/// Job on its way: it is withdrawn where nobody waits for it any more.
+struct Pending {
+    desks: Desks,
+    owner: InstanceName,
+    pool: PoolName,
+    job: Option<JobId>,
+}
+
+impl Drop for Pending {
+    fn drop(&mut self) {
+        if self.job.is_some() {
+            let job = self.job.take();
+            let dismiss = Dismiss { pool: self.pool.clone(), job, results: Vec::new() };
+            self.desks.dismiss(&self.owner, dismiss);
+        }
+    }
+}
+
+impl Desks {
+    /// Creates the desks of an entry and starts to serve other entries.
+    pub fn start(context: &Rc<Context>) -> Self {
+        let desks = Self {
+            inner: Rc::new(Inner {
+                context: Rc::clone(context),
+                pools: RefCell::default(),
+                desks: RefCell::default(),
+                suspects: RefCell::default(),
+                woken: Signal::default(),
+                ticking: Cell::new(false),
+            }),
+        };
+        desks.serve();
+        monoio::spawn(desks.clone().tick());
+        desks
+    }
+
+    fn serve(&self) {
+        let endpoint = &self.inner.context.endpoint;
+        let desks = self.clone();
+        endpoint.on_call(FrameKind::Offer, move |_, frame| {
+            let desks = desks.clone();
+            async move {
+                match frame {
+                    Frame::Offer(offer) => Frame::Offered(desks.answer(offer).await),
+                    other => other,
+                }
+            }
+        });
+        let desks = self.clone();
+        endpoint.on_frame(FrameKind::Dismiss, move |_, frame| {
+            if let Frame::Dismiss(dismiss) = frame {
+                desks.take_dismiss(dismiss);
+            }
+        });
+    }
+
+    /// Takes in the pools that do stages.
+    pub fn set_pools(&self, pools: Vec<(PoolName, Pieces)>) {
+        for (name, pieces) in &pools {
+            if let Some(local) = self.inner.desks.borrow_mut().get_mut(name) {
+                local.desk.set_pool(*pieces);
+            }
+        }
+        *self.inner.pools.borrow_mut() = pools.into_iter().collect();
+    }
+
+    /// Takes in that the targets may have changed.
+    pub fn set_makers(&self) {
+        let names: Vec<PoolName> = self.inner.desks.borrow().keys().cloned().collect();
+        for name in names {
+            let makers = self.inner.context.board.borrow().makers(&name);
+            self.input(&name, Input::Makers(makers));
+        }
+    }
+
+    /// Has a stage done, wherever its desk is.
+    ///
+    /// # Errors
+    /// Fails as [`Undone`] says; dropping the future withdraws the job.
+    pub async fn run(&self, pool: &PoolName, job: Job) -> Result<Results, Undone> {
+        let started = Instant::now();
+        let mut last = Undone::Failed;
+        for owner in self.candidates(pool) {
+            let Some(job) = remaining(&job, started.elapsed()) else { return Err(Undone::Late) };
+            match self.offer(&owner, pool, job).await {
+                Some(JobOutcome::Done(handles)) => {
+                    let desks = self.clone();
+                    return Ok(Results { handles, pool: pool.clone(), owner, desks });
+                }
+                Some(JobOutcome::Refused { retry_ms }) => {
+                    return Err(Undone::Refused { retry: Duration::from_millis(retry_ms) });
+                }
+                Some(JobOutcome::Late) => return Err(Undone::Late),
+                Some(JobOutcome::Gone) => return Err(Undone::Gone),
+                Some(JobOutcome::Failed) => return Err(Undone::Failed),
+                Some(JobOutcome::Open | JobOutcome::Elsewhere) | None => last = Undone::Failed,
+            }
+        }
+        Err(last)
+    }
+
+    /// Returns the entries that may keep the desk of a pool, in order, and this one at last.
+    fn candidates(&self, pool: &PoolName) -> Vec<InstanceName> {
+        let own = self.inner.context.endpoint.name();
+        let now = Instant::now();
+        self.inner.suspects.borrow_mut().retain(|_, until| *until > now);
+        let suspects = self.inner.suspects.borrow();
+        let mut owners = self.inner.context.owners(pool);
+        owners.retain(|o| o == own || !suspects.contains_key(o));
+        owners.truncate(MAX_OWNERS);
+        if !owners.contains(own) {
+            owners.push(own.clone());
+        }
+        owners
+    }
+
+    /// Offers a job to an entry and waits for what comes of it; `None` where it doesn't answer.
+    async fn offer(&self, owner: &InstanceName, pool: &PoolName, job: Job) -> Option<JobOutcome> {
+        let id = job.id.clone();
+        let mut pending = Pending {
+            desks: self.clone(),
+            owner: owner.clone(),
+            pool: pool.clone(),
+            job: Some(id.clone()),
+        };
+        let started = Instant::now();
+        loop {
+            let job = remaining(&job, started.elapsed())?;
+            let offer = Offer { pool: pool.clone(), job, wait_ms: HOLD_MS };
+            let answered = self.ask(owner, offer).await;
+            match answered.as_ref().map(|o| &o.outcome) {
+                Some(JobOutcome::Open) => continue,
+                None => {
+                    tracing::info!(event = "desk-silent", owner = %owner, %pool, request = %id.request);
+                    let until = Instant::now() + SUSPECT;
+                    self.inner.suspects.borrow_mut().insert(owner.clone(), until);
+                }
+                Some(_) => pending.job = None,
+            }
+            return answered.map(|o| o.outcome);
+        }
+    }
+
+    async fn ask(&self, owner: &InstanceName, offer: Offer) -> Option<Offered> {
+        if owner == self.inner.context.endpoint.name() {
+            return Some(self.answer(offer).await);
+        }
+        let timeout = ANSWER_TIME + Duration::from_millis(offer.wait_ms.into());
+        let frame = Frame::Offer(offer);
+        match self.inner.context.endpoint.call(owner, &frame, timeout).await {
+            Ok(Frame::Offered(offered)) => Some(offered),
+            Ok(_) => None,
+            Err(error) => {
+                tracing::info!(event = "offer-failed", owner = %owner, %error);
+                None
+            }
+        }
+    }
+
+    /// Takes in an offer and answers once the job has ended, or after the hold.
+    async fn answer(&self, offer: Offer) -> Offered {
+        let Offer { pool, job, wait_ms } = offer;
+        let id = job.id.clone();
+        if !self.open(&pool) {
+            return Offered { outcome: JobOutcome::Elsewhere, wait_ms: None };
+        }
+        let (sender, outcome) = oneshot::channel();
+        if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
+            let waiters = local.waiters.entry(id).or_default();
+            waiters.retain(|w| !w.is_canceled());
+            waiters.push(sender);
+        }
+        self.input(&pool, Input::Offer(job));
+        let hold = Duration::from_millis(wait_ms.into());
+        let outcome = match monoio::time::timeout(hold, outcome).await {
+            Ok(Ok(outcome)) => outcome,
+            Ok(Err(_)) | Err(_) => JobOutcome::Open,
+        };
+        Offered { outcome, wait_ms: None }
+    }
+
+    /// Opens the desk of a pool, where the document has the pool.
+    fn open(&self, pool: &PoolName) -> bool {
+        if self.inner.desks.borrow().contains_key(pool) {
+            return true;
+        }
+        let Some(pieces) = self.inner.pools.borrow().get(pool).copied() else { return false };
+        tracing::info!(event = "desk-opened", %pool);
+        let local = Local { desk: Desk::new(pieces), waiters: IndexMap::new() };
+        self.inner.desks.borrow_mut().insert(pool.clone(), local);
+        let makers = self.inner.context.board.borrow().makers(pool);
+        self.input(pool, Input::Makers(makers));
+        true
+    }
+
+    /// Tells the entry that keeps a desk what is not needed any more.
+    fn dismiss(&self, owner: &InstanceName, dismiss: Dismiss) {
+        if owner == self.inner.context.endpoint.name() {
+            self.take_dismiss(dismiss);
+            return;
+        }
+        if let Err(error) = self.inner.context.endpoint.send(owner, &Frame::Dismiss(dismiss)) {
+            tracing::info!(event = "dismiss-unsent", owner = %owner, %error);
+        }
+    }
+
+    fn take_dismiss(&self, dismiss: Dismiss) {
+        let Dismiss { pool, job, results } = dismiss;
+        if let Some(job) = job {
+            if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
+                local.waiters.swap_remove(&job);
+            }
+            self.input(&pool, Input::Withdraw(job));
+        }
+        if !results.is_empty() {
+            self.input(&pool, Input::Release(results));
+        }
+    }
+
+    /// Hands an input to a desk and carries out what follows.
+    fn input(&self, pool: &PoolName, input: Input) {
+        let actions = match self.inner.desks.borrow_mut().get_mut(pool) {
+            Some(local) => local.desk.handle(boot_now(), input),
+            None => return,
+        };
+        for action in actions {
+            self.carry_out(pool, action);
+        }
+        if !self.inner.ticking.get() {
+            self.inner.woken.notify();
+        }
+    }
+
+    fn carry_out(&self, pool: &PoolName, action: Action) {
+        match action {
+            Action::Run { call, maker, items, limit } => {
+                monoio::spawn(self.clone().call(pool.clone(), call, maker, items, limit));
+            }
+            Action::Free { maker, results } => {
+                monoio::spawn(self.clone().free(maker, results));
+            }
+            Action::Answer { job, outcome } => {
+                let mut desks = self.inner.desks.borrow_mut();
+                let Some(local) = desks.get_mut(pool) else { return };
+                let waiters = local.waiters.swap_remove(&job).unwrap_or_default();
+                if !matches!(outcome, JobOutcome::Done(_)) {
+                    tracing::info!(event = "job-ended", %pool, request = %job.request, stage = job.stage, ?outcome);
+                }
+                for waiter in waiters {
+                    // Whoever asked has given up waiting, and asks again or withdraws the job.
+                    let _ = waiter.send(outcome.clone());
+                }
+            }
+        }
+    }
+
+    /// Calls a target for pieces and takes in what came of them.
+    async fn call(
+        self,
+        pool: PoolName,
+        number: CallNumber,
+        maker: TargetName,
+        items: Vec<Item>,
+        limit: Duration,
+    ) {
+        let started = Instant::now();
+        let count = items.len();
+        let reply = self.post(&maker, &items, started + limit).await;
+        let input = match &reply {
+            Ok(reply) if reply.status == 200 => match pieces::done(&reply.body) {
+                Ok(done) => Input::Answered(number, done.into_iter().map(outcome).collect()),
+                Err(_) => Input::Failed(number, CallFailure::Lost),
+            },
+            Ok(reply) if reply.not_run || reply.status == 421 => {
+                Input::Failed(number, CallFailure::Refused)
+            }
+            Ok(_) | Err(_) => Input::Failed(number, CallFailure::Lost),
+        };
+        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
+        match (&reply, &input) {
+            (_, Input::Answered(..)) => {
+                tracing::debug!(event = "pieces-done", %pool, %maker, count, ms);
+            }
+            (Ok(reply), _) => {
+                tracing::info!(event = "pieces-failed", %pool, %maker, count, ms, status = reply.status);
+            }
+            (Err(failure), _) => {
+                tracing::info!(event = "pieces-failed", %pool, %maker, count, ms, %failure);
+            }
+        }
+        self.input(&pool, input);
+    }
+
+    async fn post(
+        &self,
+        maker: &TargetName,
+        items: &[Item],
+        until: Instant,
+    ) -> Result<Reply, Failure> {
+        let address = self.inner.context.board.borrow().address(maker);
+        let address = address.ok_or_else(|| Failure::Unreached("not listed".to_owned()))?;
+        let pieces: Vec<pieces::Piece<'_>> = items.iter().map(piece).collect();
+        let body = pieces::run(&pieces).map_err(|e| Failure::Unreached(e.to_string()))?;
+        let call = Call {
+            address,
+            path: pieces::RUN_PATH,
+            body: Some(&body),
+            fields: &[(fields::TARGET, maker.as_str())],
+            until,
+        };
+        calls::make(&self.inner.context.exchanges, &call).await
+    }
+
+    async fn free(self, maker: TargetName, results: Vec<Handle>) {
+        let Some(address) = self.inner.context.board.borrow().address(&maker) else { return };
+        let Ok(body) = pieces::free(&results) else { return };
+        let call = Call {
+            address,
+            path: pieces::FREE_PATH,
+            body: Some(&body),
+            fields: &[(fields::TARGET, maker.as_str())],
+            until: Instant::now() + FREE_TIME,
+        };
+        if let Err(failure) = calls::make(&self.inner.context.exchanges, &call).await {
+            tracing::info!(event = "results-unfreed", %maker, count = results.len(), %failure);
+        }
+    }
+
+    /// Has the desks do what has become due, as long as one has work.
+    async fn tick(self) {
+        loop {
+            let seen = self.inner.woken.count();
+            let busy = self.inner.desks.borrow().values().any(|l| !l.desk.is_idle());
+            self.inner.ticking.set(busy);
+            if !busy {
+                self.inner.woken.after(seen).await;
+                continue;
+            }
+            monoio::time::sleep(TICK).await;
+            let now = boot_now();
+            let due = |l: &Local| l.desk.deadline().is_some_and(|d| d <= now);
+            let desks = self.inner.desks.borrow();
+            let names: Vec<PoolName> =
+                desks.iter().filter(|(_, l)| due(l)).map(|(n, _)| n.clone()).collect();
+            drop(desks);
+            for name in names {
+                self.input(&name, Input::Tick);
+            }
+        }
+    }
+}
+
+fn outcome(done: Done) -> PieceOutcome {
+    match done {
+        Done::Result(handle) => PieceOutcome::Done(handle),
+        Done::Late => PieceOutcome::Late,
+        Done::Gone => PieceOutcome::Gone,
+        Done::Room => PieceOutcome::NoRoom,
+        Done::Failed => PieceOutcome::Failed,
+    }
+}
+
+fn piece(item: &Item) -> pieces::Piece<'_> {
+    let inputs = (!item.inputs.is_empty()).then_some(&*item.inputs);
+    pieces::Piece {
+        request: &item.job.request,
+        stage: item.job.stage,
+        piece: item.piece,
+        remaining_ms: u64::try_from(item.left.as_millis()).unwrap_or(u64::MAX),
+        key: item.key.as_deref(),
+        inputs,
+    }
+}
+
+/// Returns a job as it stands after some time, unless its time has passed.
+fn remaining(job: &Job, passed: Duration) -> Option<Job> {
+    let passed = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
+    let end_ms = job.end_ms.checked_sub(passed).filter(|e| *e > 0)?;
+    Some(Job { due_ms: job.due_ms.saturating_sub(passed), end_ms, ..job.clone() })
+}
--- /dev/null
+++ b/hawthornkeel/src/forward/handler.rs
@@ -0,0 +1,489 @@
+//! Callers' requests from their first byte to their answer.
+
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
+
+use bytes::Bytes;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::place::board::Ask;
+use hawthornkeel_core::place::board::Chosen;
+use hawthornkeel_core::place::board::NoTarget;
+use hawthornkeel_core::place::health::Ended;
+use hawthornkeel_core::request::refusal::Ran;
+use hawthornkeel_core::stages::job::Handle;
+use hawthornkeel_core::table::route::RouteKind;
+use hawthornkeel_platform::fields;
+use http::HeaderMap;
+use http::HeaderValue;
+use http::StatusCode;
+use http::header::CONTENT_LENGTH;
+use http::header::CONTENT_TYPE;
+use http::header::RETRY_AFTER;
+
+use crate::clock::boot_now;
+use crate::forward::context::Context;
+use crate::forward::desks::Desks;
+use crate::forward::desks::Undone;
+use crate::forward::exchange::Answer;
+use crate::forward::exchange::Failure;
+use crate::forward::gate;
+use crate::forward::prepare;
+use crate::forward::prepare::Prepared;
+use crate::forward::relay::Relay;
+use crate::forward::request::MIN_LEFT;
+use crate::forward::request::Ticket;
+use crate::forward::request::is_hop;
+use crate::http::channel::bounded;
+use crate::http::message::Body;
+use crate::http::message::Head;
+use crate::http::message::Request;
+use crate::http::message::Response;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+
+use crate::http::server::Handler;
+use crate::http::signal::Signal;
+
+/// Pieces of a stream that wait for the caller, at most.
+const STREAM_PIECES: usize = 64;
+/// Time after which a request that found no target may come back.
+const RETRY: Duration = Duration::from_millis(300);
+/// Time after which a cold target is looked at again.
+const COLD_PAUSE: Duration = Duration::from_millis(40);
+/// Part of the objective for which a request waits for a cold target.
+const COLD_PART: u32 = 4;
+/// Shortest time without an answer after which a request that may be repeated is.
+const MIN_SILENCE: Duration = Duration::from_millis(120);
+/// Times that the stages of a request are done, at most.
+const MAX_PASSES: u16 = 2;
+
+/// Answers callers' requests.
+pub struct Callers {
+    /// What the parts of the entry share.
+    pub context: Rc<Context>,
+    /// Desks of stages.
+    pub desks: Desks,
+}
+
+/// Counts a request among those in progress.
+pub struct Open(Rc<Context>);
+
+impl Open {
+    fn new(context: &Rc<Context>) -> Self {
+        context.open.set(context.open.get().saturating_add(1));
+        Self(Rc::clone(context))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.open.set(self.0.open.get().saturating_sub(1));
+    }
+}
+
+/// Course of a request: where it was sent, and what it needs there.
+#[derive(Default)]
+pub struct Course {
+    /// Targets that it was sent to.
+    pub tried: Vec<TargetName>,
+    prepared: Rc<RefCell<Prepared>>,
+    /// Time that its stages took.
+    staged: Duration,
+}
+
+impl Course {
+    /// Returns the results that the request needs at its target.
+    pub fn results(&self) -> Vec<Handle> {
+        self.prepared.borrow().handles()
+    }
+
+    /// Chooses the target to try next.
+    ///
+    /// # Errors
+    /// Fails with the reason where there is none.
+    pub fn choose(&self, context: &Context, ticket: &Ticket) -> Result<Chosen, NoTarget> {
+        let entries = context.roster.borrow().sharers();
+        let centre = preferred_centre(context, ticket);
+        let ask = Ask {
+            pool: &ticket.pool.name,
+            session: ticket.session,
+            centre: centre.as_ref(),
+            tried: &self.tried,
+            cold: ticket.pool.cold,
+            entries,
+        };
+        context.board.borrow_mut().choose(boot_now(), &ask)
+    }
+
+    /// Writes the line that tells how a request ended.
+    pub fn log(&self, ticket: &Ticket, outcome: &str, status: u16) {
+        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(
+            event = "request-ended",
+            request = %ticket.id,
+            route = %ticket.route.name,
+            pool = %ticket.pool.name,
+            version = %ticket.table.version,
+            outcome,
+            status,
+            tries = self.tried.len(),
+            target = self.tried.last().map(TargetName::as_str),
+            staged_ms = ms(self.staged),
+            ms = ms(ticket.started.elapsed()),
+        );
+    }
+}
+
+/// Returns the data centre in which the request is likely to run.
+pub fn likely_centre(context: &Context, ticket: &Ticket) -> Option<CentreName> {
+    let centre = preferred_centre(context, ticket);
+    let ask = Ask {
+        pool: &ticket.pool.name,
+        session: ticket.session,
+        centre: centre.as_ref(),
+        tried: &[],
+        cold: ticket.pool.cold,
+        entries: 1,
+    };
+    context.board.borrow_mut().centre(boot_now(), &ask)
+}
+
+/// Returns the data centre whose targets are preferred: the own one, unless prompts are shared.
+fn preferred_centre(context: &Context, ticket: &Ticket) -> Option<CentreName> {
+    (!ticket.route.affine).then(|| context.centre().clone())
+}
+
+impl Handler for Callers {
+    async fn handle(&self, request: Request) -> Response {
+        let left = request.left.clone();
+        let ticket = match gate::admit(&self.context, request) {
+            Ok(ticket) => Rc::new(ticket),
+            Err(problem) => return refusal(problem),
+        };
+        self.context.count_request(&ticket.pool.name);
+        let open = Open::new(&self.context);
+        let work = self.serve(ticket, left.clone(), open);
+        monoio::select! {
+            response = work => response,
+            // Nobody reads the answer; dropping the work cancels what runs.
+            () = left.wait() => refusal(Problem::new(Code::Internal, Ran::Unknown)),
+        }
+    }
+
+    fn max_body(&self, _head: &Head) -> Option<usize> {
+        let table = self.context.table.borrow();
+        table.as_ref().map(|t| t.limits.max_body).filter(|m| *m > 0)
+    }
+}
+
+impl Callers {
+    async fn serve(&self, ticket: Rc<Ticket>, left: Signal, open: Open) -> Response {
+        let mut course = Course::default();
+        let mut pass = 0;
+        loop {
+            if let Err(undone) = self.prepare(&ticket, &mut course, pass).await {
+                return self.undone(&ticket, &course, undone);
+            }
+            match self.forward(&ticket, &mut course).await {
+                Forwarded::Answer(answer, target) => {
+                    return self.pass_on(ticket, course, left, open, answer, target).await;
+                }
+                Forwarded::ResultsGone if pass + 1 < MAX_PASSES => pass += 1,
+                Forwarded::ResultsGone => {
+                    return self.undone(&ticket, &course, Undone::Failed);
+                }
+                Forwarded::Ended(problem) => {
+                    course.log(&ticket, problem.code.as_str(), problem.code.status().as_u16());
+                    return refusal(problem);
+                }
+            }
+        }
+    }
+
+    /// Has the stages before a request done, where it has any.
+    async fn prepare(&self, ticket: &Ticket, course: &mut Course, pass: u16) -> Result<(), Undone> {
+        if ticket.route.stages.is_empty() {
+            return Ok(());
+        }
+        let pieces = ticket.pieces().ok_or(Undone::Failed)?;
+        let work = prepare::prepare(&self.context, &self.desks, ticket, &pieces, pass);
+        let prepared = monoio::time::timeout(ticket.left(), work).await;
+        *course.prepared.borrow_mut() = prepared.map_err(|_| Undone::Late)??;
+        course.staged = ticket.started.elapsed();
+        Ok(())
+    }
+
+    fn undone(&self, ticket: &Ticket, course: &Course, undone: Undone) -> Response {
+        // Stages may have been done, but the request itself has not run and will not.
+        let (code, retry) = match undone {
+            Undone::Refused { retry } => (Code::Overloaded, retry),
+            Undone::Late => (Code::DeadlineUnreachable, RETRY),
+            Undone::Gone | Undone::Failed => (Code::NoTarget, RETRY),
+        };
+        course.log(ticket, code.as_str(), code.status().as_u16());
+        refusal(Problem::not_run(code).with_retry_after(retry))
+    }
+
+    /// Sends a request to one target after the other, as far as it may be.
+    async fn forward(&self, ticket: &Ticket, course: &mut Course) -> Forwarded {
+        let mut ran = Ran::NotRun;
+        let mut failed = None;
+        loop {
+            let tries = u32::try_from(course.tried.len()).unwrap_or(u32::MAX);
+            if tries > 0 && !self.may_try_again(ticket, tries) {
+                return ended(ran, failed);
+            }
+            let target = match self.choose(ticket, course).await {
+                Ok(target) => target,
+                Err(_) => return ended(ran, failed),
+            };
+            let request = ticket.outgoing(&target, &course.results(), None);
+            let until = self.patience(ticket, tries);
+            let sent = self.context.exchanges.send(target.address, &request, until).await;
+            course.tried.push(target.name.clone());
+            let tried = self.judge(ticket, &target, sent);
+            if !matches!(tried, Tried::Answered(_)) {
+                tracing::info!(event = "target-tried", request = %ticket.id, target = %target.name, outcome = %tried);
+            }
+            match tried {
+                Tried::Answered(answer) => return Forwarded::Answer(Box::new(answer), target),
+                Tried::ResultsGone => return Forwarded::ResultsGone,
+                Tried::NotRun => {}
+                Tried::Failed(answer) => {
+                    ran = Ran::Unknown;
+                    if !ticket.route.kind.may_repeat() {
+                        return Forwarded::Answer(answer, target);
+                    }
+                    failed = Some((answer, target));
+                }
+                Tried::Lost => {
+                    ran = Ran::Unknown;
+                    if !ticket.route.kind.may_repeat() {
+                        return ended(ran, None);
+                    }
+                }
+            }
+        }
+    }
+
+    fn may_try_again(&self, ticket: &Ticket, tries: u32) -> bool {
+        tries < ticket.route.attempts.max(2)
+            && tries < ticket.route.attempts
+            && ticket.left() > MIN_LEFT
+            && self.context.may_repeat(&ticket.pool.name)
+    }
+
+    /// Chooses a target, waiting for a while where all that are left are cold.
+    async fn choose(&self, ticket: &Ticket, course: &Course) -> Result<Chosen, NoTarget> {
+        let limit = ticket.started + ticket.route.objective / COLD_PART;
+        loop {
+            match course.choose(&self.context, ticket) {
+                Err(NoTarget::Cold) if Instant::now() < limit => {
+                    monoio::time::sleep(COLD_PAUSE).await;
+                }
+                Err(NoTarget::Tried) if !course.tried.is_empty() => return Err(NoTarget::Tried),
+                chosen => return chosen,
+            }
+        }
+    }
+
+    /// Returns until when a target may be silent.
+    fn patience(&self, ticket: &Ticket, tries: u32) -> Instant {
+        let more = ticket.route.kind.may_repeat() && tries + 1 < ticket.route.attempts;
+        if !more {
+            return ticket.end;
+        }
+        let usual = self.context.time(&ticket.pool.name, prepare::ENGINE_TIME) * 4;
+        let silence = usual.max(ticket.route.objective / 2).max(MIN_SILENCE);
+        ticket.end.min(Instant::now() + silence)
+    }
+
+    /// Tells what came of sending a request to a target.
+    fn judge(&self, ticket: &Ticket, target: &Chosen, sent: Result<Answer, Failure>) -> Tried {
+        let (tried, ended) = match sent {
+            Ok(answer) => judge_answer(answer),
+            Err(failure) if failure.is_not_run() => (Tried::NotRun, Some(Ended::Unreached)),
+            Err(Failure::Silent) if Instant::now() >= ticket.end => {
+                (Tried::Lost, Some(Ended::GivenUp))
+            }
+            Err(_) => (Tried::Lost, Some(Ended::Badly)),
+        };
+        if let Some(ended) = ended {
+            self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
+        }
+        tried
+    }
+
+    /// Passes an answer on to the caller.
+    async fn pass_on(
+        &self,
+        ticket: Rc<Ticket>,
+        course: Course,
+        left: Signal,
+        open: Open,
+        answer: Box<Answer>,
+        target: Chosen,
+    ) -> Response {
+        let status = answer.status;
+        let headers = passed_headers(&answer.headers);
+        let first = ticket.started.elapsed().saturating_sub(course.staged);
+        self.context.note_time(&ticket.pool.name, first);
+        let streams = matches!(ticket.route.kind, RouteKind::Stream { .. });
+        if streams && status.is_success() {
+            // What the request needed was fetched before its first event.
+            *course.prepared.borrow_mut() = Prepared::default();
+            let (sender, receiver) = bounded(STREAM_PIECES);
+            let context = Rc::clone(&self.context);
+            let relay = Relay { context, ticket, left, course, open };
+            monoio::spawn(relay.run(*answer, target, sender));
+            return Response { status, headers, body: Body::Stream(receiver) };
+        }
+        self.pass_whole(&ticket, course, *answer, target, headers).await
+    }
+
+    /// Passes an answer on once it is whole.
+    async fn pass_whole(
+        &self,
+        ticket: &Ticket,
+        mut course: Course,
+        mut answer: Answer,
+        target: Chosen,
+        headers: HeaderMap,
+    ) -> Response {
+        let status = answer.status;
+        let body = answer.whole(self.patience(ticket, 0)).await;
+        let ended = match &body {
+            Ok(_) if status.is_server_error() => Ended::Badly,
+            Ok(_) => Ended::Well,
+            Err(_) => Ended::Badly,
+        };
+        self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
+        match body {
+            Ok(body) => {
+                answer.finish();
+                course.log(ticket, "answered", status.as_u16());
+                Response { status, headers, body: Body::Whole(body) }
+            }
+            Err(failure) => {
+                tracing::info!(event = "answer-broken", request = %ticket.id, target = %target.name, %failure);
+                drop(answer);
+                self.again(ticket, &mut course).await
+            }
+        }
+    }
+
+    /// Sends a request once more after its answer broke off, where it may be.
+    async fn again(&self, ticket: &Ticket, course: &mut Course) -> Response {
+        let tries = u32::try_from(course.tried.len()).unwrap_or(u32::MAX);
+        let problem = Problem::new(Code::StageFailed, Ran::Unknown);
+        if !ticket.route.kind.may_repeat() || !self.may_try_again(ticket, tries) {
+            course.log(ticket, "answer-lost", problem.code.status().as_u16());
+            return refusal(problem);
+        }
+        let Forwarded::Answer(mut answer, target) = self.forward(ticket, course).await else {
+            course.log(ticket, "answer-lost", problem.code.status().as_u16());
+            return refusal(problem);
+        };
+        let (status, headers) = (answer.status, passed_headers(&answer.headers));
+        let body = answer.whole(ticket.end).await;
+        let ended = if body.is_ok() { Ended::Well } else { Ended::Badly };
+        self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
+        match body {
+            Ok(body) => {
+                answer.finish();
+                course.log(ticket, "answered", status.as_u16());
+                Response { status, headers, body: Body::Whole(body) }
+            }
+            Err(_) => {
+                course.log(ticket, "answer-lost", problem.code.status().as_u16());
+                refusal(problem)
+            }
+        }
+    }
+}
+
+/// What came of forwarding a request.
+enum Forwarded {
+    Answer(Box<Answer>, Chosen),
+    /// Results that it needs are gone; it did not run.
+    ResultsGone,
+    Ended(Problem),
+}
+
+/// What came of sending a request to one target.
+enum Tried {
+    /// An answer for the caller.
+    Answered(Answer),
+    /// The target failed the request.
+    Failed(Box<Answer>),
+    /// It did not run there.
+    NotRun,
+    /// It did not run there, as results that it needs are gone.
+    ResultsGone,
+    /// It may have run there.
+    Lost,
+}
+
+impl std::fmt::Display for Tried {
+    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
+        f.write_str(match self {
+            Self::Answered(_) => "answered",
+            Self::Failed(_) => "failed",
+            Self::NotRun => "not-run",
+            Self::ResultsGone => "results-gone",
+            Self::Lost => "lost",
+        })
+    }
+}
+
+/// Judges the head of an answer, with how the call ended at the target unless its body decides.
+fn judge_answer(answer: Answer) -> (Tried, Option<Ended>) {
+    let status = answer.status;
+    let not_run = answer.headers.contains_key(fields::NOT_RUN);
+    match status {
+        StatusCode::MISDIRECTED_REQUEST => (Tried::NotRun, Some(Ended::Unreached)),
+        StatusCode::CONFLICT if not_run => (Tried::ResultsGone, Some(Ended::GivenUp)),
+        _ if not_run => (Tried::NotRun, Some(Ended::Refused)),
+        _ if status.is_server_error() => (Tried::Failed(Box::new(answer)), None),
+        _ => (Tried::Answered(answer), None),
+    }
+}
+
+/// Returns how a request ends that no target is left for.
+fn ended(ran: Ran, failed: Option<(Box<Answer>, Chosen)>) -> Forwarded {
+    if let Some((answer, target)) = failed {
+        return Forwarded::Answer(answer, target);
+    }
+    Forwarded::Ended(match ran {
+        Ran::NotRun => Problem::not_run(Code::NoTarget).with_retry_after(RETRY),
+        ran => Problem::new(Code::OutcomeUnknown, ran),
+    })
+}
+
+/// Returns the fields of an answer that go on to the caller.
+fn passed_headers(headers: &HeaderMap) -> HeaderMap {
+    let mut passed = HeaderMap::with_capacity(headers.len());
+    for (name, value) in headers {
+        if !is_hop(name, headers) && name != CONTENT_LENGTH {
+            passed.append(name.clone(), value.clone());
+        }
+    }
+    passed
+}
+
+/// Returns the answer that refuses a request.
+fn refusal(problem: Problem) -> Response {
+    let retry = problem.retry_after;
+    let body = Bytes::from(problem.to_json());
+    let mut headers = HeaderMap::new();
+    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
+    if let Some(retry) = retry
+        && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", retry.as_secs_f64()))
+    {
+        headers.insert(RETRY_AFTER, value);
+    }
+    Response { status: problem.code.status(), headers, body: Body::Whole(body) }
+}
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -28,6 +28,10 @@
 use crate::entry::outlet::Outlet;
 use crate::entry::start::Started;
 use crate::entry::start::StopReport;
+use crate::forward::operators::Operators;
+use crate::forward::start::Forwarding;
+use crate::forward::survey::Sources;
+use crate::forward::survey::Surveyor;
 use crate::http::server::Limits;
 use crate::http::server::ListenError;
 use crate::http::server::Server;
@@ -97,9 +101,16 @@
     metrics: PrometheusHandle,
 ) -> Result<StopReport, RunError> {
     let endpoint = Endpoint::open(&settings)?;
+    if let Some(address) = settings.forward.listen {
+        // Such an entry follows control by surveys and has no part in the log.
+        let report = Forwarding::listen(&settings, &endpoint, address)?.serve(stop).await;
+        endpoint.close();
+        return Ok(report);
+    }
     let control =
         if settings.control.enabled { Some(open_control(&settings, &endpoint)?) } else { None };
     let parts = start::start(&settings, &endpoint, control);
+    serve_operators(&settings, &endpoint, &parts)?;
     let context = settings.entry.enabled.then(|| open_entry(&settings, &endpoint, &parts));
     if let Some(address) = settings.instance.admin {
         let orders = context.as_ref().and_then(|c| target_orders(&settings, c, &parts));
@@ -151,6 +162,36 @@
     }
 }
 
+/// Serves the platform's operators and the entries that follow, where the settings ask for it.
+fn serve_operators(
+    settings: &Settings,
+    endpoint: &Endpoint,
+    parts: &Parts,
+) -> Result<(), ListenError> {
+    let (Some(address), Some(control)) = (settings.control.operators, &parts.control) else {
+        return Ok(());
+    };
+    if let Some(list) = settings.platform.address {
+        let sources = Sources {
+            control: control.clone(),
+            watch: parts.watch.clone(),
+            directory: parts.directory.clone(),
+        };
+        Surveyor::start(settings, endpoint, sources, list);
+    }
+    let operators = Operators {
+        endpoint: endpoint.clone(),
+        follower: parts.admin.follower.clone(),
+        client: parts.client.clone(),
+        directory: parts.directory.clone(),
+    };
+    let limits = Limits { max_body: 4 << 20, ..Limits::default() };
+    let server = Server::bind(address, limits)?;
+    tracing::info!(event = "operators-served", name = %endpoint.name(), %address);
+    monoio::spawn(server.serve(operators));
+    Ok(())
+}
+
 fn serve_admin(address: SocketAddr, handler: AdminHandler) -> Result<(), RunError> {
     let server = Server::bind(address, Limits::default())?;
     monoio::spawn(server.serve(handler));
--- a/hawthornkeel/src/peer/certificate.rs
+++ b/hawthornkeel/src/peer/certificate.rs
@@ -93,6 +93,29 @@
     Ok(issued)
 }
 
+/// Certificate that vouches for nobody, for instances that trust each other's addresses.
+pub struct SelfSigned {
+    /// Certificate in DER.
+    pub certificate: Vec<u8>,
+    /// Private key in DER, as PKCS #8.
+    pub key: Vec<u8>,
+}
+
+/// Makes a certificate and a key that last as long as the process.
+///
+/// Its validity spans centuries, as no clock is asked.
+///
+/// # Errors
+///
+/// Fails where no key can be made.
+pub fn self_signed(name: &InstanceName) -> io::Result<SelfSigned> {
+    let key = KeyPair::generate().map_err(io::Error::other)?;
+    let params =
+        CertificateParams::new(vec![name.as_str().to_owned()]).map_err(io::Error::other)?;
+    let certificate = params.self_signed(&key).map_err(io::Error::other)?;
+    Ok(SelfSigned { certificate: certificate.der().to_vec(), key: key.serialize_der() })
+}
+
 fn instance_params(
     name: &InstanceName,
     validity: Validity,
--- a/hawthornkeel/src/peer/credentials.rs
+++ b/hawthornkeel/src/peer/credentials.rs
@@ -7,6 +7,9 @@
 use std::time::Duration;
 
 use hawthornkeel_config::settings::Peers;
+use hawthornkeel_config::settings::Settings;
+use hawthornkeel_config::settings::Trust;
+use hawthornkeel_core::names::InstanceName;
 use quinn::ClientConfig;
 use quinn::Connection;
 use quinn::IdleTimeout;
@@ -15,18 +18,29 @@
 use quinn::VarInt;
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
+use rustls::DigitallySignedStruct;
 use rustls::RootCertStore;
+use rustls::SignatureScheme;
 use rustls::client::Resumption;
+use rustls::client::danger::HandshakeSignatureValid;
+use rustls::client::danger::ServerCertVerified;
+use rustls::client::danger::ServerCertVerifier;
 use rustls::client::verify_server_name;
 use rustls::crypto::CryptoProvider;
+use rustls::crypto::verify_tls12_signature;
+use rustls::crypto::verify_tls13_signature;
 use rustls::server::ParsedCertificate;
 use rustls::server::WebPkiClientVerifier;
 use rustls::version::TLS13;
 use rustls_pki_types::CertificateDer;
 use rustls_pki_types::PrivateKeyDer;
+use rustls_pki_types::PrivatePkcs8KeyDer;
 use rustls_pki_types::ServerName;
+use rustls_pki_types::UnixTime;
 use rustls_pki_types::pem::PemObject;
 
+use crate::peer::certificate::self_signed;
+
 /// Protocol name agreed on in the TLS handshake.
 const ALPN: &[u8] = b"hawthornkeel";
 /// Time without any datagram from the peer after which a connection is closed, in milliseconds.
@@ -75,6 +89,40 @@
 }
 
 impl Credentials {
+    /// Returns the credentials that `settings` call for.
+    ///
+    /// # Errors
+    ///
+    /// Fails where a file is missing or not valid, or where the key is not the certificate's.
+    pub fn of(settings: &Settings) -> Result<Self, CredentialsError> {
+        match settings.peers.trust {
+            Trust::Certificates => Self::load(&settings.peers),
+            Trust::Addresses => Self::encrypting(&settings.peer_name()),
+        }
+    }
+
+    /// Makes credentials that encrypt and prove nothing: the peers' addresses are trusted.
+    fn encrypting(name: &InstanceName) -> Result<Self, CredentialsError> {
+        let own = self_signed(name).map_err(invalid)?;
+        let chain = vec![CertificateDer::from(own.certificate)];
+        let key = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(own.key));
+        let provider = Arc::new(rustls::crypto::ring::default_provider());
+        let mut client = rustls::ClientConfig::builder_with_provider(provider.clone())
+            .with_protocol_versions(&[&TLS13])?
+            .dangerous()
+            .with_custom_certificate_verifier(Arc::new(AnyCertificate(provider.clone())))
+            .with_no_client_auth();
+        client.alpn_protocols = vec![ALPN.to_vec()];
+        client.resumption = Resumption::disabled();
+        let mut server = rustls::ServerConfig::builder_with_provider(provider)
+            .with_protocol_versions(&[&TLS13])?
+            .with_no_client_auth()
+            .with_single_cert(chain, key)?;
+        server.alpn_protocols = vec![ALPN.to_vec()];
+        server.send_tls13_tickets = 0;
+        Self::over(client, server)
+    }
+
     /// Reads the files that `peers` names.
     ///
     /// # Errors
@@ -100,9 +148,17 @@
         roots: Arc<RootCertStore>,
     ) -> Result<Self, CredentialsError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let transport = Arc::new(transport());
         let client = client_tls(&provider, chain.clone(), key.clone_key(), roots.clone())?;
         let server = server_tls(&provider, chain, key, roots)?;
+        Self::over(client, server)
+    }
+
+    /// Puts QUIC over both sides of TLS.
+    fn over(
+        client: rustls::ClientConfig,
+        server: rustls::ServerConfig,
+    ) -> Result<Self, CredentialsError> {
+        let transport = Arc::new(transport());
         let client = QuicClientConfig::try_from(client).map_err(invalid)?;
         let server = QuicServerConfig::try_from(server).map_err(invalid)?;
         let mut client = ClientConfig::new(Arc::new(client));
@@ -169,6 +225,47 @@
     Ok(config)
 }
 
+/// Accepts any certificate whose key signed the handshake.
+#[derive(Debug)]
+struct AnyCertificate(Arc<CryptoProvider>);
+
+impl ServerCertVerifier for AnyCertificate {
+    fn verify_server_cert(
+        &self,
+        _end_entity: &CertificateDer<'_>,
+        _intermediates: &[CertificateDer<'_>],
+        _server_name: &ServerName<'_>,
+        _ocsp_response: &[u8],
+        _now: UnixTime,
+    ) -> Result<ServerCertVerified, rustls::Error> {
+        Ok(ServerCertVerified::assertion())
+    }
+
+    fn verify_tls12_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        verify_tls12_signature(message, certificate, signature, algorithms)
+    }
+
+    fn verify_tls13_signature(
+        &self,
+        message: &[u8],
+        certificate: &CertificateDer<'_>,
+        signature: &DigitallySignedStruct,
+    ) -> Result<HandshakeSignatureValid, rustls::Error> {
+        let algorithms = &self.0.signature_verification_algorithms;
+        verify_tls13_signature(message, certificate, signature, algorithms)
+    }
+
+    fn supported_verify_schemes(&self) -> Vec<SignatureScheme> {
+        self.0.signature_verification_algorithms.supported_schemes()
+    }
+}
+
 /// Tells whether the peer's certificate on `connection` carries `name`.
 pub fn carries_name(connection: &Connection, name: &str) -> bool {
     let Some(identity) = connection.peer_identity() else { return false };
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -3,6 +3,7 @@
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::future::Future;
+use std::net::IpAddr;
 use std::net::SocketAddr;
 use std::net::UdpSocket;
 use std::rc::Rc;
@@ -11,6 +12,7 @@
 
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
+use hawthornkeel_config::settings::Trust;
 use hawthornkeel_core::names::InstanceName;
 use indexmap::IndexMap;
 use quinn::Connection;
@@ -44,6 +46,8 @@
     name: InstanceName,
     dialer: Dialer,
     peers: IndexMap<InstanceName, Peer>,
+    /// Port that all instances listen on for peers, where their names are their IP addresses.
+    port: Option<u16>,
     links: RefCell<IndexMap<InstanceName, Rc<Link>>>,
     handlers: Rc<Handlers>,
     server: quinn::Endpoint,
@@ -68,14 +72,17 @@
     ///
     /// Fails where the socket or the credentials can't be used.
     pub fn with_socket(socket: UdpSocket, settings: &Settings) -> Result<Self, PeerError> {
-        let credentials = Credentials::load(&settings.peers)?;
+        let credentials = Credentials::of(settings)?;
         let source = socket.local_addr()?.ip();
         let config = EndpointConfig::default();
         let runtime = MonoioRuntime::default();
         let shared = Arc::new(runtime.clone());
         let server = quinn::Endpoint::new(config, Some(credentials.server), socket, shared)?;
-        let name = settings.instance.name.clone();
-        let handlers = Rc::new(Handlers { name: name.clone(), ..Handlers::default() });
+        let name = settings.peer_name();
+        let trust = settings.peers.trust;
+        let handlers = Rc::new(Handlers { name: name.clone(), trust, ..Handlers::default() });
+        let port = (trust == Trust::Addresses).then(|| server.local_addr().map(|a| a.port()));
+        let port = port.transpose()?;
         monoio::spawn(inbound::accept(server.clone(), handlers.clone()));
         let peers = settings.peers.peers.iter().map(|p| (p.name.clone(), p.clone())).collect();
         Ok(Self {
@@ -88,6 +95,7 @@
                 },
                 name,
                 peers,
+                port,
                 links: RefCell::default(),
                 handlers,
                 server,
@@ -204,14 +212,24 @@
         if let Some(link) = self.inner.links.borrow().get(to) {
             return Ok(link.clone());
         }
-        let unknown = || PeerError::UnknownPeer(to.clone());
-        let peer = self.inner.peers.get(to).ok_or_else(unknown)?;
-        let link = Link::new(peer.name.clone(), peer.address, self.inner.dialer.clone());
+        let address = self.address_of(to).ok_or_else(|| PeerError::UnknownPeer(to.clone()))?;
+        let link = Link::new(to.clone(), address, self.inner.dialer.clone());
         self.inner.links.borrow_mut().insert(to.clone(), link.clone());
         Ok(link)
     }
 }
 
+impl Endpoint {
+    /// Returns the address of a peer: from the settings, or its name where that is an IP address.
+    fn address_of(&self, name: &InstanceName) -> Option<SocketAddr> {
+        if let Some(peer) = self.inner.peers.get(name) {
+            return Some(peer.address);
+        }
+        let port = self.inner.port?;
+        name.as_str().parse().ok().map(|ip: IpAddr| SocketAddr::new(ip, port))
+    }
+}
+
 /// Sends `request` on a stream of its own and reads the answer.
 async fn exchange(connection: &Connection, request: bytes::Bytes) -> Result<Frame, PeerError> {
     let lost = |e: &dyn std::fmt::Display| PeerError::Lost(e.to_string());
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -2,13 +2,20 @@
 
 use std::sync::Arc;
 
+use hawthornkeel_core::fleet::Listing;
+use hawthornkeel_core::fleet::Present;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::ids::Term;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::stages::job::Handle;
+use hawthornkeel_core::stages::job::Job;
+use hawthornkeel_core::stages::job::JobId;
+use hawthornkeel_core::stages::job::JobOutcome;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::Outcome;
@@ -50,6 +57,18 @@
     StatusReply(InstanceStatus),
     /// Between entries, one-way.
     Entry(EntryMessage),
+    /// Call: what has changed of all that an entry follows.
+    Survey(Survey),
+    /// Answers [`Frame::Survey`].
+    Surveyed(Box<Surveyed>),
+    /// An entry serves callers, or is about to stop; one-way.
+    Present(Presence),
+    /// Call: have a stage of a request done.
+    Offer(Offer),
+    /// Answers [`Frame::Offer`].
+    Offered(Offered),
+    /// Nobody waits for a job any more, or needs these results; one-way.
+    Dismiss(Dismiss),
 }
 
 /// Kind of a frame, by which its handler is found.
@@ -73,6 +92,14 @@
     Answer,
     /// Of [`Frame::Entry`].
     Entry,
+    /// Of [`Frame::Survey`].
+    Survey,
+    /// Of [`Frame::Present`].
+    Present,
+    /// Of [`Frame::Offer`].
+    Offer,
+    /// Of [`Frame::Dismiss`].
+    Dismiss,
 }
 
 impl Frame {
@@ -87,10 +114,16 @@
             Self::Status => FrameKind::Status,
             Self::Lead => FrameKind::Lead,
             Self::Entry(_) => FrameKind::Entry,
+            Self::Survey(_) => FrameKind::Survey,
+            Self::Present(_) => FrameKind::Present,
+            Self::Offer(_) => FrameKind::Offer,
+            Self::Dismiss(_) => FrameKind::Dismiss,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
             | Self::LeadReply(_)
+            | Self::Surveyed(_)
+            | Self::Offered(_)
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
@@ -161,6 +194,74 @@
     pub age_ms: Option<u64>,
 }
 
+/// Request for what has changed of all that an entry follows.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Survey {
+    /// Log position of the state that the caller has, or `None` for nothing.
+    pub after: Option<LogIndex>,
+    /// Mark of the list of targets that the caller has.
+    pub listing: Option<u64>,
+    /// Entries that the caller knows.
+    pub entries: usize,
+    /// Time to hold the call while there is nothing new, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// Answer to a survey.
+#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Surveyed {
+    /// Published state, where it is newer than the caller's, and its age.
+    pub followed: Followed,
+    /// List of targets, where it differs from the caller's.
+    pub listing: Option<Listing>,
+    /// Time since the list was read from the platform, in milliseconds.
+    pub listed_ms: Option<u64>,
+    /// Control instances.
+    pub controls: Vec<InstanceName>,
+    /// Entries that serve callers.
+    pub entries: Vec<Present>,
+}
+
+/// What an entry tells of itself.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Presence {
+    /// Data centre.
+    pub centre: CentreName,
+    /// Whether it is about to stop.
+    pub leaving: bool,
+}
+
+/// Stage of a request that another entry is to have done.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Offer {
+    /// Pool that does it.
+    pub pool: PoolName,
+    /// Work.
+    pub job: Job,
+    /// Time to hold the call while it is not done, in milliseconds.
+    pub wait_ms: u32,
+}
+
+/// Answer to an offer.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Offered {
+    /// What came of the job.
+    pub outcome: JobOutcome,
+    /// Time that a job of this kind would take now, in milliseconds, if it would be done at all.
+    pub wait_ms: Option<u64>,
+}
+
+/// What another entry need not do or keep any more.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Dismiss {
+    /// Pool concerned.
+    pub pool: PoolName,
+    /// Job that nobody waits for.
+    pub job: Option<JobId>,
+    /// Results that nobody needs.
+    pub results: Vec<Handle>,
+}
+
 /// What an instance has in force.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct InstanceStatus {
--- a/hawthornkeel/src/peer/inbound.rs
+++ b/hawthornkeel/src/peer/inbound.rs
@@ -5,6 +5,8 @@
 use std::pin::Pin;
 use std::rc::Rc;
 
+use hawthornkeel_config::settings::Peers;
+use hawthornkeel_config::settings::Trust;
 use hawthornkeel_core::names::InstanceName;
 use indexmap::IndexMap;
 use quinn::Connection;
@@ -33,6 +35,8 @@
 pub struct Handlers {
     /// Name of this instance.
     pub name: InstanceName,
+    /// What proves who a peer is.
+    pub trust: Trust,
     /// Of one-way frames.
     pub frames: RefCell<IndexMap<FrameKind, FrameHandler>>,
     /// Of calls.
@@ -56,7 +60,7 @@
             return;
         }
     };
-    match identify(&connection, &handlers.name).await {
+    match identify(&connection, &handlers).await {
         Ok((name, stream)) => {
             tracing::info!(event = "peer-accepted", peer = %name, %address);
             monoio::spawn(serve_calls(connection.clone(), name.clone(), handlers.clone()));
@@ -76,10 +80,10 @@
     }
 }
 
-/// Reads the name that the peer claims, checks it against its certificate and answers with `own`.
+/// Reads the name that the peer claims, has it proved and answers with the own name.
 async fn identify(
     connection: &Connection,
-    own: &InstanceName,
+    handlers: &Handlers,
 ) -> Result<(InstanceName, RecvStream), String> {
     let mut stream = connection.accept_uni().await.map_err(|e| e.to_string())?;
     let name = match wire::read(&mut stream).await {
@@ -87,10 +91,16 @@
         Ok(_) => return Err("connection starts without a name".to_owned()),
         Err(error) => return Err(error.to_string()),
     };
-    if !carries_name(connection, name.as_str()) {
-        return Err(format!("certificate is not for {name}"));
+    match handlers.trust {
+        Trust::Certificates if !carries_name(connection, name.as_str()) => {
+            return Err(format!("certificate is not for {name}"));
+        }
+        Trust::Addresses if Peers::name_of(connection.remote_address()) != name => {
+            return Err(format!("address is not that of {name}"));
+        }
+        Trust::Certificates | Trust::Addresses => {}
     }
-    let hello = wire::encode(&Frame::Hello(own.clone())).map_err(|e| e.to_string())?;
+    let hello = wire::encode(&Frame::Hello(handlers.name.clone())).map_err(|e| e.to_string())?;
     let mut answer = connection.open_uni().await.map_err(|e| e.to_string())?;
     answer.write_chunk(hello).await.map_err(|e| e.to_string())?;
     answer.finish().map_err(|e| e.to_string())?;
--- a/hawthornkeel_config/src/reader.rs
+++ b/hawthornkeel_config/src/reader.rs
@@ -232,6 +232,9 @@
         (Kind::Flag, DeValue::Boolean(_)) => true,
         (Kind::Number(bounds), DeValue::Integer(number)) => is_within(bounds, number),
         (Kind::HostNames, DeValue::Array(names)) => names.iter().all(|n| is_host(n.get_ref())),
+        (Kind::Addresses, DeValue::Array(list)) => list.iter().all(|a| is_address(a.get_ref())),
+        (Kind::Decimal, DeValue::Integer(number)) => is_decimal(number.as_str()),
+        (Kind::Decimal, DeValue::Float(number)) => is_decimal(number.as_str()),
         (kind, DeValue::String(text)) => match is_text(kind, text) {
             Some(accepted) => accepted,
             None => return Some("a string".to_owned()),
@@ -251,6 +254,7 @@
         Kind::Address => Some(text.parse::<SocketAddr>().is_ok()),
         Kind::Choice(words) => Some(words.contains(&text)),
         Kind::Flag | Kind::Number(_) | Kind::HostNames => None,
+        Kind::Addresses | Kind::Decimal => None,
         Kind::Section(_) | Kind::List(_) | Kind::Digests => None,
     }
 }
@@ -259,6 +263,14 @@
     value.as_str().is_some_and(is_host_name)
 }
 
+fn is_address(value: &DeValue<'_>) -> bool {
+    value.as_str().is_some_and(|a| a.parse::<SocketAddr>().is_ok())
+}
+
+fn is_decimal(text: &str) -> bool {
+    text.parse::<f64>().is_ok_and(|n| n.is_finite() && n >= 0.0)
+}
+
 fn is_within(bounds: &Bounds, number: &DeInteger<'_>) -> bool {
     u64::from_str_radix(number.as_str(), number.radix())
         .is_ok_and(|n| (bounds.min..=bounds.max).contains(&n))
--- a/hawthornkeel_config/src/schema/mod.rs
+++ b/hawthornkeel_config/src/schema/mod.rs
@@ -39,6 +39,10 @@
     File,
     /// IP address with a port.
     Address,
+    /// List of IP addresses with ports.
+    Addresses,
+    /// Number that need not be whole, zero or higher.
+    Decimal,
     /// One of several words.
     Choice(&'static [&'static str]),
     /// Table with keys of its own.
@@ -106,6 +110,8 @@
             Self::UrlPath => f.write_str("a path that begins with '/' and holds no blanks"),
             Self::File => f.write_str("the path of a file or folder"),
             Self::Address => f.write_str("an IP address with a port, such as \"127.0.0.1:8080\""),
+            Self::Addresses => f.write_str("a list of IP addresses with ports"),
+            Self::Decimal => f.write_str("a number from 0 on"),
             Self::Choice(words) => write_choice(f, words),
             Self::Section(_) => f.write_str("a table"),
             Self::List(_) => f.write_str("a list of tables"),
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -12,6 +12,7 @@
     Key::new("entry", Kind::Section(ENTRY), ""),
     Key::new("control", Kind::Section(CONTROL), ""),
     Key::new("peers", Kind::Section(PEERS), ""),
+    Key::new("forward", Kind::Section(FORWARD), ""),
     Key::new("platform", Kind::Section(PLATFORM), ""),
     Key::new("keys", Kind::Digests, ""),
     Key::new("log", Kind::Section(LOG), ""),
@@ -41,6 +42,9 @@
     Key::new("enabled", Kind::Flag, "false"),
     Key::new("data", Kind::File, "data"),
     Key::new("founders", Kind::HostNames, "[]"),
+    Key::new("operators", Kind::Address, ""),
+    Key::new("found", Kind::Flag, "true"),
+    Key::new("lost_disks", Kind::number(0, 10, "disks"), "1"),
     Key::new("election_ms", Kind::number(50, MAX_TIME_MS, "milliseconds"), "600"),
     Key::new("heartbeat_ms", Kind::number(10, MAX_TIME_MS, "milliseconds"), "100"),
     Key::new("snapshot_entries", Kind::number(100, 10_000_000, "entries"), "20000"),
@@ -49,6 +53,8 @@
 /// Keys of the connections between instances.
 const PEERS: &[Key] = &[
     Key::new("listen", Kind::Address, ""),
+    Key::new("trust", Kind::Choice(&["certificates", "addresses"]), "certificates"),
+    Key::new("seeds", Kind::Addresses, "[]"),
     Key::new("certificate", Kind::File, ""),
     Key::new("key", Kind::File, ""),
     Key::new("authority", Kind::File, ""),
@@ -64,6 +70,21 @@
     Key::new("entry", Kind::Flag, "true"),
 ];
 
+/// Keys of the forwarding of routes.
+const FORWARD: &[Key] = &[
+    Key::new("listen", Kind::Address, ""),
+    Key::new("ready", Kind::Address, ""),
+    Key::new("max_connections", Kind::number(1, 65_536, "connections"), "1500"),
+    Key::new("confirm_ms", Kind::number(100, MAX_TIME_MS, "milliseconds"), "5000"),
+    Key::new("grace_s", Kind::Decimal, "30"),
+    Key::new("retry_ratio", Kind::Decimal, "0.2"),
+    Key::new("retry_slack", Kind::Decimal, "10"),
+    Key::new("retry_window_s", Kind::Decimal, "10"),
+    Key::new("cold_factor", Kind::Decimal, "1"),
+    Key::new("event_delay_ms", Kind::number(1, MAX_TIME_MS, "milliseconds"), "200"),
+    Key::new("memory_mb", Kind::number(16, 1_000_000, "megabytes"), "256"),
+];
+
 /// Keys of the platform's list.
 const PLATFORM: &[Key] = &[
     Key::new("address", Kind::Address, ""),
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -11,7 +11,7 @@
 use serde::Serialize;
 
 /// Settings of one process.
-#[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[derive(Clone, Debug, Default, PartialEq, Serialize, Deserialize)]
 #[serde(default)]
 pub struct Settings {
     /// Who this instance is.
@@ -22,6 +22,8 @@
     pub control: Control,
     /// Connections between instances.
     pub peers: Peers,
+    /// Forwarding of routes, for entries behind a platform's balancer.
+    pub forward: Forward,
     /// The platform's list of instances.
     pub platform: Platform,
     /// Workspace of each caller's key, by the key's SHA-256 in hexadecimal.
@@ -91,6 +93,12 @@
     pub data: PathBuf,
     /// Names of the instances that form the first group of voters.
     pub founders: Vec<InstanceName>,
+    /// Address for the platform's operators, over HTTP.
+    pub operators: Option<SocketAddr>,
+    /// Whether the founders may form the first group: not where a disk may have been lost.
+    pub found: bool,
+    /// Disks that may be lost at once, where trust is by addresses; decides the number of voters.
+    pub lost_disks: usize,
     /// Shortest time without a leader before an election, in milliseconds.
     pub election_ms: u64,
     /// Time between the leader's heartbeats, in milliseconds.
@@ -105,6 +113,9 @@
             enabled: false,
             data: PathBuf::from("data"),
             founders: Vec::new(),
+            operators: None,
+            found: true,
+            lost_disks: 1,
             election_ms: 600,
             heartbeat_ms: 100,
             snapshot_entries: 20_000,
@@ -118,6 +129,12 @@
 pub struct Peers {
     /// Address of this instance for its peers, over UDP.
     pub listen: Option<SocketAddr>,
+    /// What proves who a peer is.
+    pub trust: Trust,
+    /// Addresses of control instances to begin with, where trust is by addresses.
+    ///
+    /// Only the IP addresses count: all instances listen for peers on the same port.
+    pub seeds: Vec<SocketAddr>,
     /// File of this instance's certificate, in PEM.
     pub certificate: Option<PathBuf>,
     /// File of this instance's private key, in PEM.
@@ -129,6 +146,88 @@
     pub peers: Vec<Peer>,
 }
 
+/// What proves who a peer is.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+#[serde(rename_all = "lowercase")]
+pub enum Trust {
+    /// Its certificate, which carries its name.
+    #[default]
+    Certificates,
+    /// Its IP address, which is its name: the network is trusted not to forge addresses.
+    Addresses,
+}
+
+impl Peers {
+    /// Returns the name of the instance at `address` where trust is by addresses.
+    pub fn name_of(address: SocketAddr) -> InstanceName {
+        InstanceName::new(&address.ip().to_string())
+    }
+}
+
+impl Settings {
+    /// Returns the name that peers know this instance by.
+    pub fn peer_name(&self) -> InstanceName {
+        match (self.peers.trust, self.peers.listen) {
+            (Trust::Addresses, Some(listen)) => Peers::name_of(listen),
+            _ => self.instance.name.clone(),
+        }
+    }
+
+    /// Returns the instances that form the first group of voters.
+    pub fn founders(&self) -> Vec<InstanceName> {
+        match self.peers.trust {
+            Trust::Certificates => self.control.founders.clone(),
+            Trust::Addresses => self.peers.seeds.iter().map(|s| Peers::name_of(*s)).collect(),
+        }
+    }
+}
+
+/// Forwarding of routes, for entries behind a platform's balancer.
+#[derive(Clone, Debug, PartialEq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Forward {
+    /// Address that the balancer forwards callers' connections to; absent where none are served.
+    pub listen: Option<SocketAddr>,
+    /// Address of the balancer's readiness checks.
+    pub ready: Option<SocketAddr>,
+    /// Open caller connections, at most.
+    pub max_connections: usize,
+    /// Longest time that keys of a document not confirmed by control are accepted, in milliseconds.
+    pub confirm_ms: u64,
+    /// Time from the request to stop until the process is killed, in seconds.
+    pub grace_s: f64,
+    /// Repeats that all entries may send to a pool, as a share of its requests.
+    pub retry_ratio: f64,
+    /// Repeats that all entries may send to a pool beyond that share in each window.
+    pub retry_slack: f64,
+    /// Window over which repeats are counted, in seconds.
+    pub retry_window_s: f64,
+    /// Requests that a cold target may get, as a multiple of what its pool's document says.
+    pub cold_factor: f64,
+    /// Longest time between an event at a target and at the caller, in milliseconds.
+    pub event_delay_ms: u64,
+    /// Memory of the process, in megabytes.
+    pub memory_mb: u64,
+}
+
+impl Default for Forward {
+    fn default() -> Self {
+        Self {
+            listen: None,
+            ready: None,
+            max_connections: 1_500,
+            confirm_ms: 5_000,
+            grace_s: 30.0,
+            retry_ratio: 0.2,
+            retry_slack: 10.0,
+            retry_window_s: 10.0,
+            cold_factor: 1.0,
+            event_delay_ms: 200,
+            memory_mb: 256,
+        }
+    }
+}
+
 /// Another instance.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Peer {
--- a/hawthornkeel_core/src/lib.rs
+++ b/hawthornkeel_core/src/lib.rs
@@ -7,12 +7,16 @@
 #![deny(clippy::unwrap_used, clippy::expect_used, clippy::panic, clippy::indexing_slicing)]
 
 pub mod document;
+pub mod fleet;
 pub mod ids;
 pub mod lease;
 pub mod names;
 pub mod orders;
+pub mod place;
 pub mod replica;
 pub mod request;
 pub mod routing;
+pub mod stages;
 pub mod state;
+pub mod table;
 pub mod time;
--- a/hawthornkeel_core/src/names.rs
+++ b/hawthornkeel_core/src/names.rs
@@ -73,6 +73,10 @@
     /// Name of a workspace: a customer's share of the system.
     WorkspaceName
 }
+name_type! {
+    /// Name of a route.
+    RouteName
+}
 name_type! {
     /// Name of a pipeline.
     PipelineName
--- /dev/null
+++ b/hawthornkeel_core/src/place/board.rs
@@ -0,0 +1,265 @@
+//! Targets of all pools as one entry sees them, and the choice among them.
+//!
+//! Load patterns it answers: sessions that share prompts (the same session goes to the same target,
+//! whichever entry it reaches), targets that fail part of their calls (chosen less the more they
+//! fail), targets that come back cold (each entry sends its share of what one bears).
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::fleet::Listed;
+use crate::fleet::Listing;
+use crate::names::CentreName;
+use crate::names::PoolName;
+use crate::names::TargetName;
+use crate::place::health::Ended;
+use crate::place::health::Health;
+use crate::stages::desk::MakerInfo;
+use crate::table::pool::Cold;
+use crate::time::Instant;
+
+/// Weight of a target in the data centre that is preferred, against others.
+const NEAR_WEIGHT: f64 = 6.0;
+/// Weight of a cold target against a warm one.
+const COLD_WEIGHT: f64 = 0.15;
+/// Power by which failures lower a target's weight.
+const FAILURE_POWER: i32 = 4;
+/// Least weight of a target that fails, so that it is tried again.
+const MIN_WEIGHT: f64 = 0.002;
+/// Requests of this entry at one target above which its weight sinks.
+const BUSY: u32 = 6;
+/// Requests to cold targets that an entry may save up.
+const COLD_BURST: f64 = 1.0;
+
+/// What a target is wanted for.
+#[derive(Clone, Debug)]
+pub struct Ask<'a> {
+    /// Pool.
+    pub pool: &'a PoolName,
+    /// Number that is the same for requests that share a prompt, or drawn for the request.
+    pub session: u64,
+    /// Data centre that is preferred.
+    pub centre: Option<&'a CentreName>,
+    /// Targets that were tried before.
+    pub tried: &'a [TargetName],
+    /// What the pool's cold targets bear.
+    pub cold: Option<Cold>,
+    /// Entries that serve callers.
+    pub entries: usize,
+}
+
+/// Target that was chosen.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Chosen {
+    /// Target.
+    pub name: TargetName,
+    /// Address.
+    pub address: SocketAddr,
+    /// Data centre.
+    pub centre: CentreName,
+    /// Whether it counted as cold.
+    pub cold: bool,
+}
+
+/// Why no target was chosen.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum NoTarget {
+    /// The pool has none, or none that may get work.
+    Empty,
+    /// All were tried.
+    Tried,
+    /// Those left are cold and get no more from this entry now.
+    Cold,
+}
+
+/// Targets of all pools as one entry sees them.
+#[derive(Clone, Debug, Default)]
+pub struct Board {
+    targets: IndexMap<TargetName, Target>,
+    out: Vec<CentreName>,
+    /// Whether a list was taken in: targets of the first one are not new.
+    listed: bool,
+}
+
+#[derive(Clone, Debug)]
+struct Target {
+    listed: Listed,
+    health: Health,
+    /// Requests of this entry in progress.
+    open: u32,
+    cold_until: Instant,
+    /// Whether it is to count as cold, for as long as its pool's targets are after a start.
+    fresh: Option<Instant>,
+    /// Requests that may go to it while it is cold.
+    allowance: f64,
+    filled: Instant,
+}
+
+impl Board {
+    /// Takes in the platform's list.
+    pub fn update(&mut self, now: Instant, listing: &Listing) {
+        let mut known = std::mem::take(&mut self.targets);
+        for listed in listing.targets.iter() {
+            let target = known.swap_remove(&listed.name);
+            let same = target.filter(|t| t.listed.address == listed.address);
+            let mut target = same.unwrap_or_else(|| Target::new(now, listed, self.listed));
+            target.listed = listed.clone();
+            let cold = now + Duration::from_millis(listed.cold_ms);
+            if listed.cold_ms > 0 {
+                target.cold_until = target.cold_until.max(cold);
+            }
+            self.targets.insert(listed.name.clone(), target);
+        }
+        self.listed = true;
+    }
+
+    /// Takes in which data centres get no new work; those that come back have cold targets.
+    pub fn set_out(&mut self, now: Instant, out: Vec<CentreName>) {
+        for target in self.targets.values_mut() {
+            let centre = &target.listed.centre;
+            if self.out.contains(centre) && !out.contains(centre) {
+                target.fresh = Some(now);
+            }
+        }
+        self.out = out;
+    }
+
+    /// Returns the targets of a pool that do stages now.
+    pub fn makers(&self, pool: &PoolName) -> Vec<MakerInfo> {
+        let usable = self.targets.values().filter(|t| t.listed.pool == *pool && self.is_usable(t));
+        let info =
+            |t: &Target| MakerInfo { name: t.listed.name.clone(), centre: t.listed.centre.clone() };
+        usable.map(info).collect()
+    }
+
+    /// Returns the address of a target that may get work.
+    pub fn address(&self, name: &TargetName) -> Option<SocketAddr> {
+        let target = self.targets.get(name).filter(|t| self.is_usable(t))?;
+        Some(target.listed.address)
+    }
+
+    /// Returns the data centre of the target that would be chosen.
+    pub fn centre(&mut self, now: Instant, ask: &Ask<'_>) -> Option<CentreName> {
+        let at = self.best(now, ask).ok()?;
+        self.targets.get_index(at).map(|(_, t)| t.listed.centre.clone())
+    }
+
+    /// Chooses a target, whose call must be ended with [`Board::ended`].
+    ///
+    /// # Errors
+    /// Fails with the reason where no target may get the request now.
+    pub fn choose(&mut self, now: Instant, ask: &Ask<'_>) -> Result<Chosen, NoTarget> {
+        let at = self.best(now, ask)?;
+        let (name, target) = self.targets.get_index_mut(at).ok_or(NoTarget::Empty)?;
+        target.open += 1;
+        let cold = target.is_cold(now, ask.cold);
+        if cold {
+            target.allowance -= 1.0;
+        }
+        let Listed { address, centre, .. } = &target.listed;
+        Ok(Chosen { name: name.clone(), address: *address, centre: centre.clone(), cold })
+    }
+
+    /// Returns the position of the best target.
+    fn best(&mut self, now: Instant, ask: &Ask<'_>) -> Result<usize, NoTarget> {
+        let mut best: Option<(f64, usize)> = None;
+        let mut reason = NoTarget::Empty;
+        for at in 0..self.targets.len() {
+            match self.score(now, at, ask) {
+                Ok(score) if best.is_none_or(|(b, _)| score > b) => best = Some((score, at)),
+                Ok(_) => {}
+                Err(why) if reason == NoTarget::Empty => reason = why,
+                Err(_) => {}
+            }
+        }
+        best.map(|(_, at)| at).ok_or(reason)
+    }
+
+    /// Notes how a call at a target ended.
+    pub fn ended(&mut self, now: Instant, name: &TargetName, ended: Ended) {
+        let Some(target) = self.targets.get_mut(name) else { return };
+        target.open = target.open.saturating_sub(1);
+        if ended == Ended::Well && target.health.is_unreached() {
+            // It was gone and has come back.
+            target.fresh = Some(now);
+        }
+        target.health.note(now, ended);
+    }
+
+    fn is_usable(&self, target: &Target) -> bool {
+        !target.listed.leaving && !self.out.contains(&target.listed.centre)
+    }
+
+    /// Returns the score of a target: the highest is chosen.
+    fn score(&mut self, now: Instant, at: usize, ask: &Ask<'_>) -> Result<f64, NoTarget> {
+        let (_, target) = self.targets.get_index(at).ok_or(NoTarget::Empty)?;
+        if target.listed.pool != *ask.pool || !self.is_usable(target) {
+            return Err(NoTarget::Empty);
+        }
+        if ask.tried.contains(&target.listed.name) {
+            return Err(NoTarget::Tried);
+        }
+        let (_, target) = self.targets.get_index_mut(at).ok_or(NoTarget::Empty)?;
+        let cold = target.is_cold(now, ask.cold);
+        if cold && !target.may_take_cold(now, ask) {
+            return Err(NoTarget::Cold);
+        }
+        let mut weight = (1.0 - target.health.rate(now)).max(0.0).powi(FAILURE_POWER);
+        if target.health.is_paused(now) {
+            weight = 0.0;
+        }
+        if cold {
+            weight *= COLD_WEIGHT;
+        }
+        if ask.centre == Some(&target.listed.centre) {
+            weight *= NEAR_WEIGHT;
+        }
+        if target.open > BUSY {
+            weight *= f64::from(BUSY) / f64::from(target.open);
+        }
+        Ok(rendezvous(ask.session, &target.listed.name, weight.max(MIN_WEIGHT)))
+    }
+}
+
+impl Target {
+    fn new(now: Instant, listed: &Listed, fresh: bool) -> Self {
+        Self {
+            listed: listed.clone(),
+            health: Health::default(),
+            open: 0,
+            cold_until: now,
+            fresh: fresh.then_some(now),
+            allowance: 0.0,
+            filled: now,
+        }
+    }
+
+    fn is_cold(&self, now: Instant, cold: Option<Cold>) -> bool {
+        let Some(cold) = cold else { return false };
+        self.cold_until > now || self.fresh.is_some_and(|f| now.since(f) < cold.time)
+    }
+
+    /// Tells whether this entry's share of what it bears while cold allows one more request.
+    fn may_take_cold(&mut self, now: Instant, ask: &Ask<'_>) -> bool {
+        let Some(cold) = ask.cold else { return true };
+        let rate = cold.rate / ask.entries.max(1) as f64;
+        let earned = now.since(self.filled).as_secs_f64() * rate;
+        self.allowance = (self.allowance + earned).min(COLD_BURST);
+        self.filled = now;
+        self.allowance >= 1.0
+    }
+}
+
+/// Returns the weighted rendezvous score of a target for a session.
+///
+/// The same session prefers the same target at every entry, each target gets a share of the
+/// sessions by its weight, and few sessions move where a weight or the targets change.
+fn rendezvous(session: u64, name: &TargetName, weight: f64) -> f64 {
+    let hash = xxh3_64_with_seed(name.as_str().as_bytes(), session);
+    // Within (0, 1): the upper 53 bits, moved off both ends.
+    let unit = ((hash >> 11) as f64 + 0.5) / (1_u64 << 53) as f64;
+    -weight / unit.ln()
+}
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -49,7 +49,9 @@
         self.arm_election();
         self.leader = None;
         let members = self.log.members();
-        if !members.is_voter(self.node.id) {
+        // A voter that nobody votes with may have been removed while it was away.
+        let alone = matches!(self.part, Part::PreCandidate(_));
+        if alone || !members.is_voter(self.node.id) {
             self.ask_to_be_added();
         }
         if members.get(self.node.id).is_none() {
--- a/hawthornkeel_core/src/replica/formation.rs
+++ b/hawthornkeel_core/src/replica/formation.rs
@@ -78,6 +78,9 @@
     pub(super) fn receive_hello(&mut self, from: Node) {
         let forms = self.former() == Some(&from.name);
         if let Part::Empty(formation) = &mut self.part {
+            if !self.settings.forms {
+                return;
+            }
             if forms {
                 formation.told = Some(from.id);
             }
@@ -114,7 +117,7 @@
     /// Forms the group, once every founder has said that its disk is empty.
     fn form(&mut self) {
         let Part::Empty(formation) = &self.part else { return };
-        if self.former() != Some(&self.node.name) {
+        if self.former() != Some(&self.node.name) || !self.settings.forms {
             return;
         }
         let mut members = Vec::new();
--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -1,5 +1,7 @@
 //! Changes of the members, one at a time, and the repair of a lost replica.
 
+use std::time::Duration;
+
 use crate::ids::ReplicaId;
 use crate::replica::Part;
 use crate::replica::Replica;
@@ -12,6 +14,7 @@
 use crate::replica::entry::Payload;
 use crate::replica::entry::ProposalId;
 use crate::replica::entry::Standing;
+use crate::replica::settings::Admission;
 
 impl Replica {
     /// Takes in a change of the members.
@@ -70,23 +73,54 @@
 
     /// Tells whether a silent member's instance runs another replica, which has caught up.
     fn is_replaced(&self, member: &Member, members: &Members) -> bool {
-        self.is_silent(member.node.id)
-            && others(member, members).any(|other| self.has_caught_up(other.node.id))
+        let same = self.is_silent(member.node.id)
+            && others(member, members).any(|other| self.has_caught_up(other.node.id));
+        same || self.is_given_up(member, members)
+    }
+
+    /// Tells whether a silent member's place is to go to a replica of another instance.
+    ///
+    /// A silent learner's place is of use to nobody: it announces itself if it comes back.
+    fn is_given_up(&self, member: &Member, members: &Members) -> bool {
+        let Admission::Open { voters, replace } = self.settings.admission else { return false };
+        if !self.is_silent_for(member.node.id, replace) {
+            return false;
+        }
+        let spare = |m: &&Member| m.standing == Standing::Learner && self.has_caught_up(m.node.id);
+        match member.standing {
+            Standing::Learner => true,
+            Standing::Voter => {
+                members.voters().count() >= voters && members.0.iter().any(|m| spare(&m))
+            }
+        }
     }
 
     /// Tells whether a learner is to become a voter, after the one that it replaces was removed.
     fn is_ready(&self, member: &Member, members: &Members) -> bool {
         member.standing == Standing::Learner
-            && self.settings.founders.contains(&member.node.name)
+            && self.is_admitted(member, members)
             && self.has_caught_up(member.node.id)
             && others(member, members).next().is_none()
     }
 
+    /// Tells whether the settings allow a learner to become a voter.
+    fn is_admitted(&self, member: &Member, members: &Members) -> bool {
+        match self.settings.admission {
+            Admission::Founders => self.settings.founders.contains(&member.node.name),
+            Admission::Open { voters, .. } => members.voters().count() < voters,
+        }
+    }
+
     /// Tells whether a member did not answer for an election time.
     fn is_silent(&self, id: ReplicaId) -> bool {
+        self.is_silent_for(id, self.settings.election)
+    }
+
+    /// Tells whether a member did not answer for `time`.
+    fn is_silent_for(&self, id: ReplicaId, time: Duration) -> bool {
         let Part::Leader(leader) = &self.part else { return false };
         let heard = leader.peers.get(&id).map(|p| p.heard);
-        heard.is_some_and(|h| self.now.since(h) > self.settings.election)
+        heard.is_some_and(|h| self.now.since(h) > time)
     }
 
     /// Tells whether a member answers and has nearly the whole log on disk.
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -81,6 +81,7 @@
 pub use crate::replica::entry::Ticket;
 pub use crate::replica::message::Body;
 pub use crate::replica::message::Message;
+pub use crate::replica::settings::Admission;
 pub use crate::replica::settings::Settings;
 
 /// Part that a replica plays, with what it needs for it.
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -4,11 +4,32 @@
 
 use crate::names::InstanceName;
 
+/// Which learners become voters by themselves.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Admission {
+    /// Only those of the founders' instances.
+    #[default]
+    Founders,
+    /// Any control instance, for deployments that replace instances by others.
+    Open {
+        /// Voters, at most; further replicas stay learners and take the place of lost voters.
+        voters: usize,
+        /// Time without an answer after which a learner takes the place of a voter.
+        replace: Duration,
+    },
+}
+
 /// Settings of a replica, which all replicas of a group should share.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct Settings {
     /// Instances that form the first group, and whose replicas may become voters by themselves.
     pub founders: Vec<InstanceName>,
+    /// Whether this replica may take part in forming the first group.
+    ///
+    /// Not on a folder that may have been lost: a group may stand that none of the others is in.
+    pub forms: bool,
+    /// Who may become a voter beside the founders.
+    pub admission: Admission,
     /// Time without a leader after which a replica may vote for another.
     ///
     /// A follower waits between one and two times this long before it stands for election.
@@ -45,6 +66,8 @@
     fn default() -> Self {
         Self {
             founders: Vec::new(),
+            forms: true,
+            admission: Admission::Founders,
             election: Duration::from_millis(600),
             heartbeat: Duration::from_millis(100),
             drift: Duration::from_millis(60),
--- a/hawthornkeel_core/src/state/command.rs
+++ b/hawthornkeel_core/src/state/command.rs
@@ -28,6 +28,8 @@
     Settle(Settle),
     /// Replaces the environment document.
     Submit(Submit),
+    /// Replaces the document where the one given has a higher version.
+    Replace(Replace),
     /// Takes a data centre out of service or brings it back.
     Centre(CentreOrder),
     /// Draws the next fencing number for orders to a target.
@@ -115,6 +117,17 @@
     pub hash: Arc<str>,
 }
 
+/// Document whose version its operators chose: the highest version is in force.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Replace {
+    /// Version that the document names.
+    pub version: Version,
+    /// Text of the document.
+    pub text: Arc<str>,
+    /// SHA-256 of the text in hexadecimal.
+    pub hash: Arc<str>,
+}
+
 /// Whether a data centre takes new work.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub enum CentreState {
@@ -147,6 +160,8 @@
     Settle(SettleOutcome),
     /// Outcome of a submission.
     Submit(SubmitOutcome),
+    /// Version in force after a replacement, whether or not that changed it.
+    Replace(Version),
     /// Outcome of an order about a data centre.
     Centre(CentreOutcome),
     /// Fencing number drawn.
--- a/hawthornkeel_core/src/state/documents.rs
+++ b/hawthornkeel_core/src/state/documents.rs
@@ -5,6 +5,9 @@
 //! first submission that used it, whoever the operator is: the same operator with the same document
 //! gets the first outcome again, and anything else is told who was first. Submissions that lost are
 //! remembered too, so that a delayed copy of one is never accepted later.
+//!
+//! Where operators number their documents themselves, the highest number is in force and a
+//! document that is not higher is accepted without effect.
 
 use std::sync::Arc;
 
@@ -14,6 +17,7 @@
 use crate::ids::OperationNumber;
 use crate::ids::Version;
 use crate::names::OperatorName;
+use crate::state::command::Replace;
 use crate::state::command::Submit;
 use crate::state::command::SubmitOutcome;
 use crate::state::command::Winner;
@@ -88,6 +92,21 @@
         outcome
     }
 
+    /// Puts a document in force whose version is higher; tells whether it is.
+    ///
+    /// A lower or equal version changes nothing, whatever its content.
+    pub fn replace(&mut self, replace: &Replace) -> bool {
+        if replace.version <= self.version {
+            return false;
+        }
+        self.version = replace.version;
+        self.operator = OperatorName::default();
+        self.operation = OperationNumber::default();
+        self.text = Arc::clone(&replace.text);
+        self.hash = Arc::clone(&replace.hash);
+        true
+    }
+
     fn decide(&mut self, submit: &Submit) -> SubmitOutcome {
         if submit.expected != self.version {
             return SubmitOutcome::Conflict(self.in_force());
--- a/hawthornkeel_core/src/state/mod.rs
+++ b/hawthornkeel_core/src/state/mod.rs
@@ -59,6 +59,12 @@
                 }
                 Outcome::Submit(outcome)
             }
+            Command::Replace(replace) => {
+                if self.documents.replace(replace) {
+                    self.published = index;
+                }
+                Outcome::Replace(self.documents.version())
+            }
             Command::Centre(order) => {
                 let (outcome, changed) = self.centres.order(index, order);
                 if changed {
--- /dev/null
+++ b/hawthornkeel_core/src/table/mod.rs
@@ -0,0 +1,91 @@
+//! Routes that an entry forwards, with the pools behind them and the callers' keys.
+//!
+//! Unlike a pipeline, a route hands a request on unchanged to one pool and the answer back as it
+//! came; stages may have to run before. A table comes from one version of a document and never
+//! changes.
+
+pub mod gate;
+pub mod pool;
+pub mod route;
+
+use std::sync::Arc;
+
+use indexmap::IndexMap;
+
+use crate::ids::Version;
+use crate::names::PoolName;
+use crate::names::WorkspaceName;
+use crate::table::pool::Pool;
+use crate::table::route::Route;
+
+/// Routes, pools and keys of one version of a document.
+#[derive(Clone, Debug, Default, PartialEq)]
+pub struct RouteTable {
+    /// Version of the document.
+    pub version: Version,
+    /// Pools by name.
+    pub pools: IndexMap<PoolName, Arc<Pool>>,
+    /// Holders of keys by key; empty where callers need none.
+    pub keys: IndexMap<Arc<str>, Holder>,
+    /// Whether callers need a key on routes that aren't public.
+    pub keyed: bool,
+    /// Bounds on what callers send.
+    pub limits: Limits,
+    /// Routes of each host, those with the longest prefix first.
+    hosts: IndexMap<Arc<str>, Vec<Arc<Route>>>,
+}
+
+/// Workspace that holds a key.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct Holder {
+    /// Workspace.
+    pub workspace: WorkspaceName,
+    /// Rank of its requests, zero the highest.
+    pub priority: u8,
+}
+
+/// Bounds on what callers send.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Limits {
+    /// Request body, in bytes at most; zero for the settings' bound.
+    pub max_body: usize,
+}
+
+impl RouteTable {
+    /// Creates the table of a version, without routes yet.
+    pub fn new(version: Version, limits: Limits) -> Self {
+        Self { version, limits, ..Self::default() }
+    }
+
+    /// Adds a route; returns the one that has its host and prefix already, if any.
+    pub fn add(&mut self, route: Route) -> Option<Arc<Route>> {
+        let routes = self.hosts.entry(route.host.clone()).or_default();
+        if let Some(other) = routes.iter().find(|r| r.prefix == route.prefix) {
+            return Some(other.clone());
+        }
+        let at = routes.partition_point(|r| r.prefix.len() >= route.prefix.len());
+        routes.insert(at, Arc::new(route));
+        None
+    }
+
+    /// Returns the route of a request: that with the longest prefix among its host's routes.
+    pub fn find(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.hosts.get(host)?;
+        routes.iter().find(|r| path.starts_with(&*r.prefix))
+    }
+
+    /// Returns the number of routes.
+    pub fn len(&self) -> usize {
+        self.hosts.values().map(Vec::len).sum()
+    }
+
+    /// Tells whether there are no routes.
+    pub fn is_empty(&self) -> bool {
+        self.hosts.is_empty()
+    }
+
+    /// Returns all routes.
+    pub fn routes(&self) -> impl Iterator<Item = &Arc<Route>> {
+        self.hosts.values().flatten()
+    }
+}
