--- a/hawthornkeel/src/forward/survey.rs
+++ b/hawthornkeel/src/forward/survey.rs
@@ -207,7 +207,7 @@
             listing: (listed.is_some() && Some(listing.mark) != survey.listing).then_some(listing),
             listed_ms: listed.map(|l| u64::try_from(l.elapsed().as_millis()).unwrap_or(u64::MAX)),
             controls: self.controls(),
-            entries: entries.iter().map(present).collect(),
+            entries: sorted(entries.iter().map(present).collect()),
         }
     }
 
@@ -311,3 +311,9 @@
         self.inner.changed.notify();
     }
 }
+
+/// Returns entries in the one order that all control instances give them in.
+fn sorted(mut entries: Vec<Present>) -> Vec<Present> {
+    entries.sort();
+    entries
+}
