--- a/hawthornkeel/src/forward/desks.rs
+++ b/hawthornkeel/src/forward/desks.rs
@@ -20,6 +20,8 @@
 use hawthornkeel_core::stages::desk::Input;
 use hawthornkeel_core::stages::desk::Item;
 use hawthornkeel_core::stages::desk::PieceOutcome;
+use hawthornkeel_core::stages::job::Booked;
+use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -29,6 +31,7 @@
 use hawthornkeel_platform::pieces;
 use hawthornkeel_platform::pieces::Done;
 use indexmap::IndexMap;
+use indexmap::IndexSet;
 
 use crate::clock::boot_now;
 use crate::forward::calls;
@@ -37,10 +40,10 @@
 use crate::forward::context::Context;
 use crate::forward::exchange::Failure;
 use crate::peer::Frame;
+use crate::peer::frame::Book;
 use crate::peer::frame::Dismiss;
 use crate::peer::frame::FrameKind;
 use crate::peer::frame::Offer;
-use crate::peer::frame::Offered;
 use crate::peer::signal::Signal;
 
 /// Time for which an entry holds an offer while the job is open, in milliseconds.
@@ -49,8 +52,10 @@
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Entries that are asked to keep the desk of a pool, one after the other, before the own one.
 const MAX_OWNERS: usize = 3;
-/// Time for which an entry that did not answer is passed over.
-const SUSPECT: Duration = Duration::from_millis(2_500);
+/// Pause between two calls to an entry that did not answer.
+const PROBE_PAUSE: Duration = Duration::from_millis(250);
+/// Time after which an entry that did not answer is forgotten, as it may be gone for good.
+const FORGET_SUSPECT: Duration = Duration::from_secs(30);
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
 /// Time for a target to take in which results are not needed.
@@ -66,8 +71,8 @@
     context: Rc<Context>,
     pools: RefCell<IndexMap<PoolName, Pieces>>,
     desks: RefCell<IndexMap<PoolName, Local>>,
-    /// Entries that did not answer, with when they may be asked again.
-    suspects: RefCell<IndexMap<InstanceName, Instant>>,
+    /// Entries that did not answer.
+    suspects: RefCell<IndexSet<InstanceName>>,
     woken: Signal,
     ticking: Cell<bool>,
 }
@@ -94,7 +99,8 @@
         if results.is_empty() {
             return;
         }
-        self.desks.dismiss(&self.owner, Dismiss { pool: self.pool.clone(), job: None, results });
+        self.desks
+            .dismiss(&self.owner, Dismiss { pool: self.pool.clone(), jobs: Vec::new(), results });
     }
 }
 
@@ -107,11 +113,6 @@
 /// Why a stage brought no results.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum Undone {
-    /// It can't be done in time: come back later.
-    Refused {
-        /// Time after which there may be room.
-        retry: Duration,
-    },
     /// Its time has passed.
     Late,
     /// Results that it needs are gone.
@@ -130,10 +131,8 @@
 
 impl Drop for Pending {
     fn drop(&mut self) {
-        if self.job.is_some() {
-            let job = self.job.take();
-            let dismiss = Dismiss { pool: self.pool.clone(), job, results: Vec::new() };
-            self.desks.dismiss(&self.owner, dismiss);
+        if let Some(job) = self.job.take() {
+            self.desks.withdraw(&self.owner, &self.pool, vec![job]);
         }
     }
 }
@@ -169,6 +168,15 @@
             }
         });
         let desks = self.clone();
+        endpoint.on_call(FrameKind::Book, move |_, frame| {
+            let answer = match frame {
+                Frame::Book(book) => Frame::Booked(desks.take_bookings(&book)),
+                other => other,
+            };
+            async move { answer }
+        });
+        endpoint.on_call(FrameKind::Ping, |_, _| async { Frame::Pong });
+        let desks = self.clone();
         endpoint.on_frame(FrameKind::Dismiss, move |_, frame| {
             if let Frame::Dismiss(dismiss) = frame {
                 desks.take_dismiss(dismiss);
@@ -209,9 +217,6 @@
                     let desks = self.clone();
                     return Ok(Results { handles, pool: pool.clone(), owner, desks });
                 }
-                Some(JobOutcome::Refused { retry_ms }) => {
-                    return Err(Undone::Refused { retry: Duration::from_millis(retry_ms) });
-                }
                 Some(JobOutcome::Late) => return Err(Undone::Late),
                 Some(JobOutcome::Gone) => return Err(Undone::Gone),
                 Some(JobOutcome::Failed) => return Err(Undone::Failed),
@@ -221,14 +226,52 @@
         Err(last)
     }
 
+    /// Books stages of a request at the desk of their pool.
+    ///
+    /// Returns the desk's owner and what each booking comes to; `None` where no desk answers.
+    pub async fn book(
+        &self,
+        pool: &PoolName,
+        bookings: Vec<Booking>,
+    ) -> Option<(InstanceName, Vec<Option<Booked>>)> {
+        let owner = self.candidates(pool).into_iter().next()?;
+        let book = Book { pool: pool.clone(), bookings };
+        if owner == *self.inner.context.endpoint.name() {
+            let booked = self.take_bookings(&book);
+            return Some((owner, booked));
+        }
+        let frame = Frame::Book(book);
+        match self.inner.context.endpoint.call(&owner, &frame, ANSWER_TIME).await {
+            Ok(Frame::Booked(booked)) => Some((owner, booked)),
+            Ok(_) => None,
+            Err(error) => {
+                tracing::info!(event = "booking-failed", owner = %owner, %pool, %error);
+                self.suspect(&owner);
+                None
+            }
+        }
+    }
+
+    /// Gives up jobs or bookings at the desk that `owner` keeps.
+    pub fn withdraw(&self, owner: &InstanceName, pool: &PoolName, jobs: Vec<JobId>) {
+        self.dismiss(owner, Dismiss { pool: pool.clone(), jobs, results: Vec::new() });
+    }
+
+    fn take_bookings(&self, book: &Book) -> Vec<Option<Booked>> {
+        if !self.open(&book.pool) {
+            return Vec::new();
+        }
+        let mut desks = self.inner.desks.borrow_mut();
+        let Some(local) = desks.get_mut(&book.pool) else { return Vec::new() };
+        book.bookings.iter().map(|b| local.desk.book(boot_now(), b)).collect()
+    }
+
     /// Returns the entries that may keep the desk of a pool, in order, and this one at last.
     fn candidates(&self, pool: &PoolName) -> Vec<InstanceName> {
         let own = self.inner.context.endpoint.name();
-        let now = Instant::now();
-        self.inner.suspects.borrow_mut().retain(|_, until| *until > now);
         let suspects = self.inner.suspects.borrow();
         let mut owners = self.inner.context.owners(pool);
-        owners.retain(|o| o == own || !suspects.contains_key(o));
+        owners.retain(|o| o == own || !suspects.contains(o));
         owners.truncate(MAX_OWNERS);
         if !owners.contains(own) {
             owners.push(own.clone());
@@ -236,6 +279,27 @@
         owners
     }
 
+    /// Passes an entry over until it answers again.
+    fn suspect(&self, owner: &InstanceName) {
+        if !self.inner.suspects.borrow_mut().insert(owner.clone()) {
+            return;
+        }
+        tracing::info!(event = "entry-suspected", entry = %owner);
+        let (desks, owner) = (self.clone(), owner.clone());
+        monoio::spawn(async move {
+            let since = Instant::now();
+            while since.elapsed() < FORGET_SUSPECT {
+                monoio::time::sleep(PROBE_PAUSE).await;
+                let endpoint = &desks.inner.context.endpoint;
+                if endpoint.call(&owner, &Frame::Ping, ANSWER_TIME).await.is_ok() {
+                    break;
+                }
+            }
+            tracing::info!(event = "entry-trusted", entry = %owner);
+            desks.inner.suspects.borrow_mut().swap_remove(&owner);
+        });
+    }
+
     /// Offers a job to an entry and waits for what comes of it; `None` where it doesn't answer.
     async fn offer(&self, owner: &InstanceName, pool: &PoolName, job: Job) -> Option<JobOutcome> {
         let id = job.id.clone();
@@ -249,28 +313,27 @@
         loop {
             let job = remaining(&job, started.elapsed())?;
             let offer = Offer { pool: pool.clone(), job, wait_ms: HOLD_MS };
-            let answered = self.ask(owner, offer).await;
-            match answered.as_ref().map(|o| &o.outcome) {
+            let outcome = self.ask(owner, offer).await;
+            match &outcome {
                 Some(JobOutcome::Open) => continue,
                 None => {
                     tracing::info!(event = "desk-silent", owner = %owner, %pool, request = %id.request);
-                    let until = Instant::now() + SUSPECT;
-                    self.inner.suspects.borrow_mut().insert(owner.clone(), until);
+                    self.suspect(owner);
                 }
                 Some(_) => pending.job = None,
             }
-            return answered.map(|o| o.outcome);
+            return outcome;
         }
     }
 
-    async fn ask(&self, owner: &InstanceName, offer: Offer) -> Option<Offered> {
+    async fn ask(&self, owner: &InstanceName, offer: Offer) -> Option<JobOutcome> {
         if owner == self.inner.context.endpoint.name() {
             return Some(self.answer(offer).await);
         }
         let timeout = ANSWER_TIME + Duration::from_millis(offer.wait_ms.into());
         let frame = Frame::Offer(offer);
         match self.inner.context.endpoint.call(owner, &frame, timeout).await {
-            Ok(Frame::Offered(offered)) => Some(offered),
+            Ok(Frame::Offered(outcome)) => Some(outcome),
             Ok(_) => None,
             Err(error) => {
                 tracing::info!(event = "offer-failed", owner = %owner, %error);
@@ -280,11 +343,11 @@
     }
 
     /// Takes in an offer and answers once the job has ended, or after the hold.
-    async fn answer(&self, offer: Offer) -> Offered {
+    async fn answer(&self, offer: Offer) -> JobOutcome {
         let Offer { pool, job, wait_ms } = offer;
         let id = job.id.clone();
         if !self.open(&pool) {
-            return Offered { outcome: JobOutcome::Elsewhere, wait_ms: None };
+            return JobOutcome::Elsewhere;
         }
         let (sender, outcome) = oneshot::channel();
         if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
@@ -294,11 +357,10 @@
         }
         self.input(&pool, Input::Offer(job));
         let hold = Duration::from_millis(wait_ms.into());
-        let outcome = match monoio::time::timeout(hold, outcome).await {
+        match monoio::time::timeout(hold, outcome).await {
             Ok(Ok(outcome)) => outcome,
             Ok(Err(_)) | Err(_) => JobOutcome::Open,
-        };
-        Offered { outcome, wait_ms: None }
+        }
     }
 
     /// Opens the desk of a pool, where the document has the pool.
@@ -327,8 +389,8 @@
     }
 
     fn take_dismiss(&self, dismiss: Dismiss) {
-        let Dismiss { pool, job, results } = dismiss;
-        if let Some(job) = job {
+        let Dismiss { pool, jobs, results } = dismiss;
+        for job in jobs {
             if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
                 local.waiters.swap_remove(&job);
             }
@@ -396,6 +458,7 @@
             Ok(reply) if reply.not_run || reply.status == 421 => {
                 Input::Failed(number, CallFailure::Refused)
             }
+            Err(failure) if failure.is_not_run() => Input::Failed(number, CallFailure::Unreached),
             Ok(_) | Err(_) => Input::Failed(number, CallFailure::Lost),
         };
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -32,6 +32,7 @@
 use crate::forward::gate;
 use crate::forward::prepare;
 use crate::forward::prepare::Prepared;
+use crate::forward::prepare::Unprepared;
 use crate::forward::relay::Relay;
 use crate::forward::request::MIN_LEFT;
 use crate::forward::request::Ticket;
@@ -184,8 +185,8 @@
         let mut course = Course::default();
         let mut pass = 0;
         loop {
-            if let Err(undone) = self.prepare(&ticket, &mut course, pass).await {
-                return self.undone(&ticket, &course, undone);
+            if let Err(unprepared) = self.prepare(&ticket, &mut course, pass).await {
+                return self.unprepared(&ticket, &course, unprepared);
             }
             match self.forward(&ticket, &mut course).await {
                 Forwarded::Answer(answer, target) => {
@@ -193,7 +194,7 @@
                 }
                 Forwarded::ResultsGone if pass + 1 < MAX_PASSES => pass += 1,
                 Forwarded::ResultsGone => {
-                    return self.undone(&ticket, &course, Undone::Failed);
+                    return self.unprepared(&ticket, &course, Undone::Gone.into());
                 }
                 Forwarded::Ended(problem) => {
                     course.log(&ticket, problem.code.as_str(), problem.code.status().as_u16());
@@ -204,24 +205,30 @@
     }
 
     /// Has the stages before a request done, where it has any.
-    async fn prepare(&self, ticket: &Ticket, course: &mut Course, pass: u16) -> Result<(), Undone> {
+    async fn prepare(
+        &self,
+        ticket: &Ticket,
+        course: &mut Course,
+        pass: u16,
+    ) -> Result<(), Unprepared> {
         if ticket.route.stages.is_empty() {
             return Ok(());
         }
-        let pieces = ticket.pieces().ok_or(Undone::Failed)?;
+        let pieces = ticket.pieces().ok_or(Unprepared::Undone(Undone::Failed))?;
         let work = prepare::prepare(&self.context, &self.desks, ticket, &pieces, pass);
         let prepared = monoio::time::timeout(ticket.left(), work).await;
-        *course.prepared.borrow_mut() = prepared.map_err(|_| Undone::Late)??;
+        *course.prepared.borrow_mut() =
+            prepared.map_err(|_| Unprepared::Undone(Undone::Late))??;
         course.staged = ticket.started.elapsed();
         Ok(())
     }
 
-    fn undone(&self, ticket: &Ticket, course: &Course, undone: Undone) -> Response {
+    fn unprepared(&self, ticket: &Ticket, course: &Course, unprepared: Unprepared) -> Response {
         // Stages may have been done, but the request itself has not run and will not.
-        let (code, retry) = match undone {
-            Undone::Refused { retry } => (Code::Overloaded, retry),
-            Undone::Late => (Code::DeadlineUnreachable, RETRY),
-            Undone::Gone | Undone::Failed => (Code::NoTarget, RETRY),
+        let (code, retry) = match unprepared {
+            Unprepared::Refused { retry } => (Code::Overloaded, retry),
+            Unprepared::Undone(Undone::Late) => (Code::DeadlineUnreachable, RETRY),
+            Unprepared::Undone(Undone::Gone | Undone::Failed) => (Code::NoTarget, RETRY),
         };
         course.log(ticket, code.as_str(), code.status().as_u16());
         refusal(Problem::not_run(code).with_retry_after(retry))
--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -8,12 +8,19 @@
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::stages::job::Booked;
+use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
+use hawthornkeel_core::stages::job::Near;
 use hawthornkeel_core::table::pool::Work;
 use hawthornkeel_core::table::route::Stage;
 use hawthornkeel_platform::fields;
+use hawthornkeel_platform::pieces;
+use indexmap::IndexMap;
 
 use crate::forward::context::Context;
 use crate::forward::desks::Desks;
@@ -23,6 +30,18 @@
 
 /// Time that a request takes at an engine up to its first event, where none was seen yet.
 pub const ENGINE_TIME: Duration = Duration::from_millis(150);
+/// Times longer that a stage takes as others share its calls.
+const SHARED: f64 = 1.2;
+/// Bytes of inputs or results from which on it matters in which data centre a stage is done.
+const LARGE: u64 = 300_000;
+/// Part of the slack, as its divisor, for which a stage waits for a target where it should be done.
+const NEAR_PART: u64 = 2;
+/// Time by which the most urgent requests may make others late, in milliseconds.
+const HARM_MS: u64 = 250;
+/// Shortest time after which a request that is turned away may come back, in milliseconds.
+const MIN_RETRY_MS: u64 = 100;
+/// Longest such time, in milliseconds.
+const MAX_RETRY_MS: u64 = 5_000;
 /// Time that a stage takes where its pool's document says nothing.
 const STAGE_TIME: Duration = Duration::from_millis(250);
 
@@ -41,6 +60,49 @@
     }
 }
 
+/// Why a request's stages were not done.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Unprepared {
+    /// The request would be late, or make others late: nothing was begun.
+    Refused {
+        /// Time after which there may be room.
+        retry: Duration,
+    },
+    /// A stage brought no results.
+    Undone(Undone),
+}
+
+impl From<Undone> for Unprepared {
+    fn from(undone: Undone) -> Self {
+        Self::Undone(undone)
+    }
+}
+
+/// Bookings of a request's stages; those that were not used are given up once it is dropped.
+struct Bookings {
+    desks: Desks,
+    open: Vec<(InstanceName, PoolName, JobId)>,
+}
+
+impl Bookings {
+    fn new(desks: &Desks) -> Self {
+        Self { desks: desks.clone(), open: Vec::new() }
+    }
+
+    /// Notes that a stage is about to be offered, which takes the place of its booking.
+    fn used(&mut self, at: u16) {
+        self.open.retain(|(_, _, id)| id.stage != at);
+    }
+}
+
+impl Drop for Bookings {
+    fn drop(&mut self) {
+        for (owner, pool, id) in self.open.drain(..) {
+            self.desks.withdraw(&owner, &pool, vec![id]);
+        }
+    }
+}
+
 /// Has the stages of a request done; `pieces` holds the number of pieces of each.
 ///
 /// # Errors
@@ -51,8 +113,13 @@
     ticket: &Ticket,
     pieces: &[u32],
     pass: u16,
-) -> Result<Prepared, Undone> {
+) -> Result<Prepared, Unprepared> {
     let plan = Plan::new(context, ticket, pieces, pass);
+    // Work that was begun is not turned away: only the first pass books.
+    let mut booked = match pass {
+        0 => plan.book(desks).await?,
+        _ => Bookings::new(desks),
+    };
     let mut stages: Vec<Option<Results>> = plan.counts.iter().map(|_| None).collect();
     let mut begun = vec![false; plan.counts.len()];
     let mut running = FuturesUnordered::new();
@@ -61,8 +128,9 @@
             if let Some(begun) = begun.get_mut(usize::from(at)) {
                 *begun = true;
             }
+            booked.used(at);
             let job = plan.job(at, &stages);
-            let run = run(context, desks, ticket, at, job);
+            let run = run(desks, ticket, at, job);
             running.push(async move { (at, run.await) });
         }
         let Some((at, results)) = running.next().await else { break };
@@ -74,18 +142,9 @@
     Ok(Prepared { stages, last: plan.last })
 }
 
-async fn run(
-    context: &Context,
-    desks: &Desks,
-    ticket: &Ticket,
-    at: u16,
-    job: Job,
-) -> Result<Results, Undone> {
+async fn run(desks: &Desks, ticket: &Ticket, at: u16, job: Job) -> Result<Results, Undone> {
     let stage = ticket.route.stages.get(usize::from(at)).ok_or(Undone::Failed)?;
-    let started = Instant::now();
-    let results = desks.run(&stage.pool, job).await?;
-    context.note_time(&stage.pool, started.elapsed());
-    Ok(results)
+    desks.run(&stage.pool, job).await
 }
 
 /// What is to be done for one request.
@@ -156,29 +215,124 @@
         }
     }
 
+    /// Books the stages; refuses the request where it would be late or make others late.
+    async fn book(&self, desks: &Desks) -> Result<Bookings, Unprepared> {
+        let mut pools: IndexMap<PoolName, Vec<Booking>> = IndexMap::new();
+        for at in self.wanted() {
+            if let Some(stage) = self.stage(at) {
+                pools.entry(stage.pool.clone()).or_default().push(self.booking(at));
+            }
+        }
+        let mut asked: FuturesUnordered<_> = pools
+            .into_iter()
+            .map(|(pool, bookings)| async move {
+                let ids: Vec<JobId> = bookings.iter().map(|b| b.id.clone()).collect();
+                (desks.book(&pool, bookings).await, pool, ids)
+            })
+            .collect();
+        let mut booked = Bookings::new(desks);
+        let mut estimates: IndexMap<u16, Option<Booked>> = IndexMap::new();
+        while let Some((answer, pool, ids)) = asked.next().await {
+            let Some((owner, answers)) = answer else { continue };
+            for (id, estimate) in ids.into_iter().zip(answers) {
+                estimates.insert(id.stage, estimate);
+                booked.open.push((owner.clone(), pool.clone(), id));
+            }
+        }
+        self.judge(&estimates).map(|()| booked)
+    }
+
+    /// Decides whether a request is begun, by what its bookings come to.
+    fn judge(&self, estimates: &IndexMap<u16, Option<Booked>>) -> Result<(), Unprepared> {
+        let mut done: IndexMap<u16, u64> = IndexMap::new();
+        let mut harm = 0;
+        for at in self.wanted() {
+            let after = self.stage(at).map(|s| s.after.as_slice()).unwrap_or_default();
+            let begin = after.iter().filter_map(|a| done.get(a).copied()).max().unwrap_or(0);
+            let end = match estimates.get(&at) {
+                Some(Some(booked)) => {
+                    harm = harm.max(booked.harm_ms);
+                    begin.max(booked.drain_ms).saturating_add(booked.own_ms)
+                }
+                // No target does the work now.
+                Some(None) => u64::MAX / 2,
+                // Its desk does not answer: another takes over.
+                None => begin.saturating_add(millis(self.time(at))),
+            };
+            done.insert(at, end);
+        }
+        let engine = millis(self.engine_time());
+        let end = done.values().copied().max().unwrap_or(0).saturating_add(engine);
+        let due = millis(self.ticket.due.saturating_duration_since(Instant::now()));
+        let allowed = HARM_MS / (1 + 4 * u64::from(self.ticket.rank));
+        let late = end.saturating_sub(due);
+        tracing::debug!(event = "request-judged", request = %self.ticket.id, end, due, harm);
+        if late == 0 && harm <= allowed {
+            return Ok(());
+        }
+        let retry = Duration::from_millis(late.max(harm).clamp(MIN_RETRY_MS, MAX_RETRY_MS));
+        Err(Unprepared::Refused { retry })
+    }
+
+    fn booking(&self, at: u16) -> Booking {
+        let due = self.ticket.due.saturating_duration_since(Instant::now());
+        Booking {
+            id: self.id(at),
+            pieces: self.count(at),
+            due_ms: millis(due.saturating_sub(self.rest(at))),
+        }
+    }
+
+    fn id(&self, at: u16) -> JobId {
+        JobId { request: Arc::clone(&self.ticket.id), stage: at, pass: self.pass }
+    }
+
+    /// Returns the stages that have pieces.
+    fn wanted(&self) -> impl Iterator<Item = u16> {
+        let all = (0..self.counts.len()).filter_map(|at| u16::try_from(at).ok());
+        all.filter(|at| self.count(*at) > 0)
+    }
+
     fn job(&self, at: u16, stages: &[Option<Results>]) -> Job {
         let stage = self.stage(at);
         let after = stage.map(|s| s.after.as_slice()).unwrap_or_default();
         let inputs = after.iter().filter_map(|a| stages.get(usize::from(*a))?.as_ref());
         let inputs: Vec<Handle> = inputs.flat_map(|r| r.handles.iter().cloned()).collect();
         let key = self.ticket.head.header(fields::PIECE_KEY).unwrap_or_default();
-        let rest = self.rest(at);
         let now = Instant::now();
         let until = |point: Instant| millis(point.saturating_duration_since(now));
+        let due_ms = until(self.ticket.due).saturating_sub(millis(self.rest(at)));
         Job {
-            id: JobId { request: Arc::clone(&self.ticket.id), stage: at, pass: self.pass },
+            id: self.id(at),
             pieces: self.count(at),
             key: after.is_empty().then(|| Arc::from(key)),
+            near: self.near(at, &inputs, due_ms),
             inputs: Arc::from(inputs),
             bytes: stage.map_or(0, |s| s.bytes),
-            priority: self.ticket.rank,
-            due_ms: until(self.ticket.due).saturating_sub(millis(rest)),
+            due_ms,
             end_ms: until(self.ticket.end),
-            admitted: !after.is_empty() || self.pass > 0,
-            centre: self.centre.clone(),
         }
     }
 
+    /// Returns where a stage should be done: near its inputs, or near where its results are used.
+    fn near(&self, at: u16, inputs: &[Handle], due_ms: u64) -> Option<Near> {
+        let stage = self.stage(at)?;
+        let size = |a: &u16| self.stage(*a).map_or(0, |s| s.bytes) * u64::from(self.count(*a));
+        let read: u64 = stage.after.iter().map(size).sum::<u64>() * u64::from(self.count(at));
+        let made = stage.bytes * u64::from(self.count(at));
+        let centre = if read >= LARGE {
+            let board = self.context.board.borrow();
+            let keeper = inputs.iter().find_map(|i| pieces::keeper(i));
+            keeper.and_then(|k| board.centre_at(k).cloned())
+        } else if made >= LARGE && self.last.contains(&at) {
+            self.centre.clone()
+        } else {
+            None
+        };
+        let slack = due_ms.saturating_sub(millis(self.own_time(at)));
+        Some(Near { centre: centre?, wait_ms: slack / NEAR_PART })
+    }
+
     /// Returns the time that a request takes after a stage, about.
     fn rest(&self, at: u16) -> Duration {
         let followers = self.ticket.route.stages.iter().enumerate();
@@ -186,18 +340,26 @@
             let follower = u16::try_from(f).ok().filter(|_| s.after.contains(&at))?;
             (self.count(follower) > 0).then(|| self.time(follower) + self.rest(follower))
         });
-        followers.max().unwrap_or_else(|| self.context.time(&self.ticket.pool.name, ENGINE_TIME))
+        followers.max().unwrap_or_else(|| self.engine_time())
     }
 
-    /// Returns the time that a stage takes, about.
+    /// Returns the time that a request takes at its engine up to the first event, about.
+    fn engine_time(&self) -> Duration {
+        self.context.time(&self.ticket.pool.name, ENGINE_TIME)
+    }
+
+    /// Returns the time that a stage takes beside others in its calls, about.
     fn time(&self, at: u16) -> Duration {
-        let Some(stage) = self.stage(at) else { return STAGE_TIME };
-        let pool = self.ticket.table.pools.get(&stage.pool);
-        let own = match pool.map(|p| &p.work) {
+        self.own_time(at).mul_f64(SHARED)
+    }
+
+    /// Returns the time that a stage takes in calls of its own.
+    fn own_time(&self, at: u16) -> Duration {
+        let pool = self.stage(at).and_then(|s| self.ticket.table.pools.get(&s.pool));
+        match pool.map(|p| &p.work) {
             Some(Work::Pieces(pieces)) => pieces.overhead + pieces.item * self.count(at),
             _ => STAGE_TIME,
-        };
-        self.context.time(&stage.pool, own)
+        }
     }
 }
 
--- a/hawthornkeel/src/forward/start.rs
+++ b/hawthornkeel/src/forward/start.rs
@@ -79,6 +79,9 @@
         let callers = Callers { context: Rc::clone(&context), desks };
         let serving = monoio::spawn(server.serve(callers));
         while stop.count() == 0 {
+            if stop.take_reload() {
+                tracing::info!(event = "reload-asked");
+            }
             monoio::time::sleep(POLL).await;
         }
         let report = stop_planned(&context, &control).await;
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -12,6 +12,8 @@
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
+use hawthornkeel_core::stages::job::Booked;
+use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -66,7 +68,15 @@
     /// Call: have a stage of a request done.
     Offer(Offer),
     /// Answers [`Frame::Offer`].
-    Offered(Offered),
+    Offered(JobOutcome),
+    /// Call: make room for stages of a request that are to come.
+    Book(Book),
+    /// Answers [`Frame::Book`], for each booking in order; `None` where no target does the work.
+    Booked(Vec<Option<Booked>>),
+    /// Call: whether the instance answers.
+    Ping,
+    /// Answers [`Frame::Ping`].
+    Pong,
     /// Nobody waits for a job any more, or needs these results; one-way.
     Dismiss(Dismiss),
 }
@@ -98,6 +108,10 @@
     Present,
     /// Of [`Frame::Offer`].
     Offer,
+    /// Of [`Frame::Book`].
+    Book,
+    /// Of [`Frame::Ping`].
+    Ping,
     /// Of [`Frame::Dismiss`].
     Dismiss,
 }
@@ -117,6 +131,8 @@
             Self::Survey(_) => FrameKind::Survey,
             Self::Present(_) => FrameKind::Present,
             Self::Offer(_) => FrameKind::Offer,
+            Self::Book(_) => FrameKind::Book,
+            Self::Ping => FrameKind::Ping,
             Self::Dismiss(_) => FrameKind::Dismiss,
             Self::Refused(_)
             | Self::Proposed(_)
@@ -124,6 +140,8 @@
             | Self::LeadReply(_)
             | Self::Surveyed(_)
             | Self::Offered(_)
+            | Self::Booked(_)
+            | Self::Pong
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
@@ -242,13 +260,13 @@
     pub wait_ms: u32,
 }
 
-/// Answer to an offer.
+/// Stages of a request that another entry is to make room for.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct Offered {
-    /// What came of the job.
-    pub outcome: JobOutcome,
-    /// Time that a job of this kind would take now, in milliseconds, if it would be done at all.
-    pub wait_ms: Option<u64>,
+pub struct Book {
+    /// Pool that does them.
+    pub pool: PoolName,
+    /// Stages.
+    pub bookings: Vec<Booking>,
 }
 
 /// What another entry need not do or keep any more.
@@ -256,8 +274,8 @@
 pub struct Dismiss {
     /// Pool concerned.
     pub pool: PoolName,
-    /// Job that nobody waits for.
-    pub job: Option<JobId>,
+    /// Jobs that nobody waits for, or whose bookings are not used.
+    pub jobs: Vec<JobId>,
     /// Results that nobody needs.
     pub results: Vec<Handle>,
 }
--- a/hawthornkeel/src/stop.rs
+++ b/hawthornkeel/src/stop.rs
@@ -1,4 +1,4 @@
-//! Requests to stop: the signals TERM and INT.
+//! Requests to stop, the signals TERM and INT, and to read the settings again, the signal HUP.
 
 use std::io;
 use std::sync::Arc;
@@ -6,6 +6,7 @@
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 
+use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::flag;
@@ -15,6 +16,7 @@
 pub struct StopRequest {
     signalled: Arc<AtomicBool>,
     count: Arc<AtomicUsize>,
+    reloaded: Arc<AtomicBool>,
 }
 
 impl StopRequest {
@@ -27,6 +29,7 @@
         for signal in [SIGTERM, SIGINT] {
             flag::register(signal, Arc::clone(&request.signalled))?;
         }
+        flag::register(SIGHUP, Arc::clone(&request.reloaded))?;
         Ok(request)
     }
 
@@ -35,6 +38,11 @@
         self.count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Tells whether the settings were said to have changed since the last call.
+    pub fn take_reload(&self) -> bool {
+        self.reloaded.swap(false, Ordering::Relaxed)
+    }
+
     /// Returns how often a stop was asked for; signals between two looks count once.
     pub fn count(&self) -> usize {
         if self.signalled.swap(false, Ordering::Relaxed) {
--- a/hawthornkeel_core/src/place/board.rs
+++ b/hawthornkeel_core/src/place/board.rs
@@ -135,6 +135,12 @@
         usable.map(info).collect()
     }
 
+    /// Returns the data centre of the target at an address.
+    pub fn centre_at(&self, address: SocketAddr) -> Option<&CentreName> {
+        let target = self.targets.values().find(|t| t.listed.address == address)?;
+        Some(&target.listed.centre)
+    }
+
     /// Returns the address of a target that may get work.
     pub fn address(&self, name: &TargetName) -> Option<SocketAddr> {
         let target = self.targets.get(name).filter(|t| self.is_usable(t))?;
--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -1,8 +1,9 @@
-//! Queue of one pool's stages: forms calls, places them and turns away what can't be done in time.
+//! Queue of one pool's stages: what waits, what runs, and what is booked for later.
 //!
-//! Load patterns it answers: a burst of one kind (turned away on arrival once the wait passes what
-//! the objective allows, so that what was admitted is done in time), a burst of several kinds
-//! (lower ranks are turned away first), a slow or lost target (its pieces are done elsewhere).
+//! Load patterns it answers: a burst (requests book their stages on arrival and are turned away at
+//! once where they would be late or make others late, so that what was taken is done in time), a
+//! slow or lost target (its pieces are done elsewhere), large results (done near where they are
+//! used, as long as there is time to wait for a target there).
 
 use std::sync::Arc;
 use std::time::Duration;
@@ -11,9 +12,11 @@
 
 use crate::names::CentreName;
 use crate::names::TargetName;
-use crate::stages::estimate::Arrivals;
-use crate::stages::estimate::Load;
+use crate::stages::estimate::Capacity;
+use crate::stages::estimate::Queued;
 use crate::stages::estimate::call_time;
+use crate::stages::job::Booked;
+use crate::stages::job::Booking;
 use crate::stages::job::Handle;
 use crate::stages::job::Job;
 use crate::stages::job::JobId;
@@ -30,8 +33,8 @@
 const OVERDUE_SLACK: Duration = Duration::from_millis(80);
 /// Time for which an outcome is kept for a caller that asks again.
 const KEEP_OUTCOME: Duration = Duration::from_secs(3);
-/// Shortest time after which a refused caller may come back.
-const MIN_RETRY: Duration = Duration::from_millis(100);
+/// Time after its due at which a booking that was not used is forgotten.
+const KEEP_BOOKING: Duration = Duration::from_millis(500);
 
 /// Number of a call, unique at its desk.
 #[derive(Clone, Copy, Debug, Default, Eq, Hash, Ord, PartialEq, PartialOrd)]
@@ -72,6 +75,8 @@
 pub enum CallFailure {
     /// The target refused it: it was not run.
     Refused,
+    /// The target could not be reached: it was not run.
+    Unreached,
     /// It was lost, or its answer was.
     Lost,
 }
@@ -92,7 +97,7 @@
     Makers(Vec<MakerInfo>),
     /// A job, which may be known already.
     Offer(Job),
-    /// Nobody waits for the job any more.
+    /// Nobody waits for the job any more, or its booking is given up.
     Withdraw(JobId),
     /// Results that nobody needs any more.
     Release(Vec<Handle>),
@@ -136,33 +141,33 @@
 
 /// Job at the desk.
 #[derive(Clone, Debug)]
-struct Entry {
-    job: Job,
-    due: Instant,
-    end: Instant,
-    arrived: Instant,
-    pieces: Vec<PieceState>,
+pub(super) struct Entry {
+    pub(super) job: Job,
+    pub(super) due: Instant,
+    pub(super) end: Instant,
+    pub(super) arrived: Instant,
+    pub(super) pieces: Vec<PieceState>,
 }
 
 /// Piece of a job at the desk.
 #[derive(Clone, Debug, Default, Eq, PartialEq)]
-struct PieceState {
-    result: Option<Handle>,
+pub(super) struct PieceState {
+    pub(super) result: Option<Handle>,
     /// Whether it waits for a call.
-    waits: bool,
-    tries: u32,
+    pub(super) waits: bool,
+    pub(super) tries: u32,
 }
 
 /// Call in progress.
 #[derive(Clone, Debug)]
-struct Call {
-    maker: TargetName,
-    items: Vec<(JobId, u32)>,
-    bytes: u64,
-    started: Instant,
-    expected: Duration,
+pub(super) struct Call {
+    pub(super) maker: TargetName,
+    pub(super) items: Vec<(JobId, u32)>,
+    pub(super) bytes: u64,
+    pub(super) started: Instant,
+    pub(super) expected: Duration,
     /// Whether its pieces wait for another call too.
-    overdue: bool,
+    pub(super) overdue: bool,
 }
 
 /// Result that a target holds.
@@ -176,17 +181,18 @@
 /// Queue of one pool's stages.
 #[derive(Clone, Debug)]
 pub struct Desk {
-    pool: Pieces,
-    makers: IndexMap<TargetName, Maker>,
-    jobs: IndexMap<JobId, Entry>,
+    pub(super) pool: Pieces,
+    pub(super) makers: IndexMap<TargetName, Maker>,
+    pub(super) jobs: IndexMap<JobId, Entry>,
+    /// Work that is to come, with when it should be done.
+    bookings: IndexMap<JobId, Queued>,
     /// Outcomes of late, for callers that ask again.
     ended: IndexMap<JobId, (Instant, JobOutcome)>,
-    calls: IndexMap<CallNumber, Call>,
+    pub(super) calls: IndexMap<CallNumber, Call>,
     kept: IndexMap<Handle, Kept>,
-    arrivals: Arrivals,
-    next: u64,
-    now: Instant,
-    actions: Vec<Action>,
+    pub(super) next: u64,
+    pub(super) now: Instant,
+    pub(super) actions: Vec<Action>,
 }
 
 impl Desk {
@@ -196,10 +202,10 @@
             pool,
             makers: IndexMap::new(),
             jobs: IndexMap::new(),
+            bookings: IndexMap::new(),
             ended: IndexMap::new(),
             calls: IndexMap::new(),
             kept: IndexMap::new(),
-            arrivals: Arrivals::default(),
             next: 0,
             now: Instant::ZERO,
             actions: Vec::new(),
@@ -228,18 +234,32 @@
         std::mem::take(&mut self.actions)
     }
 
+    /// Books work that is to come, and tells what it comes to.
+    ///
+    /// Returns `None` where no target takes calls; nothing is booked then.
+    pub fn book(&mut self, now: Instant, booking: &Booking) -> Option<Booked> {
+        self.now = self.now.max(now);
+        let due = self.now + Duration::from_millis(booking.due_ms);
+        let (capacity, queued) = (self.capacity(), self.queued());
+        let estimate = capacity.estimate(&self.pool, &queued, due, booking.pieces)?;
+        self.bookings.insert(booking.id.clone(), Queued { due, pieces: booking.pieces });
+        let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        Some(Booked {
+            drain_ms: millis(estimate.drain),
+            own_ms: millis(estimate.own),
+            harm_ms: millis(estimate.harm),
+        })
+    }
+
     /// Returns the point at which [`Input::Tick`] is due, if any.
     pub fn deadline(&self) -> Option<Instant> {
         let overdue = self.calls.values().filter(|c| !c.overdue).map(|c| self.overdue_at(c));
-        let ends = self.jobs.values().filter(|e| e.is_waiting()).map(|e| e.end);
-        let waits = self.jobs.values().any(Entry::is_waiting);
+        let waiting = || self.jobs.values().filter(|e| e.is_waiting());
+        let ends = waiting().map(|e| e.end);
+        let far = waiting().filter_map(|e| e.far_at()).filter(|at| *at > self.now);
+        let waits = waiting().next().is_some();
         let resumes = self.makers.values().filter(|_| waits).filter_map(|m| m.resumes(self.now));
-        overdue.chain(ends).chain(resumes).min()
-    }
-
-    /// Returns the time until a job of `pieces` and `priority` would be done, if it would be.
-    pub fn wait(&mut self, priority: u16, pieces: u32) -> Option<Duration> {
-        self.load(priority).time(&self.pool, pieces)
+        overdue.chain(ends).chain(far).chain(resumes).min()
     }
 
     /// Tells whether there is nothing to do.
@@ -248,8 +268,7 @@
     }
 
     fn set_makers(&mut self, makers: Vec<MakerInfo>) {
-        let known = std::mem::take(&mut self.makers);
-        let mut known = known;
+        let mut known = std::mem::take(&mut self.makers);
         for info in makers {
             let maker = known.swap_remove(&info.name);
             let maker = maker.unwrap_or_else(|| Maker::new(info.centre.clone()));
@@ -266,36 +285,17 @@
         if self.jobs.contains_key(&job.id) {
             return;
         }
-        self.arrivals.count(self.now, job.priority, job.pieces);
+        self.bookings.swap_remove(&job.id);
         let due = self.now + Duration::from_millis(job.due_ms);
         let end = self.now + Duration::from_millis(job.end_ms);
-        let id = job.id.clone();
         let waiting = PieceState { waits: true, ..PieceState::default() };
         let pieces = vec![waiting; job.pieces as usize];
-        let refusal = self.refusal(&job, due, end);
-        self.jobs.insert(id.clone(), Entry { job, due, end, arrived: self.now, pieces });
-        if let Some(outcome) = refusal {
-            self.end(&id, outcome);
-        }
-    }
-
-    /// Returns why a job is turned away on arrival, if it is.
-    fn refusal(&mut self, job: &Job, due: Instant, end: Instant) -> Option<JobOutcome> {
-        let time = self.wait(job.priority, job.pieces);
-        let done = time.map(|t| self.now + t);
-        let limit = if job.admitted { end } else { due };
-        if done.is_some_and(|d| d <= limit) {
-            return None;
-        }
-        // What was admitted is tried as long as there is time for one call.
-        if job.admitted && self.now + call_time(&self.pool, 1) <= end {
-            return None;
-        }
-        let over = done.map_or(MIN_RETRY, |d| d.since(limit)).max(MIN_RETRY);
-        Some(JobOutcome::Refused { retry_ms: u64::try_from(over.as_millis()).unwrap_or(u64::MAX) })
+        let id = job.id.clone();
+        self.jobs.insert(id, Entry { job, due, end, arrived: self.now, pieces });
     }
 
     fn withdraw(&mut self, id: &JobId) {
+        self.bookings.swap_remove(id);
         if let Some((_, JobOutcome::Done(results))) = self.ended.swap_remove(id) {
             self.release(results);
         }
@@ -326,11 +326,14 @@
 
     fn answered(&mut self, number: CallNumber, outcomes: Vec<PieceOutcome>) {
         let Some(call) = self.calls.swap_remove(&number) else { return };
-        let took = self.now.since(call.started);
+        let (now, took) = (self.now, self.now.since(call.started));
         if let Some(maker) = self.makers.get_mut(&call.maker)
             && maker.call == Some(number)
         {
-            maker.succeeded(self.now, took, call.expected);
+            maker.succeeded(now, took, call.expected);
+            if outcomes.contains(&PieceOutcome::NoRoom) {
+                maker.crowded(now);
+            }
         }
         self.forget_bytes(&call.maker, call.bytes);
         let each = call.bytes.checked_div(call.items.len() as u64).unwrap_or_default();
@@ -374,7 +377,11 @@
             }
             PieceOutcome::Late => self.end(id, JobOutcome::Late),
             PieceOutcome::Gone => self.end(id, JobOutcome::Gone),
-            PieceOutcome::NoRoom | PieceOutcome::Failed => self.try_again(id, piece),
+            PieceOutcome::NoRoom => {
+                self.uncount(id, piece);
+                self.try_again(id, piece);
+            }
+            PieceOutcome::Failed => self.try_again(id, piece),
         }
         None
     }
@@ -401,13 +408,14 @@
         {
             match failure {
                 CallFailure::Refused => maker.refused(now),
-                CallFailure::Lost => maker.failed(now),
+                CallFailure::Unreached | CallFailure::Lost => maker.failed(now),
             }
         }
         self.forget_bytes(&call.maker, call.bytes);
         for (id, piece) in call.items {
-            if failure == CallFailure::Refused {
-                self.uncount(&id, piece);
+            match failure {
+                CallFailure::Refused | CallFailure::Unreached => self.uncount(&id, piece),
+                CallFailure::Lost => {}
             }
             self.try_again(&id, piece);
         }
@@ -441,9 +449,10 @@
             self.end(&id, JobOutcome::Late);
         }
         self.ended.retain(|_, (at, _)| now.since(*at) < KEEP_OUTCOME);
+        self.bookings.retain(|_, b| now.since(b.due) < KEEP_BOOKING);
         self.mark_overdue();
-        let old: Vec<Handle> =
-            self.kept.iter().filter(|(_, k)| k.until <= now).map(|(h, _)| h.clone()).collect();
+        let old = self.kept.iter().filter(|(_, k)| k.until <= now);
+        let old: Vec<Handle> = old.map(|(h, _)| h.clone()).collect();
         for handle in old {
             if let Some(kept) = self.kept.swap_remove(&handle) {
                 self.forget_bytes(&kept.maker, kept.bytes);
@@ -457,12 +466,9 @@
 
     /// Has the pieces of calls that take too long done elsewhere too.
     fn mark_overdue(&mut self) {
-        let overdue: Vec<CallNumber> = self
-            .calls
-            .iter()
-            .filter(|(_, c)| !c.overdue && self.overdue_at(c) <= self.now)
-            .map(|(n, _)| *n)
-            .collect();
+        let overdue =
+            self.calls.iter().filter(|(_, c)| !c.overdue && self.overdue_at(c) <= self.now);
+        let overdue: Vec<CallNumber> = overdue.map(|(n, _)| *n).collect();
         for number in overdue {
             let Some(call) = self.calls.get_mut(&number) else { continue };
             call.overdue = true;
@@ -476,131 +482,28 @@
         }
     }
 
-    /// Returns what the wait of a job of `priority` rests on.
-    fn load(&mut self, priority: u16) -> Load {
+    fn capacity(&self) -> Capacity {
         let now = self.now;
-        let above = self.arrivals.above(now, priority);
         let counted = || self.makers.values().filter(|m| m.counts(now));
-        let until_free = |m: &Maker| match m.call {
-            Some(_) => m.busy_until.since(now),
-            None => Duration::ZERO,
-        };
-        let waiting = self.jobs.values().filter(|e| e.job.priority <= priority);
-        Load {
+        Capacity {
+            now,
             makers: counted().map(|m| 1.0 / m.speed.max(0.5)).sum(),
-            until_free: counted().map(until_free).min().unwrap_or_default(),
-            ahead: waiting.map(|e| f64::from(e.waiting())).sum(),
-            above,
-        }
-    }
-
-    /// Gives free makers calls, as long as pieces wait.
-    fn dispatch(&mut self) {
-        loop {
-            let order = self.order();
-            let Some(first) = order.first() else { return };
-            let Some(maker) = self.choose(first) else { return };
-            let items = self.fill(&order, &maker);
-            if items.is_empty() {
-                return;
-            }
-            self.start(maker, items);
+            until_free: counted().map(|m| m.until_free(now)).min().unwrap_or_default(),
         }
     }
 
-    /// Returns the jobs with waiting pieces, the most urgent first.
-    fn order(&self) -> Vec<JobId> {
-        let mut waiting: Vec<&Entry> = self.jobs.values().filter(|e| e.is_waiting()).collect();
-        waiting.sort_by_key(|e| (e.job.priority, e.due, e.arrived));
-        waiting.into_iter().map(|e| e.job.id.clone()).collect()
-    }
-
-    /// Returns the free maker that is best for a job.
-    fn choose(&self, id: &JobId) -> Option<TargetName> {
-        let job = &self.jobs.get(id)?.job;
-        let free = self.makers.iter().filter(|(_, m)| m.is_free(self.now) && self.has_room(m, job));
-        let fast = self.makers.values().any(|m| m.counts(self.now));
-        let usable = free.filter(|(_, m)| !fast || !m.is_slow(self.now));
-        let near = |m: &Maker| job.centre.as_ref().is_none_or(|c| *c == m.centre);
-        let best = usable.min_by(|(_, a), (_, b)| {
-            let far = (!near(a)).cmp(&!near(b));
-            far.then(a.speed.total_cmp(&b.speed)).then(a.held.cmp(&b.held))
-        });
-        best.map(|(name, _)| name.clone())
-    }
-
-    fn has_room(&self, maker: &Maker, job: &Job) -> bool {
-        maker.held == 0 || maker.held + job.bytes <= self.pool.room
-    }
-
-    /// Returns the pieces of a call to `maker`, from the most urgent on.
-    ///
-    /// Where several makers are free, each gets its share of what waits.
-    fn fill(&mut self, order: &[JobId], maker: &TargetName) -> Vec<(JobId, u32)> {
-        let free = self
-            .makers
-            .values()
-            .filter(|m| m.is_free(self.now) && m.counts(self.now))
-            .count()
-            .max(1);
-        let total: usize = self.jobs.values().map(|e| e.waiting() as usize).sum();
-        let share = total.div_ceil(free).clamp(1, self.pool.batch);
-        let Some(held) = self.makers.get(maker).map(|m| m.held) else { return Vec::new() };
-        let (mut items, mut bytes) = (Vec::new(), held);
-        for id in order {
-            let Some(entry) = self.jobs.get_mut(id) else { continue };
-            for (piece, state) in entry.pieces.iter_mut().enumerate().filter(|(_, s)| s.waits) {
-                // The first job is not split: its request waits for all of its pieces.
-                let full = items.len() >= share && items.first().is_some_and(|(f, _)| f != id);
-                let room =
-                    items.is_empty() && held == 0 || bytes + entry.job.bytes <= self.pool.room;
-                if full || items.len() >= self.pool.batch || !room {
-                    return items;
-                }
-                bytes += entry.job.bytes;
-                state.waits = false;
-                state.tries += 1;
-                items.push((id.clone(), u32::try_from(piece).unwrap_or(u32::MAX)));
-            }
-        }
-        items
-    }
-
-    fn start(&mut self, maker: TargetName, items: Vec<(JobId, u32)>) {
-        let number = CallNumber(self.next);
-        self.next += 1;
-        let expected = call_time(&self.pool, items.len());
-        let entries = items.iter().filter_map(|(id, piece)| Some((self.jobs.get(id)?, *piece)));
-        let item = |(entry, piece): (&Entry, u32)| Item {
-            job: entry.job.id.clone(),
-            piece,
-            key: entry.job.key.clone(),
-            inputs: entry.job.inputs.clone(),
-            left: entry.end.since(self.now),
-        };
-        let bytes = entries.clone().map(|(e, _)| e.job.bytes).sum();
-        let wire: Vec<Item> = entries.map(item).collect();
-        if let Some(maker) = self.makers.get_mut(&maker) {
-            maker.call = Some(number);
-            maker.busy_until = self.now + expected.mul_f64(maker.speed.clamp(0.5, 4.0));
-            maker.held += bytes;
-        }
-        let call = Call {
-            maker: maker.clone(),
-            items,
-            bytes,
-            started: self.now,
-            expected,
-            overdue: false,
-        };
-        self.calls.insert(number, call);
-        let limit = expected * 6 + Duration::from_millis(500);
-        self.actions.push(Action::Run { call: number, maker, items: wire, limit });
+    /// Returns what waits and what is booked, in the order of the dues.
+    fn queued(&self) -> Vec<Queued> {
+        let waiting = self.jobs.values().map(|e| Queued { due: e.due, pieces: e.waiting() });
+        let mut queued: Vec<Queued> = waiting.chain(self.bookings.values().copied()).collect();
+        queued.retain(|q| q.pieces > 0);
+        queued.sort_by_key(|q| q.due);
+        queued
     }
 }
 
 impl Entry {
-    fn is_waiting(&self) -> bool {
+    pub(super) fn is_waiting(&self) -> bool {
         self.pieces.iter().any(|p| p.waits)
     }
 
@@ -609,10 +512,16 @@
         self.pieces.iter().all(|p| p.waits && p.result.is_none())
     }
 
-    fn waiting(&self) -> u32 {
+    pub(super) fn waiting(&self) -> u32 {
         u32::try_from(self.pieces.iter().filter(|p| p.waits).count()).unwrap_or(u32::MAX)
     }
 
+    /// Returns when it may be done away from where it should be.
+    pub(super) fn far_at(&self) -> Option<Instant> {
+        let near = self.job.near.as_ref()?;
+        Some(self.arrived + Duration::from_millis(near.wait_ms))
+    }
+
     /// Returns the results, once all are there.
     fn results(&self) -> Option<Vec<Handle>> {
         self.pieces.iter().map(|p| p.result.clone()).collect()
--- /dev/null
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -0,0 +1,140 @@
+//! Which pieces go together to which target.
+
+use std::time::Duration;
+
+use crate::names::CentreName;
+use crate::names::TargetName;
+use crate::stages::desk::Action;
+use crate::stages::desk::Call;
+use crate::stages::desk::CallNumber;
+use crate::stages::desk::Desk;
+use crate::stages::desk::Entry;
+use crate::stages::desk::Item;
+use crate::stages::estimate::call_time;
+use crate::stages::job::JobId;
+use crate::stages::maker::Maker;
+
+/// Part of a target's room that is used, as sizes are known about and freeing takes time.
+const ROOM_PART: f64 = 0.85;
+/// Times longer than expected after which a call counts as lost.
+const LOST: u32 = 6;
+/// Time added to that, for networks.
+const LOST_SLACK: Duration = Duration::from_millis(500);
+
+impl Desk {
+    /// Gives free targets calls, as long as pieces wait that they may do.
+    pub(super) fn dispatch(&mut self) {
+        let mut passed = Vec::new();
+        loop {
+            let order = self.order();
+            let next = order.iter().find(|id| !passed.contains(*id));
+            let Some(first) = next.cloned() else { return };
+            let Some(maker) = self.choose(&first) else {
+                passed.push(first);
+                continue;
+            };
+            let items = self.fill(&first, &order, &maker);
+            if items.is_empty() {
+                passed.push(first);
+                continue;
+            }
+            self.start(maker, items);
+        }
+    }
+
+    /// Returns the jobs with waiting pieces, the most urgent first.
+    fn order(&self) -> Vec<JobId> {
+        let mut waiting: Vec<&Entry> = self.jobs.values().filter(|e| e.is_waiting()).collect();
+        waiting.sort_by_key(|e| (e.due, e.arrived));
+        waiting.into_iter().map(|e| e.job.id.clone()).collect()
+    }
+
+    /// Returns the free target that is best for a job, unless it waits for one that is near.
+    fn choose(&self, id: &JobId) -> Option<TargetName> {
+        let entry = self.jobs.get(id)?;
+        let usable = |m: &Maker| self.is_usable(m) && self.has_room(m, entry.job.bytes);
+        let free = self.makers.iter().filter(|(_, m)| m.is_free(self.now) && usable(m));
+        let near = |m: &Maker| is_near(entry, &m.centre);
+        let waits = entry.far_at().is_some_and(|at| at > self.now)
+            && self.makers.values().any(|m| near(m) && m.counts(self.now));
+        let allowed = free.filter(|(_, m)| near(m) || !waits);
+        let best = allowed.min_by(|(_, a), (_, b)| {
+            let far = (!near(a)).cmp(&!near(b));
+            far.then(a.speed.total_cmp(&b.speed)).then(a.held.cmp(&b.held))
+        });
+        best.map(|(name, _)| name.clone())
+    }
+
+    /// Tells whether a target gets calls: a slow one only where no other does.
+    fn is_usable(&self, maker: &Maker) -> bool {
+        !maker.is_slow(self.now) || !self.makers.values().any(|m| m.counts(self.now))
+    }
+
+    fn has_room(&self, maker: &Maker, bytes: u64) -> bool {
+        maker.held == 0 || maker.held + bytes <= self.room()
+    }
+
+    /// Returns the bytes of results that one target may hold.
+    fn room(&self) -> u64 {
+        (self.pool.room as f64 * ROOM_PART) as u64
+    }
+
+    /// Returns the pieces of a call to `maker`: those of `first`, then others as they are urgent.
+    fn fill(&mut self, first: &JobId, order: &[JobId], maker: &TargetName) -> Vec<(JobId, u32)> {
+        let room = self.room();
+        let Some(maker) = self.makers.get(maker) else { return Vec::new() };
+        let (held, centre) = (maker.held, maker.centre.clone());
+        let (mut items, mut bytes) = (Vec::new(), held);
+        let others = order.iter().filter(|id| *id != first);
+        for id in std::iter::once(first).chain(others) {
+            let Some(entry) = self.jobs.get_mut(id) else { continue };
+            let may_far = entry.far_at().is_none_or(|at| at <= self.now);
+            if id != first && !is_near(entry, &centre) && !may_far {
+                continue;
+            }
+            let size = entry.job.bytes;
+            for (piece, state) in entry.pieces.iter_mut().enumerate().filter(|(_, s)| s.waits) {
+                let fits = items.is_empty() && held == 0 || bytes + size <= room;
+                if items.len() >= self.pool.batch || !fits {
+                    break;
+                }
+                bytes += size;
+                state.waits = false;
+                state.tries += 1;
+                items.push((id.clone(), u32::try_from(piece).unwrap_or(u32::MAX)));
+            }
+        }
+        items
+    }
+
+    fn start(&mut self, maker: TargetName, items: Vec<(JobId, u32)>) {
+        let number = CallNumber(self.next);
+        self.next += 1;
+        let (now, expected) = (self.now, call_time(&self.pool, items.len()));
+        let entries = items.iter().filter_map(|(id, piece)| Some((self.jobs.get(id)?, *piece)));
+        let item = |(entry, piece): (&Entry, u32)| Item {
+            job: entry.job.id.clone(),
+            piece,
+            key: entry.job.key.clone(),
+            inputs: entry.job.inputs.clone(),
+            left: entry.end.since(now),
+        };
+        let bytes = entries.clone().map(|(e, _)| e.job.bytes).sum();
+        let wire: Vec<Item> = entries.map(item).collect();
+        if let Some(maker) = self.makers.get_mut(&maker) {
+            maker.call = Some(number);
+            maker.busy_until = now + expected.mul_f64(maker.speed.clamp(0.5, 4.0));
+            maker.held += bytes;
+        }
+        let call =
+            Call { maker: maker.clone(), items, bytes, started: now, expected, overdue: false };
+        self.calls.insert(number, call);
+        let limit = expected * LOST + LOST_SLACK;
+        self.actions.push(Action::Run { call: number, maker, items: wire, limit });
+    }
+}
+
+/// Tells whether a job should be done in `centre`, or may be anywhere.
+fn is_near(entry: &Entry, centre: &CentreName) -> bool {
+    entry.job.near.as_ref().is_none_or(|n| n.centre == *centre)
+}
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -1,88 +1,98 @@
-//! How long work would wait at a desk.
+//! When the work at a desk will be done, and whether more can be taken without any of it being late.
 
 use std::time::Duration;
 
 use crate::table::pool::Pieces;
 use crate::time::Instant;
 
-/// Time over which arrivals are counted.
-const WINDOW: Duration = Duration::from_secs(1);
+/// Lateness of work that was taken already up to which more is taken.
+const TOLERANCE: Duration = Duration::from_millis(80);
 
-/// Rate of arriving pieces, by rank.
-#[derive(Clone, Debug, Default)]
-pub(super) struct Arrivals {
-    /// Pieces of each rank in the current and the last window.
-    ranks: Vec<[f64; 2]>,
-    since: Instant,
+/// Work that waits or is booked, in the order in which it goes.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Queued {
+    /// When it should be done.
+    pub(super) due: Instant,
+    /// Pieces.
+    pub(super) pieces: u32,
 }
 
-impl Arrivals {
-    /// Counts pieces of a rank.
-    pub(super) fn count(&mut self, now: Instant, priority: u16, pieces: u32) {
-        self.turn(now);
-        let at = usize::from(priority);
-        if self.ranks.len() <= at {
-            self.ranks.resize(at + 1, [0.0; 2]);
-        }
-        if let Some([current, _]) = self.ranks.get_mut(at) {
-            *current += f64::from(pieces);
-        }
-    }
-
-    /// Returns the pieces a second of the ranks above `priority`.
-    pub(super) fn above(&mut self, now: Instant, priority: u16) -> f64 {
-        self.turn(now);
-        let part = now.since(self.since).as_secs_f64() / WINDOW.as_secs_f64();
-        let rate = |[current, last]: &[f64; 2]| (current + last) / (1.0 + part);
-        self.ranks.iter().take(usize::from(priority)).map(rate).sum::<f64>() / WINDOW.as_secs_f64()
-    }
-
-    fn turn(&mut self, now: Instant) {
-        let age = now.since(self.since);
-        if age < WINDOW {
-            return;
-        }
-        for rank in &mut self.ranks {
-            let [current, last] = rank;
-            *last = if age < WINDOW * 2 { *current } else { 0.0 };
-            *current = 0.0;
-        }
-        self.since = now;
-    }
-}
-
-/// What a desk's wait rests on.
-#[derive(Clone, Copy, Debug)]
-pub(super) struct Load {
-    /// Makers that take calls, each weighted by its speed.
+/// What a desk's targets can do.
+#[derive(Clone, Copy, Debug, PartialEq)]
+pub(super) struct Capacity {
+    /// Present point.
+    pub(super) now: Instant,
+    /// Targets that take calls, each weighted by its speed.
     pub(super) makers: f64,
     /// Time until the first of them is free.
     pub(super) until_free: Duration,
-    /// Pieces that wait and go first.
-    pub(super) ahead: f64,
-    /// Pieces a second that will come and go first.
-    pub(super) above: f64,
 }
 
-impl Load {
-    /// Returns the time until a job of `pieces` is done, `None` where it never would be.
-    pub(super) fn time(&self, pool: &Pieces, pieces: u32) -> Option<Duration> {
-        let own = call_time(pool, (pieces as usize).min(pool.batch));
+/// What a booking comes to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Estimate {
+    /// Time until the work that goes first is done.
+    pub drain: Duration,
+    /// Time that the work itself takes after that.
+    pub own: Duration,
+    /// Time by which work that was taken already would be late because of it.
+    pub harm: Duration,
+}
+
+impl Capacity {
+    /// Estimates work of `pieces` that is due at `due`, beside `queued` in order of their dues.
+    ///
+    /// Returns `None` where no target takes calls.
+    pub(super) fn estimate(
+        &self,
+        pool: &Pieces,
+        queued: &[Queued],
+        due: Instant,
+        pieces: u32,
+    ) -> Option<Estimate> {
         if self.makers <= 0.0 {
             return None;
         }
-        let full = call_time(pool, pool.batch).as_secs_f64();
-        let capacity = self.makers * pool.batch as f64 / full;
-        let left = capacity - self.above;
-        if left <= 0.0 {
-            return None;
+        let first = queued.partition_point(|q| q.due <= due);
+        let (before, after) = queued.split_at_checked(first)?;
+        let ahead: u32 = before.iter().map(|q| q.pieces).sum();
+        let harm = self.harm(pool, after, ahead, pieces);
+        Some(Estimate { drain: self.drain(pool, ahead), own: own_time(pool, ahead, pieces), harm })
+    }
+
+    /// Returns the time by which work in `after` would be late because `pieces` more go first.
+    fn harm(&self, pool: &Pieces, after: &[Queued], ahead: u32, pieces: u32) -> Duration {
+        let mut before = ahead;
+        let mut harm = Duration::ZERO;
+        for queued in after {
+            let done = |ahead: u32| {
+                self.now + self.drain(pool, ahead) + own_time(pool, ahead, queued.pieces)
+            };
+            let (without, with) = (done(before), done(before + pieces));
+            let limit = queued.due + TOLERANCE;
+            // What is late anyway is not harmed.
+            if without <= limit {
+                harm = harm.max(with.since(limit));
+            }
+            before += queued.pieces;
         }
-        let queued = self.ahead / left;
-        let time = self.until_free + Duration::try_from_secs_f64(queued).ok()? + own;
-        Some(time)
+        harm
+    }
+
+    /// Returns the time until `pieces` are done, in full calls.
+    fn drain(&self, pool: &Pieces, pieces: u32) -> Duration {
+        let each = call_time(pool, pool.batch).as_secs_f64() / pool.batch.max(1) as f64;
+        let time = f64::from(pieces) * each / self.makers;
+        self.until_free + Duration::try_from_secs_f64(time).unwrap_or(Duration::MAX / 4)
     }
 }
 
+/// Returns the time of the call that does `pieces`, with some of the `ahead` that go along.
+fn own_time(pool: &Pieces, ahead: u32, pieces: u32) -> Duration {
+    let along = (ahead as usize).saturating_add(pieces as usize).min(pool.batch);
+    call_time(pool, along.max(1))
+}
+
 /// Returns the time that a call of `pieces` takes at a maker of usual speed.
 pub(super) fn call_time(pool: &Pieces, pieces: usize) -> Duration {
     pool.overhead + pool.item * u32::try_from(pieces).unwrap_or(u32::MAX)
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -18,6 +18,30 @@
     pub pass: u16,
 }
 
+/// Work that a desk is to make room for.
+///
+/// Times are counted from when it is handed over, as instances don't share a clock.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Booking {
+    /// Job that it is for.
+    pub id: JobId,
+    /// Number of pieces.
+    pub pieces: u32,
+    /// Time by which it should be done for the request to meet its objective, in milliseconds.
+    pub due_ms: u64,
+}
+
+/// What a booking comes to.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Booked {
+    /// Time until the work that goes first is done, in milliseconds.
+    pub drain_ms: u64,
+    /// Time that the work itself takes after that, in milliseconds.
+    pub own_ms: u64,
+    /// Time by which work that was taken already would be late because of it, in milliseconds.
+    pub harm_ms: u64,
+}
+
 /// One stage of one request.
 ///
 /// Times are counted from when the job is handed over, as instances don't share a clock.
@@ -33,16 +57,21 @@
     pub inputs: Arc<[String]>,
     /// Size of one result, in bytes.
     pub bytes: u64,
-    /// Rank, zero the highest.
-    pub priority: u16,
     /// Time by which it should be done for the request to meet its objective, in milliseconds.
     pub due_ms: u64,
     /// Time after which its results are of no use, in milliseconds.
     pub end_ms: u64,
-    /// Whether the request was admitted already: later work is not turned away for its objective.
-    pub admitted: bool,
-    /// Data centre in which the results are used.
-    pub centre: Option<CentreName>,
+    /// Data centre in which it should be done.
+    pub near: Option<Near>,
+}
+
+/// Data centre in which a job should be done, as its inputs or results are large.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Near {
+    /// Data centre.
+    pub centre: CentreName,
+    /// Time that it may wait for a target there, in milliseconds.
+    pub wait_ms: u64,
 }
 
 /// Result of a piece, kept at the target that did it.
@@ -53,12 +82,7 @@
 pub enum JobOutcome {
     /// Results of all pieces, in order.
     Done(Vec<Handle>),
-    /// It can't be done in time.
-    Refused {
-        /// Time after which there may be room, in milliseconds.
-        retry_ms: u64,
-    },
-    /// Its time has passed.
+    /// Its time has passed, or will have before it is done.
     Late,
     /// Results that it needs are gone.
     Gone,
--- a/hawthornkeel_core/src/stages/maker.rs
+++ b/hawthornkeel_core/src/stages/maker.rs
@@ -14,6 +14,8 @@
 const MAX_PAUSE: Duration = Duration::from_secs(4);
 /// Pause after a refusal, which says that another caller holds the place.
 const REFUSED_PAUSE: Duration = Duration::from_millis(60);
+/// Pause after a target had no room for results.
+const ROOM_PAUSE: Duration = Duration::from_millis(150);
 /// Times longer than expected from which a maker counts as slow.
 const SLOW: f64 = 2.0;
 /// Time after which a slow maker is tried again.
@@ -60,7 +62,13 @@
 
     /// Tells whether it counts for the pool's capacity at `now`.
     pub(super) fn counts(&self, now: Instant) -> bool {
-        self.paused_until <= now && !self.is_slow(now)
+        (self.failures == 0 || self.paused_until <= now) && !self.is_slow(now)
+    }
+
+    /// Returns the time until it may be called.
+    pub(super) fn until_free(&self, now: Instant) -> Duration {
+        let busy = if self.call.is_some() { self.busy_until.since(now) } else { Duration::ZERO };
+        busy.max(self.paused_until.since(now))
     }
 
     /// Tells whether its last calls took far longer than expected.
@@ -96,6 +104,11 @@
         self.call = None;
     }
 
+    /// Notes that it had no room for a result.
+    pub(super) fn crowded(&mut self, now: Instant) {
+        self.paused_until = self.paused_until.max(now + ROOM_PAUSE);
+    }
+
     /// Returns when it may be called again where it is paused.
     pub(super) fn resumes(&self, now: Instant) -> Option<Instant> {
         (self.call.is_none() && self.paused_until > now).then_some(self.paused_until)
--- a/hawthornkeel_core/src/stages/mod.rs
+++ b/hawthornkeel_core/src/stages/mod.rs
@@ -7,5 +7,6 @@
 pub mod desk;
 pub mod job;
 
+mod dispatch;
 mod estimate;
 mod maker;
