--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -34,8 +34,12 @@
 const SHARED: f64 = 1.2;
 /// Bytes of inputs or results from which on it matters in which data centre a stage is done.
 const LARGE: u64 = 300_000;
-/// Part of the slack, as its divisor, for which a stage waits for a target where it should be done.
-const NEAR_PART: u64 = 2;
+/// Part of the slack, as its divisor, for which a stage waits for a target near its inputs.
+const INPUTS_PART: u64 = 2;
+/// Part of the slack, as its divisor, for which it waits for one near where its results are used.
+///
+/// Results cross once, inputs with every piece.
+const RESULTS_PART: u64 = 8;
 /// Time by which the most urgent requests may make others late, in milliseconds.
 const HARM_MS: u64 = 250;
 /// Shortest time after which a request that is turned away may come back, in milliseconds.
@@ -320,17 +324,16 @@
         let size = |a: &u16| self.stage(*a).map_or(0, |s| s.bytes) * u64::from(self.count(*a));
         let read: u64 = stage.after.iter().map(size).sum::<u64>() * u64::from(self.count(at));
         let made = stage.bytes * u64::from(self.count(at));
-        let centre = if read >= LARGE {
-            let board = self.context.board.borrow();
-            let keeper = inputs.iter().find_map(|i| pieces::keeper(i));
-            keeper.and_then(|k| board.centre_at(k).cloned())
-        } else if made >= LARGE && self.last.contains(&at) {
-            self.centre.clone()
-        } else {
-            None
-        };
         let slack = due_ms.saturating_sub(millis(self.own_time(at)));
-        Some(Near { centre: centre?, wait_ms: slack / NEAR_PART })
+        if read >= LARGE {
+            let board = self.context.board.borrow();
+            let keeper = inputs.iter().find_map(|i| pieces::keeper(i))?;
+            let centre = board.centre_at(keeper)?.clone();
+            return Some(Near { centre, wait_ms: slack / INPUTS_PART });
+        }
+        let used = made >= LARGE && self.last.contains(&at);
+        let centre = self.centre.clone().filter(|_| used)?;
+        Some(Near { centre, wait_ms: slack / RESULTS_PART })
     }
 
     /// Returns the time that a request takes after a stage, about.
