--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -60,7 +60,8 @@
         let allowed = free.filter(|(_, m)| near(m) || !waits);
         let best = allowed.min_by(|(_, a), (_, b)| {
             let far = (!near(a)).cmp(&!near(b));
-            far.then(a.speed.total_cmp(&b.speed)).then(a.held.cmp(&b.held))
+            // Taking turns keeps the data centres' shares of this pool and the next ones even.
+            far.then(a.is_lagging().cmp(&b.is_lagging())).then(a.last_end.cmp(&b.last_end))
         });
         best.map(|(name, _)| name.clone())
     }
--- a/hawthornkeel_core/src/stages/maker.rs
+++ b/hawthornkeel_core/src/stages/maker.rs
@@ -18,6 +18,8 @@
 const ROOM_PAUSE: Duration = Duration::from_millis(150);
 /// Times longer than expected from which a maker counts as slow.
 const SLOW: f64 = 2.0;
+/// Times longer than expected from which other makers go first.
+const LAGGING: f64 = 1.4;
 /// Time after which a slow maker is tried again.
 const SLOW_RETRY: Duration = Duration::from_secs(3);
 
@@ -32,7 +34,7 @@
     /// Time of its calls against what the document says.
     pub(super) speed: f64,
     /// When its last call ended.
-    last_end: Instant,
+    pub(super) last_end: Instant,
     /// Failures in a row.
     failures: u32,
     /// No calls before this point.
@@ -78,6 +80,11 @@
         self.speed > SLOW && now.since(self.last_end) < SLOW_RETRY
     }
 
+    /// Tells whether its calls take notably longer than expected.
+    pub(super) fn is_lagging(&self) -> bool {
+        self.speed > LAGGING
+    }
+
     /// Notes a call that was answered.
     pub(super) fn succeeded(&mut self, now: Instant, took: Duration, expected: Duration) {
         let ratio = took.as_secs_f64() / expected.as_secs_f64().max(f64::MIN_POSITIVE);
