--- a/hawthornkeel/src/forward/desks.rs
+++ b/hawthornkeel/src/forward/desks.rs
@@ -20,6 +20,7 @@
 use hawthornkeel_core::stages::desk::Input;
 use hawthornkeel_core::stages::desk::Item;
 use hawthornkeel_core::stages::desk::PieceOutcome;
+use hawthornkeel_core::stages::desk::Summary;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::Handle;
@@ -58,6 +59,8 @@
 const FORGET_SUSPECT: Duration = Duration::from_secs(30);
 /// Time between two looks at what is due.
 const TICK: Duration = Duration::from_millis(20);
+/// Time between two lines about a desk.
+const TELL: Duration = Duration::from_millis(1_000);
 /// Time for a target to take in which results are not needed.
 const FREE_TIME: Duration = Duration::from_millis(1_000);
 
@@ -152,6 +155,7 @@
         };
         desks.serve();
         monoio::spawn(desks.clone().tick());
+        monoio::spawn(desks.clone().tell_desks());
         desks
     }
 
@@ -464,7 +468,7 @@
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         match (&reply, &input) {
             (_, Input::Answered(..)) => {
-                tracing::debug!(event = "pieces-done", %pool, %maker, count, ms);
+                tracing::info!(event = "pieces-done", %pool, %maker, count, ms);
             }
             (Ok(reply), _) => {
                 tracing::info!(event = "pieces-failed", %pool, %maker, count, ms, status = reply.status);
@@ -511,6 +515,23 @@
         }
     }
 
+    /// Writes a line about each desk that has work, once in a while.
+    async fn tell_desks(self) {
+        loop {
+            monoio::time::sleep(TELL).await;
+            for (pool, local) in self.inner.desks.borrow().iter() {
+                if local.desk.is_idle() {
+                    continue;
+                }
+                let Summary { jobs, waiting, late, booked, calls, makers, counted, free, held } =
+                    local.desk.summary();
+                tracing::info!(
+                    event = "desk-state", %pool, jobs, waiting, late, booked, calls, makers, counted, free, held
+                );
+            }
+        }
+    }
+
     /// Has the desks do what has become due, as long as one has work.
     async fn tick(self) {
         loop {
--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -139,6 +139,29 @@
     },
 }
 
+/// What a desk has to do and what it can.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct Summary {
+    /// Jobs that have not ended.
+    pub jobs: usize,
+    /// Pieces that wait.
+    pub waiting: u32,
+    /// Jobs that wait though they should be done.
+    pub late: usize,
+    /// Pieces that are booked and not offered so far.
+    pub booked: u32,
+    /// Calls in progress.
+    pub calls: usize,
+    /// Targets.
+    pub makers: usize,
+    /// Targets that count for the capacity.
+    pub counted: usize,
+    /// Targets that may be called.
+    pub free: usize,
+    /// Bytes of results that targets hold.
+    pub held: u64,
+}
+
 /// Job at the desk.
 #[derive(Clone, Debug)]
 pub(super) struct Entry {
@@ -262,6 +285,24 @@
         overdue.chain(ends).chain(far).chain(resumes).min()
     }
 
+    /// Returns what the desk has to do and what it can, for logs.
+    pub fn summary(&self) -> Summary {
+        let makers = || self.makers.values();
+        let waiting = || self.jobs.values().filter(|e| e.is_waiting());
+        let late = |e: &&Entry| e.due < self.now;
+        Summary {
+            jobs: self.jobs.len(),
+            waiting: waiting().map(Entry::waiting).sum(),
+            late: waiting().filter(late).count(),
+            booked: self.bookings.values().map(|b| b.pieces).sum(),
+            calls: self.calls.len(),
+            makers: self.makers.len(),
+            counted: makers().filter(|m| m.counts(self.now)).count(),
+            free: makers().filter(|m| m.is_free(self.now)).count(),
+            held: makers().map(|m| m.held).sum(),
+        }
+    }
+
     /// Tells whether there is nothing to do.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.calls.is_empty()
