A desk's dispatch is one pass over what waits

Cause: with each input a desk sorted its jobs anew for every call that it might start, and looked at each waiting job against all that were passed; on 0.25 of a core the entry with two desks fell behind in a burst and was suspected.

--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -23,35 +23,40 @@
 
 impl Desk {
     /// Gives free targets calls, as long as pieces wait that they may do.
+    ///
+    /// One pass over what waits, as this runs with every input.
     pub(super) fn dispatch(&mut self) {
-        let mut passed = Vec::new();
-        loop {
-            let order = self.order();
-            let next = order.iter().find(|id| !passed.contains(*id));
-            let Some(first) = next.cloned() else { return };
-            let Some(maker) = self.choose(&first) else {
-                passed.push(first);
-                continue;
-            };
-            let items = self.fill(&first, &order, &maker);
-            if items.is_empty() {
-                passed.push(first);
-                continue;
+        if !self.makers.values().any(|m| m.is_free(self.now)) {
+            return;
+        }
+        let order = self.order();
+        for (place, at) in order.iter().enumerate() {
+            let waits = |e: &Entry| e.is_waiting();
+            while self.jobs.get_index(*at).is_some_and(|(_, e)| waits(e)) {
+                let Some(maker) = self.choose(*at) else { break };
+                let items = self.fill(order.get(place..).unwrap_or_default(), &maker);
+                if items.is_empty() {
+                    break;
+                }
+                self.start(maker, items);
+            }
+            if !self.makers.values().any(|m| m.is_free(self.now)) {
+                return;
             }
-            self.start(maker, items);
         }
     }
 
-    /// Returns the jobs with waiting pieces, the most urgent first.
-    fn order(&self) -> Vec<JobId> {
-        let mut waiting: Vec<&Entry> = self.jobs.values().filter(|e| e.is_waiting()).collect();
-        waiting.sort_by_key(|e| (e.due, e.arrived));
-        waiting.into_iter().map(|e| e.job.id.clone()).collect()
+    /// Returns the positions of the jobs with waiting pieces, the most urgent first.
+    fn order(&self) -> Vec<usize> {
+        let waiting = self.jobs.values().enumerate().filter(|(_, e)| e.is_waiting());
+        let mut order: Vec<_> = waiting.map(|(at, e)| (e.due, e.arrived, at)).collect();
+        order.sort_unstable();
+        order.into_iter().map(|(_, _, at)| at).collect()
     }
 
     /// Returns the free target that is best for a job, unless it waits for one that is near.
-    fn choose(&self, id: &JobId) -> Option<TargetName> {
-        let entry = self.jobs.get(id)?;
+    fn choose(&self, at: usize) -> Option<TargetName> {
+        let (_, entry) = self.jobs.get_index(at)?;
         let usable = |m: &Maker| self.is_usable(m) && self.has_room(m, entry.job.bytes);
         let free = self.makers.iter().filter(|(_, m)| m.is_free(self.now) && usable(m));
         let near = |m: &Maker| is_near(entry, &m.centre);
@@ -80,17 +85,21 @@
         (self.pool.room as f64 * ROOM_PART) as u64
     }
 
-    /// Returns the pieces of a call to `maker`: those of `first`, then others as they are urgent.
-    fn fill(&mut self, first: &JobId, order: &[JobId], maker: &TargetName) -> Vec<(JobId, u32)> {
-        let room = self.room();
+    /// Returns the pieces of a call to `maker`, from the first of `order` on.
+    ///
+    /// Others than the first are left out where they wait for a target elsewhere.
+    fn fill(&mut self, order: &[usize], maker: &TargetName) -> Vec<(JobId, u32)> {
+        let (room, now) = (self.room(), self.now);
         let Some(maker) = self.makers.get(maker) else { return Vec::new() };
         let (held, centre) = (maker.held, maker.centre.clone());
         let (mut items, mut bytes) = (Vec::new(), held);
-        let others = order.iter().filter(|id| *id != first);
-        for id in std::iter::once(first).chain(others) {
-            let Some(entry) = self.jobs.get_mut(id) else { continue };
-            let may_far = entry.far_at().is_none_or(|at| at <= self.now);
-            if id != first && !is_near(entry, &centre) && !may_far {
+        for (place, at) in order.iter().enumerate() {
+            if items.len() >= self.pool.batch {
+                break;
+            }
+            let Some((id, entry)) = self.jobs.get_index_mut(*at) else { continue };
+            let may_far = entry.far_at().is_none_or(|far| far <= now);
+            if place > 0 && !is_near(entry, &centre) && !may_far {
                 continue;
             }
             let size = entry.job.bytes;
