Requests that were turned away before get what others leave, and a margin at the door

Cause: a request that came back after a refusal counted as due at its deadline, so the queue of a stage filled with them (1,174 pieces of audit-export, five seconds of work), and fresh requests were refused as they would have made those late; they themselves were held until their deadlines. Ruled out: processor time of the desk (0.033 of a core at most). Change: such a request books like a fresh one and is begun only where it is expected two fifths of its objective early; a fresh one must be expected a tenth early.

--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -40,6 +40,10 @@
 ///
 /// Results cross once, inputs with every piece.
 const RESULTS_PART: u64 = 8;
+/// Part of the objective by which a request must be expected to be early to be begun.
+const MARGIN: f64 = 0.1;
+/// The same for a request that was turned away before.
+const REPEATED_MARGIN: f64 = 0.4;
 /// Time by which the most urgent requests may make others late, in milliseconds.
 const HARM_MS: u64 = 250;
 /// Shortest time after which a request that is turned away may come back, in milliseconds.
@@ -267,7 +271,8 @@
         }
         let engine = millis(self.engine_time());
         let end = done.values().copied().max().unwrap_or(0).saturating_add(engine);
-        let due = millis(self.ticket.due.saturating_duration_since(Instant::now()));
+        let limit = self.ticket.due - self.ticket.route.objective.mul_f64(self.margin());
+        let due = millis(limit.saturating_duration_since(Instant::now()));
         let allowed = HARM_MS / (1 + 4 * u64::from(self.ticket.rank));
         let late = end.saturating_sub(due);
         tracing::debug!(event = "request-judged", request = %self.ticket.id, end, due, harm);
@@ -278,6 +283,13 @@
         Err(Unprepared::Refused { retry })
     }
 
+    /// Returns the part of the objective by which a request must be expected to be early.
+    ///
+    /// One that was turned away before is late whatever happens: it gets what others leave.
+    fn margin(&self) -> f64 {
+        if self.ticket.repeated { REPEATED_MARGIN } else { MARGIN }
+    }
+
     fn booking(&self, at: u16) -> Booking {
         let due = self.ticket.due.saturating_duration_since(Instant::now());
         Booking {
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -79,7 +79,7 @@
         let used = asked.map_or(Duration::ZERO, |a| timeout.saturating_sub(a));
         let repeated = used > timeout / 20;
         let end = started + asked.unwrap_or(timeout).min(timeout);
-        let due = if repeated { end } else { end.min(started + pass.route.objective) };
+        let due = end.min(started + pass.route.objective);
         let session = session(&head).unwrap_or(hash);
         Some(Self {
             body: request.body,
