Targets that were not reached are no attempts; cut-off data centres are avoided; entries are kept for a while

Change: only what reached a target counts as a repeat and what may have run as an attempt; connects get 150 ms; two targets of a data centre that were not reached within 2 s speak for the others; an entry that one control instance does not know is kept for 1.8 s; an entry that stops takes no new stages; a target that failed gets one job first.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -25,6 +25,8 @@
 
 /// Time for which entries that went silent still count for shares of what targets bear.
 const REMEMBERED: Duration = Duration::from_secs(20);
+/// Time for which an entry is known that was not told of again.
+const TOLD: Duration = Duration::from_millis(1_800);
 /// Share of a new measurement in an estimate.
 const NEWEST: f64 = 0.2;
 
@@ -59,19 +61,32 @@
 pub struct Roster {
     /// Entries, by name.
     pub entries: Vec<Present>,
+    /// When each was last told of.
+    told: IndexMap<Present, hawthornkeel_core::time::Instant>,
     /// Most entries of late, and when there were that many.
     most: Option<(usize, hawthornkeel_core::time::Instant)>,
 }
 
 impl Roster {
-    /// Takes in the entries of now.
-    pub fn set(&mut self, entries: Vec<Present>) {
-        let (now, count) = (boot_now(), entries.len());
+    /// Takes in the entries that a control instance knows, and tells whether that changes any.
+    ///
+    /// One that it does not know is kept for a while, as another may know it.
+    pub fn set(&mut self, entries: Vec<Present>) -> bool {
+        let now = boot_now();
+        for entry in entries {
+            self.told.insert(entry, now);
+        }
+        self.told.retain(|_, at| now.since(*at) < TOLD);
+        let mut known: Vec<Present> = self.told.keys().cloned().collect();
+        known.sort();
+        let count = known.len();
         let outdated = |(most, at)| count >= most || now.since(at) > REMEMBERED;
         if self.most.is_none_or(outdated) {
             self.most = Some((count, now));
         }
-        self.entries = entries;
+        let changed = self.entries != known;
+        self.entries = known;
+        changed
     }
 
     /// Returns the entries that share what targets bear: those that went silent may still run.
--- a/hawthornkeel/src/forward/desks.rs
+++ b/hawthornkeel/src/forward/desks.rs
@@ -238,19 +238,28 @@
         pool: &PoolName,
         bookings: Vec<Booking>,
     ) -> Option<(InstanceName, Vec<Option<Booked>>)> {
-        let owner = self.candidates(pool).into_iter().next()?;
         let book = Book { pool: pool.clone(), bookings };
-        if owner == *self.inner.context.endpoint.name() {
-            let booked = self.take_bookings(&book);
-            return Some((owner, booked));
+        for owner in self.candidates(pool) {
+            let booked = self.book_at(&owner, &book).await;
+            // An entry that is about to stop books nothing.
+            if let Some(booked) = booked.filter(|b| !b.is_empty()) {
+                return Some((owner, booked));
+            }
         }
-        let frame = Frame::Book(book);
-        match self.inner.context.endpoint.call(&owner, &frame, ANSWER_TIME).await {
-            Ok(Frame::Booked(booked)) => Some((owner, booked)),
+        None
+    }
+
+    async fn book_at(&self, owner: &InstanceName, book: &Book) -> Option<Vec<Option<Booked>>> {
+        if owner == self.inner.context.endpoint.name() {
+            return Some(self.take_bookings(book));
+        }
+        let frame = Frame::Book(book.clone());
+        match self.inner.context.endpoint.call(owner, &frame, ANSWER_TIME).await {
+            Ok(Frame::Booked(booked)) => Some(booked),
             Ok(_) => None,
             Err(error) => {
-                tracing::info!(event = "booking-failed", owner = %owner, %pool, %error);
-                self.suspect(&owner);
+                tracing::info!(event = "booking-failed", %owner, pool = %book.pool, %error);
+                self.suspect(owner);
                 None
             }
         }
@@ -346,11 +355,16 @@
         }
     }
 
+    /// Tells whether a desk of this entry has a job, which it then goes on with even at a stop.
+    fn knows(&self, pool: &PoolName, job: &JobId) -> bool {
+        self.inner.desks.borrow().get(pool).is_some_and(|l| l.desk.knows(job))
+    }
+
     /// Takes in an offer and answers once the job has ended, or after the hold.
     async fn answer(&self, offer: Offer) -> JobOutcome {
         let Offer { pool, job, wait_ms } = offer;
         let id = job.id.clone();
-        if !self.open(&pool) {
+        if !self.knows(&pool, &id) && !self.open(&pool) {
             return JobOutcome::Elsewhere;
         }
         let (sender, outcome) = oneshot::channel();
@@ -367,8 +381,11 @@
         }
     }
 
-    /// Opens the desk of a pool, where the document has the pool.
+    /// Opens the desk of a pool, where the document has the pool and this entry goes on.
     fn open(&self, pool: &PoolName) -> bool {
+        if self.inner.context.stopping.get() {
+            return false;
+        }
         if self.inner.desks.borrow().contains_key(pool) {
             return true;
         }
--- a/hawthornkeel/src/forward/exchange.rs
+++ b/hawthornkeel/src/forward/exchange.rs
@@ -37,7 +37,7 @@
 /// Interim answers before the answer itself, at most.
 const MAX_INTERIM: usize = 4;
 /// Time for a connection to open.
-const CONNECT: Duration = Duration::from_millis(400);
+const CONNECT: Duration = Duration::from_millis(150);
 /// Time that an idle connection is kept where its target names none.
 const IDLE: Duration = Duration::from_secs(4);
 /// Time before the end that a target names at which a connection is not used again.
--- a/hawthornkeel/src/forward/follow.rs
+++ b/hawthornkeel/src/forward/follow.rs
@@ -97,9 +97,8 @@
     if changed {
         take_document(context, desks);
     }
-    if context.roster.borrow().entries != entries {
-        tracing::info!(event = "entries-known", count = entries.len());
-        context.roster.borrow_mut().set(entries);
+    if context.roster.borrow_mut().set(entries) {
+        tracing::info!(event = "entries-known", count = context.roster.borrow().entries.len());
     }
     let mark = listing.as_ref().map(|l| l.mark);
     if let Some(listing) = listing {
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -58,6 +58,8 @@
 const COLD_PART: u32 = 4;
 /// Shortest time without an answer after which a request that may be repeated is.
 const MIN_SILENCE: Duration = Duration::from_millis(120);
+/// Targets that are tried for one request, at most.
+const MAX_TRIED: usize = 5;
 /// Times that the stages of a request are done, at most.
 const MAX_PASSES: u16 = 2;
 
@@ -88,8 +90,10 @@
 /// Course of a request: where it was sent, and what it needs there.
 #[derive(Default)]
 pub struct Course {
-    /// Targets that it was sent to.
+    /// Targets that were tried, whether or not it reached them.
     pub tried: Vec<TargetName>,
+    /// Targets that it may have run at.
+    pub runs: u32,
     prepared: Rc<RefCell<Prepared>>,
     /// Time that its stages took.
     staged: Duration,
@@ -238,9 +242,13 @@
     async fn forward(&self, ticket: &Ticket, course: &mut Course) -> Forwarded {
         let mut ran = Ran::NotRun;
         let mut failed = None;
+        let mut arrived = course.runs > 0;
         loop {
-            let tries = u32::try_from(course.tried.len()).unwrap_or(u32::MAX);
-            if tries > 0 && !self.may_try_again(ticket, tries) {
+            // What reached no target is no repeat.
+            if arrived && !self.may_repeat(ticket, course) {
+                return ended(ran, failed);
+            }
+            if course.tried.len() >= MAX_TRIED || ticket.left() < MIN_LEFT {
                 return ended(ran, failed);
             }
             let target = match self.choose(ticket, course).await {
@@ -248,7 +256,7 @@
                 Err(_) => return ended(ran, failed),
             };
             let request = ticket.outgoing(&target, &course.results(), None);
-            let until = self.patience(ticket, tries);
+            let until = self.patience(ticket, course.runs);
             let sent = self.context.exchanges.send(target.address, &request, until).await;
             course.tried.push(target.name.clone());
             let tried = self.judge(ticket, &target, sent);
@@ -258,9 +266,12 @@
             match tried {
                 Tried::Answered(answer) => return Forwarded::Answer(Box::new(answer), target),
                 Tried::ResultsGone => return Forwarded::ResultsGone,
-                Tried::NotRun => {}
+                Tried::Unreached => {}
+                Tried::NotRun => arrived = true,
                 Tried::Failed(answer) => {
                     ran = Ran::Unknown;
+                    arrived = true;
+                    course.runs += 1;
                     if !ticket.route.kind.may_repeat() {
                         return Forwarded::Answer(answer, target);
                     }
@@ -268,6 +279,8 @@
                 }
                 Tried::Lost => {
                     ran = Ran::Unknown;
+                    arrived = true;
+                    course.runs += 1;
                     if !ticket.route.kind.may_repeat() {
                         return ended(ran, None);
                     }
@@ -276,11 +289,9 @@
         }
     }
 
-    fn may_try_again(&self, ticket: &Ticket, tries: u32) -> bool {
-        tries < ticket.route.attempts.max(2)
-            && tries < ticket.route.attempts
-            && ticket.left() > MIN_LEFT
-            && self.context.may_repeat(&ticket.pool.name)
+    /// Tells whether a request may be sent to one more target.
+    fn may_repeat(&self, ticket: &Ticket, course: &Course) -> bool {
+        course.runs < ticket.route.attempts && self.context.may_repeat(&ticket.pool.name)
     }
 
     /// Chooses a target, waiting for a while where all that are left are cold.
@@ -298,8 +309,8 @@
     }
 
     /// Returns until when a target may be silent.
-    fn patience(&self, ticket: &Ticket, tries: u32) -> Instant {
-        let more = ticket.route.kind.may_repeat() && tries + 1 < ticket.route.attempts;
+    fn patience(&self, ticket: &Ticket, runs: u32) -> Instant {
+        let more = ticket.route.kind.may_repeat() && runs + 1 < ticket.route.attempts;
         if !more {
             return ticket.end;
         }
@@ -312,7 +323,7 @@
     fn judge(&self, ticket: &Ticket, target: &Chosen, sent: Result<Answer, Failure>) -> Tried {
         let (tried, ended) = match sent {
             Ok(answer) => judge_answer(answer),
-            Err(failure) if failure.is_not_run() => (Tried::NotRun, Some(Ended::Unreached)),
+            Err(failure) if failure.is_not_run() => (Tried::Unreached, Some(Ended::Unreached)),
             Err(Failure::Silent) if Instant::now() >= ticket.end => {
                 (Tried::Lost, Some(Ended::GivenUp))
             }
@@ -384,9 +395,9 @@
 
     /// Sends a request once more after its answer broke off, where it may be.
     async fn again(&self, ticket: &Ticket, course: &mut Course) -> Response {
-        let tries = u32::try_from(course.tried.len()).unwrap_or(u32::MAX);
+        course.runs += 1;
         let problem = Problem::new(Code::StageFailed, Ran::Unknown);
-        if !ticket.route.kind.may_repeat() || !self.may_try_again(ticket, tries) {
+        if !ticket.route.kind.may_repeat() || !self.may_repeat(ticket, course) {
             course.log(ticket, "answer-lost", problem.code.status().as_u16());
             return refusal(problem);
         }
@@ -426,6 +437,8 @@
     Answered(Answer),
     /// The target failed the request.
     Failed(Box<Answer>),
+    /// It did not reach the target.
+    Unreached,
     /// It did not run there.
     NotRun,
     /// It did not run there, as results that it needs are gone.
@@ -439,6 +452,7 @@
         f.write_str(match self {
             Self::Answered(_) => "answered",
             Self::Failed(_) => "failed",
+            Self::Unreached => "unreached",
             Self::NotRun => "not-run",
             Self::ResultsGone => "results-gone",
             Self::Lost => "lost",
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -146,11 +146,14 @@
         if !self.resumes() {
             return None;
         }
-        self.course.tried.push(from.clone());
+        if !self.course.tried.contains(from) {
+            self.course.tried.push(from.clone());
+        }
+        self.course.runs += 1;
         let last = last.or_else(|| self.ticket.head.header(fields::LAST_EVENT)).map(str::to_owned);
         loop {
-            let attempts = u32::try_from(self.course.tried.len()).unwrap_or(u32::MAX);
-            let allowed = attempts < self.ticket.route.attempts && self.ticket.left() > SILENCE;
+            let attempts = self.ticket.route.attempts;
+            let allowed = self.course.runs < attempts && self.ticket.left() > SILENCE;
             if !allowed || !self.context.may_repeat(&self.ticket.pool.name) {
                 return None;
             }
@@ -168,7 +171,10 @@
                 }
                 Ok(_) => Ended::Refused,
                 Err(failure) if failure.is_not_run() => Ended::Unreached,
-                Err(_) => Ended::Badly,
+                Err(_) => {
+                    self.course.runs += 1;
+                    Ended::Badly
+                }
             };
             self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
             self.course.tried.push(target.name);
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -40,7 +40,7 @@
 }
 
 /// Entry that serves callers now.
-#[derive(Clone, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+#[derive(Clone, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
 pub struct Present {
     /// Instance.
     pub name: InstanceName,
--- a/hawthornkeel_core/src/place/board.rs
+++ b/hawthornkeel_core/src/place/board.rs
@@ -29,6 +29,12 @@
 const FAILURE_POWER: i32 = 4;
 /// Least weight of a target that fails, so that it is tried again.
 const MIN_WEIGHT: f64 = 0.002;
+/// Time for which targets that could not be reached speak for their data centre.
+const CENTRE_TIME: Duration = Duration::from_secs(2);
+/// Targets that must not have been reached for their data centre to count as cut off.
+const CENTRE_TARGETS: usize = 2;
+/// Weight of a target in a data centre that counts as cut off.
+const CUT_WEIGHT: f64 = 0.01;
 /// Requests of this entry at one target above which its weight sinks.
 const BUSY: u32 = 6;
 /// Requests to cold targets that an entry may save up.
@@ -80,6 +86,8 @@
 pub struct Board {
     targets: IndexMap<TargetName, Target>,
     out: Vec<CentreName>,
+    /// Targets that could not be reached of late, with when.
+    unreached: IndexMap<TargetName, (Instant, CentreName)>,
     /// Whether a list was taken in: targets of the first one are not new.
     listed: bool,
 }
@@ -88,6 +96,8 @@
 struct Target {
     listed: Listed,
     health: Health,
+    /// When it last answered.
+    answered: Instant,
     /// Requests of this entry in progress.
     open: u32,
     cold_until: Instant,
@@ -188,6 +198,16 @@
     pub fn ended(&mut self, now: Instant, name: &TargetName, ended: Ended) {
         let Some(target) = self.targets.get_mut(name) else { return };
         target.open = target.open.saturating_sub(1);
+        match ended {
+            Ended::Unreached => {
+                self.unreached.insert(name.clone(), (now, target.listed.centre.clone()));
+            }
+            Ended::Well | Ended::Refused => {
+                target.answered = now;
+                self.unreached.swap_remove(name);
+            }
+            Ended::Badly | Ended::GivenUp => {}
+        }
         if ended == Ended::Well && target.health.is_unreached() {
             // It was gone and has come back.
             target.fresh = Some(now);
@@ -199,6 +219,14 @@
         !target.listed.leaving && !self.out.contains(&target.listed.centre)
     }
 
+    /// Tells when targets of a data centre were last not reached, where it counts as cut off.
+    fn cut_at(&self, now: Instant, centre: &CentreName) -> Option<Instant> {
+        let recent = |(at, c): &&(Instant, CentreName)| c == centre && now.since(*at) < CENTRE_TIME;
+        let times: Vec<Instant> =
+            self.unreached.values().filter(recent).map(|(at, _)| *at).collect();
+        times.iter().max().filter(|_| times.len() >= CENTRE_TARGETS).copied()
+    }
+
     /// Returns the score of a target: the highest is chosen.
     fn score(&mut self, now: Instant, at: usize, ask: &Ask<'_>) -> Result<f64, NoTarget> {
         let (_, target) = self.targets.get_index(at).ok_or(NoTarget::Empty)?;
@@ -208,6 +236,8 @@
         if ask.tried.contains(&target.listed.name) {
             return Err(NoTarget::Tried);
         }
+        let cut = self.cut_at(now, &target.listed.centre);
+        let cut = cut.is_some_and(|at| target.answered < at);
         let (_, target) = self.targets.get_index_mut(at).ok_or(NoTarget::Empty)?;
         let cold = target.is_cold(now, ask.cold);
         if cold && !target.may_take_cold(now, ask) {
@@ -217,16 +247,20 @@
         if target.health.is_paused(now) {
             weight = 0.0;
         }
+        weight = weight.max(MIN_WEIGHT);
         if cold {
             weight *= COLD_WEIGHT;
         }
+        if cut {
+            weight *= CUT_WEIGHT;
+        }
         if ask.centre == Some(&target.listed.centre) {
             weight *= NEAR_WEIGHT;
         }
         if target.open > BUSY {
             weight *= f64::from(BUSY) / f64::from(target.open);
         }
-        Ok(rendezvous(ask.session, &target.listed.name, weight.max(MIN_WEIGHT)))
+        Ok(rendezvous(ask.session, &target.listed.name, weight.max(MIN_WEIGHT * CUT_WEIGHT)))
     }
 }
 
@@ -235,6 +269,7 @@
         Self {
             listed: listed.clone(),
             health: Health::default(),
+            answered: Instant::ZERO,
             open: 0,
             cold_until: now,
             fresh: fresh.then_some(now),
--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -303,6 +303,11 @@
         }
     }
 
+    /// Tells whether the desk has a job, or had it a moment ago.
+    pub fn knows(&self, job: &JobId) -> bool {
+        self.jobs.contains_key(job) || self.ended.contains_key(job)
+    }
+
     /// Tells whether there is nothing to do.
     pub fn is_idle(&self) -> bool {
         self.jobs.is_empty() && self.calls.is_empty()
--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -92,6 +92,8 @@
         let (room, now) = (self.room(), self.now);
         let Some(maker) = self.makers.get(maker) else { return Vec::new() };
         let (held, centre) = (maker.held, maker.centre.clone());
+        // A target that has failed gets one job, to see whether it is back.
+        let order = if maker.has_failed() { order.get(..1).unwrap_or_default() } else { order };
         let (mut items, mut bytes) = (Vec::new(), held);
         for (place, at) in order.iter().enumerate() {
             if items.len() >= self.pool.batch {
--- a/hawthornkeel_core/src/stages/maker.rs
+++ b/hawthornkeel_core/src/stages/maker.rs
@@ -80,6 +80,11 @@
         self.speed > SLOW && now.since(self.last_end) < SLOW_RETRY
     }
 
+    /// Tells whether its last call failed.
+    pub(super) fn has_failed(&self) -> bool {
+        self.failures > 0
+    }
+
     /// Tells whether its calls take notably longer than expected.
     pub(super) fn is_lagging(&self) -> bool {
         self.speed > LAGGING
