--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -44,8 +44,8 @@
 const MARGIN: f64 = 0.1;
 /// The same for a request that was turned away before.
 const REPEATED_MARGIN: f64 = 0.4;
-/// Time by which the most urgent requests may make others late, in milliseconds.
-const HARM_MS: u64 = 250;
+/// Time by which a request may make others of its rank late, in milliseconds.
+const HARM_MS: u64 = 50;
 /// Shortest time after which a request that is turned away may come back, in milliseconds.
 const MIN_RETRY_MS: u64 = 100;
 /// Longest such time, in milliseconds.
@@ -273,10 +273,9 @@
         let end = done.values().copied().max().unwrap_or(0).saturating_add(engine);
         let limit = self.ticket.due - self.ticket.route.objective.mul_f64(self.margin());
         let due = millis(limit.saturating_duration_since(Instant::now()));
-        let allowed = HARM_MS / (1 + 4 * u64::from(self.ticket.rank));
         let late = end.saturating_sub(due);
         tracing::debug!(event = "request-judged", request = %self.ticket.id, end, due, harm);
-        if late == 0 && harm <= allowed {
+        if late == 0 && harm <= HARM_MS {
             return Ok(());
         }
         let retry = Duration::from_millis(late.max(harm).clamp(MIN_RETRY_MS, MAX_RETRY_MS));
@@ -295,6 +294,7 @@
         Booking {
             id: self.id(at),
             pieces: self.count(at),
+            priority: self.ticket.rank,
             due_ms: millis(due.saturating_sub(self.rest(at))),
         }
     }
@@ -321,6 +321,7 @@
         Job {
             id: self.id(at),
             pieces: self.count(at),
+            priority: self.ticket.rank,
             key: after.is_empty().then(|| Arc::from(key)),
             near: self.near(at, &inputs, due_ms),
             inputs: Arc::from(inputs),
--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -15,6 +15,7 @@
 use crate::stages::estimate::Capacity;
 use crate::stages::estimate::Queued;
 use crate::stages::estimate::call_time;
+use crate::stages::estimate::place;
 use crate::stages::job::Booked;
 use crate::stages::job::Booking;
 use crate::stages::job::Handle;
@@ -168,6 +169,8 @@
     pub(super) job: Job,
     pub(super) due: Instant,
     pub(super) end: Instant,
+    /// When a call must begin at the latest to end in time.
+    latest: Instant,
     pub(super) arrived: Instant,
     pub(super) pieces: Vec<PieceState>,
 }
@@ -263,9 +266,10 @@
     pub fn book(&mut self, now: Instant, booking: &Booking) -> Option<Booked> {
         self.now = self.now.max(now);
         let due = self.now + Duration::from_millis(booking.due_ms);
+        let new = Queued::new(due, booking.priority, booking.pieces);
         let (capacity, queued) = (self.capacity(), self.queued());
-        let estimate = capacity.estimate(&self.pool, &queued, due, booking.pieces)?;
-        self.bookings.insert(booking.id.clone(), Queued { due, pieces: booking.pieces });
+        let estimate = capacity.estimate(&self.pool, &queued, &new)?;
+        self.bookings.insert(booking.id.clone(), new);
         let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
         Some(Booked {
             drain_ms: millis(estimate.drain),
@@ -278,7 +282,7 @@
     pub fn deadline(&self) -> Option<Instant> {
         let overdue = self.calls.values().filter(|c| !c.overdue).map(|c| self.overdue_at(c));
         let waiting = || self.jobs.values().filter(|e| e.is_waiting());
-        let ends = waiting().map(|e| e.end);
+        let ends = waiting().map(|e| if e.is_idle() { e.latest } else { e.end });
         let far = waiting().filter_map(|e| e.far_at()).filter(|at| *at > self.now);
         let waits = waiting().next().is_some();
         let resumes = self.makers.values().filter(|_| waits).filter_map(|m| m.resumes(self.now));
@@ -333,11 +337,13 @@
         }
         self.bookings.swap_remove(&job.id);
         let due = self.now + Duration::from_millis(job.due_ms);
-        let end = self.now + Duration::from_millis(job.end_ms);
+        let end_in = Duration::from_millis(job.end_ms);
+        let (end, shortest) = (self.now + end_in, call_time(&self.pool, 1));
+        let latest = self.now + end_in.saturating_sub(shortest);
         let waiting = PieceState { waits: true, ..PieceState::default() };
         let pieces = vec![waiting; job.pieces as usize];
         let id = job.id.clone();
-        self.jobs.insert(id, Entry { job, due, end, arrived: self.now, pieces });
+        self.jobs.insert(id, Entry { job, due, end, latest, arrived: self.now, pieces });
     }
 
     fn withdraw(&mut self, id: &JobId) {
@@ -487,8 +493,8 @@
 
     /// Ends jobs whose time has passed, and forgets what is old.
     fn expire(&mut self) {
-        let (now, shortest) = (self.now, call_time(&self.pool, 1));
-        let late = |e: &Entry| e.is_waiting() && e.is_idle() && now + shortest > e.end;
+        let now = self.now;
+        let late = |e: &Entry| e.is_waiting() && e.is_idle() && e.latest <= now;
         let ended = self.jobs.iter().filter(|(_, e)| late(e) || e.end <= now);
         let ended: Vec<JobId> = ended.map(|(id, _)| id.clone()).collect();
         for id in ended {
@@ -538,17 +544,23 @@
         }
     }
 
-    /// Returns what waits and what is booked, in the order of the dues.
+    /// Returns what waits and what is booked, in order.
     fn queued(&self) -> Vec<Queued> {
-        let waiting = self.jobs.values().map(|e| Queued { due: e.due, pieces: e.waiting() });
+        let queued = |e: &Entry| Queued::new(e.due, e.job.priority, e.waiting());
+        let waiting = self.jobs.values().map(queued);
         let mut queued: Vec<Queued> = waiting.chain(self.bookings.values().copied()).collect();
         queued.retain(|q| q.pieces > 0);
-        queued.sort_by_key(|q| q.due);
+        queued.sort_by_key(|q| q.place);
         queued
     }
 }
 
 impl Entry {
+    /// Returns its place in the order.
+    pub(super) fn place(&self) -> Instant {
+        place(self.due, self.job.priority)
+    }
+
     pub(super) fn is_waiting(&self) -> bool {
         self.pieces.iter().any(|p| p.waits)
     }
--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -16,6 +16,8 @@
 
 /// Part of a target's room that is used, as sizes are known about and freeing takes time.
 const ROOM_PART: f64 = 0.85;
+/// Part of the room, as its divisor, below which a job's results are small.
+const SMALL_PART: u64 = 8;
 /// Times longer than expected after which a call counts as lost.
 const LOST: u32 = 6;
 /// Time added to that, for networks.
@@ -49,7 +51,7 @@
     /// Returns the positions of the jobs with waiting pieces, the most urgent first.
     fn order(&self) -> Vec<usize> {
         let waiting = self.jobs.values().enumerate().filter(|(_, e)| e.is_waiting());
-        let mut order: Vec<_> = waiting.map(|(at, e)| (e.due, e.arrived, at)).collect();
+        let mut order: Vec<_> = waiting.map(|(at, e)| (e.place(), e.arrived, at)).collect();
         order.sort_unstable();
         order.into_iter().map(|(_, _, at)| at).collect()
     }
@@ -57,7 +59,7 @@
     /// Returns the free target that is best for a job, unless it waits for one that is near.
     fn choose(&self, at: usize) -> Option<TargetName> {
         let (_, entry) = self.jobs.get_index(at)?;
-        let usable = |m: &Maker| self.is_usable(m) && self.has_room(m, entry.job.bytes);
+        let usable = |m: &Maker| self.is_usable(m) && self.has_room(m, entry);
         let free = self.makers.iter().filter(|(_, m)| m.is_free(self.now) && usable(m));
         let near = |m: &Maker| is_near(entry, &m.centre);
         let waits = entry.far_at().is_some_and(|at| at > self.now)
@@ -76,8 +78,18 @@
         !maker.is_slow(self.now) || !self.makers.values().any(|m| m.counts(self.now))
     }
 
-    fn has_room(&self, maker: &Maker, bytes: u64) -> bool {
-        maker.held == 0 || maker.held + bytes <= self.room()
+    /// Tells whether a target has room for the results of a job, whole unless they are small.
+    fn has_room(&self, maker: &Maker, entry: &Entry) -> bool {
+        let pieces = if self.is_splittable(entry) { 1 } else { entry.waiting() };
+        let pieces = u64::from(pieces).min(self.pool.batch as u64);
+        maker.held == 0 || maker.held + entry.job.bytes * pieces <= self.room()
+    }
+
+    /// Tells whether a job's results are so small that some may wait for the others.
+    ///
+    /// Large ones would hold room that others need, and be given up at last.
+    fn is_splittable(&self, entry: &Entry) -> bool {
+        entry.job.bytes * u64::from(entry.job.pieces) < self.room() / SMALL_PART
     }
 
     /// Returns the bytes of results that one target may hold.
@@ -105,6 +117,13 @@
                 continue;
             }
             let size = entry.job.bytes;
+            let waiting = entry.waiting() as usize;
+            let whole =
+                items.len() + waiting <= self.pool.batch && bytes + size * waiting as u64 <= room;
+            let splittable = size * u64::from(entry.job.pieces) < room / SMALL_PART;
+            if place > 0 && !whole && !splittable {
+                continue;
+            }
             for (piece, state) in entry.pieces.iter_mut().enumerate().filter(|(_, s)| s.waits) {
                 let fits = items.is_empty() && held == 0 || bytes + size <= room;
                 if items.len() >= self.pool.batch || !fits {
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -7,16 +7,36 @@
 
 /// Lateness of work that was taken already up to which more is taken.
 const TOLERANCE: Duration = Duration::from_millis(80);
+/// Time by which work of one rank goes before that of the next with the same due.
+const RANK_STEP: Duration = Duration::from_millis(350);
+/// Ranks that are told apart.
+const MAX_STEPS: u16 = 4;
 
 /// Work that waits or is booked, in the order in which it goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Queued {
+    /// Place in the order: what has a lower one goes first.
+    pub(super) place: Instant,
     /// When it should be done.
     pub(super) due: Instant,
+    /// Rank, zero the highest.
+    pub(super) priority: u16,
     /// Pieces.
     pub(super) pieces: u32,
 }
 
+impl Queued {
+    /// Creates work of a rank that should be done at `due`.
+    pub(super) fn new(due: Instant, priority: u16, pieces: u32) -> Self {
+        Self { place: place(due, priority), due, priority, pieces }
+    }
+}
+
+/// Returns the place of work in the order: by its due, with a start for higher ranks.
+pub(super) fn place(due: Instant, priority: u16) -> Instant {
+    due + RANK_STEP * u32::from(priority.min(MAX_STEPS))
+}
+
 /// What a desk's targets can do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Capacity {
@@ -40,38 +60,38 @@
 }
 
 impl Capacity {
-    /// Estimates work of `pieces` that is due at `due`, beside `queued` in order of their dues.
+    /// Estimates `new` work beside `queued`, which is in order.
     ///
     /// Returns `None` where no target takes calls.
     pub(super) fn estimate(
         &self,
         pool: &Pieces,
         queued: &[Queued],
-        due: Instant,
-        pieces: u32,
+        new: &Queued,
     ) -> Option<Estimate> {
         if self.makers <= 0.0 {
             return None;
         }
-        let first = queued.partition_point(|q| q.due <= due);
+        let first = queued.partition_point(|q| q.place <= new.place);
         let (before, after) = queued.split_at_checked(first)?;
         let ahead: u32 = before.iter().map(|q| q.pieces).sum();
-        let harm = self.harm(pool, after, ahead, pieces);
-        Some(Estimate { drain: self.drain(pool, ahead), own: own_time(pool, ahead, pieces), harm })
+        let harm = self.harm(pool, after, ahead, new);
+        let own = own_time(pool, ahead, new.pieces);
+        Some(Estimate { drain: self.drain(pool, ahead), own, harm })
     }
 
-    /// Returns the time by which work in `after` would be late because `pieces` more go first.
-    fn harm(&self, pool: &Pieces, after: &[Queued], ahead: u32, pieces: u32) -> Duration {
+    /// Returns the time by which work in `after` of the same or a higher rank would be late.
+    fn harm(&self, pool: &Pieces, after: &[Queued], ahead: u32, new: &Queued) -> Duration {
         let mut before = ahead;
         let mut harm = Duration::ZERO;
         for queued in after {
             let done = |ahead: u32| {
                 self.now + self.drain(pool, ahead) + own_time(pool, ahead, queued.pieces)
             };
-            let (without, with) = (done(before), done(before + pieces));
+            let (without, with) = (done(before), done(before + new.pieces));
             let limit = queued.due + TOLERANCE;
             // What is late anyway is not harmed.
-            if without <= limit {
+            if without <= limit && queued.priority <= new.priority {
                 harm = harm.max(with.since(limit));
             }
             before += queued.pieces;
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -27,6 +27,8 @@
     pub id: JobId,
     /// Number of pieces.
     pub pieces: u32,
+    /// Rank, zero the highest.
+    pub priority: u16,
     /// Time by which it should be done for the request to meet its objective, in milliseconds.
     pub due_ms: u64,
 }
@@ -51,6 +53,8 @@
     pub id: JobId,
     /// Number of pieces.
     pub pieces: u32,
+    /// Rank, zero the highest.
+    pub priority: u16,
     /// Key of the work, where the stage needs no results.
     pub key: Option<Arc<str>>,
     /// Results that each piece needs.
--- a/hawthornkeel_core/tests/driver/mod.rs
+++ b/hawthornkeel_core/tests/driver/mod.rs
@@ -15,6 +15,7 @@
 use bytes::Bytes;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::Admission;
 use hawthornkeel_core::replica::Input;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::replica::Node;
@@ -125,6 +126,7 @@
         inflight_bytes: 600,
         pending_bytes: 20_000,
         part_bytes: 64,
+        ..Settings::default()
     }
 }
 
@@ -139,6 +141,17 @@
 
     /// Starts machines of which the first `founders` found the group.
     pub fn with_founders(seed: u64, size: usize, founders: usize, variant: Variant) -> Self {
+        Self::with_admission(seed, size, founders, variant, Admission::Founders)
+    }
+
+    /// Starts machines as above, with other rules for who becomes a voter.
+    pub fn with_admission(
+        seed: u64,
+        size: usize,
+        founders: usize,
+        variant: Variant,
+        admission: Admission,
+    ) -> Self {
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let names: Vec<_> = (0..size).map(|i| InstanceName::new(&format!("i{i}"))).collect();
         let machines = names.iter().map(|name| Machine {
@@ -163,7 +176,7 @@
             links: BTreeSet::new(),
             now: 1_000_000,
             variant,
-            settings: settings(&names[..founders]),
+            settings: Settings { admission, ..settings(&names[..founders]) },
             queue: BinaryHeap::new(),
             events: BTreeMap::new(),
             sequence: 0,
@@ -173,6 +186,20 @@
         cluster
     }
 
+    /// Sets whether replicas that start from now on may form a group.
+    pub fn set_forms(&mut self, forms: bool) {
+        self.settings.forms = forms;
+    }
+
+    /// Returns the names of the voters, as the leader knows them.
+    pub fn voters(&self) -> Vec<String> {
+        let leader = self.leader().and_then(|l| self.machines[l].replica.as_ref());
+        let members = leader.map(|l| l.status().members.clone()).unwrap_or_default();
+        let mut names: Vec<_> = members.voters().map(|n| n.name.to_string()).collect();
+        names.sort();
+        names
+    }
+
     fn post(&mut self, delay: u64, event: Event) {
         self.sequence += 1;
         self.queue.push(Reverse((self.now + delay, self.sequence)));
--- /dev/null
+++ b/hawthornkeel_core/tests/route_gate.rs
@@ -0,0 +1,100 @@
+//! Requests at the gate: routes, keys, and a document that may be outdated.
+
+use std::sync::Arc;
+use std::time::Duration;
+
+use hawthornkeel_core::ids::Version;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::RouteName;
+use hawthornkeel_core::names::WorkspaceName;
+use hawthornkeel_core::table::Holder;
+use hawthornkeel_core::table::Limits;
+use hawthornkeel_core::table::RouteTable;
+use hawthornkeel_core::table::gate::Claim;
+use hawthornkeel_core::table::gate::Confirmed;
+use hawthornkeel_core::table::gate::Denied;
+use hawthornkeel_core::table::gate::admit;
+use hawthornkeel_core::table::route::Route;
+use hawthornkeel_core::table::route::RouteKind;
+use hawthornkeel_core::table::route::Share;
+use rstest::rstest;
+
+fn route(name: &str, prefix: &str, public: bool) -> Route {
+    Route {
+        name: RouteName::new(name),
+        host: Arc::from("a.example"),
+        prefix: Arc::from(prefix),
+        kind: RouteKind::Idempotent,
+        timeout: Duration::from_secs(1),
+        objective: Duration::from_millis(100),
+        priority: 2,
+        pools: vec![Share { pool: PoolName::new("pool"), weight: 1 }],
+        attempts: 2,
+        stages: Vec::new(),
+        public,
+        affine: false,
+    }
+}
+
+fn table() -> RouteTable {
+    let mut table = RouteTable::new(Version(1), Limits::default());
+    assert!(table.add(route("short", "/lots/", false)).is_none());
+    assert!(table.add(route("long", "/lots/open/", false)).is_none());
+    assert!(table.add(route("public", "/status/", true)).is_none());
+    table.keyed = true;
+    let holder = Holder { workspace: WorkspaceName::new("makers"), priority: 1 };
+    table.keys.insert(Arc::from("key"), holder);
+    table
+}
+
+fn confirmed(age_ms: u64) -> Confirmed {
+    Confirmed {
+        age: Duration::from_millis(age_ms),
+        keys: Duration::from_millis(3_000),
+        denials: Duration::from_millis(1_500),
+    }
+}
+
+fn claim<'a>(path: &'a str, key: Option<&'a str>) -> Claim<'a> {
+    Claim { host: "a.example", path, key }
+}
+
+#[rstest]
+#[case::short("/lots/closed/1", "short")]
+#[case::long("/lots/open/1", "long")]
+#[case::exact("/lots/open/", "long")]
+fn longest_prefix(#[case] path: &str, #[case] name: &str) {
+    let pass = admit(&table(), &claim(path, Some("key")), confirmed(0)).unwrap();
+    assert_eq!(pass.route.name.as_str(), name);
+    assert_eq!(pass.workspace, Some(WorkspaceName::new("makers")));
+    // The workspace's rank goes before the route's.
+    assert_eq!(pass.rank, 18);
+}
+
+#[rstest]
+#[case::no_route("/lot/", Some("key"), 0, Denied::NoRoute)]
+#[case::no_key("/lots/", None, 0, Denied::NoKey)]
+#[case::unknown_key("/lots/", Some("other"), 0, Denied::NoKey)]
+#[case::maybe_new_route("/lot/", Some("key"), 1_600, Denied::Unsure)]
+#[case::maybe_new_key("/lots/", Some("other"), 1_600, Denied::Unsure)]
+#[case::maybe_revoked("/lots/", Some("key"), 3_001, Denied::Unsure)]
+fn turned_away(
+    #[case] path: &str,
+    #[case] key: Option<&str>,
+    #[case] age_ms: u64,
+    #[case] denied: Denied,
+) {
+    assert_eq!(admit(&table(), &claim(path, key), confirmed(age_ms)), Err(denied));
+}
+
+#[test]
+fn public_behind_cut() {
+    let pass = admit(&table(), &claim("/status/", None), confirmed(60_000)).unwrap();
+    assert_eq!((pass.route.name.as_str(), pass.workspace), ("public", None));
+}
+
+#[test]
+fn same_place() {
+    let other = table().add(route("twin", "/lots/", false)).unwrap();
+    assert_eq!(other.name.as_str(), "short");
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/stage_desk.rs
@@ -0,0 +1,168 @@
+//! Desk of a pool's stages on a virtual clock: bursts, slow and lost targets, room and places.
+
+mod stage_site;
+
+use std::time::Duration;
+
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::stages::desk::CallFailure;
+use hawthornkeel_core::stages::job::JobOutcome;
+use hawthornkeel_core::stages::job::Near;
+
+use crate::stage_site::Site;
+use crate::stage_site::job;
+
+#[test]
+fn pieces_share_calls() {
+    let mut site = Site::new(1);
+    for number in 0..9 {
+        site.offer(job(number, 1));
+    }
+    site.run(2_000);
+    // The first found the target free; the others waited for it and went together.
+    assert_eq!(site.sizes(), [1, 8]);
+    assert!((0..9).all(|n| site.is_done(n)));
+}
+
+#[test]
+fn urgent_goes_first() {
+    let mut site = Site::new(1);
+    site.offer(job(0, 8));
+    let late = |n| stage_site::Wanted { due_ms: 3_000, ..job(n, 8) };
+    site.offer(late(1));
+    site.offer(stage_site::Wanted { due_ms: 700, ..job(2, 8) });
+    site.run(2_000);
+    assert_eq!(site.order(), [0, 2, 1]);
+}
+
+#[test]
+fn burst_turned_away() {
+    let mut site = Site::new(4);
+    let (mut taken, mut refused) = (Vec::new(), 0);
+    // Twice what the four targets can do, for three seconds.
+    for number in 0..600 {
+        let wanted = stage_site::Wanted { due_ms: 900, ..job(number, 1) };
+        if site.book(&wanted) {
+            site.offer(wanted);
+            taken.push(number);
+        } else {
+            refused += 1;
+        }
+        site.run(5);
+    }
+    site.run(3_000);
+    let late = taken.iter().filter(|n| site.took(**n) > Duration::from_millis(1_000)).count();
+    assert!(taken.iter().all(|n| site.is_done(*n)));
+    assert!(refused > 150, "{refused}");
+    assert!(late * 50 <= taken.len(), "{late} of {}", taken.len());
+    // The targets were not left idle for it.
+    assert!(taken.len() > 250, "{}", taken.len());
+}
+
+#[test]
+fn bookings_count() {
+    let mut site = Site::new(1);
+    let wanted = |n| stage_site::Wanted { due_ms: 900, ..job(n, 8) };
+    let booked = (0..10).filter(|n| site.book(&wanted(*n))).count();
+    // Nothing has been offered, and still there is no room for more.
+    assert!((2..=4).contains(&booked), "{booked}");
+    site.withdraw(0);
+    assert!(site.book(&wanted(20)));
+}
+
+#[test]
+fn lost_call_done_elsewhere() {
+    let mut site = Site::new(2);
+    site.silence(0);
+    site.offer(job(0, 2));
+    site.offer(job(1, 2));
+    site.run(1_500);
+    assert!(site.is_done(0) && site.is_done(1));
+    assert!(
+        site.took(0) < Duration::from_millis(1_000) && site.took(1) < Duration::from_millis(1_000)
+    );
+}
+
+#[test]
+fn refused_call_is_no_try() {
+    let mut site = Site::new(1);
+    site.fail(0, CallFailure::Refused);
+    site.offer(job(0, 2));
+    site.run(2_000);
+    assert_eq!(site.outcome(0), None);
+    site.heal(0);
+    site.run(1_000);
+    assert!(site.is_done(0));
+}
+
+#[test]
+fn failing_target_ends_job() {
+    let mut site = Site::new(1);
+    site.fail(0, CallFailure::Lost);
+    site.offer(stage_site::Wanted { end_ms: 30_000, ..job(0, 1) });
+    site.run(20_000);
+    assert_eq!(site.outcome(0), Some(&JobOutcome::Failed));
+}
+
+#[test]
+fn late_at_once() {
+    let mut site = Site::new(1);
+    site.silence(0);
+    site.offer(job(0, 8));
+    site.offer(stage_site::Wanted { end_ms: 400, ..job(1, 8) });
+    // It is told as soon as no call could end in time, not at its end.
+    site.run(300);
+    assert_eq!(site.outcome(1), Some(&JobOutcome::Late));
+}
+
+#[test]
+fn room_is_kept() {
+    let mut site = Site::new(1);
+    let large = |n| stage_site::Wanted { bytes: 3_000_000, ..job(n, 5) };
+    for number in 0..3 {
+        site.offer(large(number));
+        site.run(1);
+    }
+    site.run(1_500);
+    assert!(site.held() <= 41_000_000);
+    let done = [0, 1, 2].map(|n| site.is_done(n));
+    assert_eq!(done, [true, true, false], "{:?}", site.sizes());
+    site.release(0);
+    site.run(600);
+    assert!(site.is_done(2));
+}
+
+#[test]
+fn waits_for_near() {
+    let mut site = Site::new(3);
+    let near = |wait_ms| Some(Near { centre: CentreName::new("c0"), wait_ms });
+    site.offer(stage_site::Wanted { near: near(400), ..job(0, 8) });
+    site.offer(stage_site::Wanted { near: near(400), ..job(1, 8) });
+    site.offer(stage_site::Wanted { near: near(100), ..job(2, 8) });
+    site.run(1_000);
+    assert_eq!((site.place(0), site.place(1)), ("c0", "c0"));
+    assert_ne!(site.place(2), "c0");
+}
+
+#[test]
+fn slow_target_left_out() {
+    let mut site = Site::new(2);
+    site.slow(0, 5.0);
+    for number in 0..40 {
+        site.offer(job(number, 1));
+        site.run(100);
+    }
+    site.run(2_000);
+    let slow = (0..40).filter(|n| site.took(*n) > Duration::from_millis(900)).count();
+    assert!(slow <= 4, "{slow}");
+}
+
+#[test]
+fn withdrawn_results_freed() {
+    let mut site = Site::new(1);
+    site.offer(job(0, 2));
+    site.run(1_000);
+    assert_eq!(site.freed(), 0);
+    site.withdraw(0);
+    assert_eq!(site.freed(), 2);
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/target_choice.rs
@@ -0,0 +1,145 @@
+//! Choice of targets: sessions, failures, cold targets and data centres that are cut off.
+
+use std::time::Duration;
+
+use hawthornkeel_core::fleet::Listed;
+use hawthornkeel_core::fleet::Listing;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::place::board::Ask;
+use hawthornkeel_core::place::board::Board;
+use hawthornkeel_core::place::board::NoTarget;
+use hawthornkeel_core::place::health::Ended;
+use hawthornkeel_core::table::pool::Cold;
+use hawthornkeel_core::time::Instant;
+
+const COLD: Cold = Cold { time: Duration::from_secs(3), rate: 18.0 };
+
+fn listed(number: u16, cold_ms: u64) -> Listed {
+    Listed {
+        name: TargetName::new(&format!("t{number}")),
+        pool: PoolName::new("engines"),
+        address: ([10, 0, 0, 1], 8000 + number).into(),
+        centre: CentreName::new(["a", "b", "c"][usize::from(number % 3)]),
+        slots: 64,
+        leaving: false,
+        cold_ms,
+    }
+}
+
+fn board(count: u16) -> Board {
+    let mut board = Board::default();
+    let targets = (0..count).map(|n| listed(n, 0)).collect();
+    board.update(at(0), &Listing { targets, mark: 1 });
+    board
+}
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(1_000_000 + millis)
+}
+
+fn ask(pool: &PoolName, session: u64) -> Ask<'_> {
+    Ask { pool, session, centre: None, tried: &[], cold: Some(COLD), entries: 8 }
+}
+
+#[test]
+fn sessions_keep_targets() {
+    let pool = PoolName::new("engines");
+    let (mut one, mut other) = (board(9), board(9));
+    let mut loads = [0; 9];
+    for session in 0..900 {
+        let chosen = one.choose(at(0), &ask(&pool, session)).unwrap();
+        one.ended(at(0), &chosen.name, Ended::Well);
+        // Another entry sends the same session to the same target.
+        let same = other.choose(at(0), &ask(&pool, session)).unwrap();
+        other.ended(at(0), &same.name, Ended::Well);
+        assert_eq!(chosen, same);
+        loads[usize::from(chosen.address.port() - 8000)] += 1;
+    }
+    assert!(loads.iter().all(|l| (60..140).contains(l)), "{loads:?}");
+}
+
+#[test]
+fn failing_target_avoided() {
+    let pool = PoolName::new("engines");
+    let mut board = board(9);
+    let bad = TargetName::new("t4");
+    let mut sent = 0;
+    for session in 0..900 {
+        let now = at(session * 20);
+        let chosen = board.choose(now, &ask(&pool, session)).unwrap();
+        sent += u32::from(chosen.name == bad);
+        let ended = if chosen.name == bad { Ended::Badly } else { Ended::Well };
+        board.ended(now, &chosen.name, ended);
+    }
+    // An even share would be 100; some go on being sent, to see when it is well again.
+    assert!((3..40).contains(&sent), "{sent}");
+}
+
+#[test]
+fn cold_share_kept() {
+    let pool = PoolName::new("engines");
+    let mut boards: Vec<Board> = (0..8).map(|_| board(1)).collect();
+    for board in &mut boards {
+        board.update(at(0), &Listing { targets: [listed(0, 3_000)].into(), mark: 2 });
+    }
+    let mut sent = Vec::new();
+    for ms in 0..3_000 {
+        for board in &mut boards {
+            match board.choose(at(ms), &ask(&pool, ms)) {
+                Ok(_) => sent.push(ms),
+                Err(reason) => assert_eq!(reason, NoTarget::Cold),
+            }
+        }
+    }
+    let busiest = (0..2_000).map(|s| sent.iter().filter(|t| (s..s + 1_000).contains(*t)).count());
+    let busiest = busiest.max().unwrap();
+    // All entries together, in any second: what it bears, and one that each had saved up.
+    assert!((12..=18 + 8).contains(&busiest), "{busiest}");
+}
+
+#[test]
+fn new_target_counts_as_cold() {
+    let pool = PoolName::new("engines");
+    let mut board = board(1);
+    let two = [listed(0, 0), listed(1, 0)].into();
+    board.update(at(100), &Listing { targets: two, mark: 2 });
+    let chosen = |board: &mut Board, now, session| {
+        let chosen = board.choose(now, &ask(&pool, session)).unwrap();
+        board.ended(now, &chosen.name, Ended::Well);
+        chosen
+    };
+    let cold = (0..50).filter(|s| chosen(&mut board, at(200 + s), *s).cold).count();
+    assert!(cold <= 1, "{cold}");
+    let later = (0..50).filter(|s| chosen(&mut board, at(3_200 + s), *s).name.as_str() == "t1");
+    assert!(later.count() > 15);
+}
+
+#[test]
+fn centre_cut_off() {
+    let pool = PoolName::new("engines");
+    let mut board = board(9);
+    for number in [1, 4] {
+        board.ended(at(0), &TargetName::new(&format!("t{number}")), Ended::Unreached);
+    }
+    // The third target of the data centre was not tried, and is avoided with the two.
+    let chosen = (0..200).filter(|s| {
+        let chosen = board.choose(at(10), &ask(&pool, *s)).unwrap();
+        board.ended(at(10), &chosen.name, Ended::GivenUp);
+        chosen.centre.as_str() == "b"
+    });
+    assert!(chosen.count() < 5);
+}
+
+#[test]
+fn taken_out_gets_none() {
+    let pool = PoolName::new("engines");
+    let mut board = board(3);
+    board.set_out(at(0), vec![CentreName::new("a"), CentreName::new("b")]);
+    for session in 0..50 {
+        assert_eq!(board.choose(at(0), &ask(&pool, session)).unwrap().name.as_str(), "t2");
+    }
+    board.set_out(at(0), ["a", "b", "c"].map(CentreName::new).to_vec());
+    assert_eq!(board.choose(at(0), &ask(&pool, 1)), Err(NoTarget::Empty));
+}
