Revert the dues by the first attempt

Cause: it reads a caller's first attempt off the longest patience seen on its route, and callers differ in patience: most then counted as having come back. Conclusion: reverted. The line at a request's end now tells the time that it had.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -10,12 +10,10 @@
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
-use hawthornkeel_core::names::RouteName;
 use hawthornkeel_core::place::board::Board;
 use hawthornkeel_core::place::repeats::Budget;
 use hawthornkeel_core::place::repeats::Repeats;
 use hawthornkeel_core::table::RouteTable;
-use hawthornkeel_core::table::route::Route;
 use hawthornkeel_platform::fields;
 use indexmap::IndexMap;
 
@@ -56,8 +54,6 @@
     pub open: Cell<usize>,
     repeats: RefCell<IndexMap<PoolName, Repeats>>,
     times: RefCell<IndexMap<PoolName, f64>>,
-    /// Longest time that callers of each route said that they wait.
-    patience: RefCell<IndexMap<RouteName, Duration>>,
 }
 
 /// Entries that serve callers, as control tells.
@@ -115,7 +111,6 @@
             open: Cell::new(0),
             repeats: RefCell::default(),
             times: RefCell::default(),
-            patience: RefCell::default(),
         }
     }
 
@@ -165,14 +160,6 @@
         }
     }
 
-    /// Returns the longest time that callers of a route wait, one of whom waits for `asked`.
-    pub fn patience(&self, route: &Route, asked: Duration) -> Duration {
-        let mut patience = self.patience.borrow_mut();
-        let longest = patience.entry(route.name.clone()).or_insert(asked);
-        *longest = asked.max(*longest);
-        *longest
-    }
-
     /// Notes how long the work of a pool took for one request.
     pub fn note_time(&self, pool: &PoolName, took: Duration) {
         let mut times = self.times.borrow_mut();
--- a/hawthornkeel/src/forward/gate.rs
+++ b/hawthornkeel/src/forward/gate.rs
@@ -7,7 +7,6 @@
 use hawthornkeel_core::table::gate::Claim;
 use hawthornkeel_core::table::gate::Confirmed;
 use hawthornkeel_core::table::gate::Denied;
-use hawthornkeel_core::table::route::Route;
 use hawthornkeel_platform::fields;
 use http::header::AUTHORIZATION;
 use http::header::HOST;
@@ -47,8 +46,7 @@
             Denied::Unsure => not_ready(),
         }
     })?;
-    let patience = |route: &Route, asked| context.patience(route, asked);
-    Ticket::new(request, pass, Rc::clone(&table), patience).ok_or_else(not_ready)
+    Ticket::new(request, pass, Rc::clone(&table)).ok_or_else(not_ready)
 }
 
 fn claim(head: &Head) -> Claim<'_> {
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -134,6 +134,7 @@
             version = %ticket.table.version,
             outcome,
             status,
+            time_ms = ms(ticket.end.saturating_duration_since(ticket.started)),
             tries = self.tried.len(),
             target = self.tried.last().map(TargetName::as_str),
             staged_ms = ms(self.staged),
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -32,8 +32,6 @@
 use crate::http::message::Head;
 use crate::http::message::Request;
 
-/// Part of the objective after which a request that comes back can't meet it any more.
-const LATE_PART: f64 = 0.5;
 /// Time that a request needs at a target at least.
 pub const MIN_LEFT: Duration = Duration::from_millis(5);
 
@@ -63,20 +61,13 @@
     pub due: Instant,
     /// When the caller or the operator gives up.
     pub end: Instant,
-    /// Whether the caller was turned away before and can't be answered in time any more.
+    /// Whether the caller was turned away before, as far as its remaining time tells.
     pub repeated: bool,
 }
 
 impl Ticket {
     /// Reads a request that has passed; `None` where its route leads to no pool.
-    ///
-    /// `patience` is the longest time that callers of the route wait, as far as is known.
-    pub fn new(
-        request: Request,
-        pass: Pass,
-        table: Rc<RouteTable>,
-        patience: impl Fn(&Route, Duration) -> Duration,
-    ) -> Option<Self> {
+    pub fn new(request: Request, pass: Pass, table: Rc<RouteTable>) -> Option<Self> {
         let started = Instant::now();
         let head = request.head;
         let id: Arc<str> = Arc::from(head.header(fields::REQUEST_ID).unwrap_or_default());
@@ -84,13 +75,11 @@
         let pool = pass.route.pool(hash).and_then(|p| table.pools.get(p)).cloned()?;
         let asked = head.header(fields::DEADLINE).and_then(|d| d.trim().parse::<f64>().ok());
         let asked = asked.and_then(|d| Duration::try_from_secs_f64(d / 1_000.0).ok());
-        let (timeout, objective) = (pass.route.timeout, pass.route.objective);
-        // What is missing from a caller's usual patience has passed since its first attempt.
-        let used = asked.map_or(Duration::ZERO, |a| patience(&pass.route, a).saturating_sub(a));
-        let repeated = used > objective.mul_f64(LATE_PART);
+        let timeout = pass.route.timeout;
+        let used = asked.map_or(Duration::ZERO, |a| timeout.saturating_sub(a));
+        let repeated = used > timeout / 20;
         let end = started + asked.unwrap_or(timeout).min(timeout);
-        let left = if repeated { objective } else { objective.saturating_sub(used) };
-        let due = end.min(started + left);
+        let due = end.min(started + pass.route.objective);
         let session = session(&head).unwrap_or(hash);
         Some(Self {
             body: request.body,
