--- a/hawthornkeel/src/peer/credentials.rs
+++ b/hawthornkeel/src/peer/credentials.rs
@@ -47,6 +47,9 @@
 pub const IDLE_TIMEOUT_MS: u32 = 2_000;
 /// Time between keep-alive pings.
 const KEEP_ALIVE: Duration = Duration::from_millis(500);
+/// Round trip assumed before the first is measured: a first datagram that found nobody is repeated
+/// after about three of it.
+const FIRST_RTT: Duration = Duration::from_millis(30);
 /// Calls of one peer in progress at once, at most.
 const MAX_CALLS: u32 = 1_024;
 
@@ -187,6 +190,7 @@
     let mut config = TransportConfig::default();
     config.max_idle_timeout(Some(IdleTimeout::from(VarInt::from_u32(IDLE_TIMEOUT_MS))));
     config.keep_alive_interval(Some(KEEP_ALIVE));
+    config.initial_rtt(FIRST_RTT);
     config.max_concurrent_bidi_streams(VarInt::from_u32(MAX_CALLS));
     config
 }
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -61,6 +61,7 @@
             key: Some(issued.key),
             authority: Some(issued.authority),
             peers,
+            ..Peers::default()
         },
         ..Settings::default()
     }
