--- a/hawthornkeel_core/tests/stage_site/mod.rs
+++ b/hawthornkeel_core/tests/stage_site/mod.rs
@@ -111,6 +111,7 @@
         let booking = Booking {
             id: id(wanted.number),
             pieces: wanted.pieces,
+            bytes: wanted.bytes,
             priority: 0,
             due_ms: wanted.due_ms,
         };
