--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -294,7 +294,6 @@
         Booking {
             id: self.id(at),
             pieces: self.count(at),
-            bytes: self.stage(at).map_or(0, |s| s.bytes),
             priority: self.ticket.rank,
             due_ms: millis(due.saturating_sub(self.rest(at))),
         }
--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -266,7 +266,7 @@
     pub fn book(&mut self, now: Instant, booking: &Booking) -> Option<Booked> {
         self.now = self.now.max(now);
         let due = self.now + Duration::from_millis(booking.due_ms);
-        let new = Queued::new(&self.pool, due, booking.priority, booking.pieces, booking.bytes);
+        let new = Queued::new(due, booking.priority, booking.pieces);
         let (capacity, queued) = (self.capacity(), self.queued());
         let estimate = capacity.estimate(&self.pool, &queued, &new)?;
         self.bookings.insert(booking.id.clone(), new);
@@ -546,8 +546,7 @@
 
     /// Returns what waits and what is booked, in order.
     fn queued(&self) -> Vec<Queued> {
-        let queued =
-            |e: &Entry| Queued::new(&self.pool, e.due, e.job.priority, e.waiting(), e.job.bytes);
+        let queued = |e: &Entry| Queued::new(e.due, e.job.priority, e.waiting());
         let waiting = self.jobs.values().map(queued);
         let mut queued: Vec<Queued> = waiting.chain(self.bookings.values().copied()).collect();
         queued.retain(|q| q.pieces > 0);
--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -11,10 +11,11 @@
 use crate::stages::desk::Entry;
 use crate::stages::desk::Item;
 use crate::stages::estimate::call_time;
-use crate::stages::estimate::room;
 use crate::stages::job::JobId;
 use crate::stages::maker::Maker;
 
+/// Part of a target's room that is used, as sizes are known about and freeing takes time.
+const ROOM_PART: f64 = 0.85;
 /// Part of the room, as its divisor, below which a job's results are small.
 const SMALL_PART: u64 = 8;
 /// Times longer than expected after which a call counts as lost.
@@ -81,21 +82,26 @@
     fn has_room(&self, maker: &Maker, entry: &Entry) -> bool {
         let pieces = if self.is_splittable(entry) { 1 } else { entry.waiting() };
         let pieces = u64::from(pieces).min(self.pool.batch as u64);
-        maker.held == 0 || maker.held + entry.job.bytes * pieces <= room(&self.pool)
+        maker.held == 0 || maker.held + entry.job.bytes * pieces <= self.room()
     }
 
     /// Tells whether a job's results are so small that some may wait for the others.
     ///
     /// Large ones would hold room that others need, and be given up at last.
     fn is_splittable(&self, entry: &Entry) -> bool {
-        entry.job.bytes * u64::from(entry.job.pieces) < room(&self.pool) / SMALL_PART
+        entry.job.bytes * u64::from(entry.job.pieces) < self.room() / SMALL_PART
+    }
+
+    /// Returns the bytes of results that one target may hold.
+    fn room(&self) -> u64 {
+        (self.pool.room as f64 * ROOM_PART) as u64
     }
 
     /// Returns the pieces of a call to `maker`, from the first of `order` on.
     ///
     /// Others than the first are left out where they wait for a target elsewhere.
     fn fill(&mut self, order: &[usize], maker: &TargetName) -> Vec<(JobId, u32)> {
-        let (room, now) = (room(&self.pool), self.now);
+        let (room, now) = (self.room(), self.now);
         let Some(maker) = self.makers.get(maker) else { return Vec::new() };
         let (held, centre) = (maker.held, maker.centre.clone());
         // A target that has failed gets one job, to see whether it is back.
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -27,8 +27,6 @@
     pub id: JobId,
     /// Number of pieces.
     pub pieces: u32,
-    /// Size of one result, in bytes.
-    pub bytes: u64,
     /// Rank, zero the highest.
     pub priority: u16,
     /// Time by which it should be done for the request to meet its objective, in milliseconds.
--- a/hawthornkeel_core/tests/stage_site/mod.rs
+++ b/hawthornkeel_core/tests/stage_site/mod.rs
@@ -111,7 +111,6 @@
         let booking = Booking {
             id: id(wanted.number),
             pieces: wanted.pieces,
-            bytes: wanted.bytes,
             priority: 0,
             due_ms: wanted.due_ms,
         };
