Slow targets are used where much waits; entries that have just started take no desks over

Change: a slow target counts by its speed and is called once more waits than the others do in their next calls; an entry is settled after 6 s and goes last before that in the order of those that keep desks.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -62,7 +62,7 @@
     /// Entries, by name.
     pub entries: Vec<Present>,
     /// When each was last told of.
-    told: IndexMap<Present, hawthornkeel_core::time::Instant>,
+    told: IndexMap<InstanceName, (hawthornkeel_core::time::Instant, Present)>,
     /// Most entries of late, and when there were that many.
     most: Option<(usize, hawthornkeel_core::time::Instant)>,
 }
@@ -74,10 +74,10 @@
     pub fn set(&mut self, entries: Vec<Present>) -> bool {
         let now = boot_now();
         for entry in entries {
-            self.told.insert(entry, now);
+            self.told.insert(entry.name.clone(), (now, entry));
         }
-        self.told.retain(|_, at| now.since(*at) < TOLD);
-        let mut known: Vec<Present> = self.told.keys().cloned().collect();
+        self.told.retain(|_, (at, _)| now.since(*at) < TOLD);
+        let mut known: Vec<Present> = self.told.values().map(|(_, e)| e.clone()).collect();
         known.sort();
         let count = known.len();
         let outdated = |(most, at)| count >= most || now.since(at) > REMEMBERED;
@@ -122,12 +122,13 @@
     /// Returns the entry that does the work of a pool, in the order in which they are to be tried.
     ///
     /// All entries that know the same others get the same order, and few pools move where an entry
-    /// comes or goes.
+    /// comes or goes. One that has just started comes last: a pool that moves costs a while in
+    /// which two desks call the same targets.
     pub fn owners(&self, pool: &PoolName) -> Vec<InstanceName> {
         let roster = self.roster.borrow();
         let score = |p: &Present| {
             let text = format!("{pool}/{}", p.name);
-            xxhash_rust::xxh3::xxh3_64(text.as_bytes())
+            (!p.settled, xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
         };
         let mut ranked: Vec<_> = roster.entries.iter().map(|p| (score(p), &p.name)).collect();
         ranked.sort();
--- a/hawthornkeel/src/forward/survey.rs
+++ b/hawthornkeel/src/forward/survey.rs
@@ -34,6 +34,8 @@
 
 /// Time without a word from an entry after which it counts as gone.
 const PRESENT: Duration = Duration::from_millis(3_500);
+/// Time after which an entry is settled: work is not moved to one that has just started.
+const SETTLED: Duration = Duration::from_secs(6);
 /// Time for one page of the list.
 const PAGE_TIME: Duration = Duration::from_millis(1_500);
 /// Pages of the list, at most.
@@ -63,9 +65,11 @@
     listed: Cell<Option<Instant>>,
     entries: RefCell<IndexMap<InstanceName, Seen>>,
     changed: Signal,
+    started: Instant,
 }
 
 struct Seen {
+    first: Instant,
     at: Instant,
     centre: CentreName,
 }
@@ -101,6 +105,7 @@
                 listed: Cell::default(),
                 entries: RefCell::default(),
                 changed: Signal::default(),
+                started: Instant::now(),
             }),
         };
         surveyor.serve();
@@ -136,7 +141,9 @@
         let changed = if presence.leaving {
             entries.shift_remove(from).is_some()
         } else {
-            let seen = Seen { at: Instant::now(), centre: presence.centre };
+            let now = Instant::now();
+            let first = entries.get(from).map_or(now, |s| s.first);
+            let seen = Seen { first, at: now, centre: presence.centre };
             entries.insert(from.clone(), seen).is_none()
         };
         drop(entries);
@@ -198,9 +205,12 @@
         let listing = self.inner.listing.borrow().clone();
         let listed = self.inner.listed.get();
         let entries = self.inner.entries.borrow();
+        // What was here before this instance can't be told from what is new.
+        let young = self.inner.started.elapsed() < SETTLED * 2;
         let present = |(name, seen): (&InstanceName, &Seen)| Present {
             name: name.clone(),
             centre: seen.centre.clone(),
+            settled: young || seen.first.elapsed() > SETTLED,
         };
         Surveyed {
             followed: self.inner.watch.followed(survey.after),
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -46,4 +46,6 @@
     pub name: InstanceName,
     /// Data centre.
     pub centre: CentreName,
+    /// Whether it has been there for a while.
+    pub settled: bool,
 }
--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -59,7 +59,8 @@
     /// Returns the free target that is best for a job, unless it waits for one that is near.
     fn choose(&self, at: usize) -> Option<TargetName> {
         let (_, entry) = self.jobs.get_index(at)?;
-        let usable = |m: &Maker| self.is_usable(m) && self.has_room(m, entry);
+        let busy = self.is_busy();
+        let usable = |m: &Maker| (busy || !m.is_slow(self.now)) && self.has_room(m, entry);
         let free = self.makers.iter().filter(|(_, m)| m.is_free(self.now) && usable(m));
         let near = |m: &Maker| is_near(entry, &m.centre);
         let waits = entry.far_at().is_some_and(|at| at > self.now)
@@ -73,9 +74,13 @@
         best.map(|(name, _)| name.clone())
     }
 
-    /// Tells whether a target gets calls: a slow one only where no other does.
-    fn is_usable(&self, maker: &Maker) -> bool {
-        !maker.is_slow(self.now) || !self.makers.values().any(|m| m.counts(self.now))
+    /// Tells whether more waits than the targets that aren't slow do in their next calls.
+    ///
+    /// A slow target is of use only then: its call takes longer than a wait for another.
+    fn is_busy(&self) -> bool {
+        let sound = self.makers.values().filter(|m| m.is_sound(self.now)).count();
+        let waiting: u32 = self.jobs.values().map(Entry::waiting).sum();
+        waiting as usize > sound * self.pool.batch
     }
 
     /// Tells whether a target has room for the results of a job, whole unless they are small.
--- a/hawthornkeel_core/src/stages/maker.rs
+++ b/hawthornkeel_core/src/stages/maker.rs
@@ -64,7 +64,12 @@
 
     /// Tells whether it counts for the pool's capacity at `now`.
     pub(super) fn counts(&self, now: Instant) -> bool {
-        (self.failures == 0 || self.paused_until <= now) && !self.is_slow(now)
+        self.failures == 0 || self.paused_until <= now
+    }
+
+    /// Tells whether it is one of those that do most of the pool's work.
+    pub(super) fn is_sound(&self, now: Instant) -> bool {
+        self.counts(now) && !self.is_slow(now)
     }
 
     /// Returns the time until it may be called.
