A pool's targets are split into parts, each with a desk; forwarded routes tested through processes

Change: a pool of ten targets or more has a desk for each five; a request's identity decides which one it goes to.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -13,6 +13,7 @@
 use hawthornkeel_core::place::board::Board;
 use hawthornkeel_core::place::repeats::Budget;
 use hawthornkeel_core::place::repeats::Repeats;
+use hawthornkeel_core::stages::job::DeskName;
 use hawthornkeel_core::table::RouteTable;
 use hawthornkeel_platform::fields;
 use indexmap::IndexMap;
@@ -119,15 +120,15 @@
         &self.settings.instance.data_centre
     }
 
-    /// Returns the entry that does the work of a pool, in the order in which they are to be tried.
+    /// Returns the entries that may keep a desk, in the order in which they are to be tried.
     ///
-    /// All entries that know the same others get the same order, and few pools move where an entry
-    /// comes or goes. One that has just started comes last: a pool that moves costs a while in
+    /// All entries that know the same others get the same order, and few desks move where an entry
+    /// comes or goes. One that has just started comes last: a desk that moves costs a while in
     /// which two desks call the same targets.
-    pub fn owners(&self, pool: &PoolName) -> Vec<InstanceName> {
+    pub fn owners(&self, desk: &DeskName) -> Vec<InstanceName> {
         let roster = self.roster.borrow();
         let score = |p: &Present| {
-            let text = format!("{pool}/{}", p.name);
+            let text = format!("{desk}/{}", p.name);
             (!p.settled, xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
         };
         let mut ranked: Vec<_> = roster.entries.iter().map(|p| (score(p), &p.name)).collect();
@@ -135,6 +136,13 @@
         ranked.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
+    /// Returns the desk that does the work of a pool for the request with this identity.
+    pub fn desk(&self, pool: &PoolName, request: &str) -> DeskName {
+        let parts = u64::from(self.board.borrow().parts(pool));
+        let part = xxhash_rust::xxh3::xxh3_64(request.as_bytes()) % parts;
+        DeskName { pool: pool.clone(), part: u16::try_from(part).unwrap_or_default() }
+    }
+
     /// Counts a request for the budget of repeats of a pool.
     pub fn count_request(&self, pool: &PoolName) {
         let (budget, sharers) = (self.budget(), self.roster.borrow().sharers());
--- a/hawthornkeel/src/forward/desks.rs
+++ b/hawthornkeel/src/forward/desks.rs
@@ -23,6 +23,7 @@
 use hawthornkeel_core::stages::desk::Summary;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
+use hawthornkeel_core::stages::job::DeskName;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -73,7 +74,7 @@
 struct Inner {
     context: Rc<Context>,
     pools: RefCell<IndexMap<PoolName, Pieces>>,
-    desks: RefCell<IndexMap<PoolName, Local>>,
+    desks: RefCell<IndexMap<DeskName, Local>>,
     /// Entries that did not answer.
     suspects: RefCell<IndexSet<InstanceName>>,
     woken: Signal,
@@ -90,7 +91,7 @@
 pub struct Results {
     /// Results, in the order of the pieces.
     pub handles: Vec<Handle>,
-    pool: PoolName,
+    desk: DeskName,
     owner: InstanceName,
     desks: Desks,
 }
@@ -103,7 +104,7 @@
             return;
         }
         self.desks
-            .dismiss(&self.owner, Dismiss { pool: self.pool.clone(), jobs: Vec::new(), results });
+            .dismiss(&self.owner, Dismiss { desk: self.desk.clone(), jobs: Vec::new(), results });
     }
 }
 
@@ -128,14 +129,14 @@
 struct Pending {
     desks: Desks,
     owner: InstanceName,
-    pool: PoolName,
+    desk: DeskName,
     job: Option<JobId>,
 }
 
 impl Drop for Pending {
     fn drop(&mut self) {
         if let Some(job) = self.job.take() {
-            self.desks.withdraw(&self.owner, &self.pool, vec![job]);
+            self.desks.withdraw(&self.owner, &self.desk, vec![job]);
         }
     }
 }
@@ -190,8 +191,8 @@
 
     /// Takes in the pools that do stages.
     pub fn set_pools(&self, pools: Vec<(PoolName, Pieces)>) {
-        for (name, pieces) in &pools {
-            if let Some(local) = self.inner.desks.borrow_mut().get_mut(name) {
+        for (name, local) in self.inner.desks.borrow_mut().iter_mut() {
+            if let Some((_, pieces)) = pools.iter().find(|(pool, _)| *pool == name.pool) {
                 local.desk.set_pool(*pieces);
             }
         }
@@ -200,26 +201,31 @@
 
     /// Takes in that the targets may have changed.
     pub fn set_makers(&self) {
-        let names: Vec<PoolName> = self.inner.desks.borrow().keys().cloned().collect();
+        let names: Vec<DeskName> = self.inner.desks.borrow().keys().cloned().collect();
         for name in names {
             let makers = self.inner.context.board.borrow().makers(&name);
             self.input(&name, Input::Makers(makers));
         }
     }
 
+    /// Returns the desk that does the work of a pool for a request.
+    pub fn desk_of(&self, pool: &PoolName, request: &str) -> DeskName {
+        self.inner.context.desk(pool, request)
+    }
+
     /// Has a stage done, wherever its desk is.
     ///
     /// # Errors
     /// Fails as [`Undone`] says; dropping the future withdraws the job.
-    pub async fn run(&self, pool: &PoolName, job: Job) -> Result<Results, Undone> {
+    pub async fn run(&self, name: &DeskName, job: Job) -> Result<Results, Undone> {
         let started = Instant::now();
         let mut last = Undone::Failed;
-        for owner in self.candidates(pool) {
+        for owner in self.candidates(name) {
             let Some(job) = remaining(&job, started.elapsed()) else { return Err(Undone::Late) };
-            match self.offer(&owner, pool, job).await {
+            match self.offer(&owner, name, job).await {
                 Some(JobOutcome::Done(handles)) => {
                     let desks = self.clone();
-                    return Ok(Results { handles, pool: pool.clone(), owner, desks });
+                    return Ok(Results { handles, desk: name.clone(), owner, desks });
                 }
                 Some(JobOutcome::Late) => return Err(Undone::Late),
                 Some(JobOutcome::Gone) => return Err(Undone::Gone),
@@ -235,11 +241,11 @@
     /// Returns the desk's owner and what each booking comes to; `None` where no desk answers.
     pub async fn book(
         &self,
-        pool: &PoolName,
+        name: &DeskName,
         bookings: Vec<Booking>,
     ) -> Option<(InstanceName, Vec<Option<Booked>>)> {
-        let book = Book { pool: pool.clone(), bookings };
-        for owner in self.candidates(pool) {
+        let book = Book { desk: name.clone(), bookings };
+        for owner in self.candidates(name) {
             let booked = self.book_at(&owner, &book).await;
             // An entry that is about to stop books nothing.
             if let Some(booked) = booked.filter(|b| !b.is_empty()) {
@@ -258,7 +264,7 @@
             Ok(Frame::Booked(booked)) => Some(booked),
             Ok(_) => None,
             Err(error) => {
-                tracing::info!(event = "booking-failed", %owner, pool = %book.pool, %error);
+                tracing::info!(event = "booking-failed", %owner, desk = %book.desk, %error);
                 self.suspect(owner);
                 None
             }
@@ -266,24 +272,24 @@
     }
 
     /// Gives up jobs or bookings at the desk that `owner` keeps.
-    pub fn withdraw(&self, owner: &InstanceName, pool: &PoolName, jobs: Vec<JobId>) {
-        self.dismiss(owner, Dismiss { pool: pool.clone(), jobs, results: Vec::new() });
+    pub fn withdraw(&self, owner: &InstanceName, name: &DeskName, jobs: Vec<JobId>) {
+        self.dismiss(owner, Dismiss { desk: name.clone(), jobs, results: Vec::new() });
     }
 
     fn take_bookings(&self, book: &Book) -> Vec<Option<Booked>> {
-        if !self.open(&book.pool) {
+        if !self.open(&book.desk) {
             return Vec::new();
         }
         let mut desks = self.inner.desks.borrow_mut();
-        let Some(local) = desks.get_mut(&book.pool) else { return Vec::new() };
+        let Some(local) = desks.get_mut(&book.desk) else { return Vec::new() };
         book.bookings.iter().map(|b| local.desk.book(boot_now(), b)).collect()
     }
 
     /// Returns the entries that may keep the desk of a pool, in order, and this one at last.
-    fn candidates(&self, pool: &PoolName) -> Vec<InstanceName> {
+    fn candidates(&self, name: &DeskName) -> Vec<InstanceName> {
         let own = self.inner.context.endpoint.name();
         let suspects = self.inner.suspects.borrow();
-        let mut owners = self.inner.context.owners(pool);
+        let mut owners = self.inner.context.owners(name);
         owners.retain(|o| o == own || !suspects.contains(o));
         owners.truncate(MAX_OWNERS);
         if !owners.contains(own) {
@@ -314,23 +320,23 @@
     }
 
     /// Offers a job to an entry and waits for what comes of it; `None` where it doesn't answer.
-    async fn offer(&self, owner: &InstanceName, pool: &PoolName, job: Job) -> Option<JobOutcome> {
+    async fn offer(&self, owner: &InstanceName, name: &DeskName, job: Job) -> Option<JobOutcome> {
         let id = job.id.clone();
         let mut pending = Pending {
             desks: self.clone(),
             owner: owner.clone(),
-            pool: pool.clone(),
+            desk: name.clone(),
             job: Some(id.clone()),
         };
         let started = Instant::now();
         loop {
             let job = remaining(&job, started.elapsed())?;
-            let offer = Offer { pool: pool.clone(), job, wait_ms: HOLD_MS };
+            let offer = Offer { desk: name.clone(), job, wait_ms: HOLD_MS };
             let outcome = self.ask(owner, offer).await;
             match &outcome {
                 Some(JobOutcome::Open) => continue,
                 None => {
-                    tracing::info!(event = "desk-silent", owner = %owner, %pool, request = %id.request);
+                    tracing::info!(event = "desk-silent", owner = %owner, desk = %name, request = %id.request);
                     self.suspect(owner);
                 }
                 Some(_) => pending.job = None,
@@ -356,24 +362,24 @@
     }
 
     /// Tells whether a desk of this entry has a job, which it then goes on with even at a stop.
-    fn knows(&self, pool: &PoolName, job: &JobId) -> bool {
-        self.inner.desks.borrow().get(pool).is_some_and(|l| l.desk.knows(job))
+    fn knows(&self, name: &DeskName, job: &JobId) -> bool {
+        self.inner.desks.borrow().get(name).is_some_and(|l| l.desk.knows(job))
     }
 
     /// Takes in an offer and answers once the job has ended, or after the hold.
     async fn answer(&self, offer: Offer) -> JobOutcome {
-        let Offer { pool, job, wait_ms } = offer;
+        let Offer { desk: name, job, wait_ms } = offer;
         let id = job.id.clone();
-        if !self.knows(&pool, &id) && !self.open(&pool) {
+        if !self.knows(&name, &id) && !self.open(&name) {
             return JobOutcome::Elsewhere;
         }
         let (sender, outcome) = oneshot::channel();
-        if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
+        if let Some(local) = self.inner.desks.borrow_mut().get_mut(&name) {
             let waiters = local.waiters.entry(id).or_default();
             waiters.retain(|w| !w.is_canceled());
             waiters.push(sender);
         }
-        self.input(&pool, Input::Offer(job));
+        self.input(&name, Input::Offer(job));
         let hold = Duration::from_millis(wait_ms.into());
         match monoio::time::timeout(hold, outcome).await {
             Ok(Ok(outcome)) => outcome,
@@ -382,19 +388,19 @@
     }
 
     /// Opens the desk of a pool, where the document has the pool and this entry goes on.
-    fn open(&self, pool: &PoolName) -> bool {
+    fn open(&self, name: &DeskName) -> bool {
         if self.inner.context.stopping.get() {
             return false;
         }
-        if self.inner.desks.borrow().contains_key(pool) {
+        if self.inner.desks.borrow().contains_key(name) {
             return true;
         }
-        let Some(pieces) = self.inner.pools.borrow().get(pool).copied() else { return false };
-        tracing::info!(event = "desk-opened", %pool);
+        let Some(pieces) = self.inner.pools.borrow().get(&name.pool).copied() else { return false };
+        tracing::info!(event = "desk-opened", desk = %name);
         let local = Local { desk: Desk::new(pieces), waiters: IndexMap::new() };
-        self.inner.desks.borrow_mut().insert(pool.clone(), local);
-        let makers = self.inner.context.board.borrow().makers(pool);
-        self.input(pool, Input::Makers(makers));
+        self.inner.desks.borrow_mut().insert(name.clone(), local);
+        let makers = self.inner.context.board.borrow().makers(name);
+        self.input(name, Input::Makers(makers));
         true
     }
 
@@ -410,46 +416,46 @@
     }
 
     fn take_dismiss(&self, dismiss: Dismiss) {
-        let Dismiss { pool, jobs, results } = dismiss;
+        let Dismiss { desk: name, jobs, results } = dismiss;
         for job in jobs {
-            if let Some(local) = self.inner.desks.borrow_mut().get_mut(&pool) {
+            if let Some(local) = self.inner.desks.borrow_mut().get_mut(&name) {
                 local.waiters.swap_remove(&job);
             }
-            self.input(&pool, Input::Withdraw(job));
+            self.input(&name, Input::Withdraw(job));
         }
         if !results.is_empty() {
-            self.input(&pool, Input::Release(results));
+            self.input(&name, Input::Release(results));
         }
     }
 
     /// Hands an input to a desk and carries out what follows.
-    fn input(&self, pool: &PoolName, input: Input) {
-        let actions = match self.inner.desks.borrow_mut().get_mut(pool) {
+    fn input(&self, name: &DeskName, input: Input) {
+        let actions = match self.inner.desks.borrow_mut().get_mut(name) {
             Some(local) => local.desk.handle(boot_now(), input),
             None => return,
         };
         for action in actions {
-            self.carry_out(pool, action);
+            self.carry_out(name, action);
         }
         if !self.inner.ticking.get() {
             self.inner.woken.notify();
         }
     }
 
-    fn carry_out(&self, pool: &PoolName, action: Action) {
+    fn carry_out(&self, name: &DeskName, action: Action) {
         match action {
             Action::Run { call, maker, items, limit } => {
-                monoio::spawn(self.clone().call(pool.clone(), call, maker, items, limit));
+                monoio::spawn(self.clone().call(name.clone(), call, maker, items, limit));
             }
             Action::Free { maker, results } => {
                 monoio::spawn(self.clone().free(maker, results));
             }
             Action::Answer { job, outcome } => {
                 let mut desks = self.inner.desks.borrow_mut();
-                let Some(local) = desks.get_mut(pool) else { return };
+                let Some(local) = desks.get_mut(name) else { return };
                 let waiters = local.waiters.swap_remove(&job).unwrap_or_default();
                 if !matches!(outcome, JobOutcome::Done(_)) {
-                    tracing::info!(event = "job-ended", %pool, request = %job.request, stage = job.stage, ?outcome);
+                    tracing::info!(event = "job-ended", desk = %name, request = %job.request, stage = job.stage, ?outcome);
                 }
                 for waiter in waiters {
                     // Whoever asked has given up waiting, and asks again or withdraws the job.
@@ -462,7 +468,7 @@
     /// Calls a target for pieces and takes in what came of them.
     async fn call(
         self,
-        pool: PoolName,
+        name: DeskName,
         number: CallNumber,
         maker: TargetName,
         items: Vec<Item>,
@@ -485,16 +491,16 @@
         let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
         match (&reply, &input) {
             (_, Input::Answered(..)) => {
-                tracing::info!(event = "pieces-done", %pool, %maker, count, ms);
+                tracing::info!(event = "pieces-done", desk = %name, %maker, count, ms);
             }
             (Ok(reply), _) => {
-                tracing::info!(event = "pieces-failed", %pool, %maker, count, ms, status = reply.status);
+                tracing::info!(event = "pieces-failed", desk = %name, %maker, count, ms, status = reply.status);
             }
             (Err(failure), _) => {
-                tracing::info!(event = "pieces-failed", %pool, %maker, count, ms, %failure);
+                tracing::info!(event = "pieces-failed", desk = %name, %maker, count, ms, %failure);
             }
         }
-        self.input(&pool, input);
+        self.input(&name, input);
     }
 
     async fn post(
@@ -536,14 +542,14 @@
     async fn tell_desks(self) {
         loop {
             monoio::time::sleep(TELL).await;
-            for (pool, local) in self.inner.desks.borrow().iter() {
+            for (name, local) in self.inner.desks.borrow().iter() {
                 if local.desk.is_idle() {
                     continue;
                 }
                 let Summary { jobs, waiting, late, booked, calls, makers, counted, free, held } =
                     local.desk.summary();
                 tracing::info!(
-                    event = "desk-state", %pool, jobs, waiting, late, booked, calls, makers, counted, free, held
+                    event = "desk-state", desk = %name, jobs, waiting, late, booked, calls, makers, counted, free, held
                 );
             }
         }
@@ -563,7 +569,7 @@
             let now = boot_now();
             let due = |l: &Local| l.desk.deadline().is_some_and(|d| d <= now);
             let desks = self.inner.desks.borrow();
-            let names: Vec<PoolName> =
+            let names: Vec<DeskName> =
                 desks.iter().filter(|(_, l)| due(l)).map(|(n, _)| n.clone()).collect();
             drop(desks);
             for name in names {
--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -9,9 +9,9 @@
 use futures_util::stream::FuturesUnordered;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
-use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
+use hawthornkeel_core::stages::job::DeskName;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -89,7 +89,7 @@
 /// Bookings of a request's stages; those that were not used are given up once it is dropped.
 struct Bookings {
     desks: Desks,
-    open: Vec<(InstanceName, PoolName, JobId)>,
+    open: Vec<(InstanceName, DeskName, JobId)>,
 }
 
 impl Bookings {
@@ -105,8 +105,8 @@
 
 impl Drop for Bookings {
     fn drop(&mut self) {
-        for (owner, pool, id) in self.open.drain(..) {
-            self.desks.withdraw(&owner, &pool, vec![id]);
+        for (owner, desk, id) in self.open.drain(..) {
+            self.desks.withdraw(&owner, &desk, vec![id]);
         }
     }
 }
@@ -152,7 +152,8 @@
 
 async fn run(desks: &Desks, ticket: &Ticket, at: u16, job: Job) -> Result<Results, Undone> {
     let stage = ticket.route.stages.get(usize::from(at)).ok_or(Undone::Failed)?;
-    desks.run(&stage.pool, job).await
+    let desk = desks.desk_of(&stage.pool, &job.id.request);
+    desks.run(&desk, job).await
 }
 
 /// What is to be done for one request.
@@ -225,26 +226,27 @@
 
     /// Books the stages; refuses the request where it would be late or make others late.
     async fn book(&self, desks: &Desks) -> Result<Bookings, Unprepared> {
-        let mut pools: IndexMap<PoolName, Vec<Booking>> = IndexMap::new();
+        let mut wanted: IndexMap<DeskName, Vec<Booking>> = IndexMap::new();
         for at in self.wanted() {
             if let Some(stage) = self.stage(at) {
-                pools.entry(stage.pool.clone()).or_default().push(self.booking(at));
+                let desk = desks.desk_of(&stage.pool, &self.ticket.id);
+                wanted.entry(desk).or_default().push(self.booking(at));
             }
         }
-        let mut asked: FuturesUnordered<_> = pools
+        let mut asked: FuturesUnordered<_> = wanted
             .into_iter()
-            .map(|(pool, bookings)| async move {
+            .map(|(desk, bookings)| async move {
                 let ids: Vec<JobId> = bookings.iter().map(|b| b.id.clone()).collect();
-                (desks.book(&pool, bookings).await, pool, ids)
+                (desks.book(&desk, bookings).await, desk, ids)
             })
             .collect();
         let mut booked = Bookings::new(desks);
         let mut estimates: IndexMap<u16, Option<Booked>> = IndexMap::new();
-        while let Some((answer, pool, ids)) = asked.next().await {
+        while let Some((answer, desk, ids)) = asked.next().await {
             let Some((owner, answers)) = answer else { continue };
             for (id, estimate) in ids.into_iter().zip(answers) {
                 estimates.insert(id.stage, estimate);
-                booked.open.push((owner.clone(), pool.clone(), id));
+                booked.open.push((owner.clone(), desk.clone(), id));
             }
         }
         self.judge(&estimates).map(|()| booked)
--- a/hawthornkeel/src/logging.rs
+++ b/hawthornkeel/src/logging.rs
@@ -1,4 +1,4 @@
-//! Log output: one key=value line an event, on standard error.
+//! Log output: one key=value line an event, on standard output.
 
 use std::error::Error;
 use std::fmt;
@@ -35,7 +35,7 @@
 pub fn init(filter: &str) -> Result<(), LoggingError> {
     let filter =
         EnvFilter::try_new(filter).map_err(|error| LoggingError::Filter(error.to_string()))?;
-    let lines = tracing_logfmt::builder().layer().with_writer(io::stderr);
+    let lines = tracing_logfmt::builder().layer().with_writer(io::stdout);
     let subscriber = tracing_subscriber::registry().with(filter).with(lines);
     subscriber.try_init().map_err(|_| LoggingError::Started)
 }
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -9,11 +9,11 @@
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
-use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
+use hawthornkeel_core::stages::job::DeskName;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -252,8 +252,8 @@
 /// Stage of a request that another entry is to have done.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Offer {
-    /// Pool that does it.
-    pub pool: PoolName,
+    /// Desk that has it done.
+    pub desk: DeskName,
     /// Work.
     pub job: Job,
     /// Time to hold the call while it is not done, in milliseconds.
@@ -263,8 +263,8 @@
 /// Stages of a request that another entry is to make room for.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Book {
-    /// Pool that does them.
-    pub pool: PoolName,
+    /// Desk that is to have them done.
+    pub desk: DeskName,
     /// Stages.
     pub bookings: Vec<Booking>,
 }
@@ -272,8 +272,8 @@
 /// What another entry need not do or keep any more.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Dismiss {
-    /// Pool concerned.
-    pub pool: PoolName,
+    /// Desk concerned.
+    pub desk: DeskName,
     /// Jobs that nobody waits for, or whose bookings are not used.
     pub jobs: Vec<JobId>,
     /// Results that nobody needs.
--- a/hawthornkeel/tests/fleet/mod.rs
+++ b/hawthornkeel/tests/fleet/mod.rs
@@ -254,7 +254,7 @@
             .args(["run", "--settings"])
             .arg(&self.instances[at].settings)
             .stdin(Stdio::null())
-            .stdout(Stdio::null())
+            .stdout(log.try_clone().unwrap())
             .stderr(log)
             .spawn()
             .unwrap();
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -80,8 +80,6 @@
     Key::new("retry_ratio", Kind::Decimal, "0.2"),
     Key::new("retry_slack", Kind::Decimal, "10"),
     Key::new("retry_window_s", Kind::Decimal, "10"),
-    Key::new("cold_factor", Kind::Decimal, "1"),
-    Key::new("event_delay_ms", Kind::number(1, MAX_TIME_MS, "milliseconds"), "200"),
     Key::new("memory_mb", Kind::number(16, 1_000_000, "megabytes"), "256"),
 ];
 
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -202,10 +202,6 @@
     pub retry_slack: f64,
     /// Window over which repeats are counted, in seconds.
     pub retry_window_s: f64,
-    /// Requests that a cold target may get, as a multiple of what its pool's document says.
-    pub cold_factor: f64,
-    /// Longest time between an event at a target and at the caller, in milliseconds.
-    pub event_delay_ms: u64,
     /// Memory of the process, in megabytes.
     pub memory_mb: u64,
 }
@@ -221,8 +217,6 @@
             retry_ratio: 0.2,
             retry_slack: 10.0,
             retry_window_s: 10.0,
-            cold_factor: 1.0,
-            event_delay_ms: 200,
             memory_mb: 256,
         }
     }
--- a/hawthornkeel_core/src/place/board.rs
+++ b/hawthornkeel_core/src/place/board.rs
@@ -18,6 +18,7 @@
 use crate::place::health::Ended;
 use crate::place::health::Health;
 use crate::stages::desk::MakerInfo;
+use crate::stages::job::DeskName;
 use crate::table::pool::Cold;
 use crate::time::Instant;
 
@@ -37,6 +38,10 @@
 const CUT_WEIGHT: f64 = 0.01;
 /// Requests of this entry at one target above which its weight sinks.
 const BUSY: u32 = 6;
+/// Targets of one part of a pool, at least, where it has as many.
+///
+/// The calls of more would be more than the processor of a small instance can do.
+const PART_TARGETS: usize = 5;
 /// Requests to cold targets that an entry may save up.
 const COLD_BURST: f64 = 1.0;
 
@@ -137,12 +142,28 @@
         self.out = out;
     }
 
-    /// Returns the targets of a pool that do stages now.
-    pub fn makers(&self, pool: &PoolName) -> Vec<MakerInfo> {
-        let usable = self.targets.values().filter(|t| t.listed.pool == *pool && self.is_usable(t));
+    /// Returns the number of parts that a pool's targets are split into, each with a desk.
+    pub fn parts(&self, pool: &PoolName) -> u16 {
+        let count = self.targets.values().filter(|t| t.listed.pool == *pool).count();
+        u16::try_from(count / PART_TARGETS).unwrap_or(u16::MAX).max(1)
+    }
+
+    /// Returns the targets of a desk that do stages now.
+    ///
+    /// Each part of a pool has its share of the targets in each data centre.
+    pub fn makers(&self, desk: &DeskName) -> Vec<MakerInfo> {
+        let parts = usize::from(self.parts(&desk.pool));
+        let part = usize::from(desk.part) % parts;
+        let mut targets: Vec<&Target> =
+            self.targets.values().filter(|t| t.listed.pool == desk.pool).collect();
+        targets.sort_by(|a, b| {
+            let centres = a.listed.centre.cmp(&b.listed.centre);
+            centres.then_with(|| a.listed.name.cmp(&b.listed.name))
+        });
+        let own = targets.into_iter().enumerate().filter(|(at, _)| at % parts == part);
         let info =
             |t: &Target| MakerInfo { name: t.listed.name.clone(), centre: t.listed.centre.clone() };
-        usable.map(info).collect()
+        own.filter(|(_, t)| self.is_usable(t)).map(|(_, t)| info(t)).collect()
     }
 
     /// Returns the data centre of the target at an address.
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -1,11 +1,28 @@
 //! Work that a request has done before it can run.
 
+use std::fmt;
 use std::sync::Arc;
 
 use serde::Deserialize;
 use serde::Serialize;
 
 use crate::names::CentreName;
+use crate::names::PoolName;
+
+/// Desk of a pool, or of a part of its targets where there are many.
+#[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct DeskName {
+    /// Pool.
+    pub pool: PoolName,
+    /// Part of the pool's targets, from zero.
+    pub part: u16,
+}
+
+impl fmt::Display for DeskName {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{}/{}", self.pool, self.part)
+    }
+}
 
 /// Identity of a job.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
