--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -265,7 +265,7 @@
                 tracing::info!(event = "target-tried", request = %ticket.id, target = %target.name, outcome = %tried);
             }
             match tried {
-                Tried::Answered(answer) => return Forwarded::Answer(Box::new(answer), target),
+                Tried::Answered(answer) => return Forwarded::Answer(answer, target),
                 Tried::ResultsGone => return Forwarded::ResultsGone,
                 Tried::Unreached => {}
                 Tried::NotRun => arrived = true,
@@ -435,7 +435,7 @@
 /// What came of sending a request to one target.
 enum Tried {
     /// An answer for the caller.
-    Answered(Answer),
+    Answered(Box<Answer>),
     /// The target failed the request.
     Failed(Box<Answer>),
     /// It did not reach the target.
@@ -470,7 +470,7 @@
         StatusCode::CONFLICT if not_run => (Tried::ResultsGone, Some(Ended::GivenUp)),
         _ if not_run => (Tried::NotRun, Some(Ended::Refused)),
         _ if status.is_server_error() => (Tried::Failed(Box::new(answer)), None),
-        _ => (Tried::Answered(answer), None),
+        _ => (Tried::Answered(Box::new(answer)), None),
     }
 }
 
