--- a/hawthornkeel/src/forward/desks.rs
+++ b/hawthornkeel/src/forward/desks/mod.rs
@@ -3,6 +3,8 @@
 //! One entry keeps the desk of a pool. Where it can't be reached, the next in the same order takes
 //! over; two entries that keep the desk of one pool for a while cost only calls that wait longer.
 
+mod calls;
+
 use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
@@ -12,14 +14,9 @@
 use futures_channel::oneshot;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
-use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::stages::desk::Action;
-use hawthornkeel_core::stages::desk::CallFailure;
-use hawthornkeel_core::stages::desk::CallNumber;
 use hawthornkeel_core::stages::desk::Desk;
 use hawthornkeel_core::stages::desk::Input;
-use hawthornkeel_core::stages::desk::Item;
-use hawthornkeel_core::stages::desk::PieceOutcome;
 use hawthornkeel_core::stages::desk::Summary;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
@@ -29,18 +26,11 @@
 use hawthornkeel_core::stages::job::JobId;
 use hawthornkeel_core::stages::job::JobOutcome;
 use hawthornkeel_core::table::pool::Pieces;
-use hawthornkeel_platform::fields;
-use hawthornkeel_platform::pieces;
-use hawthornkeel_platform::pieces::Done;
 use indexmap::IndexMap;
 use indexmap::IndexSet;
 
 use crate::clock::boot_now;
-use crate::forward::calls;
-use crate::forward::calls::Call;
-use crate::forward::calls::Reply;
 use crate::forward::context::Context;
-use crate::forward::exchange::Failure;
 use crate::peer::Frame;
 use crate::peer::frame::Book;
 use crate::peer::frame::Dismiss;
@@ -62,8 +52,6 @@
 const TICK: Duration = Duration::from_millis(20);
 /// Time between two lines about a desk.
 const TELL: Duration = Duration::from_millis(1_000);
-/// Time for a target to take in which results are not needed.
-const FREE_TIME: Duration = Duration::from_millis(1_000);
 
 /// Desks of stages; clones share them.
 #[derive(Clone)]
@@ -465,79 +453,6 @@
         }
     }
 
-    /// Calls a target for pieces and takes in what came of them.
-    async fn call(
-        self,
-        name: DeskName,
-        number: CallNumber,
-        maker: TargetName,
-        items: Vec<Item>,
-        limit: Duration,
-    ) {
-        let started = Instant::now();
-        let count = items.len();
-        let reply = self.post(&maker, &items, started + limit).await;
-        let input = match &reply {
-            Ok(reply) if reply.status == 200 => match pieces::done(&reply.body) {
-                Ok(done) => Input::Answered(number, done.into_iter().map(outcome).collect()),
-                Err(_) => Input::Failed(number, CallFailure::Lost),
-            },
-            Ok(reply) if reply.not_run || reply.status == 421 => {
-                Input::Failed(number, CallFailure::Refused)
-            }
-            Err(failure) if failure.is_not_run() => Input::Failed(number, CallFailure::Unreached),
-            Ok(_) | Err(_) => Input::Failed(number, CallFailure::Lost),
-        };
-        let ms = u64::try_from(started.elapsed().as_millis()).unwrap_or(u64::MAX);
-        match (&reply, &input) {
-            (_, Input::Answered(..)) => {
-                tracing::info!(event = "pieces-done", desk = %name, %maker, count, ms);
-            }
-            (Ok(reply), _) => {
-                tracing::info!(event = "pieces-failed", desk = %name, %maker, count, ms, status = reply.status);
-            }
-            (Err(failure), _) => {
-                tracing::info!(event = "pieces-failed", desk = %name, %maker, count, ms, %failure);
-            }
-        }
-        self.input(&name, input);
-    }
-
-    async fn post(
-        &self,
-        maker: &TargetName,
-        items: &[Item],
-        until: Instant,
-    ) -> Result<Reply, Failure> {
-        let address = self.inner.context.board.borrow().address(maker);
-        let address = address.ok_or_else(|| Failure::Unreached("not listed".to_owned()))?;
-        let pieces: Vec<pieces::Piece<'_>> = items.iter().map(piece).collect();
-        let body = pieces::run(&pieces).map_err(|e| Failure::Unreached(e.to_string()))?;
-        let call = Call {
-            address,
-            path: pieces::RUN_PATH,
-            body: Some(&body),
-            fields: &[(fields::TARGET, maker.as_str())],
-            until,
-        };
-        calls::make(&self.inner.context.exchanges, &call).await
-    }
-
-    async fn free(self, maker: TargetName, results: Vec<Handle>) {
-        let Some(address) = self.inner.context.board.borrow().address(&maker) else { return };
-        let Ok(body) = pieces::free(&results) else { return };
-        let call = Call {
-            address,
-            path: pieces::FREE_PATH,
-            body: Some(&body),
-            fields: &[(fields::TARGET, maker.as_str())],
-            until: Instant::now() + FREE_TIME,
-        };
-        if let Err(failure) = calls::make(&self.inner.context.exchanges, &call).await {
-            tracing::info!(event = "results-unfreed", %maker, count = results.len(), %failure);
-        }
-    }
-
     /// Writes a line about each desk that has work, once in a while.
     async fn tell_desks(self) {
         loop {
@@ -579,28 +494,6 @@
     }
 }
 
-fn outcome(done: Done) -> PieceOutcome {
-    match done {
-        Done::Result(handle) => PieceOutcome::Done(handle),
-        Done::Late => PieceOutcome::Late,
-        Done::Gone => PieceOutcome::Gone,
-        Done::Room => PieceOutcome::NoRoom,
-        Done::Failed => PieceOutcome::Failed,
-    }
-}
-
-fn piece(item: &Item) -> pieces::Piece<'_> {
-    let inputs = (!item.inputs.is_empty()).then_some(&*item.inputs);
-    pieces::Piece {
-        request: &item.job.request,
-        stage: item.job.stage,
-        piece: item.piece,
-        remaining_ms: u64::try_from(item.left.as_millis()).unwrap_or(u64::MAX),
-        key: item.key.as_deref(),
-        inputs,
-    }
-}
-
 /// Returns a job as it stands after some time, unless its time has passed.
 fn remaining(job: &Job, passed: Duration) -> Option<Job> {
     let passed = u64::try_from(passed.as_millis()).unwrap_or(u64::MAX);
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -5,7 +5,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use bytes::Bytes;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::place::board::Ask;
@@ -15,13 +14,7 @@
 use hawthornkeel_core::request::refusal::Ran;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::table::route::RouteKind;
-use hawthornkeel_platform::fields;
 use http::HeaderMap;
-use http::HeaderValue;
-use http::StatusCode;
-use http::header::CONTENT_LENGTH;
-use http::header::CONTENT_TYPE;
-use http::header::RETRY_AFTER;
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
@@ -36,7 +29,13 @@
 use crate::forward::relay::Relay;
 use crate::forward::request::MIN_LEFT;
 use crate::forward::request::Ticket;
-use crate::forward::request::is_hop;
+use crate::forward::verdict::Forwarded;
+use crate::forward::verdict::RETRY;
+use crate::forward::verdict::Tried;
+use crate::forward::verdict::ended;
+use crate::forward::verdict::judge_answer;
+use crate::forward::verdict::passed_headers;
+use crate::forward::verdict::refusal;
 use crate::http::channel::bounded;
 use crate::http::message::Body;
 use crate::http::message::Head;
@@ -50,8 +49,6 @@
 
 /// Pieces of a stream that wait for the caller, at most.
 const STREAM_PIECES: usize = 64;
-/// Time after which a request that found no target may come back.
-const RETRY: Duration = Duration::from_millis(300);
 /// Time after which a cold target is looked at again.
 const COLD_PAUSE: Duration = Duration::from_millis(40);
 /// Part of the objective for which a request waits for a cold target.
@@ -423,89 +420,3 @@
         }
     }
 }
-
-/// What came of forwarding a request.
-enum Forwarded {
-    Answer(Box<Answer>, Chosen),
-    /// Results that it needs are gone; it did not run.
-    ResultsGone,
-    Ended(Problem),
-}
-
-/// What came of sending a request to one target.
-enum Tried {
-    /// An answer for the caller.
-    Answered(Box<Answer>),
-    /// The target failed the request.
-    Failed(Box<Answer>),
-    /// It did not reach the target.
-    Unreached,
-    /// It did not run there.
-    NotRun,
-    /// It did not run there, as results that it needs are gone.
-    ResultsGone,
-    /// It may have run there.
-    Lost,
-}
-
-impl std::fmt::Display for Tried {
-    fn fmt(&self, f: &mut std::fmt::Formatter<'_>) -> std::fmt::Result {
-        f.write_str(match self {
-            Self::Answered(_) => "answered",
-            Self::Failed(_) => "failed",
-            Self::Unreached => "unreached",
-            Self::NotRun => "not-run",
-            Self::ResultsGone => "results-gone",
-            Self::Lost => "lost",
-        })
-    }
-}
-
-/// Judges the head of an answer, with how the call ended at the target unless its body decides.
-fn judge_answer(answer: Answer) -> (Tried, Option<Ended>) {
-    let status = answer.status;
-    let not_run = answer.headers.contains_key(fields::NOT_RUN);
-    match status {
-        StatusCode::MISDIRECTED_REQUEST => (Tried::NotRun, Some(Ended::Unreached)),
-        StatusCode::CONFLICT if not_run => (Tried::ResultsGone, Some(Ended::GivenUp)),
-        _ if not_run => (Tried::NotRun, Some(Ended::Refused)),
-        _ if status.is_server_error() => (Tried::Failed(Box::new(answer)), None),
-        _ => (Tried::Answered(Box::new(answer)), None),
-    }
-}
-
-/// Returns how a request ends that no target is left for.
-fn ended(ran: Ran, failed: Option<(Box<Answer>, Chosen)>) -> Forwarded {
-    if let Some((answer, target)) = failed {
-        return Forwarded::Answer(answer, target);
-    }
-    Forwarded::Ended(match ran {
-        Ran::NotRun => Problem::not_run(Code::NoTarget).with_retry_after(RETRY),
-        ran => Problem::new(Code::OutcomeUnknown, ran),
-    })
-}
-
-/// Returns the fields of an answer that go on to the caller.
-fn passed_headers(headers: &HeaderMap) -> HeaderMap {
-    let mut passed = HeaderMap::with_capacity(headers.len());
-    for (name, value) in headers {
-        if !is_hop(name, headers) && name != CONTENT_LENGTH {
-            passed.append(name.clone(), value.clone());
-        }
-    }
-    passed
-}
-
-/// Returns the answer that refuses a request.
-fn refusal(problem: Problem) -> Response {
-    let retry = problem.retry_after;
-    let body = Bytes::from(problem.to_json());
-    let mut headers = HeaderMap::new();
-    headers.insert(CONTENT_TYPE, HeaderValue::from_static("application/problem+json"));
-    if let Some(retry) = retry
-        && let Ok(value) = HeaderValue::from_str(&format!("{:.2}", retry.as_secs_f64()))
-    {
-        headers.insert(RETRY_AFTER, value);
-    }
-    Response { status: problem.code.status(), headers, body: Body::Whole(body) }
-}
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -16,3 +16,4 @@
 pub mod request;
 pub mod start;
 pub mod survey;
+pub mod verdict;
--- a/hawthornkeel_core/src/stages/mod.rs
+++ b/hawthornkeel_core/src/stages/mod.rs
@@ -4,6 +4,7 @@
 //! share calls. One instance keeps the [`Desk`](desk::Desk) of a pool and does all its calls: many
 //! instances with a queue each would send small calls and wait behind one another.
 
+pub mod action;
 pub mod desk;
 pub mod job;
 
