A target that answers for another counts as gone

Change: 421 counts like a target that was not reached, with a pause that doubles. Figures: test call_that_did_not_run_is_no_try, 30 calls in two seconds against 4 at most.

--- a/hawthornkeel/src/forward/desks/calls.rs
+++ b/hawthornkeel/src/forward/desks/calls.rs
@@ -42,9 +42,9 @@
                 Ok(done) => Input::Answered(number, done.into_iter().map(outcome).collect()),
                 Err(_) => Input::Failed(number, CallFailure::Lost),
             },
-            Ok(reply) if reply.not_run || reply.status == 421 => {
-                Input::Failed(number, CallFailure::Refused)
-            }
+            // Another target has its address: it is gone, though the list names it for a while.
+            Ok(reply) if reply.status == 421 => Input::Failed(number, CallFailure::Unreached),
+            Ok(reply) if reply.not_run => Input::Failed(number, CallFailure::Refused),
             Err(failure) if failure.is_not_run() => Input::Failed(number, CallFailure::Unreached),
             Ok(_) | Err(_) => Input::Failed(number, CallFailure::Lost),
         };
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -76,10 +76,10 @@
     Key::new("ready", Kind::Address, ""),
     Key::new("max_connections", Kind::number(1, 65_536, "connections"), "1500"),
     Key::new("confirm_ms", Kind::number(100, MAX_TIME_MS, "milliseconds"), "5000"),
-    Key::new("grace_s", Kind::Decimal, "30"),
+    Key::new("grace_s", Kind::Decimal, "30.0"),
     Key::new("retry_ratio", Kind::Decimal, "0.2"),
-    Key::new("retry_slack", Kind::Decimal, "10"),
-    Key::new("retry_window_s", Kind::Decimal, "10"),
+    Key::new("retry_slack", Kind::Decimal, "10.0"),
+    Key::new("retry_window_s", Kind::Decimal, "10.0"),
     Key::new("memory_mb", Kind::number(16, 1_000_000, "megabytes"), "256"),
 ];
 
--- a/hawthornkeel_config/tests/schema_keys.rs
+++ b/hawthornkeel_config/tests/schema_keys.rs
@@ -61,6 +61,9 @@
     settings.instance.admin = Some(address);
     settings.entry.listen = Some(address);
     settings.platform.address = Some(address);
+    settings.control.operators = Some(address);
+    settings.forward.listen = Some(address);
+    settings.forward.ready = Some(address);
     settings.peers.listen = Some(address);
     settings.peers.certificate = Some("c".into());
     settings.peers.key = Some("k".into());
--- a/hawthornkeel_core/tests/stage_desk.rs
+++ b/hawthornkeel_core/tests/stage_desk.rs
@@ -8,6 +8,7 @@
 use hawthornkeel_core::stages::desk::CallFailure;
 use hawthornkeel_core::stages::job::JobOutcome;
 use hawthornkeel_core::stages::job::Near;
+use rstest::rstest;
 
 use crate::stage_site::Site;
 use crate::stage_site::job;
@@ -83,15 +84,19 @@
     );
 }
 
-#[test]
-fn refused_call_is_no_try() {
+#[rstest]
+#[case::refused(CallFailure::Refused, 30)]
+#[case::unreached(CallFailure::Unreached, 4)]
+fn call_that_did_not_run_is_no_try(#[case] failure: CallFailure, #[case] most: usize) {
     let mut site = Site::new(1);
-    site.fail(0, CallFailure::Refused);
+    site.fail(0, failure);
     site.offer(job(0, 2));
     site.run(2_000);
     assert_eq!(site.outcome(0), None);
+    // A target that is gone is not called again and again.
+    assert!(site.sizes().len() <= most, "{}", site.sizes().len());
     site.heal(0);
-    site.run(1_000);
+    site.run(2_500);
     assert!(site.is_done(0));
 }
 
