--- a/hawthornkeel/tests/forward_site/mod.rs
+++ b/hawthornkeel/tests/forward_site/mod.rs
@@ -27,6 +27,9 @@
 use hawthornkeel::http::server::Server;
 use http::HeaderMap;
 use http::StatusCode;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use rustix::process::kill_process;
 use tempfile::TempDir;
 
 /// Time for anything to come about.
@@ -51,60 +54,102 @@
     pub body: String,
 }
 
+/// Callers of a site's entries.
+pub struct Callers {
+    entries: Vec<SocketAddr>,
+}
+
+impl Callers {
+    /// Calls one of the entries once; `None` where there is no whole answer.
+    pub fn try_call(&self, entry: usize, method: &str, path: &str, fields: &str) -> Option<Got> {
+        call(self.entries[entry], method, path, fields, "")
+    }
+}
+
+/// Process of the site.
+struct Process {
+    ip: String,
+    child: Option<Child>,
+}
+
 /// Running site.
 pub struct Site {
     pub seen: Arc<Mutex<Vec<Seen>>>,
-    children: Vec<Child>,
+    processes: Vec<Process>,
     root: TempDir,
-    operators: SocketAddr,
-    entry: SocketAddr,
+    operators: Vec<SocketAddr>,
+    entries: Vec<SocketAddr>,
 }
 
 impl Drop for Site {
     fn drop(&mut self) {
-        for child in &mut self.children {
-            let _ = child.kill();
-            let _ = child.wait();
-        }
+        (0..self.processes.len()).for_each(|at| self.kill(at));
     }
 }
 
 impl Site {
-    /// Starts the site; `net` keeps the addresses of tests that run at once apart.
+    /// Starts a site with one control instance; `net` keeps tests that run at once apart.
     pub fn start(net: u8) -> Self {
+        Self::with_controls(net, 1)
+    }
+
+    /// Starts a site; the first processes are its control instances, two entries follow.
+    pub fn with_controls(net: u8, controls: u8) -> Self {
         let ip = |host: u8| format!("127.{net}.0.{host}");
         let port = free_port(&ip(1));
-        let (list, operators) = (addr(&ip(9), port + 1), addr(&ip(1), port + 2));
+        let list = addr(&ip(9), port + 1);
         let seen = Arc::new(Mutex::new(Vec::new()));
         let targets = [addr(&ip(31), port), addr(&ip(32), port), addr(&ip(33), port)];
         serve_fakes(list, targets, &seen);
-        let root = tempfile::tempdir().unwrap();
-        let entry = addr(&ip(2), port + 3);
-        let mut site = Self { seen, children: Vec::new(), root, operators, entry };
-        let data = site.root.path().join("data").display().to_string();
-        site.spawn(&format!(
-            "[control]\nenabled = true\ndata = {data:?}\noperators = \"{operators}\"\nlost_disks = 0\n\
-             [platform]\naddress = \"{list}\"\npoll_ms = 100\n",
-        ), &ip(1), port, &ip(1));
-        for host in [2, 3] {
-            let listen = addr(&ip(host), port + 3);
-            let ready = addr(&ip(host), port + 4);
-            let forward = format!(
-                "[forward]\nlisten = \"{listen}\"\nready = \"{ready}\"\ngrace_s = 2\nretry_slack = 100\n"
+        let hosts: Vec<u8> = (1..=controls).collect();
+        let entries: Vec<u8> = vec![controls + 1, controls + 2];
+        let mut site = Self {
+            seen,
+            processes: Vec::new(),
+            root: tempfile::tempdir().unwrap(),
+            operators: hosts.iter().map(|h| addr(&ip(*h), port + 2)).collect(),
+            entries: entries.iter().map(|h| addr(&ip(*h), port + 3)).collect(),
+        };
+        let seeds: Vec<String> = hosts.iter().map(|h| format!("\"{}:{port}\"", ip(*h))).collect();
+        let common = |host: u8| {
+            let (ip, seeds) = (ip(host), seeds.join(","));
+            format!(
+                "[instance]\nname = \"x\"\ndata_centre = \"a\"\n[peers]\nlisten = \"{ip}:{port}\"\n\
+                 trust = \"addresses\"\nseeds = [{seeds}]\n"
+            )
+        };
+        for host in hosts {
+            let data = site.root.path().join(format!("data-{host}")).display().to_string();
+            let (lost, operators) = (controls / 2, addr(&ip(host), port + 2));
+            let role = format!(
+                "[control]\nenabled = true\ndata = {data:?}\noperators = \"{operators}\"\n\
+                 lost_disks = {lost}\n[platform]\naddress = \"{list}\"\npoll_ms = 100\n"
+            );
+            site.add(&ip(host), &(common(host) + &role));
+        }
+        for host in entries {
+            let (listen, ready) = (addr(&ip(host), port + 3), addr(&ip(host), port + 4));
+            let role = format!(
+                "[forward]\nlisten = \"{listen}\"\nready = \"{ready}\"\ngrace_s = 2\n\
+                 retry_slack = 100\n"
             );
-            site.spawn(&forward, &ip(host), port, &ip(1));
+            site.add(&ip(host), &(common(host) + &role));
         }
         site
     }
 
-    fn spawn(&mut self, role: &str, ip: &str, port: u16, seed: &str) {
-        let settings = format!(
-            "[instance]\nname = \"x\"\ndata_centre = \"a\"\n[peers]\nlisten = \"{ip}:{port}\"\n\
-             trust = \"addresses\"\nseeds = [\"{seed}:{port}\"]\n{role}",
-        );
-        let file: PathBuf = self.root.path().join(format!("{ip}.toml"));
-        fs::write(&file, settings).unwrap();
-        let log = fs::File::create(self.root.path().join(format!("{ip}.log"))).unwrap();
+    fn add(&mut self, ip: &str, settings: &str) {
+        fs::write(self.root.path().join(format!("{ip}.toml")), settings).unwrap();
+        self.processes.push(Process { ip: ip.to_owned(), child: None });
+        self.spawn(self.processes.len() - 1);
+    }
+
+    /// Starts a process that doesn't run.
+    pub fn spawn(&mut self, at: usize) {
+        let process = &mut self.processes[at];
+        let file: PathBuf = self.root.path().join(format!("{}.toml", process.ip));
+        let log = self.root.path().join(format!("{}.log", process.ip));
+        let log = fs::OpenOptions::new().create(true).append(true).open(log).unwrap();
         let child = Command::new(env!("CARGO_BIN_EXE_hawthornkeel"))
             .args(["run", "--settings"])
             .arg(&file)
@@ -113,14 +158,54 @@
             .stderr(log)
             .spawn()
             .unwrap();
-        self.children.push(child);
+        process.child = Some(child);
+    }
+
+    /// Kills a process.
+    pub fn kill(&mut self, at: usize) {
+        if let Some(mut child) = self.processes[at].child.take() {
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+
+    /// Tells whether a process runs, frozen or not.
+    pub fn runs(&self, at: usize) -> bool {
+        self.processes[at].child.is_some()
+    }
+
+    /// Returns the number of processes.
+    pub fn processes(&self) -> usize {
+        self.processes.len()
+    }
+
+    /// Sends a signal to a process that runs.
+    pub fn signal(&self, at: usize, signal: Signal) {
+        if let Some(child) = &self.processes[at].child {
+            kill_process(Pid::from_child(child), signal).unwrap();
+        }
+    }
+
+    /// Returns callers, who go on while processes are killed and started.
+    pub fn callers(&self) -> Callers {
+        Callers { entries: self.entries.clone() }
+    }
+
+    /// Hands a document to one control instance once.
+    pub fn try_put(&self, control: usize, document: &str) -> Option<Got> {
+        call(self.operators[control], "POST", "/Configuration.Replace", "", document)
+    }
+
+    /// Reads the document in force from one control instance.
+    pub fn try_read(&self, control: usize) -> Option<Got> {
+        call(self.operators[control], "GET", "/Configuration.Read", "", "")
     }
 
     /// Puts a document into force, and waits until it is acknowledged.
     pub fn put(&self, document: &str) -> u16 {
         let until = Instant::now() + PATIENCE;
         loop {
-            let got = call(self.operators, "POST", "/Configuration.Replace", "", document);
+            let got = call(self.operators[0], "POST", "/Configuration.Replace", "", document);
             match got {
                 Some(got) if got.status != 503 => return got.status,
                 _ => assert!(Instant::now() < until, "no acknowledgement:\n{}", self.logs()),
@@ -131,19 +216,20 @@
 
     /// Returns the document in force, as operators read it.
     pub fn read(&self) -> Option<Got> {
-        call(self.operators, "GET", "/Configuration.Read", "", "")
+        call(self.operators[0], "GET", "/Configuration.Read", "", "")
     }
 
     /// Calls an entry, which must be listening.
     pub fn call(&self, method: &str, path: &str, fields: &str, body: &str) -> Got {
-        call(self.entry, method, path, fields, body).unwrap_or_else(|| panic!("{}", self.logs()))
+        call(self.entries[0], method, path, fields, body)
+            .unwrap_or_else(|| panic!("{}", self.logs()))
     }
 
     /// Calls an entry until the answer has a status.
     pub fn call_until(&self, status: u16, path: &str, fields: &str) -> Got {
         let until = Instant::now() + PATIENCE;
         loop {
-            if let Some(got) = call(self.entry, "GET", path, fields, "")
+            if let Some(got) = call(self.entries[0], "GET", path, fields, "")
                 && got.status == status
             {
                 return got;
