A choice that is dropped is not open any more

Cause: found on reading the diff: a request whose caller left while it was on its way to a target was never ended there, so the target counted one more request in progress for good, and its weight sank with each. Change: what was chosen counts the request until it is dropped, whatever drops it.

--- a/hawthornkeel_core/src/place/board.rs
+++ b/hawthornkeel_core/src/place/board.rs
@@ -4,7 +4,9 @@
 //! whichever entry it reaches), targets that fail part of their calls (chosen less the more they
 //! fail), targets that come back cold (each entry sends its share of what one bears).
 
+use std::cell::Cell;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::time::Duration;
 
 use indexmap::IndexMap;
@@ -62,8 +64,8 @@
     pub entries: usize,
 }
 
-/// Target that was chosen.
-#[derive(Clone, Debug, Eq, PartialEq)]
+/// Target that was chosen; its request counts as in progress until this is dropped.
+#[derive(Debug)]
 pub struct Chosen {
     /// Target.
     pub name: TargetName,
@@ -73,6 +75,24 @@
     pub centre: CentreName,
     /// Whether it counted as cold.
     pub cold: bool,
+    _open: Open,
+}
+
+/// Counts a request in progress at a target until it is dropped, also where its caller left.
+#[derive(Debug)]
+struct Open(Rc<Cell<u32>>);
+
+impl Open {
+    fn new(count: &Rc<Cell<u32>>) -> Self {
+        count.set(count.get().saturating_add(1));
+        Self(Rc::clone(count))
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.0.set(self.0.get().saturating_sub(1));
+    }
 }
 
 /// Why no target was chosen.
@@ -104,7 +124,7 @@
     /// When it last answered.
     answered: Instant,
     /// Requests of this entry in progress.
-    open: u32,
+    open: Rc<Cell<u32>>,
     cold_until: Instant,
     /// Whether it is to count as cold, for as long as its pool's targets are after a start.
     fresh: Option<Instant>,
@@ -184,20 +204,21 @@
         self.targets.get_index(at).map(|(_, t)| t.listed.centre.clone())
     }
 
-    /// Chooses a target, whose call must be ended with [`Board::ended`].
+    /// Chooses a target; what came of the call is told by [`Board::ended`].
     ///
     /// # Errors
     /// Fails with the reason where no target may get the request now.
     pub fn choose(&mut self, now: Instant, ask: &Ask<'_>) -> Result<Chosen, NoTarget> {
         let at = self.best(now, ask)?;
         let (name, target) = self.targets.get_index_mut(at).ok_or(NoTarget::Empty)?;
-        target.open += 1;
+        let open = Open::new(&target.open);
         let cold = target.is_cold(now, ask.cold);
         if cold {
             target.allowance -= 1.0;
         }
         let Listed { address, centre, .. } = &target.listed;
-        Ok(Chosen { name: name.clone(), address: *address, centre: centre.clone(), cold })
+        let (address, centre) = (*address, centre.clone());
+        Ok(Chosen { name: name.clone(), address, centre, cold, _open: open })
     }
 
     /// Returns the position of the best target.
@@ -218,7 +239,6 @@
     /// Notes how a call at a target ended.
     pub fn ended(&mut self, now: Instant, name: &TargetName, ended: Ended) {
         let Some(target) = self.targets.get_mut(name) else { return };
-        target.open = target.open.saturating_sub(1);
         match ended {
             Ended::Unreached => {
                 self.unreached.insert(name.clone(), (now, target.listed.centre.clone()));
@@ -278,8 +298,8 @@
         if ask.centre == Some(&target.listed.centre) {
             weight *= NEAR_WEIGHT;
         }
-        if target.open > BUSY {
-            weight *= f64::from(BUSY) / f64::from(target.open);
+        if target.open.get() > BUSY {
+            weight *= f64::from(BUSY) / f64::from(target.open.get());
         }
         Ok(rendezvous(ask.session, &target.listed.name, weight.max(MIN_WEIGHT * CUT_WEIGHT)))
     }
@@ -291,7 +311,7 @@
             listed: listed.clone(),
             health: Health::default(),
             answered: Instant::ZERO,
-            open: 0,
+            open: Rc::default(),
             cold_until: now,
             fresh: fresh.then_some(now),
             allowance: 0.0,
--- a/hawthornkeel_core/tests/target_choice.rs
+++ b/hawthornkeel_core/tests/target_choice.rs
@@ -54,12 +54,27 @@
         // Another entry sends the same session to the same target.
         let same = other.choose(at(0), &ask(&pool, session)).unwrap();
         other.ended(at(0), &same.name, Ended::Well);
-        assert_eq!(chosen, same);
+        assert_eq!((&chosen.name, chosen.address), (&same.name, same.address));
         loads[usize::from(chosen.address.port() - 8000)] += 1;
     }
     assert!(loads.iter().all(|l| (60..140).contains(l)), "{loads:?}");
 }
 
+#[test]
+fn given_up_choice_is_not_open() {
+    let pool = PoolName::new("engines");
+    let mut board = board(9);
+    let first = board.choose(at(0), &ask(&pool, 7)).unwrap().name;
+    // Callers leave while their requests are on the way: nothing more is heard of them.
+    for _ in 0..200 {
+        drop(board.choose(at(0), &ask(&pool, 7)));
+    }
+    assert_eq!(board.choose(at(0), &ask(&pool, 7)).unwrap().name, first);
+    // Those that go on do count.
+    let open: Vec<_> = (0..60).map(|_| board.choose(at(0), &ask(&pool, 7)).unwrap()).collect();
+    assert!(open.iter().any(|c| c.name != first));
+}
+
 #[test]
 fn failing_target_avoided() {
     let pool = PoolName::new("engines");
@@ -141,5 +156,5 @@
         assert_eq!(board.choose(at(0), &ask(&pool, session)).unwrap().name.as_str(), "t2");
     }
     board.set_out(at(0), ["a", "b", "c"].map(CentreName::new).to_vec());
-    assert_eq!(board.choose(at(0), &ask(&pool, 1)), Err(NoTarget::Empty));
+    assert_eq!(board.choose(at(0), &ask(&pool, 1)).unwrap_err(), NoTarget::Empty);
 }
