First tries are told from repeats, and late work goes behind all else

Cause: callers of one route differ in how long they wait (0.85 to 1 times the route's timeout), and every request with under 95 in 100 of the timeout left counted as one that was turned away before.

Change: a first try is told by 0.84 of the timeout. What can't meet its objective is not turned away but done behind all else (ranks from LATE_RANK on), and refused only where it would end after 0.6 of the time left or 2.5 objectives; a caller that is turned away is told to come back when it can be told from new ones. The decision moves to hawthornkeel_core::stages::admission.

--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -9,6 +9,10 @@
 use futures_util::stream::FuturesUnordered;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::stages::admission::Outlook;
+use hawthornkeel_core::stages::admission::Pace;
+use hawthornkeel_core::stages::admission::Step;
+use hawthornkeel_core::stages::admission::Times;
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::DeskName;
@@ -40,16 +44,6 @@
 ///
 /// Results cross once, inputs with every piece.
 const RESULTS_PART: u64 = 8;
-/// Part of the objective by which a request must be expected to be early to be begun.
-const MARGIN: f64 = 0.1;
-/// The same for a request that was turned away before.
-const REPEATED_MARGIN: f64 = 0.4;
-/// Time by which a request may make others of its rank late, in milliseconds.
-const HARM_MS: u64 = 50;
-/// Shortest time after which a request that is turned away may come back, in milliseconds.
-const MIN_RETRY_MS: u64 = 100;
-/// Longest such time, in milliseconds.
-const MAX_RETRY_MS: u64 = 5_000;
 /// Time that a stage takes where its pool's document says nothing.
 const STAGE_TIME: Duration = Duration::from_millis(250);
 
@@ -122,7 +116,7 @@
     pieces: &[u32],
     pass: u16,
 ) -> Result<Prepared, Unprepared> {
-    let plan = Plan::new(context, ticket, pieces, pass);
+    let mut plan = Plan::new(context, ticket, pieces, pass);
     // Work that was begun is not turned away: only the first pass books.
     let mut booked = match pass {
         0 => plan.book(desks).await?,
@@ -167,6 +161,8 @@
     last: Vec<u16>,
     /// Data centre in which the request is likely to run.
     centre: Option<CentreName>,
+    /// Whether it can still meet its objective.
+    pace: Pace,
 }
 
 impl<'a> Plan<'a> {
@@ -175,7 +171,8 @@
         let counts = (0..stages).map(|at| pieces.get(at).copied().unwrap_or(0)).collect();
         let last = ticket.route.last_stages();
         let centre = crate::forward::handler::likely_centre(context, ticket);
-        Self { context, ticket, pass, counts, last, centre }
+        let pace = if ticket.fresh.is_zero() { Pace::Late } else { Pace::Prompt };
+        Self { context, ticket, pass, counts, last, centre, pace }
     }
 
     fn stage(&self, at: u16) -> Option<&Stage> {
@@ -225,7 +222,27 @@
     }
 
     /// Books the stages; refuses the request where it would be late or make others late.
-    async fn book(&self, desks: &Desks) -> Result<Bookings, Unprepared> {
+    async fn book(&mut self, desks: &Desks) -> Result<Bookings, Unprepared> {
+        if self.pace == Pace::Prompt {
+            let (mut bookings, outlook) = self.book_at(desks).await;
+            if outlook.allows(self.pace, &self.times()) {
+                return Ok(bookings);
+            }
+            // They are replaced.
+            bookings.open.clear();
+        }
+        self.pace = Pace::Late;
+        let (bookings, outlook) = self.book_at(desks).await;
+        let times = self.times();
+        tracing::debug!(event = "request-judged", request = %self.ticket.id, ?outlook, ?times);
+        if outlook.allows(self.pace, &times) {
+            return Ok(bookings);
+        }
+        Err(Unprepared::Refused { retry: outlook.retry(self.pace, &times) })
+    }
+
+    /// Books the stages at the present pace.
+    async fn book_at(&self, desks: &Desks) -> (Bookings, Outlook) {
         let mut wanted: IndexMap<DeskName, Vec<Booking>> = IndexMap::new();
         for at in self.wanted() {
             if let Some(stage) = self.stage(at) {
@@ -249,46 +266,22 @@
                 booked.open.push((owner.clone(), desk.clone(), id));
             }
         }
-        self.judge(&estimates).map(|()| booked)
+        (booked, Outlook::new(&self.steps(), &estimates, self.engine_time()))
     }
 
-    /// Decides whether a request is begun, by what its bookings come to.
-    fn judge(&self, estimates: &IndexMap<u16, Option<Booked>>) -> Result<(), Unprepared> {
-        let mut done: IndexMap<u16, u64> = IndexMap::new();
-        let mut harm = 0;
-        for at in self.wanted() {
-            let after = self.stage(at).map(|s| s.after.as_slice()).unwrap_or_default();
-            let begin = after.iter().filter_map(|a| done.get(a).copied()).max().unwrap_or(0);
-            let end = match estimates.get(&at) {
-                Some(Some(booked)) => {
-                    harm = harm.max(booked.harm_ms);
-                    begin.max(booked.drain_ms).saturating_add(booked.own_ms)
-                }
-                // No target does the work now.
-                Some(None) => u64::MAX / 2,
-                // Its desk does not answer: another takes over.
-                None => begin.saturating_add(millis(self.time(at))),
-            };
-            done.insert(at, end);
-        }
-        let engine = millis(self.engine_time());
-        let end = done.values().copied().max().unwrap_or(0).saturating_add(engine);
-        let limit = self.ticket.due - self.ticket.route.objective.mul_f64(self.margin());
-        let due = millis(limit.saturating_duration_since(Instant::now()));
-        let late = end.saturating_sub(due);
-        tracing::debug!(event = "request-judged", request = %self.ticket.id, end, due, harm);
-        if late == 0 && harm <= HARM_MS {
-            return Ok(());
-        }
-        let retry = Duration::from_millis(late.max(harm).clamp(MIN_RETRY_MS, MAX_RETRY_MS));
-        Err(Unprepared::Refused { retry })
+    fn steps(&self) -> Vec<Step> {
+        let after = |at: u16| self.stage(at).map(|s| s.after.clone()).unwrap_or_default();
+        self.wanted().map(|at| Step { at, after: after(at), usual: self.time(at) }).collect()
     }
 
-    /// Returns the part of the objective by which a request must be expected to be early.
-    ///
-    /// One that was turned away before is late whatever happens: it gets what others leave.
-    fn margin(&self) -> f64 {
-        if self.ticket.repeated { REPEATED_MARGIN } else { MARGIN }
+    fn times(&self) -> Times {
+        let ticket = self.ticket;
+        Times {
+            objective: ticket.route.objective,
+            due: ticket.due.saturating_duration_since(Instant::now()),
+            left: ticket.left(),
+            fresh: ticket.fresh,
+        }
     }
 
     fn booking(&self, at: u16) -> Booking {
@@ -296,7 +289,7 @@
         Booking {
             id: self.id(at),
             pieces: self.count(at),
-            priority: self.ticket.rank,
+            priority: self.pace.rank(self.ticket.rank),
             due_ms: millis(due.saturating_sub(self.rest(at))),
         }
     }
@@ -323,7 +316,7 @@
         Job {
             id: self.id(at),
             pieces: self.count(at),
-            priority: self.ticket.rank,
+            priority: self.pace.rank(self.ticket.rank),
             key: after.is_empty().then(|| Arc::from(key)),
             near: self.near(at, &inputs, due_ms),
             inputs: Arc::from(inputs),
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -9,6 +9,7 @@
 use bytes::BytesMut;
 use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::place::board::Chosen;
+use hawthornkeel_core::stages::admission::fresh_for;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::table::RouteTable;
 use hawthornkeel_core::table::gate::Pass;
@@ -61,8 +62,9 @@
     pub due: Instant,
     /// When the caller or the operator gives up.
     pub end: Instant,
-    /// Whether the caller was turned away before, as far as its remaining time tells.
-    pub repeated: bool,
+    /// Time after which the caller, if it is turned away, is known to have been here before: zero
+    /// where it has.
+    pub fresh: Duration,
 }
 
 impl Ticket {
@@ -76,8 +78,7 @@
         let asked = head.header(fields::DEADLINE).and_then(|d| d.trim().parse::<f64>().ok());
         let asked = asked.and_then(|d| Duration::try_from_secs_f64(d / 1_000.0).ok());
         let timeout = pass.route.timeout;
-        let used = asked.map_or(Duration::ZERO, |a| timeout.saturating_sub(a));
-        let repeated = used > timeout / 20;
+        let fresh = fresh_for(timeout, asked.unwrap_or(timeout));
         let end = started + asked.unwrap_or(timeout).min(timeout);
         let due = end.min(started + pass.route.objective);
         let session = session(&head).unwrap_or(hash);
@@ -93,7 +94,7 @@
             started,
             due,
             end,
-            repeated,
+            fresh,
             head,
         })
     }
--- /dev/null
+++ b/hawthornkeel_core/src/stages/admission.rs
@@ -0,0 +1,144 @@
+//! Whether a request with stages is begun, by what its bookings come to.
+//!
+//! Load patterns it answers: a burst that outlasts callers' objectives (what can't be done in time
+//! any more is done behind all else, and turned away only where its caller would not wait that
+//! long), callers that were turned away and come back (late already, they get what others leave).
+
+use std::time::Duration;
+
+use indexmap::IndexMap;
+
+use crate::stages::job::Booked;
+
+/// Rank from which on work is late already, and goes behind all work that is not.
+pub const LATE_RANK: u16 = 1_024;
+/// Part of the objective by which a request must be expected to be early to be begun.
+const MARGIN: f64 = 0.1;
+/// Time by which a request may make others of its rank late.
+const HARM: Duration = Duration::from_millis(50);
+/// Part of the time left within which late work must be expected to be done.
+const LATE_PART: f64 = 0.6;
+/// The same in objectives, as callers of streams don't wait for ever for a first event.
+const LATE_OBJECTIVES: f64 = 2.5;
+/// Part of a route's timeout that callers have left on their first try, at least.
+///
+/// Callers of one route differ by that much in how long they wait.
+const FIRST_PART: f64 = 0.84;
+/// Shortest time after which a request that is turned away may come back.
+const MIN_RETRY: Duration = Duration::from_millis(100);
+/// Longest such time.
+const MAX_RETRY: Duration = Duration::from_secs(5);
+
+/// Whether a request can still meet its objective.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Pace {
+    /// It can.
+    Prompt,
+    /// It can't: its work goes behind all else.
+    Late,
+}
+
+impl Pace {
+    /// Returns the rank of a request's work.
+    pub fn rank(self, rank: u16) -> u16 {
+        match self {
+            Self::Prompt => rank,
+            Self::Late => LATE_RANK.saturating_add(rank),
+        }
+    }
+}
+
+/// Returns the time after which a caller that has `left` is known to have been here before.
+///
+/// Zero where it is known now, by less time than callers have on their first try.
+pub fn fresh_for(timeout: Duration, left: Duration) -> Duration {
+    left.saturating_sub(timeout.mul_f64(FIRST_PART))
+}
+
+/// Stage of a request, as far as its time matters.
+#[derive(Clone, Debug)]
+pub struct Step {
+    /// Position of the stage.
+    pub at: u16,
+    /// Stages whose results it needs.
+    pub after: Vec<u16>,
+    /// Time that it takes, about, where no desk tells.
+    pub usual: Duration,
+}
+
+/// Times of a request, counted from now.
+#[derive(Clone, Copy, Debug)]
+pub struct Times {
+    /// Objective of its route.
+    pub objective: Duration,
+    /// Time left until its objective has passed.
+    pub due: Duration,
+    /// Time left until its caller gives up.
+    pub left: Duration,
+    /// Time after which its caller, if it is turned away, is known to have been here before.
+    pub fresh: Duration,
+}
+
+/// What the bookings of a request come to.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct Outlook {
+    /// Time until its answer begins.
+    pub end: Duration,
+    /// Time by which other work would be late because of it.
+    pub harm: Duration,
+}
+
+impl Outlook {
+    /// Adds up the bookings of a request's stages, which are given in order.
+    ///
+    /// `rest` is the time that it takes after them, up to when its answer begins.
+    /// A stage without a booking counts with its usual time, as another desk takes over. One that
+    /// no target does now never ends.
+    pub fn new(steps: &[Step], booked: &IndexMap<u16, Option<Booked>>, rest: Duration) -> Self {
+        let mut done: IndexMap<u16, Duration> = IndexMap::new();
+        let mut harm = Duration::ZERO;
+        for step in steps {
+            let before = step.after.iter().filter_map(|a| done.get(a).copied());
+            let begin = before.max().unwrap_or_default();
+            let end = match booked.get(&step.at) {
+                Some(Some(booked)) => {
+                    harm = harm.max(Duration::from_millis(booked.harm_ms));
+                    let begin = begin.max(Duration::from_millis(booked.drain_ms));
+                    begin.saturating_add(Duration::from_millis(booked.own_ms))
+                }
+                Some(None) => Duration::MAX,
+                None => begin.saturating_add(step.usual),
+            };
+            done.insert(step.at, end);
+        }
+        let end = done.values().copied().max().unwrap_or_default();
+        Self { end: end.saturating_add(rest), harm }
+    }
+
+    /// Tells whether a request may be begun at a pace.
+    pub fn allows(&self, pace: Pace, times: &Times) -> bool {
+        self.delay(pace, times).is_zero()
+    }
+
+    /// Returns the time after which a request that is turned away may come back.
+    pub fn retry(&self, pace: Pace, times: &Times) -> Duration {
+        let delay = self.delay(pace, times).max(times.fresh);
+        delay.clamp(MIN_RETRY, MAX_RETRY)
+    }
+
+    /// Returns the time by which a request comes too early to be begun.
+    fn delay(&self, pace: Pace, times: &Times) -> Duration {
+        match pace {
+            Pace::Prompt => {
+                let limit = times.due.saturating_sub(times.objective.mul_f64(MARGIN));
+                let harm = if self.harm > HARM { self.harm } else { Duration::ZERO };
+                self.end.saturating_sub(limit).max(harm)
+            }
+            Pace::Late => {
+                let limit = times.left.mul_f64(LATE_PART);
+                let limit = limit.min(times.objective.mul_f64(LATE_OBJECTIVES));
+                self.end.saturating_sub(limit)
+            }
+        }
+    }
+}
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use crate::stages::admission::LATE_RANK;
 use crate::table::pool::Pieces;
 use crate::time::Instant;
 
@@ -9,6 +10,8 @@
 const TOLERANCE: Duration = Duration::from_millis(80);
 /// Time by which work of one rank goes before that of the next with the same due.
 const RANK_STEP: Duration = Duration::from_millis(350);
+/// Time by which work that is in time goes before work that is late, with the same due.
+const LATE_STEP: Duration = Duration::from_millis(1_500);
 /// Ranks that are told apart.
 const MAX_STEPS: u16 = 4;
 
@@ -34,7 +37,11 @@
 
 /// Returns the place of work in the order: by its due, with a start for higher ranks.
 pub(super) fn place(due: Instant, priority: u16) -> Instant {
-    due + RANK_STEP * u32::from(priority.min(MAX_STEPS))
+    let (late, rank) = match priority.checked_sub(LATE_RANK) {
+        Some(rank) => (LATE_STEP, rank),
+        None => (Duration::ZERO, priority),
+    };
+    due + late + RANK_STEP * u32::from(rank.min(MAX_STEPS))
 }
 
 /// What a desk's targets can do.
--- a/hawthornkeel_core/src/stages/mod.rs
+++ b/hawthornkeel_core/src/stages/mod.rs
@@ -5,6 +5,7 @@
 //! instances with a queue each would send small calls and wait behind one another.
 
 pub mod action;
+pub mod admission;
 pub mod desk;
 pub mod job;
 
--- a/hawthornkeel_core/tests/stage_desk.rs
+++ b/hawthornkeel_core/tests/stage_desk.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::stages::admission::Pace;
 use hawthornkeel_core::stages::desk::CallFailure;
 use hawthornkeel_core::stages::job::JobOutcome;
 use hawthornkeel_core::stages::job::Near;
@@ -171,3 +172,19 @@
     site.withdraw(0);
     assert_eq!(site.freed(), 2);
 }
+
+#[test]
+fn late_work_waits() {
+    let mut site = Site::new(1);
+    site.offer(job(0, 8));
+    // Late already, and with the earlier due.
+    let late = stage_site::Wanted { due_ms: 0, priority: Pace::Late.rank(0), ..job(1, 8) };
+    site.offer(late);
+    site.offer(stage_site::Wanted { due_ms: 1_200, ..job(2, 8) });
+    site.run(2_000);
+    assert_eq!(site.order(), [0, 2, 1]);
+    // It makes no new work wait.
+    site.offer(job(3, 8));
+    site.offer(stage_site::Wanted { due_ms: 0, priority: Pace::Late.rank(0), ..job(4, 8) });
+    assert!(site.book(&stage_site::Wanted { due_ms: 900, ..job(5, 8) }));
+}
--- a/hawthornkeel_core/tests/stage_site/mod.rs
+++ b/hawthornkeel_core/tests/stage_site/mod.rs
@@ -38,6 +38,7 @@
 pub struct Wanted {
     pub number: u32,
     pub pieces: u32,
+    pub priority: u16,
     pub bytes: u64,
     pub due_ms: u64,
     pub end_ms: u64,
@@ -46,7 +47,7 @@
 
 /// Returns work that nothing is special about.
 pub fn job(number: u32, pieces: u32) -> Wanted {
-    Wanted { number, pieces, bytes: 1_000, due_ms: 2_000, end_ms: 5_000, near: None }
+    Wanted { number, pieces, priority: 0, bytes: 1_000, due_ms: 2_000, end_ms: 5_000, near: None }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -111,7 +112,7 @@
         let booking = Booking {
             id: id(wanted.number),
             pieces: wanted.pieces,
-            priority: 0,
+            priority: wanted.priority,
             due_ms: wanted.due_ms,
         };
         let booked = self.desk.book(self.time(), &booking).unwrap();
@@ -127,7 +128,7 @@
         self.input(Input::Offer(Job {
             id: id(wanted.number),
             pieces: wanted.pieces,
-            priority: 0,
+            priority: wanted.priority,
             key: Some(Arc::from("key")),
             inputs: Arc::from([]),
             bytes: wanted.bytes,
