Desks by data centre: a request's stages stay in one

Ruled out: messages (5 to 15 ms of about 355 ms a stage) and the processors of the entries that keep desks (6.6 in 100 of a core at most, of 12).

Change: a pool with ten targets or more, and three in each data centre in the mean, has desks for each data centre, kept by an entry there. A request's stages are booked where it is going to run; where that is late, at one other data centre, and behind all else at the better of the two. Smaller pools keep one desk, and the wait for near targets.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -124,25 +124,19 @@
     ///
     /// All entries that know the same others get the same order, and few desks move where an entry
     /// comes or goes. One that has just started comes last: a desk that moves costs a while in
-    /// which two desks call the same targets.
+    /// which two desks call the same targets. Those in the desk's own data centre come first.
     pub fn owners(&self, desk: &DeskName) -> Vec<InstanceName> {
         let roster = self.roster.borrow();
         let score = |p: &Present| {
             let text = format!("{desk}/{}", p.name);
-            (!p.settled, xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
+            let far = desk.centre.as_ref().is_some_and(|c| p.centre != *c);
+            (far, !p.settled, xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
         };
         let mut ranked: Vec<_> = roster.entries.iter().map(|p| (score(p), &p.name)).collect();
         ranked.sort();
         ranked.into_iter().map(|(_, name)| name.clone()).collect()
     }
 
-    /// Returns the desk that does the work of a pool for the request with this identity.
-    pub fn desk(&self, pool: &PoolName, request: &str) -> DeskName {
-        let parts = u64::from(self.board.borrow().parts(pool));
-        let part = xxhash_rust::xxh3::xxh3_64(request.as_bytes()) % parts;
-        DeskName { pool: pool.clone(), part: u16::try_from(part).unwrap_or_default() }
-    }
-
     /// Counts a request for the budget of repeats of a pool.
     pub fn count_request(&self, pool: &PoolName) {
         let (budget, sharers) = (self.budget(), self.roster.borrow().sharers());
--- a/hawthornkeel/src/forward/desks/mod.rs
+++ b/hawthornkeel/src/forward/desks/mod.rs
@@ -12,6 +12,7 @@
 use std::time::Instant;
 
 use futures_channel::oneshot;
+use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::stages::desk::Action;
@@ -44,6 +45,8 @@
 const ANSWER_TIME: Duration = Duration::from_millis(250);
 /// Entries that are asked to keep the desk of a pool, one after the other, before the own one.
 const MAX_OWNERS: usize = 3;
+/// Entries of a data centre that do not answer, from which on it counts as cut off.
+const CUT_ENTRIES: usize = 2;
 /// Pause between two calls to an entry that did not answer.
 const PROBE_PAUSE: Duration = Duration::from_millis(250);
 /// Time after which an entry that did not answer is forgotten, as it may be gone for good.
@@ -196,9 +199,12 @@
         }
     }
 
-    /// Returns the desk that does the work of a pool for a request.
-    pub fn desk_of(&self, pool: &PoolName, request: &str) -> DeskName {
-        self.inner.context.desk(pool, request)
+    /// Tells whether a data centre seems to be cut off from this entry: its desks do not answer.
+    pub fn is_cut(&self, centre: &CentreName) -> bool {
+        let roster = self.inner.context.roster.borrow();
+        let suspects = self.inner.suspects.borrow();
+        let there = roster.entries.iter().filter(|e| e.centre == *centre);
+        there.filter(|e| suspects.contains(&e.name)).count() >= CUT_ENTRIES
     }
 
     /// Has a stage done, wherever its desk is.
--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -9,6 +9,7 @@
 use futures_util::stream::FuturesUnordered;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::stages::admission::Outlook;
 use hawthornkeel_core::stages::admission::Pace;
 use hawthornkeel_core::stages::admission::Step;
@@ -132,7 +133,7 @@
             }
             booked.used(at);
             let job = plan.job(at, &stages);
-            let run = run(desks, ticket, at, job);
+            let run = run(desks, plan.desk(at), job);
             running.push(async move { (at, run.await) });
         }
         let Some((at, results)) = running.next().await else { break };
@@ -144,10 +145,8 @@
     Ok(Prepared { stages, last: plan.last })
 }
 
-async fn run(desks: &Desks, ticket: &Ticket, at: u16, job: Job) -> Result<Results, Undone> {
-    let stage = ticket.route.stages.get(usize::from(at)).ok_or(Undone::Failed)?;
-    let desk = desks.desk_of(&stage.pool, &job.id.request);
-    desks.run(&desk, job).await
+async fn run(desks: &Desks, desk: Option<DeskName>, job: Job) -> Result<Results, Undone> {
+    desks.run(&desk.ok_or(Undone::Failed)?, job).await
 }
 
 /// What is to be done for one request.
@@ -161,6 +160,8 @@
     last: Vec<u16>,
     /// Data centre in which the request is likely to run.
     centre: Option<CentreName>,
+    /// Data centre in which its stages are done, where pools are split by data centre.
+    place: Option<CentreName>,
     /// Whether it can still meet its objective.
     pace: Pace,
 }
@@ -172,7 +173,8 @@
         let last = ticket.route.last_stages();
         let centre = crate::forward::handler::likely_centre(context, ticket);
         let pace = if ticket.fresh.is_zero() { Pace::Late } else { Pace::Prompt };
-        Self { context, ticket, pass, counts, last, centre, pace }
+        let place = centre.clone();
+        Self { context, ticket, pass, counts, last, centre, place, pace }
     }
 
     fn stage(&self, at: u16) -> Option<&Stage> {
@@ -222,14 +224,25 @@
     }
 
     /// Books the stages; refuses the request where it would be late or make others late.
+    ///
+    /// Where one data centre could not do it in time, another is asked.
     async fn book(&mut self, desks: &Desks) -> Result<Bookings, Unprepared> {
-        if self.pace == Pace::Prompt {
-            let (mut bookings, outlook) = self.book_at(desks).await;
+        let mut soonest = None;
+        for place in self.places(desks) {
+            self.place = place;
+            if self.pace == Pace::Late {
+                break;
+            }
+            let (bookings, outlook) = self.book_at(desks).await;
             if outlook.allows(self.pace, &self.times()) {
                 return Ok(bookings);
             }
-            // They are replaced.
-            bookings.open.clear();
+            if soonest.as_ref().is_none_or(|(end, _)| outlook.end < *end) {
+                soonest = Some((outlook.end, self.place.clone()));
+            }
+        }
+        if let Some((_, place)) = soonest {
+            self.place = place;
         }
         self.pace = Pace::Late;
         let (bookings, outlook) = self.book_at(desks).await;
@@ -241,12 +254,32 @@
         Err(Unprepared::Refused { retry: outlook.retry(self.pace, &times) })
     }
 
+    /// Returns the data centres to have the stages done in, the one where the request runs first.
+    fn places(&self, desks: &Desks) -> Vec<Option<CentreName>> {
+        let pools: Vec<&PoolName> =
+            self.wanted().filter_map(|at| Some(&self.stage(at)?.pool)).collect();
+        let board = self.context.board.borrow();
+        let first = self.centre.clone();
+        let other = board.other_centre(&pools, first.as_ref(), &self.ticket.id);
+        let mut places = vec![first];
+        places.extend(other.map(Some));
+        if places.len() > 1 && self.centre.as_ref().is_some_and(|c| desks.is_cut(c)) {
+            places.reverse();
+        }
+        places
+    }
+
+    /// Returns the desk that does a stage.
+    fn desk(&self, at: u16) -> Option<DeskName> {
+        let board = self.context.board.borrow();
+        Some(board.desk(&self.stage(at)?.pool, self.place.as_ref(), &self.ticket.id))
+    }
+
     /// Books the stages at the present pace.
     async fn book_at(&self, desks: &Desks) -> (Bookings, Outlook) {
         let mut wanted: IndexMap<DeskName, Vec<Booking>> = IndexMap::new();
         for at in self.wanted() {
-            if let Some(stage) = self.stage(at) {
-                let desk = desks.desk_of(&stage.pool, &self.ticket.id);
+            if let Some(desk) = self.desk(at) {
                 wanted.entry(desk).or_default().push(self.booking(at));
             }
         }
@@ -328,6 +361,9 @@
 
     /// Returns where a stage should be done: near its inputs, or near where its results are used.
     fn near(&self, at: u16, inputs: &[Handle], due_ms: u64) -> Option<Near> {
+        if self.desk(at)?.centre.is_some() {
+            return None;
+        }
         let stage = self.stage(at)?;
         let size = |a: &u16| self.stage(*a).map_or(0, |s| s.bytes) * u64::from(self.count(*a));
         let read: u64 = stage.after.iter().map(size).sum::<u64>() * u64::from(self.count(at));
--- a/hawthornkeel_core/src/place/board.rs
+++ b/hawthornkeel_core/src/place/board.rs
@@ -19,8 +19,7 @@
 use crate::names::TargetName;
 use crate::place::health::Ended;
 use crate::place::health::Health;
-use crate::stages::desk::MakerInfo;
-use crate::stages::job::DeskName;
+use crate::place::split::Split;
 use crate::table::pool::Cold;
 use crate::time::Instant;
 
@@ -40,10 +39,6 @@
 const CUT_WEIGHT: f64 = 0.01;
 /// Requests of this entry at one target above which its weight sinks.
 const BUSY: u32 = 6;
-/// Targets of one part of a pool, at least, where it has as many.
-///
-/// The calls of more would be more than the processor of a small instance can do.
-const PART_TARGETS: usize = 5;
 /// Requests to cold targets that an entry may save up.
 const COLD_BURST: f64 = 1.0;
 
@@ -109,17 +104,20 @@
 /// Targets of all pools as one entry sees them.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    targets: IndexMap<TargetName, Target>,
+    pub(super) targets: IndexMap<TargetName, Target>,
     out: Vec<CentreName>,
+    /// How the targets of each pool are split over desks.
+    pub(super) splits: IndexMap<PoolName, Split>,
     /// Targets that could not be reached of late, with when.
     unreached: IndexMap<TargetName, (Instant, CentreName)>,
     /// Whether a list was taken in: targets of the first one are not new.
     listed: bool,
 }
 
+/// Target as this entry sees it.
 #[derive(Clone, Debug)]
-struct Target {
-    listed: Listed,
+pub(super) struct Target {
+    pub(super) listed: Listed,
     health: Health,
     /// When it last answered.
     answered: Instant,
@@ -149,6 +147,7 @@
             self.targets.insert(listed.name.clone(), target);
         }
         self.listed = true;
+        self.split();
     }
 
     /// Takes in which data centres get no new work; those that come back have cold targets.
@@ -160,30 +159,7 @@
             }
         }
         self.out = out;
-    }
-
-    /// Returns the number of parts that a pool's targets are split into, each with a desk.
-    pub fn parts(&self, pool: &PoolName) -> u16 {
-        let count = self.targets.values().filter(|t| t.listed.pool == *pool).count();
-        u16::try_from(count / PART_TARGETS).unwrap_or(u16::MAX).max(1)
-    }
-
-    /// Returns the targets of a desk that do stages now.
-    ///
-    /// Each part of a pool has its share of the targets in each data centre.
-    pub fn makers(&self, desk: &DeskName) -> Vec<MakerInfo> {
-        let parts = usize::from(self.parts(&desk.pool));
-        let part = usize::from(desk.part) % parts;
-        let mut targets: Vec<&Target> =
-            self.targets.values().filter(|t| t.listed.pool == desk.pool).collect();
-        targets.sort_by(|a, b| {
-            let centres = a.listed.centre.cmp(&b.listed.centre);
-            centres.then_with(|| a.listed.name.cmp(&b.listed.name))
-        });
-        let own = targets.into_iter().enumerate().filter(|(at, _)| at % parts == part);
-        let info =
-            |t: &Target| MakerInfo { name: t.listed.name.clone(), centre: t.listed.centre.clone() };
-        own.filter(|(_, t)| self.is_usable(t)).map(|(_, t)| info(t)).collect()
+        self.split();
     }
 
     /// Returns the data centre of the target at an address.
@@ -256,7 +232,7 @@
         target.health.note(now, ended);
     }
 
-    fn is_usable(&self, target: &Target) -> bool {
+    pub(super) fn is_usable(&self, target: &Target) -> bool {
         !target.listed.leaving && !self.out.contains(&target.listed.centre)
     }
 
--- a/hawthornkeel_core/src/place/mod.rs
+++ b/hawthornkeel_core/src/place/mod.rs
@@ -7,3 +7,5 @@
 pub mod repeats;
 
 pub mod health;
+
+mod split;
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -14,13 +14,18 @@
 pub struct DeskName {
     /// Pool.
     pub pool: PoolName,
-    /// Part of the pool's targets, from zero.
+    /// Data centre of its targets, where each has desks of its own.
+    pub centre: Option<CentreName>,
+    /// Part of these targets, from zero.
     pub part: u16,
 }
 
 impl fmt::Display for DeskName {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{}/{}", self.pool, self.part)
+        match &self.centre {
+            Some(centre) => write!(f, "{}/{centre}/{}", self.pool, self.part),
+            None => write!(f, "{}/{}", self.pool, self.part),
+        }
     }
 }
 
