Late work yields strictly, and expects what work in time leaves

Change: late work goes behind all work that is in time, whenever it came, and its estimate is divided by the part of the targets that the flow of work in time leaves (mean over 1.5 s, a tenth at least).

--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -18,7 +18,9 @@
 pub use crate::stages::action::MakerInfo;
 pub use crate::stages::action::PieceOutcome;
 pub use crate::stages::action::Summary;
+use crate::stages::admission::LATE_RANK;
 use crate::stages::estimate::Capacity;
+use crate::stages::estimate::Flow;
 use crate::stages::estimate::Queued;
 use crate::stages::estimate::call_time;
 use crate::stages::estimate::place;
@@ -92,6 +94,8 @@
     pub(super) jobs: IndexMap<JobId, Entry>,
     /// Work that is to come, with when it should be done.
     bookings: IndexMap<JobId, Queued>,
+    /// Flow of work that is in time.
+    flow: Flow,
     /// Outcomes of late, for callers that ask again.
     ended: IndexMap<JobId, (Instant, JobOutcome)>,
     pub(super) calls: IndexMap<CallNumber, Call>,
@@ -109,6 +113,7 @@
             makers: IndexMap::new(),
             jobs: IndexMap::new(),
             bookings: IndexMap::new(),
+            flow: Flow::default(),
             ended: IndexMap::new(),
             calls: IndexMap::new(),
             kept: IndexMap::new(),
@@ -216,6 +221,9 @@
             return;
         }
         self.bookings.swap_remove(&job.id);
+        if job.priority < LATE_RANK {
+            self.flow.add(self.now, job.pieces);
+        }
         let due = self.now + Duration::from_millis(job.due_ms);
         let end_in = Duration::from_millis(job.end_ms);
         let (end, shortest) = (self.now + end_in, call_time(&self.pool, 1));
@@ -421,6 +429,7 @@
             now,
             makers: counted().map(|m| 1.0 / m.speed.max(0.5)).sum(),
             until_free: counted().map(|m| m.until_free(now)).min().unwrap_or_default(),
+            flow: self.flow.rate(now),
         }
     }
 
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -11,7 +11,13 @@
 /// Time by which work of one rank goes before that of the next with the same due.
 const RANK_STEP: Duration = Duration::from_millis(350);
 /// Time by which work that is in time goes before work that is late, with the same due.
-const LATE_STEP: Duration = Duration::from_millis(1_500);
+///
+/// Longer than callers wait: late work that caught up would make all work late.
+const LATE_STEP: Duration = Duration::from_secs(60);
+/// Time over which the flow of work is averaged.
+const FLOW_TIME: Duration = Duration::from_millis(1_500);
+/// Part of the targets' capacity that late work is expected to get at least.
+const MIN_LEFTOVER: f64 = 0.1;
 /// Ranks that are told apart.
 const MAX_STEPS: u16 = 4;
 
@@ -44,6 +50,27 @@
     due + late + RANK_STEP * u32::from(rank.min(MAX_STEPS))
 }
 
+/// Flow of pieces that are in time, as a decaying mean.
+#[derive(Clone, Copy, Debug, Default, PartialEq)]
+pub(super) struct Flow {
+    /// Pieces a second as of `at`.
+    rate: f64,
+    at: Instant,
+}
+
+impl Flow {
+    /// Adds pieces that were offered.
+    pub(super) fn add(&mut self, now: Instant, pieces: u32) {
+        self.rate = self.rate(now) + f64::from(pieces) / FLOW_TIME.as_secs_f64();
+        self.at = now;
+    }
+
+    /// Returns the pieces a second.
+    pub(super) fn rate(&self, now: Instant) -> f64 {
+        self.rate * (-now.since(self.at).as_secs_f64() / FLOW_TIME.as_secs_f64()).exp()
+    }
+}
+
 /// What a desk's targets can do.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct Capacity {
@@ -53,6 +80,8 @@
     pub(super) makers: f64,
     /// Time until the first of them is free.
     pub(super) until_free: Duration,
+    /// Pieces a second that come and are in time, which late work leaves the targets to.
+    pub(super) flow: f64,
 }
 
 /// What a booking comes to.
@@ -84,7 +113,17 @@
         let ahead: u32 = before.iter().map(|q| q.pieces).sum();
         let harm = self.harm(pool, after, ahead, new);
         let own = own_time(pool, ahead, new.pieces);
-        Some(Estimate { drain: self.drain(pool, ahead), own, harm })
+        let mut drain = self.drain(pool, ahead);
+        if new.priority >= LATE_RANK {
+            drain = drain.div_f64(self.leftover(pool));
+        }
+        Some(Estimate { drain, own, harm })
+    }
+
+    /// Returns the part of the capacity that work in time leaves.
+    fn leftover(&self, pool: &Pieces) -> f64 {
+        let most = pool.batch as f64 / call_time(pool, pool.batch).as_secs_f64() * self.makers;
+        (1.0 - self.flow / most).clamp(MIN_LEFTOVER, 1.0)
     }
 
     /// Returns the time by which work in `after` of the same or a higher rank would be late.
--- a/hawthornkeel_core/tests/stage_desk.rs
+++ b/hawthornkeel_core/tests/stage_desk.rs
@@ -188,3 +188,24 @@
     site.offer(stage_site::Wanted { due_ms: 0, priority: Pace::Late.rank(0), ..job(4, 8) });
     assert!(site.book(&stage_site::Wanted { due_ms: 900, ..job(5, 8) }));
 }
+
+#[test]
+fn late_work_expects_what_is_left() {
+    let booked = |flow_ms: Option<u64>| {
+        let mut site = Site::new(2);
+        for number in 0..flow_ms.map_or(0, |f| 2_000 / f) {
+            site.offer(job(u32::try_from(number).unwrap(), 1));
+            site.run(flow_ms.unwrap());
+        }
+        let late = stage_site::Wanted { priority: Pace::Late.rank(0), ..job(5_000, 1) };
+        site.drain(&late)
+    };
+    // Work in time that takes nine tenths of the targets leaves late work little.
+    assert!(
+        booked(Some(18)) > booked(Some(60)) * 2,
+        "{:?} {:?}",
+        booked(Some(18)),
+        booked(Some(60))
+    );
+    assert_eq!(booked(None), Duration::ZERO);
+}
--- a/hawthornkeel_core/tests/stage_site/mod.rs
+++ b/hawthornkeel_core/tests/stage_site/mod.rs
@@ -16,6 +16,7 @@
 use hawthornkeel_core::stages::desk::Item;
 use hawthornkeel_core::stages::desk::MakerInfo;
 use hawthornkeel_core::stages::desk::PieceOutcome;
+use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -107,15 +108,24 @@
         self.moods[target] = Mood::Well;
     }
 
-    /// Books work, and gives the booking up where it would be late.
-    pub fn book(&mut self, wanted: &Wanted) -> bool {
+    /// Returns the time after which a booking of work would begin.
+    pub fn drain(&mut self, wanted: &Wanted) -> Duration {
+        Duration::from_millis(self.booked(wanted).drain_ms)
+    }
+
+    fn booked(&mut self, wanted: &Wanted) -> Booked {
         let booking = Booking {
             id: id(wanted.number),
             pieces: wanted.pieces,
             priority: wanted.priority,
             due_ms: wanted.due_ms,
         };
-        let booked = self.desk.book(self.time(), &booking).unwrap();
+        self.desk.book(self.time(), &booking).unwrap()
+    }
+
+    /// Books work, and gives the booking up where it would be late.
+    pub fn book(&mut self, wanted: &Wanted) -> bool {
+        let booked = self.booked(wanted);
         let fits = booked.drain_ms + booked.own_ms <= wanted.due_ms && booked.harm_ms == 0;
         if !fits {
             self.input(Input::Withdraw(id(wanted.number)));
