--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -94,6 +94,8 @@
     prepared: Rc<RefCell<Prepared>>,
     /// Time that its stages took.
     staged: Duration,
+    /// Time after which its answer began.
+    first: Duration,
 }
 
 impl Course {
@@ -135,6 +137,9 @@
             tries = self.tried.len(),
             target = self.tried.last().map(TargetName::as_str),
             staged_ms = ms(self.staged),
+            planned_ms = self.prepared.borrow().plan.map(|p| ms(p.end)),
+            pace = self.prepared.borrow().plan.map(|p| p.pace.as_str()),
+            first_ms = ms(self.first),
             ms = ms(ticket.started.elapsed()),
         );
     }
@@ -337,7 +342,7 @@
     async fn pass_on(
         &self,
         ticket: Rc<Ticket>,
-        course: Course,
+        mut course: Course,
         left: Signal,
         open: Open,
         answer: Box<Answer>,
@@ -345,12 +350,12 @@
     ) -> Response {
         let status = answer.status;
         let headers = passed_headers(&answer.headers);
-        let first = ticket.started.elapsed().saturating_sub(course.staged);
-        self.context.note_time(&ticket.pool.name, first);
+        course.first = ticket.started.elapsed();
+        self.context.note_time(&ticket.pool.name, course.first.saturating_sub(course.staged));
         let streams = matches!(ticket.route.kind, RouteKind::Stream { .. });
         if streams && status.is_success() {
             // What the request needed was fetched before its first event.
-            *course.prepared.borrow_mut() = Prepared::default();
+            course.prepared.borrow_mut().give_up();
             let (sender, receiver) = bounded(STREAM_PIECES);
             let context = Rc::clone(&self.context);
             let relay = Relay { context, ticket, left, course, open };
--- a/hawthornkeel/src/forward/prepare.rs
+++ b/hawthornkeel/src/forward/prepare.rs
@@ -53,9 +53,25 @@
 pub struct Prepared {
     stages: Vec<Option<Results>>,
     last: Vec<u16>,
+    /// What was expected as it was begun.
+    pub plan: Option<Expected>,
+}
+
+/// What was expected of a request as it was begun.
+#[derive(Clone, Copy, Debug)]
+pub struct Expected {
+    /// Time from its arrival until its answer begins.
+    pub end: Duration,
+    /// Whether it can meet its objective.
+    pub pace: Pace,
 }
 
 impl Prepared {
+    /// Gives up all results.
+    pub fn give_up(&mut self) {
+        self.stages.clear();
+    }
+
     /// Returns the results in the order of stages and pieces.
     pub fn handles(&self) -> Vec<Handle> {
         let last = self.last.iter().filter_map(|at| self.stages.get(usize::from(*at))?.as_ref());
@@ -142,7 +158,7 @@
         }
         plan.give_up(&mut stages);
     }
-    Ok(Prepared { stages, last: plan.last })
+    Ok(Prepared { stages, last: plan.last, plan: plan.expected })
 }
 
 async fn run(desks: &Desks, desk: Option<DeskName>, job: Job) -> Result<Results, Undone> {
@@ -164,6 +180,7 @@
     place: Option<CentreName>,
     /// Whether it can still meet its objective.
     pace: Pace,
+    expected: Option<Expected>,
 }
 
 impl<'a> Plan<'a> {
@@ -174,7 +191,7 @@
         let centre = crate::forward::handler::likely_centre(context, ticket);
         let pace = if ticket.fresh.is_zero() { Pace::Late } else { Pace::Prompt };
         let place = centre.clone();
-        Self { context, ticket, pass, counts, last, centre, place, pace }
+        Self { context, ticket, pass, counts, last, centre, place, pace, expected: None }
     }
 
     fn stage(&self, at: u16) -> Option<&Stage> {
@@ -235,6 +252,7 @@
             }
             let (bookings, outlook) = self.book_at(desks).await;
             if outlook.allows(self.pace, &self.times()) {
+                self.expect(&outlook);
                 return Ok(bookings);
             }
             if soonest.as_ref().is_none_or(|(end, _)| outlook.end < *end) {
@@ -249,11 +267,17 @@
         let times = self.times();
         tracing::debug!(event = "request-judged", request = %self.ticket.id, ?outlook, ?times);
         if outlook.allows(self.pace, &times) {
+            self.expect(&outlook);
             return Ok(bookings);
         }
         Err(Unprepared::Refused { retry: outlook.retry(self.pace, &times) })
     }
 
+    fn expect(&mut self, outlook: &Outlook) {
+        let end = self.ticket.started.elapsed().saturating_add(outlook.end);
+        self.expected = Some(Expected { end, pace: self.pace });
+    }
+
     /// Returns the data centres to have the stages done in, the one where the request runs first.
     fn places(&self, desks: &Desks) -> Vec<Option<CentreName>> {
         let pools: Vec<&PoolName> =
--- a/hawthornkeel_core/src/stages/admission.rs
+++ b/hawthornkeel_core/src/stages/admission.rs
@@ -39,6 +39,14 @@
 }
 
 impl Pace {
+    /// Returns its name in logs.
+    pub fn as_str(self) -> &'static str {
+        match self {
+            Self::Prompt => "prompt",
+            Self::Late => "late",
+        }
+    }
+
     /// Returns the rank of a request's work.
     pub fn rank(self, rank: u16) -> u16 {
         match self {
