Control goes on when its disk is full

Ruled out: treating a failed sync the same way: what the kernel dropped then can't be known.

Change: a frame that a full disk refused is cut off and written again once there is room (60 s at most, not at a stop); all before it was synced, so nothing is acknowledged meanwhile and nothing is lost.

--- a/hawthornkeel/src/disk/error.rs
+++ b/hawthornkeel/src/disk/error.rs
@@ -37,6 +37,8 @@
         /// Error of the operating system.
         error: io::Error,
     },
+    /// The disk has no room. What was synced before stands.
+    Full(PathBuf),
     /// What is to be written can't be encoded.
     Encode(postcard::Error),
     /// An earlier write or sync failed.
@@ -49,6 +51,16 @@
         Self::Io { file: file.to_owned(), error }
     }
 
+    /// Creates an error of a write to `file`.
+    pub(super) fn write(file: &Path, error: io::Error) -> Self {
+        match error.kind() {
+            io::ErrorKind::StorageFull | io::ErrorKind::QuotaExceeded => {
+                Self::Full(file.to_owned())
+            }
+            _ => Self::io(file, error),
+        }
+    }
+
     /// Creates an error of damage in `file`.
     pub(super) fn damaged(file: &Path, offset: u64, what: &'static str) -> Self {
         Self::Damaged { file: file.to_owned(), offset, what }
@@ -71,6 +83,7 @@
                 file.display()
             ),
             Self::Io { file, error } => write!(f, "{}: {error}", file.display()),
+            Self::Full(file) => write!(f, "{}: the disk is full", file.display()),
             Self::Encode(error) => write!(f, "can't encode a save: {error}"),
             Self::Poisoned => f.write_str("an earlier write or sync failed"),
         }
--- a/hawthornkeel/src/disk/folder.rs
+++ b/hawthornkeel/src/disk/folder.rs
@@ -68,8 +68,8 @@
     files: &mut F,
 ) -> Result<File, DiskError> {
     let aside = path.with_extension(UNFINISHED);
-    let mut file = File::create(&aside).map_err(|e| DiskError::io(&aside, e))?;
-    files.write(&mut file, data).map_err(|e| DiskError::io(&aside, e))?;
+    let mut file = File::create(&aside).map_err(|e| DiskError::write(&aside, e))?;
+    files.write(&mut file, data).map_err(|e| DiskError::write(&aside, e))?;
     files.sync(&file).map_err(|e| DiskError::io(&aside, e))?;
     Ok(file)
 }
--- a/hawthornkeel/src/disk/mod.rs
+++ b/hawthornkeel/src/disk/mod.rs
@@ -9,6 +9,8 @@
 //!   folder is not opened.
 //! - A snapshot is written aside, synced and renamed. It names the first segment that counts.
 //! - After a failed write or sync nothing more is written: what the kernel dropped can't be known.
+//!   A frame that a full disk refused is the exception: all before it was synced, so it is taken
+//!   back and written again.
 
 mod error;
 mod files;
@@ -20,6 +22,8 @@
 mod writer;
 
 use std::fs::File;
+use std::io::Seek;
+use std::io::SeekFrom;
 use std::path::Path;
 use std::path::PathBuf;
 
@@ -157,6 +161,23 @@
         Ok(())
     }
 
+    /// Takes back a frame that [`Disk::write`] failed to write with [`DiskError::Full`].
+    ///
+    /// Only log saves may have been written with it; the same saves are to be written again.
+    ///
+    /// # Errors
+    ///
+    /// Returns an error where the end of the frame can't be cut off; the folder stays as it was.
+    pub fn take_back(&mut self) -> Result<(), DiskError> {
+        let Some(segment) = self.segments.last() else { return Err(DiskError::Poisoned) };
+        let path = segment::path(&self.path, segment.number);
+        self.file.set_len(segment.bytes).map_err(|e| DiskError::write(&path, e))?;
+        let end = SeekFrom::Start(segment.bytes);
+        self.file.seek(end).map_err(|e| DiskError::io(&path, e))?;
+        self.poisoned = false;
+        Ok(())
+    }
+
     /// Writes records as one frame, syncs it, and begins a new segment if this one is full.
     fn write_records(&mut self, records: &mut Vec<Record<'_>>) -> Result<(), DiskError> {
         if records.is_empty() {
@@ -165,7 +186,7 @@
         let frame = frame::encode(&*records)?;
         let Some(segment) = self.segments.last_mut() else { return Err(DiskError::Poisoned) };
         let path = segment::path(&self.path, segment.number);
-        self.files.write(&mut self.file, &frame).map_err(|e| DiskError::io(&path, e))?;
+        self.files.write(&mut self.file, &frame).map_err(|e| DiskError::write(&path, e))?;
         self.files.sync(&self.file).map_err(|e| DiskError::io(&path, e))?;
         segment.bytes += frame.len() as u64;
         for record in records.drain(..) {
--- a/hawthornkeel/src/disk/writer.rs
+++ b/hawthornkeel/src/disk/writer.rs
@@ -1,11 +1,16 @@
 //! Thread that writes to the data folder.
 
 use std::io;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::sync::mpsc::Receiver;
 use std::sync::mpsc::Sender;
 use std::thread;
 use std::thread::JoinHandle;
+use std::time::Duration;
+use std::time::Instant;
 
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::replica::Keep;
@@ -16,8 +21,14 @@
 use crate::disk::Disk;
 use crate::disk::error::DiskError;
 use crate::disk::files::Files;
+use crate::disk::folder;
 use crate::disk::snapshot;
 
+/// Pause before a full disk is tried again.
+const FULL_PAUSE: Duration = Duration::from_millis(100);
+/// Time for which a disk may be full before the process stops, as others can do without it.
+const FULL_TIME: Duration = Duration::from_secs(60);
+
 /// What the writer reports.
 #[derive(Debug)]
 pub enum Report {
@@ -48,11 +59,12 @@
 
 /// Writer of a data folder on a thread of its own.
 ///
-/// Dropping it writes what it was handed, and waits for that.
+/// Dropping it writes what it was handed, and waits for that, but not for a disk that is full.
 #[derive(Debug)]
 pub struct DiskWriter {
     sender: Option<Sender<Order>>,
     thread: Option<JoinHandle<()>>,
+    ending: Arc<AtomicBool>,
 }
 
 impl DiskWriter {
@@ -67,13 +79,15 @@
     ) -> io::Result<Self> {
         let (sender, receiver) = mpsc::channel();
         let thread = thread::Builder::new().name("disk".to_owned());
+        let ending = Arc::new(AtomicBool::new(false));
+        let seen = Arc::clone(&ending);
         let thread = thread.spawn(move || {
-            let mut worker = Worker { disk, job: None };
+            let mut worker = Worker { disk, job: None, ending: seen };
             if let Err(error) = worker.run(&receiver, &mut report) {
                 report(Report::Failed(error));
             }
         })?;
-        Ok(Self { sender: Some(sender), thread: Some(thread) })
+        Ok(Self { sender: Some(sender), thread: Some(thread), ending })
     }
 
     /// Hands over a save; saves are written in the order of this call.
@@ -95,6 +109,7 @@
 impl Drop for DiskWriter {
     fn drop(&mut self) {
         self.sender = None;
+        self.ending.store(true, Ordering::Relaxed);
         if let Some(thread) = self.thread.take() {
             let _ = thread.join();
         }
@@ -105,6 +120,8 @@
 struct Worker<F: Files> {
     disk: Disk<F>,
     job: Option<Job>,
+    /// Whether the writer is being dropped.
+    ending: Arc<AtomicBool>,
 }
 
 impl<F: Files> Worker<F> {
@@ -121,7 +138,7 @@
                 let Ok(order) = receiver.try_recv() else { break };
                 ticket = self.take(order, &mut saves)?.or(ticket);
             }
-            self.disk.write(&saves)?;
+            self.write(&saves)?;
             saves.clear();
             if let Some(ticket) = ticket {
                 report(Report::Synced(ticket));
@@ -130,6 +147,43 @@
         Ok(())
     }
 
+    /// Writes saves, waiting for room where the disk is full.
+    fn write(&mut self, saves: &[Save]) -> Result<(), DiskError> {
+        let only_log = saves.iter().all(|s| matches!(s, Save::Log { .. }));
+        let mut since = None;
+        loop {
+            let error = match self.disk.write(saves) {
+                Err(DiskError::Full(file)) if only_log => DiskError::Full(file),
+                written => {
+                    if let (Some(since), Ok(())) = (since, &written) {
+                        let ms = Instant::elapsed(&since).as_millis();
+                        tracing::info!(event = "disk-has-room", ms);
+                    }
+                    return written;
+                }
+            };
+            if since.is_none() {
+                tracing::warn!(event = "disk-full", %error);
+            }
+            let since = *since.get_or_insert_with(Instant::now);
+            while let Err(full) = self.disk.take_back() {
+                if self.ends(since) || !matches!(full, DiskError::Full(_)) {
+                    return Err(full);
+                }
+                thread::sleep(FULL_PAUSE);
+            }
+            if self.ends(since) {
+                return Err(error);
+            }
+            thread::sleep(FULL_PAUSE);
+        }
+    }
+
+    /// Tells whether a disk that is full since then is not waited for any longer.
+    fn ends(&self, since: Instant) -> bool {
+        self.ending.load(Ordering::Relaxed) || since.elapsed() > FULL_TIME
+    }
+
     /// Takes in an order, and returns the ticket that is on disk once `saves` are.
     fn take(&mut self, order: Order, saves: &mut Vec<Save>) -> Result<Option<Ticket>, DiskError> {
         match order {
@@ -143,7 +197,7 @@
             }
             Order::Snapshot(ticket, snapshot, keep, done) => {
                 // What it may drop must be known to the folder.
-                self.disk.write(saves)?;
+                self.write(saves)?;
                 saves.clear();
                 self.finish_job()?;
                 self.start_job(snapshot, keep, done)?;
@@ -181,6 +235,11 @@
         let Some(job) = self.job.take() else { return Ok(()) };
         // A thread that panicked wrote nothing that counts.
         let written = job.thread.join().unwrap_or(Err(DiskError::Poisoned));
+        if let Err(error @ DiskError::Full(_)) = written {
+            // The log still holds all that the snapshot would have replaced.
+            tracing::warn!(event = "snapshot-left-out", %error);
+            return folder::remove_unfinished(&self.disk.path);
+        }
         written.and_then(|()| self.disk.adopt_snapshot(job.index, job.first))
     }
 }
