--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -131,6 +131,7 @@
             route = %ticket.route.name,
             pool = %ticket.pool.name,
             version = %ticket.table.version,
+            rank = ticket.rank,
             outcome,
             status,
             time_ms = ms(ticket.end.saturating_duration_since(ticket.started)),
--- a/hawthornkeel_core/src/place/split.rs
+++ b/hawthornkeel_core/src/place/split.rs
@@ -19,7 +19,7 @@
 /// Targets of a pool in each data centre, in the mean, from which on each has its own desk.
 ///
 /// With fewer, work would wait for a free target while others are free elsewhere.
-const CENTRE_TARGETS: usize = 3;
+const CENTRE_TARGETS: usize = 2;
 
 /// How the targets of a pool are split over desks.
 #[derive(Clone, Debug, Default)]
