Work in the order of workspaces, then routes, and lower ranks leave room for higher ones

Within workspaces of the second rank (two thirds of the requests) all routes had the same place, as ranks were cut off at four steps.

Ruled out: harm to others as the reason of the refusals (harm counts ranks that are as high only).

Change: nine levels, of three ranks of workspaces with three ranks of routes each, 0.7 s apart; what a lower level expects is divided by the part of the targets that the flow of higher levels leaves, as for late work.

--- a/hawthornkeel_core/src/stages/desk.rs
+++ b/hawthornkeel_core/src/stages/desk.rs
@@ -226,7 +226,7 @@
         }
         self.bookings.swap_remove(&job.id);
         if job.priority < LATE_RANK {
-            self.flow.add(self.now, job.pieces);
+            self.flow.add(self.now, job.priority, job.pieces);
         }
         let due = self.now + Duration::from_millis(job.due_ms);
         let end_in = Duration::from_millis(job.end_ms);
@@ -445,7 +445,7 @@
             until_free: counted().map(|m| m.until_free(now)).min().unwrap_or_default(),
             // Calls that began at any time leave their targets evenly over the time of a call.
             turn: running / count.max(1) / count.saturating_add(1),
-            flow: self.flow.rate(now),
+            flow: self.flow,
         }
     }
 
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -4,13 +4,14 @@
 use std::time::Duration;
 
 use crate::stages::admission::LATE_RANK;
+use crate::table::gate::ROUTE_RANKS;
 use crate::table::pool::Pieces;
 use crate::time::Instant;
 
 /// Lateness of work that was taken already up to which more is taken.
 const TOLERANCE: Duration = Duration::from_millis(80);
 /// Time by which work of one rank goes before that of the next with the same due.
-const RANK_STEP: Duration = Duration::from_millis(350);
+const RANK_STEP: Duration = Duration::from_millis(700);
 /// Time by which work that is in time goes before work that is late, with the same due.
 ///
 /// Longer than callers wait: late work that caught up would make all work late.
@@ -23,8 +24,12 @@
 const FLOW_TIME: Duration = Duration::from_millis(1_500);
 /// Part of the targets' capacity that late work is expected to get at least.
 const MIN_LEFTOVER: f64 = 0.1;
-/// Ranks that are told apart.
-const MAX_STEPS: u16 = 4;
+/// Ranks of routes that are told apart.
+const ROUTE_LEVELS: u16 = 3;
+/// Ranks of workspaces that are told apart.
+const WORKSPACE_LEVELS: u16 = 3;
+/// Levels of the order.
+const LEVELS: usize = (ROUTE_LEVELS * WORKSPACE_LEVELS) as usize;
 
 /// Work that waits or is booked, in the order in which it goes.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -52,30 +57,45 @@
         Some(rank) => (LATE_STEP, rank),
         None => (Duration::ZERO, priority),
     };
-    due + late + RANK_STEP * u32::from(rank.min(MAX_STEPS))
+    due + late + RANK_STEP * u32::from(level(rank))
 }
 
-/// Flow of pieces that are in time, as a decaying mean.
+/// Flow of pieces that are in time, as decaying means by rank.
 #[derive(Clone, Copy, Debug, Default, PartialEq)]
 pub(super) struct Flow {
-    /// Pieces a second as of `at`.
-    rate: f64,
+    /// Pieces a second of each rank as of `at`.
+    rates: [f64; LEVELS],
     at: Instant,
 }
 
 impl Flow {
-    /// Adds pieces that were offered.
-    pub(super) fn add(&mut self, now: Instant, pieces: u32) {
-        self.rate = self.rate(now) + f64::from(pieces) / FLOW_TIME.as_secs_f64();
+    /// Adds pieces of a rank that were offered.
+    pub(super) fn add(&mut self, now: Instant, rank: u16, pieces: u32) {
+        let decay = self.decay(now);
+        self.rates.iter_mut().for_each(|r| *r *= decay);
         self.at = now;
+        if let Some(rate) = self.rates.get_mut(usize::from(level(rank))) {
+            *rate += f64::from(pieces) / FLOW_TIME.as_secs_f64();
+        }
+    }
+
+    /// Returns the pieces a second that go before work of a rank, whenever they come.
+    fn above(&self, now: Instant, rank: u16) -> f64 {
+        let above = if rank >= LATE_RANK { self.rates.len() } else { usize::from(level(rank)) };
+        self.rates.iter().take(above).sum::<f64>() * self.decay(now)
     }
 
-    /// Returns the pieces a second.
-    pub(super) fn rate(&self, now: Instant) -> f64 {
-        self.rate * (-now.since(self.at).as_secs_f64() / FLOW_TIME.as_secs_f64()).exp()
+    fn decay(&self, now: Instant) -> f64 {
+        (-now.since(self.at).as_secs_f64() / FLOW_TIME.as_secs_f64()).exp()
     }
 }
 
+/// Returns the level of a rank: that of its workspace first, then that of its route.
+fn level(rank: u16) -> u16 {
+    let workspace = (rank / ROUTE_RANKS).min(WORKSPACE_LEVELS - 1);
+    workspace * ROUTE_LEVELS + (rank % ROUTE_RANKS).min(ROUTE_LEVELS - 1)
+}
+
 /// Time that a piece takes, as calls tell: stages differ, and inputs are fetched within it.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub(super) struct PieceTime {
@@ -119,8 +139,8 @@
     pub(super) until_free: Duration,
     /// Time until a target is free for work that comes later, about.
     pub(super) turn: Duration,
-    /// Pieces a second that come and are in time, which late work leaves the targets to.
-    pub(super) flow: f64,
+    /// Pieces that come and are in time.
+    pub(super) flow: Flow,
 }
 
 /// What a booking comes to.
@@ -154,17 +174,14 @@
         let ahead: u32 = before.iter().map(|q| q.pieces).sum();
         let harm = self.harm(pool, after, ahead, new);
         let own = own_time(pool, ahead, new.pieces);
-        let mut drain = self.drain(pool, ahead);
-        if new.priority >= LATE_RANK {
-            drain = drain.div_f64(self.leftover(pool));
-        }
+        let drain = self.drain(pool, ahead).div_f64(self.leftover(pool, new.priority));
         Some(Estimate { drain, own, harm, turn: self.turn })
     }
 
-    /// Returns the part of the capacity that work in time leaves.
-    fn leftover(&self, pool: &Pieces) -> f64 {
+    /// Returns the part of the capacity that is left for work of a rank.
+    fn leftover(&self, pool: &Pieces, rank: u16) -> f64 {
         let most = pool.batch as f64 / call_time(pool, pool.batch).as_secs_f64() * self.makers;
-        (1.0 - self.flow / most).clamp(MIN_LEFTOVER, 1.0)
+        (1.0 - self.flow.above(self.now, rank) / most).clamp(MIN_LEFTOVER, 1.0)
     }
 
     /// Returns the time by which work in `after` of the same or a higher rank would be late.
--- a/hawthornkeel_core/src/table/gate.rs
+++ b/hawthornkeel_core/src/table/gate.rs
@@ -53,7 +53,7 @@
 }
 
 /// Ranks of routes within one rank of workspaces.
-const ROUTE_RANKS: u16 = 16;
+pub const ROUTE_RANKS: u16 = 16;
 
 /// Decides whether a request may pass.
 ///
--- a/hawthornkeel_core/tests/stage_desk.rs
+++ b/hawthornkeel_core/tests/stage_desk.rs
@@ -239,3 +239,29 @@
     // Three calls of 278 ms that end at any time: the first after a quarter, about.
     assert_eq!(site.booked(&job(901, 8)).turn_ms, 69);
 }
+
+#[rstest]
+#[case::routes_of_one_workspace(0, 1)]
+#[case::routes_of_a_later_workspace(16, 17)]
+#[case::workspaces_before_routes(2, 16)]
+fn higher_ranks_go_first(#[case] high: u16, #[case] low: u16) {
+    let mut site = Site::new(1);
+    site.offer(job(0, 8));
+    site.offer(stage_site::Wanted { priority: low, ..job(1, 8) });
+    site.offer(stage_site::Wanted { priority: high, due_ms: 2_300, ..job(2, 8) });
+    site.run(2_000);
+    assert_eq!(site.order(), [0, 2, 1]);
+}
+
+#[test]
+fn lower_ranks_leave_room() {
+    let mut site = Site::new(2);
+    // Work of the highest rank takes two thirds of the targets.
+    for number in 0..80 {
+        site.offer(job(number, 1));
+        site.run(25);
+    }
+    let mut drain = |priority| site.drain(&stage_site::Wanted { priority, ..job(5_000, 1) });
+    let (high, low) = (drain(0), drain(1));
+    assert!(low > high * 2, "{high:?} {low:?}");
+}
