Forwarding: plan, bookings and results in files of their own; a whole answer is read in one place

No decision changes but one: an answer that broke off twice may be asked for a third time where the route's attempts and the budget allow it, and a repeated answer of a server's error counts as a failure of its target, as the first one did.

--- a/hawthornkeel/src/forward/desks/mod.rs
+++ b/hawthornkeel/src/forward/desks/mod.rs
@@ -4,6 +4,7 @@
 //! over; two entries that keep the desk of one pool for a while cost only calls that wait longer.
 
 mod calls;
+mod results;
 
 use std::cell::Cell;
 use std::cell::RefCell;
@@ -22,7 +23,6 @@
 use hawthornkeel_core::stages::job::Booked;
 use hawthornkeel_core::stages::job::Booking;
 use hawthornkeel_core::stages::job::DeskName;
-use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
 use hawthornkeel_core::stages::job::JobOutcome;
@@ -32,6 +32,9 @@
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
+use crate::forward::desks::results::Pending;
+pub use crate::forward::desks::results::Results;
+pub use crate::forward::desks::results::Undone;
 use crate::peer::Frame;
 use crate::peer::frame::Book;
 use crate::peer::frame::Dismiss;
@@ -78,60 +81,6 @@
     waiters: IndexMap<JobId, Vec<oneshot::Sender<JobOutcome>>>,
 }
 
-/// Results of a stage, which are given up once they are dropped.
-pub struct Results {
-    /// Results, in the order of the pieces.
-    pub handles: Vec<Handle>,
-    desk: DeskName,
-    owner: InstanceName,
-    desks: Desks,
-}
-
-impl Results {
-    /// Gives the results up, as nothing needs them any more.
-    pub fn give_up(&mut self) {
-        let results = std::mem::take(&mut self.handles);
-        if results.is_empty() {
-            return;
-        }
-        self.desks
-            .dismiss(&self.owner, Dismiss { desk: self.desk.clone(), jobs: Vec::new(), results });
-    }
-}
-
-impl Drop for Results {
-    fn drop(&mut self) {
-        self.give_up();
-    }
-}
-
-/// Why a stage brought no results.
-#[derive(Clone, Copy, Debug, Eq, PartialEq)]
-pub enum Undone {
-    /// Its time has passed.
-    Late,
-    /// Results that it needs are gone.
-    Gone,
-    /// Targets failed it too often.
-    Failed,
-}
-
-/// Job on its way: it is withdrawn where nobody waits for it any more.
-struct Pending {
-    desks: Desks,
-    owner: InstanceName,
-    desk: DeskName,
-    job: Option<JobId>,
-}
-
-impl Drop for Pending {
-    fn drop(&mut self) {
-        if let Some(job) = self.job.take() {
-            self.desks.withdraw(&self.owner, &self.desk, vec![job]);
-        }
-    }
-}
-
 impl Desks {
     /// Creates the desks of an entry and starts to serve other entries.
     pub fn start(context: &Rc<Context>) -> Self {
@@ -399,7 +348,7 @@
     }
 
     /// Tells the entry that keeps a desk what is not needed any more.
-    fn dismiss(&self, owner: &InstanceName, dismiss: Dismiss) {
+    pub(super) fn dismiss(&self, owner: &InstanceName, dismiss: Dismiss) {
         if owner == self.inner.context.endpoint.name() {
             self.take_dismiss(dismiss);
             return;
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -14,7 +14,6 @@
 use hawthornkeel_core::request::refusal::Ran;
 use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::table::route::RouteKind;
-use http::HeaderMap;
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
@@ -23,6 +22,7 @@
 use crate::forward::exchange::Answer;
 use crate::forward::exchange::Failure;
 use crate::forward::gate;
+use crate::forward::plan;
 use crate::forward::prepare;
 use crate::forward::prepare::Prepared;
 use crate::forward::prepare::Unprepared;
@@ -111,14 +111,7 @@
     pub fn choose(&self, context: &Context, ticket: &Ticket) -> Result<Chosen, NoTarget> {
         let entries = context.roster.borrow().sharers();
         let centre = preferred_centre(context, ticket);
-        let ask = Ask {
-            pool: &ticket.pool.name,
-            session: ticket.session,
-            centre: centre.as_ref(),
-            tried: &self.tried,
-            cold: ticket.pool.cold,
-            entries,
-        };
+        let ask = ask(ticket, centre.as_ref(), &self.tried, entries);
         context.board.borrow_mut().choose(boot_now(), &ask)
     }
 
@@ -149,17 +142,20 @@
 /// Returns the data centre in which the request is likely to run.
 pub fn likely_centre(context: &Context, ticket: &Ticket) -> Option<CentreName> {
     let centre = preferred_centre(context, ticket);
-    let ask = Ask {
-        pool: &ticket.pool.name,
-        session: ticket.session,
-        centre: centre.as_ref(),
-        tried: &[],
-        cold: ticket.pool.cold,
-        entries: 1,
-    };
+    let ask = ask(ticket, centre.as_ref(), &[], 1);
     context.board.borrow_mut().centre(boot_now(), &ask)
 }
 
+fn ask<'a>(
+    ticket: &'a Ticket,
+    centre: Option<&'a CentreName>,
+    tried: &'a [TargetName],
+    entries: usize,
+) -> Ask<'a> {
+    let Ticket { pool, session, .. } = ticket;
+    Ask { pool: &pool.name, session: *session, centre, tried, cold: pool.cold, entries }
+}
+
 /// Returns the data centre whose targets are preferred: the own one, unless prompts are shared.
 fn preferred_centre(context: &Context, ticket: &Ticket) -> Option<CentreName> {
     (!ticket.route.affine).then(|| context.centre().clone())
@@ -318,7 +314,7 @@
         if !more {
             return ticket.end;
         }
-        let usual = self.context.time(&ticket.pool.name, prepare::ENGINE_TIME) * 4;
+        let usual = self.context.time(&ticket.pool.name, plan::ENGINE_TIME) * 4;
         let silence = usual.max(ticket.route.objective / 2).max(MIN_SILENCE);
         ticket.end.min(Instant::now() + silence)
     }
@@ -350,7 +346,6 @@
         target: Chosen,
     ) -> Response {
         let status = answer.status;
-        let headers = passed_headers(&answer.headers);
         course.first = ticket.started.elapsed();
         self.context.note_time(&ticket.pool.name, course.first.saturating_sub(course.staged));
         let streams = matches!(ticket.route.kind, RouteKind::Stream { .. });
@@ -358,71 +353,65 @@
             // What the request needed was fetched before its first event.
             course.prepared.borrow_mut().give_up();
             let (sender, receiver) = bounded(STREAM_PIECES);
+            let headers = passed_headers(&answer.headers);
             let context = Rc::clone(&self.context);
             let relay = Relay { context, ticket, left, course, open };
             monoio::spawn(relay.run(*answer, target, sender));
             return Response { status, headers, body: Body::Stream(receiver) };
         }
-        self.pass_whole(&ticket, course, *answer, target, headers).await
+        self.pass_whole(&ticket, course, *answer, target).await
     }
 
-    /// Passes an answer on once it is whole.
+    /// Passes an answer on once it is whole; where it breaks off, the request may be repeated.
     async fn pass_whole(
         &self,
         ticket: &Ticket,
         mut course: Course,
         mut answer: Answer,
-        target: Chosen,
-        headers: HeaderMap,
+        mut target: Chosen,
     ) -> Response {
-        let status = answer.status;
-        let body = answer.whole(self.patience(ticket, 0)).await;
-        let ended = match &body {
-            Ok(_) if status.is_server_error() => Ended::Badly,
-            Ok(_) => Ended::Well,
-            Err(_) => Ended::Badly,
-        };
-        self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
-        match body {
-            Ok(body) => {
-                answer.finish();
-                course.log(ticket, "answered", status.as_u16());
-                Response { status, headers, body: Body::Whole(body) }
+        let mut until = self.patience(ticket, 0);
+        loop {
+            let status = answer.status;
+            let body = answer.whole(until).await;
+            let ended = match &body {
+                Ok(_) if !status.is_server_error() => Ended::Well,
+                _ => Ended::Badly,
+            };
+            self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
+            match body {
+                Ok(body) => {
+                    let headers = passed_headers(&answer.headers);
+                    answer.finish();
+                    course.log(ticket, "answered", status.as_u16());
+                    return Response { status, headers, body: Body::Whole(body) };
+                }
+                Err(failure) => {
+                    tracing::info!(event = "answer-broken", request = %ticket.id, target = %target.name, %failure);
+                }
             }
-            Err(failure) => {
-                tracing::info!(event = "answer-broken", request = %ticket.id, target = %target.name, %failure);
-                drop(answer);
-                self.again(ticket, &mut course).await
+            drop(answer);
+            match self.again(ticket, &mut course).await {
+                Some((next, at)) => (answer, target) = (*next, at),
+                None => {
+                    let problem = Problem::new(Code::StageFailed, Ran::Unknown);
+                    course.log(ticket, "answer-lost", problem.code.status().as_u16());
+                    return refusal(problem);
+                }
             }
+            until = ticket.end;
         }
     }
 
     /// Sends a request once more after its answer broke off, where it may be.
-    async fn again(&self, ticket: &Ticket, course: &mut Course) -> Response {
+    async fn again(&self, ticket: &Ticket, course: &mut Course) -> Option<(Box<Answer>, Chosen)> {
         course.runs += 1;
-        let problem = Problem::new(Code::StageFailed, Ran::Unknown);
         if !ticket.route.kind.may_repeat() || !self.may_repeat(ticket, course) {
-            course.log(ticket, "answer-lost", problem.code.status().as_u16());
-            return refusal(problem);
+            return None;
         }
-        let Forwarded::Answer(mut answer, target) = self.forward(ticket, course).await else {
-            course.log(ticket, "answer-lost", problem.code.status().as_u16());
-            return refusal(problem);
-        };
-        let (status, headers) = (answer.status, passed_headers(&answer.headers));
-        let body = answer.whole(ticket.end).await;
-        let ended = if body.is_ok() { Ended::Well } else { Ended::Badly };
-        self.context.board.borrow_mut().ended(boot_now(), &target.name, ended);
-        match body {
-            Ok(body) => {
-                answer.finish();
-                course.log(ticket, "answered", status.as_u16());
-                Response { status, headers, body: Body::Whole(body) }
-            }
-            Err(_) => {
-                course.log(ticket, "answer-lost", problem.code.status().as_u16());
-                refusal(problem)
-            }
+        match self.forward(ticket, course).await {
+            Forwarded::Answer(answer, target) => Some((answer, target)),
+            Forwarded::ResultsGone | Forwarded::Ended(_) => None,
         }
     }
 }
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -17,3 +17,6 @@
 pub mod start;
 pub mod survey;
 pub mod verdict;
+
+mod booking;
+mod plan;
