--- a/hawthornkeel/tests/centre_cuts.rs
+++ b/hawthornkeel/tests/centre_cuts.rs
@@ -162,7 +162,7 @@
     let resent = sign(&fleet, other + 3, "first");
     assert_eq!(resent.result(), first.result(), "{resent:?}");
     let draft = fleet.call(leader, "draft", "", "{\"text\":\"lot\"}").unwrap();
-    assert_eq!(draft.status, 200, "{draft:?}");
+    assert_eq!(draft.status, 200, "{draft:?}\n{}", fleet.log(leader));
     let next = fleet.leader_of(other);
     assert_ne!(next, leader);
     let term = fleet.term_at(next);
@@ -197,7 +197,7 @@
     assert_ne!(fleet.leader_of(other), leader);
     let told = sign_until_refused(&fleet, leader);
     let draft = fleet.call(leader, "draft", "", "{\"text\":\"lot\"}").unwrap();
-    assert_eq!(draft.status, 200, "{draft:?}");
+    assert_eq!(draft.status, 200, "{draft:?}\n{}", fleet.log(leader));
     fleet.network().set_muted(&fleet.instances[leader].name, false);
     let caught_up = || fleet.version_at(leader) == Some(2);
     assert!(eventually(PATIENCE, caught_up), "{}", fleet.log(leader));
--- a/hawthornkeel/tests/disk_faults.rs
+++ b/hawthornkeel/tests/disk_faults.rs
@@ -13,6 +13,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::mpsc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hawthornkeel::disk::Disk;
 use hawthornkeel::disk::DiskError;
@@ -168,6 +169,17 @@
     refused: Arc<AtomicU64>,
 }
 
+impl Filling {
+    /// Waits until so many writes were refused.
+    fn await_refusals(&self, count: u64) {
+        let start = Instant::now();
+        while self.refused.load(Ordering::SeqCst) < count {
+            assert!(start.elapsed() < Duration::from_secs(20), "not written again");
+            std::thread::yield_now();
+        }
+    }
+}
+
 impl Files for Filling {
     fn write(&mut self, file: &mut File, data: &[u8]) -> io::Result<()> {
         if self.full.load(Ordering::SeqCst) {
@@ -200,9 +212,7 @@
     assert!(matches!(reports.recv_timeout(wait), Ok(Report::Synced(Ticket(1)))));
     files.full.store(true, Ordering::SeqCst);
     writer.save(Ticket(2), entries(4, 6));
-    while files.refused.load(Ordering::SeqCst) < 3 {
-        std::thread::yield_now();
-    }
+    files.await_refusals(3);
     assert!(reports.try_recv().is_err(), "reported while the disk was full");
     files.full.store(false, Ordering::SeqCst);
     assert!(matches!(reports.recv_timeout(wait), Ok(Report::Synced(Ticket(2)))));
@@ -218,9 +228,7 @@
     assert!(matches!(reports.recv(), Ok(Report::Synced(Ticket(1)))));
     files.full.store(true, Ordering::SeqCst);
     writer.save(Ticket(2), Save::Snapshot { snapshot: snapshot(8), keep: Keep::From(LogIndex(6)) });
-    while files.refused.load(Ordering::SeqCst) < 1 {
-        std::thread::yield_now();
-    }
+    files.await_refusals(1);
     files.full.store(false, Ordering::SeqCst);
     writer.save(Ticket(3), entries(10, 10));
     drop(writer);
