Routing: a stalled target is tried again, also without its issuer

Cause, two faults of how a call waits, each reproduced on the virtual clock by a test that failed before: - The average call time of a target changed only with its own answers. A near target that answered one call slowly was more expensive than a far one from then on, got no call and so could never show otherwise (slow_answer_is_forgotten: 0 calls to it in 30 s). An entry that its issuer can't reach got none, so one stall made each of its calls wait as fair_queue until its deadline (the listed fault of isolated_leader_acknowledges_nothing and muted_leader_is_replaced; stalled_target_serves_isolated_entry). Ruled out: suspicion only after a second slow answer, as the calls in between would exceed what a cold target bears (target_that_slows_down_alone_becomes_suspect failed).

Change: expected times move halfway to the pool's median in 2 s without calls. A target that is suspect for slowness or refusals, and whose issuer answered no request for 1 s, gets one call at a time without a grant, for the entry's part of what it bears while cold; a usual answer proves it warm. A restart still needs the issuer (restart_needs_a_grant).

--- a/hawthornkeel_core/src/routing/grants.rs
+++ b/hawthornkeel_core/src/routing/grants.rs
@@ -53,6 +53,7 @@
             self.next_scan = now + SCAN_INTERVAL;
             self.release_unused(now);
             self.request_grants(now);
+            self.enable_probes(now);
         }
         std::mem::take(&mut self.outputs)
     }
@@ -73,7 +74,7 @@
         };
         let current =
             if reason == SuspectReason::Overload { state.incarnations.current } else { None };
-        let was_warm = state.mark_suspect();
+        let was_warm = state.mark_suspect(reason);
         let centre = state.info.centre.clone();
         found.refresh(now);
         if notify && was_warm {
@@ -114,6 +115,7 @@
             return;
         };
         let (use_by, expires) = (pending.first_sent + lasts / 2, pending.first_sent + lasts);
+        state.direct_probe.grant_received();
         state.grants.push(Grant { id: grant.clone(), received: now, use_by, expires });
         found.refresh(now);
     }
@@ -197,6 +199,17 @@
         }
     }
 
+    /// Makes the targets available whose direct probes have become due.
+    fn enable_probes(&mut self, now: Instant) {
+        for pool in self.pools.values_mut().filter(|p| p.queue.len() + p.retry_queue.len() > 0) {
+            for index in 0..pool.targets.len() {
+                if pool.targets.get_index(index).is_some_and(|(_, t)| t.may_probe(now)) {
+                    pool.refresh(now, index, &self.settings);
+                }
+            }
+        }
+    }
+
     /// Requests grants for the cold targets of pools that are in demand.
     fn request_grants(&mut self, now: Instant) {
         let mut requests = Vec::new();
--- a/hawthornkeel_core/src/routing/outcome.rs
+++ b/hawthornkeel_core/src/routing/outcome.rs
@@ -73,12 +73,17 @@
         let (_, target) = pool.targets.get_index_mut(index)?;
         let running = target.running;
         target.running = running.saturating_sub(1);
+        if target.direct_probe.finish(permit.issued) {
+            let senders = (set.target_entries as u32 / pool.config.cold_limit.max(1)).max(1);
+            target.record_probe(now, outcome, now.since(permit.issued) * senders);
+        }
         match outcome {
             CallOutcome::Answered { latency, incarnation, .. } => {
                 if permit.grant.is_none() || pool.latencies.median().is_none() {
                     pool.latencies.record(latency);
                 }
-                let slowed = target.record_latency(latency, pool_average);
+                let suspect = target.warmth == Warmth::Suspect;
+                let slowed = target.call_times.record(now, latency, pool_average, suspect);
                 target.limit.record_answer(running);
                 target.record_answer(now);
                 let observed =
--- a/hawthornkeel_core/src/routing/pick.rs
+++ b/hawthornkeel_core/src/routing/pick.rs
@@ -124,14 +124,25 @@
     let pick = pick(pool, request, &scan, &tried)?;
     let (_, target) = pool.targets.get_index_mut(pick.index)?;
     let (mut deadline, mut grant, mut grant_expiry) = (stage_deadline, None, None);
+    let mut reason = pick.reason;
     if pick.reason == Reason::ColdGrant {
-        let unused = target.grants.iter().position(|g| now < g.use_by)?;
-        let used = target.grants.swap_remove(unused);
-        deadline = deadline.min(used.expires);
-        grant = Some(used.id);
-        grant_expiry = Some(used.expires);
+        match target.grants.iter().position(|g| now < g.use_by) {
+            Some(unused) => {
+                let used = target.grants.swap_remove(unused);
+                deadline = deadline.min(used.expires);
+                grant = Some(used.id);
+                grant_expiry = Some(used.expires);
+            }
+            None if target.may_probe(now) => {
+                reason = Reason::Probe;
+                target.direct_probe.sent(now);
+            }
+            None => return None,
+        }
+    }
+    if target.is_down() {
+        reason = Reason::Probe;
     }
-    let reason = if target.is_down() { Reason::Probe } else { pick.reason };
     let incarnation = target.incarnations.current.filter(|_| grant.is_none());
     target.running += 1;
     let (name, address) = (target.info.name.clone(), target.info.address.clone());
--- a/hawthornkeel_core/src/routing/target/grants.rs
+++ b/hawthornkeel_core/src/routing/target/grants.rs
@@ -48,6 +48,7 @@
             return None;
         }
         self.next_request = now + lease.resend_timeout;
+        self.direct_probe.grant_requested(now, lease);
         let old =
             |p: &PendingRequest| now.since(p.first_sent) >= lease.grant_duration / RENUMBER_DIVISOR;
         self.pending.take_if(|p| old(p));
--- a/hawthornkeel_core/src/routing/target/mod.rs
+++ b/hawthornkeel_core/src/routing/target/mod.rs
@@ -1,11 +1,14 @@
 //! State that an entry keeps per target.
 
+mod call_times;
+mod direct_probe;
 mod grants;
 mod health;
 
 use std::time::Duration;
 
 use crate::document::Pool;
+use crate::lease::SuspectReason;
 use crate::lease::message::GrantId;
 use crate::routing::candidate::Candidate;
 use crate::routing::candidate::Class;
@@ -14,20 +17,17 @@
 use crate::routing::limit::ConcurrencyLimit;
 use crate::routing::refusals::RefusalRun;
 use crate::routing::settings::RouterSettings;
+use crate::routing::types::CallOutcome;
 use crate::routing::types::Lifecycle;
 use crate::routing::types::LoadReport;
 use crate::routing::types::TargetInfo;
 use crate::time::Instant;
 
+use self::call_times::CallTimes;
+use self::direct_probe::DirectProbe;
 pub(crate) use self::grants::Grant;
 pub(crate) use self::grants::PendingRequest;
 
-/// Weight of a new sample in the short-term average of call times.
-const SHORT_WEIGHT: f64 = 0.3;
-/// Weight of a new sample in the long-term average of call times.
-const LONG_WEIGHT: f64 = 0.03;
-/// Ratio of the short-term average to the long-term one, and to the pool's, that counts as a step.
-const STEP_RATIO: f64 = 4.0;
 /// Fraction of a target's limit up to which entries may exceed their own shares.
 const FILL_FRACTION: f64 = 1.0;
 /// Factor on the calls in flight above this entry's share while a target reports that it is full.
@@ -76,10 +76,7 @@
     pub limit: ConcurrencyLimit,
     /// This entry's share of the target's limit, in calls.
     pub share: f64,
-    /// Short-term average call time in microseconds, zero before the first answer.
-    pub short_average: f64,
-    /// Long-term average call time in microseconds, zero before the first answer.
-    pub long_average: f64,
+    pub call_times: CallTimes,
     /// Calls of other entries, according to the last load report.
     pub other_calls: f64,
     pub last_report: Option<Instant>,
@@ -92,6 +89,7 @@
     pub grants: Vec<Grant>,
     pub pending: Option<PendingRequest>,
     pub next_request: Instant,
+    pub direct_probe: DirectProbe,
 }
 
 impl Target {
@@ -114,8 +112,7 @@
             running: 0,
             limit: ConcurrencyLimit::new(1.0, 1.0),
             share: 1.0,
-            short_average: 0.0,
-            long_average: 0.0,
+            call_times: CallTimes::default(),
             other_calls: 0.0,
             last_report: None,
             failures: 0,
@@ -125,6 +122,7 @@
             grants: Vec::new(),
             pending: None,
             next_request: Instant::ZERO,
+            direct_probe: DirectProbe::default(),
         }
     }
 
@@ -201,11 +199,18 @@
         match self.warmth {
             Warmth::Warm if self.is_down() => self.running == 0,
             Warmth::Warm => self.running < self.limit.calls(),
-            Warmth::Cold | Warmth::Suspect => self.grants.iter().any(|g| now < g.use_by),
+            Warmth::Cold | Warmth::Suspect => {
+                self.grants.iter().any(|g| now < g.use_by) || self.may_probe(now)
+            }
         }
     }
 
-    /// Returns the summary used for selection. `latency` stands in until a call was answered.
+    /// Returns whether a call may be sent without a grant to show that a suspect target is warm.
+    pub fn may_probe(&self, now: Instant) -> bool {
+        self.warmth == Warmth::Suspect && self.running == 0 && self.direct_probe.is_due(now)
+    }
+
+    /// Returns the summary used for selection. `latency` is the pool's median in microseconds.
     pub fn candidate(
         &self,
         now: Instant,
@@ -213,7 +218,7 @@
         latency: f64,
         set: &RouterSettings,
     ) -> Candidate {
-        let latency = if self.short_average > 0.0 { self.short_average } else { latency };
+        let latency = self.call_times.expected(now, latency);
         let fresh = self.last_report.is_some_and(|at| now.since(at) < set.report_age);
         let others = if fresh { self.other_calls } else { 0.0 };
         let load = (f64::from(self.running) + others) / f64::from(pool.warm_limit.max(1));
@@ -250,27 +255,30 @@
         }
     }
 
-    /// Records the time of an answered call. Returns whether the target has slowed down abruptly.
+    /// Records the outcome of a call that was sent without a grant to show that the target is warm.
     ///
-    /// `pool_micros` is the average over the pool: a target that slows down with the whole pool
-    /// doesn't count.
-    pub fn record_latency(&mut self, latency: Duration, pool_micros: f64) -> bool {
-        let micros = latency.as_micros() as f64;
-        if self.long_average == 0.0 {
-            self.short_average = micros;
-            self.long_average = micros;
-            return false;
+    /// If it did not, the next one may be sent after `pause`.
+    pub fn record_probe(&mut self, now: Instant, outcome: CallOutcome, pause: Duration) {
+        let usual = match outcome {
+            CallOutcome::Answered { latency, .. } => self.call_times.is_usual(latency),
+            _ => false,
+        };
+        if usual && self.warmth == Warmth::Suspect {
+            self.warmth = Warmth::Warm;
+            self.call_times.forget_slowness();
+            self.limit.reset();
+        } else {
+            self.direct_probe.retry_after(now, pause);
         }
-        self.short_average += (micros - self.short_average) * SHORT_WEIGHT;
-        self.long_average += (micros - self.long_average) * LONG_WEIGHT;
-        self.short_average > self.long_average * STEP_RATIO
-            && self.short_average > pool_micros * STEP_RATIO
     }
 
     /// Marks a target as possibly cold. Returns whether it was warm before.
-    pub fn mark_suspect(&mut self) -> bool {
+    pub fn mark_suspect(&mut self, reason: SuspectReason) -> bool {
         self.suspect_count = self.suspect_count.wrapping_add(1);
         let was_warm = self.warmth == Warmth::Warm;
+        if was_warm || reason == SuspectReason::Restart {
+            self.direct_probe.suspect(reason);
+        }
         if was_warm {
             self.warmth = Warmth::Suspect;
         }
