Streams: a resumed request runs its stages again, and silence alone ends no stream

A stream that can't be resumed goes on to its deadline. A rejection leads to the next target, and one for missing results runs the stages again. RequestProgress, the query for a target and the in-flight guard leave handler.rs for files of their own; plan.rs no longer depends on the handler (one import circle less).

Result: staged_stream_resumes and silent_stream_goes_on fail before and pass after.

--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -1,18 +1,13 @@
 //! Handles callers' requests from admission to the response.
 
-use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
 
-use hawthornkeel_core::names::CentreName;
-use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::balancer::NoTarget;
-use hawthornkeel_core::placement::balancer::TargetQuery;
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::request::refusal::RunStatus;
-use hawthornkeel_core::stages::job::Handle;
 use hawthornkeel_core::table::route::RouteKind;
 
 use crate::clock::boot_now;
@@ -20,6 +15,7 @@
 use crate::forward::context::Context;
 use crate::forward::http_client::ExchangeError;
 use crate::forward::http_client::TargetResponse;
+use crate::forward::in_flight::InFlightGuard;
 use crate::forward::outcome::AttemptOutcome;
 use crate::forward::outcome::DEFAULT_RETRY_AFTER;
 use crate::forward::outcome::ForwardOutcome;
@@ -28,13 +24,12 @@
 use crate::forward::outcome::forwarded_headers;
 use crate::forward::outcome::problem_response;
 use crate::forward::plan;
+use crate::forward::progress::RequestProgress;
 use crate::forward::relay::StreamRelay;
 use crate::forward::request::IncomingRequest;
 use crate::forward::request::MIN_TIME_LEFT;
 use crate::forward::schedulers::JobError;
 use crate::forward::schedulers::Schedulers;
-use crate::forward::stages;
-use crate::forward::stages::StageOutputs;
 use crate::forward::stages::StagesError;
 use crate::http::channel::bounded;
 use crate::http::message::Body;
@@ -67,111 +62,6 @@
     pub schedulers: Schedulers,
 }
 
-/// Guard that counts a request as in progress.
-pub struct InFlightGuard(Rc<Context>);
-
-impl InFlightGuard {
-    fn new(context: &Rc<Context>) -> Self {
-        context.in_flight.set(context.in_flight.get().saturating_add(1));
-        Self(Rc::clone(context))
-    }
-}
-
-impl Drop for InFlightGuard {
-    fn drop(&mut self) {
-        self.0.in_flight.set(self.0.in_flight.get().saturating_sub(1));
-    }
-}
-
-/// Progress of a request: the targets tried so far and the results of its stages.
-#[derive(Default)]
-pub struct RequestProgress {
-    /// Targets that were tried, whether or not the request reached them.
-    pub tried: Vec<TargetName>,
-    /// Number of attempts in which the request may have run.
-    pub possible_runs: u32,
-    outputs: Rc<RefCell<StageOutputs>>,
-    /// Time from arrival until the stages were completed.
-    stages_done: Duration,
-    /// Time from arrival until the response began.
-    response_began: Duration,
-}
-
-impl RequestProgress {
-    /// Returns the stage results that the request consumes at its target.
-    pub fn results(&self) -> Vec<Handle> {
-        self.outputs.borrow().handles()
-    }
-
-    /// Chooses the target to try next.
-    ///
-    /// # Errors
-    /// Returns the reason if there is none.
-    pub fn choose_target(
-        &self,
-        context: &Context,
-        request: &IncomingRequest,
-    ) -> Result<ChosenTarget, NoTarget> {
-        let entry_count = context.serving_entries.borrow().peak_count();
-        let centre = preferred_centre(context, request);
-        let query = target_query(request, centre.as_ref(), &self.tried, entry_count);
-        context.balancer.borrow_mut().choose(boot_now(), &query)
-    }
-
-    /// Logs the end of the request.
-    pub fn log_end(&self, request: &IncomingRequest, outcome: &str, status: u16) {
-        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
-        tracing::info!(
-            event = "request-ended",
-            request = %request.id,
-            route = %request.route.name,
-            pool = %request.pool.name,
-            version = %request.table.version,
-            rank = request.priority,
-            outcome,
-            status,
-            time_ms = ms(request.deadline.saturating_duration_since(request.started)),
-            tries = self.tried.len(),
-            target = self.tried.last().map(TargetName::as_str),
-            staged_ms = ms(self.stages_done),
-            planned_ms = self.outputs.borrow().estimate.map(|e| ms(e.until_response)),
-            pace = self.outputs.borrow().estimate.map(|e| e.timeliness.as_str()),
-            first_ms = ms(self.response_began),
-            ms = ms(request.started.elapsed()),
-        );
-    }
-}
-
-/// Returns the data centre in which the request is likely to run.
-pub fn likely_centre(context: &Context, request: &IncomingRequest) -> Option<CentreName> {
-    let centre = preferred_centre(context, request);
-    let query = target_query(request, centre.as_ref(), &[], 1);
-    context.balancer.borrow_mut().likely_centre(boot_now(), &query)
-}
-
-fn target_query<'a>(
-    request: &'a IncomingRequest,
-    centre: Option<&'a CentreName>,
-    tried: &'a [TargetName],
-    entry_count: usize,
-) -> TargetQuery<'a> {
-    let IncomingRequest { pool, session, .. } = request;
-    TargetQuery {
-        pool: &pool.name,
-        session: *session,
-        centre,
-        tried,
-        cold: pool.cold,
-        entries: entry_count,
-    }
-}
-
-/// Returns the data centre whose targets are preferred: this entry's own, unless the route uses
-/// session affinity.
-fn preferred_centre(context: &Context, request: &IncomingRequest) -> Option<CentreName> {
-    (!request.route.session_affinity).then(|| context.centre().clone())
-}
-
 impl Handler for ForwardHandler {
     async fn handle(&self, request: Request) -> Response {
         let disconnected = request.disconnected.clone();
@@ -205,9 +95,8 @@
         guard: InFlightGuard,
     ) -> Response {
         let mut progress = RequestProgress::default();
-        let mut pass = 0;
         loop {
-            if let Err(error) = self.run_stages(&request, &mut progress, pass).await {
+            if let Err(error) = self.run_stages(&request, &mut progress).await {
                 return self.stages_failed(&request, &progress, error);
             }
             match self.forward(&request, &mut progress).await {
@@ -216,7 +105,7 @@
                         .return_response(request, progress, disconnected, guard, response, target)
                         .await;
                 }
-                ForwardOutcome::ResultsGone if pass + 1 < MAX_PASSES => pass += 1,
+                ForwardOutcome::ResultsGone if progress.passes() < MAX_PASSES => {}
                 ForwardOutcome::ResultsGone => {
                     return self.stages_failed(&request, &progress, JobError::Gone.into());
                 }
@@ -237,16 +126,12 @@
         &self,
         request: &IncomingRequest,
         progress: &mut RequestProgress,
-        pass: u16,
     ) -> Result<(), StagesError> {
         if request.route.stages.is_empty() {
             return Ok(());
         }
-        let pieces = request.piece_counts().ok_or(StagesError::Job(JobError::Failed))?;
-        let work = stages::run_stages(&self.context, &self.schedulers, request, &pieces, pass);
-        let outputs = monoio::time::timeout(request.time_left(), work).await;
-        *progress.outputs.borrow_mut() =
-            outputs.map_err(|_| StagesError::Job(JobError::Late))??;
+        let outputs = progress.run_stages(&self.schedulers, &self.context, request).await?;
+        progress.replace_outputs(outputs);
         progress.stages_done = request.started.elapsed();
         Ok(())
     }
@@ -413,11 +298,12 @@
         let streams = matches!(request.route.kind, RouteKind::Stream { .. });
         if streams && status.is_success() {
             // The target has fetched the stage results before its first event.
-            progress.outputs.borrow_mut().release();
+            progress.release_outputs();
             let (sender, receiver) = bounded(STREAM_BUFFER_CHUNKS);
             let headers = forwarded_headers(&response.headers);
             let context = Rc::clone(&self.context);
-            let relay = StreamRelay { context, request, disconnected, progress, guard };
+            let schedulers = self.schedulers.clone();
+            let relay = StreamRelay { context, request, disconnected, progress, guard, schedulers };
             monoio::spawn(relay.run(*response, target, sender));
             return Response { status, headers, body: Body::Stream(receiver) };
         }
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -9,14 +9,17 @@
 pub mod discovery_server;
 pub mod handler;
 pub mod http_client;
+pub mod in_flight;
 pub mod internal_request;
 pub mod operators;
 pub mod outcome;
+pub mod progress;
 pub mod relay;
 pub mod request;
 pub mod schedulers;
 pub mod server;
 pub mod stages;
+pub mod targeting;
 
 mod plan;
 mod reservation;
--- a/hawthornkeel/src/forward/plan.rs
+++ b/hawthornkeel/src/forward/plan.rs
@@ -24,6 +24,7 @@
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::schedulers::StageResults;
+use crate::forward::targeting::likely_centre;
 
 /// Default latency of a target until its response begins, used before any is observed.
 pub const DEFAULT_LATENCY: Duration = Duration::from_millis(150);
@@ -78,7 +79,7 @@
         let piece_counts =
             (0..stages).map(|index| pieces.get(index).copied().unwrap_or(0)).collect();
         let final_stages = request.route.final_stages();
-        let likely_centre = crate::forward::handler::likely_centre(context, request);
+        let likely_centre = likely_centre(context, request);
         let timeliness = if request.first_attempt_slack.is_zero() {
             Timeliness::Late
         } else {
--- /dev/null
+++ b/hawthornkeel/src/forward/progress.rs
@@ -0,0 +1,151 @@
+//! Progress of a request: the targets tried so far and the results of its stages.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::placement::balancer::ChosenTarget;
+use hawthornkeel_core::placement::balancer::NoTarget;
+use hawthornkeel_core::stages::job::Handle;
+
+use crate::clock::boot_now;
+use crate::forward::context::Context;
+use crate::forward::request::IncomingRequest;
+use crate::forward::schedulers::JobError;
+use crate::forward::schedulers::Schedulers;
+use crate::forward::stages;
+use crate::forward::stages::StageOutputs;
+use crate::forward::stages::StagesError;
+use crate::forward::targeting::preferred_centre;
+use crate::forward::targeting::target_query;
+
+/// Progress of a request: the targets tried so far and the results of its stages.
+#[derive(Default)]
+pub struct RequestProgress {
+    /// Targets that were tried, whether or not the request reached them.
+    pub tried: Vec<TargetName>,
+    /// Number of attempts in which the request may have run.
+    pub possible_runs: u32,
+    /// Number of times that the stages were run.
+    passes: Cell<u16>,
+    outputs: RefCell<StageOutputs>,
+    /// Time from arrival until the stages were completed.
+    pub stages_done: Duration,
+    /// Time from arrival until the response began.
+    pub response_began: Duration,
+}
+
+impl RequestProgress {
+    /// Returns the stage results that the request consumes at its target.
+    pub fn results(&self) -> Vec<Handle> {
+        self.outputs.borrow().handles()
+    }
+
+    /// Returns the number of times that the stages were run.
+    pub fn passes(&self) -> u16 {
+        self.passes.get()
+    }
+
+    /// Runs the stages, and returns their results.
+    ///
+    /// # Errors
+    /// Returns the error of the first stage that yields no results, or `Late` at the deadline.
+    pub async fn run_stages(
+        &self,
+        schedulers: &Schedulers,
+        context: &Rc<Context>,
+        request: &IncomingRequest,
+    ) -> Result<StageOutputs, StagesError> {
+        if request.route.stages.is_empty() {
+            return Ok(StageOutputs::default());
+        }
+        let pieces = request.piece_counts().ok_or(StagesError::Job(JobError::Failed))?;
+        let pass = self.passes.replace(self.passes.get().saturating_add(1));
+        let work = stages::run_stages(context, schedulers, request, &pieces, pass);
+        let outputs = monoio::time::timeout(request.time_left(), work).await;
+        outputs.map_err(|_| StagesError::Job(JobError::Late))?
+    }
+
+    /// Runs the stages again if their results are no longer held.
+    ///
+    /// # Errors
+    /// Returns the error of the first stage that yields no results.
+    pub async fn rerun_stages(
+        &self,
+        schedulers: &Schedulers,
+        context: &Rc<Context>,
+        request: &IncomingRequest,
+    ) -> Result<Option<StageOutputs>, StagesError> {
+        if self.outputs.borrow().is_held() {
+            return Ok(None);
+        }
+        self.run_stages(schedulers, context, request).await.map(Some)
+    }
+
+    /// Replaces the stage results that the request consumes.
+    pub fn replace_outputs(&self, outputs: StageOutputs) {
+        let mut held = self.outputs.borrow_mut();
+        let estimate = held.estimate;
+        *held = outputs;
+        held.estimate = held.estimate.or(estimate);
+    }
+
+    /// Releases the stage results, which the target has fetched or lost.
+    pub fn release_outputs(&self) {
+        self.outputs.borrow_mut().release();
+    }
+
+    /// Chooses the target to try next.
+    ///
+    /// # Errors
+    /// Returns the reason if there is none.
+    pub fn choose_target(
+        &self,
+        context: &Context,
+        request: &IncomingRequest,
+    ) -> Result<ChosenTarget, NoTarget> {
+        self.choose_other_target(context, request, None)
+    }
+
+    /// Chooses the target to try next, other than `current`.
+    ///
+    /// # Errors
+    /// Returns the reason if there is none.
+    pub fn choose_other_target(
+        &self,
+        context: &Context,
+        request: &IncomingRequest,
+        current: Option<&TargetName>,
+    ) -> Result<ChosenTarget, NoTarget> {
+        let entry_count = context.serving_entries.borrow().peak_count();
+        let centre = preferred_centre(context, request);
+        let tried: Vec<TargetName> = self.tried.iter().chain(current).cloned().collect();
+        let query = target_query(request, centre.as_ref(), &tried, entry_count);
+        context.balancer.borrow_mut().choose(boot_now(), &query)
+    }
+
+    /// Logs the end of the request.
+    pub fn log_end(&self, request: &IncomingRequest, outcome: &str, status: u16) {
+        let ms = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        tracing::info!(
+            event = "request-ended",
+            request = %request.id,
+            route = %request.route.name,
+            pool = %request.pool.name,
+            version = %request.table.version,
+            rank = request.priority,
+            outcome,
+            status,
+            time_ms = ms(request.deadline.saturating_duration_since(request.started)),
+            tries = self.tried.len(),
+            target = self.tried.last().map(TargetName::as_str),
+            staged_ms = ms(self.stages_done),
+            planned_ms = self.outputs.borrow().estimate.map(|e| ms(e.until_response)),
+            pace = self.outputs.borrow().estimate.map(|e| e.timeliness.as_str()),
+            first_ms = ms(self.response_began),
+            ms = ms(request.started.elapsed()),
+        );
+    }
+}
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -1,8 +1,10 @@
 //! Relays event streams from targets to callers.
 //!
 //! Only complete events are forwarded. If the route allows resumption, a stream that fails is
-//! resumed at another target after the last event sent to the caller.
+//! resumed at another target after the last event sent to the caller. A stream that is only silent
+//! goes on until everything is ready to resume it, as its target may just be busy.
 
+use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -14,19 +16,28 @@
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::table::route::RouteKind;
 use hawthornkeel_platform::fields;
+use http::StatusCode;
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
-use crate::forward::handler::InFlightGuard;
-use crate::forward::handler::RequestProgress;
 use crate::forward::http_client::ExchangeError;
 use crate::forward::http_client::TargetResponse;
+use crate::forward::in_flight::InFlightGuard;
+use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
+use crate::forward::schedulers::Schedulers;
+use crate::forward::stages::StageOutputs;
 use crate::http::channel::Sender;
 use crate::http::signal::Signal;
 
-/// Time without an event after which a resumable stream is resumed at another target.
-const EVENT_TIMEOUT: Duration = Duration::from_millis(600);
+/// Fraction of the time for which callers wait for an event after which a silent stream is resumed.
+///
+/// The rest is for running the stages again and for the first event from another target.
+const SILENCE_FRACTION: f64 = 0.4;
+/// Minimum time left for a stream to be resumed.
+const MIN_RESUME_TIME: Duration = Duration::from_millis(600);
+/// Time to wait for another target's response to a resumed request.
+const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Event stream from targets to a caller.
 pub struct StreamRelay {
@@ -40,6 +51,8 @@
     pub progress: RequestProgress,
     /// Counts the request as in progress.
     pub guard: InFlightGuard,
+    /// Stage schedulers.
+    pub schedulers: Schedulers,
 }
 
 /// How a stream from one target ended.
@@ -48,12 +61,28 @@
     Complete,
     /// The caller has disconnected.
     Disconnected,
-    /// The stream was truncated or timed out.
+    /// The stream was truncated.
     Failed(ExchangeError),
+    /// The stream is silent, and another target can resume it.
+    Silent(Resumption),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
 
+/// What a stream needs to be resumed.
+struct Resumption {
+    target: ChosenTarget,
+    /// Results of the stages, which were run again; `None` if the previous ones are still there.
+    outputs: Option<StageOutputs>,
+}
+
+/// Next part of a stream.
+enum StreamPart {
+    Chunk(Result<Option<Bytes>, ExchangeError>),
+    Silent(Resumption),
+    Disconnected,
+}
+
 /// Buffer that splits a stream after complete events.
 #[derive(Default)]
 struct EventBuffer {
@@ -78,16 +107,17 @@
     /// Relays the stream to its end.
     pub async fn run(mut self, first: TargetResponse, target: ChosenTarget, sender: Sender) {
         let mut events = EventBuffer::default();
+        self.progress.possible_runs += 1;
         let (mut response, mut target) = (first, target);
         loop {
-            let end = self.forward_events(&mut response, &mut events, &sender).await;
+            let end = self.forward_events(&mut response, &target, &mut events, &sender).await;
             let outcome = match &end {
                 StreamEnd::Complete => TargetOutcome::Succeeded,
                 StreamEnd::Disconnected | StreamEnd::DeadlinePassed => TargetOutcome::Abandoned,
-                StreamEnd::Failed(_) => TargetOutcome::Failed,
+                StreamEnd::Failed(_) | StreamEnd::Silent(_) => TargetOutcome::Failed,
             };
             self.context.balancer.borrow_mut().record_outcome(boot_now(), &target.name, outcome);
-            match end {
+            let (cause, prepared) = match end {
                 StreamEnd::Complete => {
                     response.finish();
                     sender.finish();
@@ -99,21 +129,20 @@
                 StreamEnd::DeadlinePassed => {
                     return self.progress.log_end(&self.request, "stream-late", 200);
                 }
-                StreamEnd::Failed(error) => {
-                    let (last, name) = (events.last_id.as_deref(), &target.name);
-                    tracing::info!(
-                        event = "stream-broken",
-                        request = %self.request.id,
-                        target = %name,
-                        last,
-                        failure = %error,
-                    );
-                }
-            }
+                StreamEnd::Failed(error) => (error, None),
+                StreamEnd::Silent(resumption) => (ExchangeError::TimedOut, Some(resumption)),
+            };
+            tracing::info!(
+                event = "stream-broken",
+                request = %self.request.id,
+                target = %target.name,
+                last = events.last_id.as_deref(),
+                failure = %cause,
+            );
             // Cancels the old run before the stream is resumed elsewhere.
             drop(response);
             events.buffer.clear();
-            match self.resume(&target.name, events.last_id.as_deref()).await {
+            match self.resume(&target.name, events.last_id.as_deref(), prepared).await {
                 Some((next, next_target)) => (response, target) = (next, next_target),
                 None => return self.progress.log_end(&self.request, "stream-cut", 200),
             }
@@ -124,17 +153,15 @@
     async fn forward_events(
         &self,
         response: &mut TargetResponse,
+        target: &ChosenTarget,
         events: &mut EventBuffer,
         sender: &Sender,
     ) -> StreamEnd {
         loop {
-            let deadline = match self.is_resumable() {
-                true => self.request.deadline.min(Instant::now() + EVENT_TIMEOUT),
-                false => self.request.deadline,
-            };
-            let chunk = monoio::select! {
-                chunk = response.chunk(deadline) => chunk,
-                () = self.disconnected.wait() => return StreamEnd::Disconnected,
+            let chunk = match self.next_part(response, target).await {
+                StreamPart::Chunk(chunk) => chunk,
+                StreamPart::Silent(resumption) => return StreamEnd::Silent(resumption),
+                StreamPart::Disconnected => return StreamEnd::Disconnected,
             };
             match chunk {
                 Ok(Some(chunk)) => {
@@ -158,6 +185,22 @@
         }
     }
 
+    /// Returns the next chunk. If none arrives for a while, prepares the resumption meanwhile.
+    async fn next_part(&self, response: &mut TargetResponse, target: &ChosenTarget) -> StreamPart {
+        let mut chunk = pin!(response.chunk(self.request.deadline));
+        let silence = self.request.route.event_patience.mul_f64(SILENCE_FRACTION);
+        monoio::select! {
+            chunk = &mut chunk => return StreamPart::Chunk(chunk),
+            () = self.disconnected.wait() => return StreamPart::Disconnected,
+            () = monoio::time::sleep(silence), if self.is_resumable() => {}
+        }
+        monoio::select! {
+            chunk = &mut chunk => StreamPart::Chunk(chunk),
+            () = self.disconnected.wait() => StreamPart::Disconnected,
+            Some(resumption) = self.prepare(Some(&target.name)) => StreamPart::Silent(resumption),
+        }
+    }
+
     fn is_resumable(&self) -> bool {
         self.request.route.kind == RouteKind::Stream { resumable: true }
     }
@@ -167,6 +210,7 @@
         &mut self,
         failed: &TargetName,
         last: Option<&str>,
+        prepared: Option<Resumption>,
     ) -> Option<(TargetResponse, ChosenTarget)> {
         if !self.is_resumable() {
             return None;
@@ -174,20 +218,25 @@
         if !self.progress.tried.contains(failed) {
             self.progress.tried.push(failed.clone());
         }
-        self.progress.possible_runs += 1;
         let last =
             last.or_else(|| self.request.head.header(fields::LAST_EVENT_ID)).map(str::to_owned);
+        let mut prepared = prepared;
         loop {
-            let max_attempts = self.request.route.max_attempts;
-            let allowed = self.progress.possible_runs < max_attempts
-                && self.request.time_left() > EVENT_TIMEOUT;
-            if !allowed || !self.context.try_retry(&self.request.pool.name) {
-                return None;
+            let resumption = match prepared.take() {
+                Some(resumption) => resumption,
+                None => monoio::select! {
+                    resumption = self.prepare(None) => resumption?,
+                    () = self.disconnected.wait() => return None,
+                },
+            };
+            self.progress.possible_runs += 1;
+            if let Some(outputs) = resumption.outputs {
+                self.progress.replace_outputs(outputs);
             }
-            let target = self.progress.choose_target(&self.context, &self.request).ok()?;
+            let target = resumption.target;
             let outgoing =
                 self.request.encode_for(&target, &self.progress.results(), last.as_deref());
-            let deadline = self.request.deadline.min(Instant::now() + EVENT_TIMEOUT * 2);
+            let deadline = self.request.deadline.min(Instant::now() + RESUME_TIMEOUT);
             let result = monoio::select! {
                 result = self.context.http_client.send(target.address, &outgoing, deadline) => {
                     result
@@ -202,17 +251,63 @@
                         target = %target.name,
                         last,
                     );
+                    self.progress.release_outputs();
                     return Some((response, target));
                 }
-                Ok(_) => TargetOutcome::Refused,
-                Err(error) if error.is_not_run() => TargetOutcome::Unreached,
-                Err(_) => {
-                    self.progress.possible_runs += 1;
-                    TargetOutcome::Failed
-                }
+                result => self.classify_rejection(&target, result),
             };
             self.context.balancer.borrow_mut().record_outcome(boot_now(), &target.name, outcome);
             self.progress.tried.push(target.name);
         }
     }
+
+    /// Classifies an attempt to resume the stream that brought no events.
+    fn classify_rejection(
+        &mut self,
+        target: &ChosenTarget,
+        result: Result<TargetResponse, ExchangeError>,
+    ) -> TargetOutcome {
+        let (status, outcome) = match &result {
+            Ok(response) => (Some(response.status.as_u16()), TargetOutcome::Refused),
+            Err(error) if error.is_not_run() => (None, TargetOutcome::Unreached),
+            Err(_) => (None, TargetOutcome::Failed),
+        };
+        tracing::info!(
+            event = "resume-failed",
+            request = %self.request.id,
+            target = %target.name,
+            status,
+            failure = result.as_ref().err().map(tracing::field::display),
+        );
+        let not_run = match &result {
+            Ok(response) => response.headers.contains_key(fields::NOT_RUN),
+            Err(error) => error.is_not_run(),
+        };
+        if not_run {
+            self.progress.possible_runs = self.progress.possible_runs.saturating_sub(1);
+        }
+        if status == Some(StatusCode::CONFLICT.as_u16()) {
+            // Stage results are gone, so the stages run again before the next attempt.
+            self.progress.release_outputs();
+        }
+        outcome
+    }
+
+    /// Chooses a target to resume the stream at, after running the stages again if needed.
+    ///
+    /// `current` is the target of the stream, if it may still go on. Returns `None` if the stream
+    /// can't be resumed.
+    async fn prepare(&self, current: Option<&TargetName>) -> Option<Resumption> {
+        let allowed = self.progress.possible_runs < self.request.route.max_attempts
+            && self.request.time_left() > MIN_RESUME_TIME;
+        if !allowed || !self.context.try_retry(&self.request.pool.name) {
+            return None;
+        }
+        let outputs = self.progress.rerun_stages(&self.schedulers, &self.context, &self.request);
+        let outputs = outputs.await.inspect_err(|error| {
+            tracing::info!(event = "resume-unstaged", request = %self.request.id, ?error);
+        });
+        let target = self.progress.choose_other_target(&self.context, &self.request, current);
+        Some(Resumption { outputs: outputs.ok()?, target: target.ok()? })
+    }
 }
--- a/hawthornkeel/src/forward/stages.rs
+++ b/hawthornkeel/src/forward/stages.rs
@@ -25,12 +25,19 @@
     final_stages: Vec<u16>,
     /// Estimate made when the request was started.
     pub estimate: Option<ResponseEstimate>,
+    released: bool,
 }
 
 impl StageOutputs {
     /// Releases all results.
     pub fn release(&mut self) {
         self.results.clear();
+        self.released = true;
+    }
+
+    /// Returns whether the results are still held, or the request has none.
+    pub fn is_held(&self) -> bool {
+        !self.released
     }
 
     /// Returns the handles of the results in the order of stages and pieces.
@@ -97,7 +104,12 @@
         }
         plan.release_unneeded(&mut results);
     }
-    Ok(StageOutputs { results, final_stages: plan.final_stages, estimate: plan.estimate })
+    Ok(StageOutputs {
+        results,
+        final_stages: plan.final_stages,
+        estimate: plan.estimate,
+        released: false,
+    })
 }
 
 async fn run_stage(
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -354,6 +354,12 @@
             Response::full(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "no")
         }
         "/events/1" => event_stream(first),
+        "/staged/1" if head.header("inputs").is_none() => {
+            let refusal = Response::full(StatusCode::BAD_REQUEST, "text/plain", "no inputs");
+            return refusal.with_header("not-executed", "1").with_header("request-id", &id);
+        }
+        "/staged/1" => event_stream(first),
+        "/pausing/1" => pausing_stream(),
         path => Response::full(StatusCode::OK, "text/plain", format!("{target} {path}")),
     };
     response.with_header("server-signature", "s.1").with_header("request-id", &id)
@@ -376,6 +382,18 @@
     response
 }
 
+/// Returns an event stream with a pause that its caller still waits for.
+fn pausing_stream() -> Response {
+    let (sender, receiver) = bounded(4);
+    monoio::spawn(async move {
+        let _ = sender.send(Bytes::from_static(b"id: 1\ndata: a\n\n")).await;
+        monoio::time::sleep(Duration::from_millis(1_500)).await;
+        let _ = sender.send(Bytes::from_static(b"id: 2\ndata: b\n\n")).await;
+        sender.finish();
+    });
+    Response::events(receiver)
+}
+
 /// Sends one request and reads its response; `None` without a connection or response.
 fn call(
     to: SocketAddr,
--- a/hawthornkeel/tests/forward_routes.rs
+++ b/hawthornkeel/tests/forward_routes.rs
@@ -3,6 +3,8 @@
 mod forward_harness;
 
 use crate::forward_harness::Harness;
+use crate::forward_harness::HttpResponse;
+use crate::forward_harness::RecordedRequest;
 
 /// Returns a document whose route without stages has the path prefix `prefix`.
 fn document(version: u32, prefix: &str) -> String {
@@ -18,14 +20,19 @@
         route("sign", "/sign/", "non_idempotent", ""),
         route("events", "/events/", "streaming", r#","stream_resumption":true"#),
         route("review", "/review/", "idempotent", staged),
+        route("staged", "/staged/", "streaming", &format!(r#","stream_resumption":true{staged}"#)),
         route("open", "/open/", "idempotent", r#","public":true"#),
     ];
+    // Its callers wait for 2 s between events, and no second target may run a request.
+    let pausing = r#"{"name":"pausing","hostname":"a.example","path_prefix":"/pausing/",
+        "route_type":"streaming","timeout_ms":5000,"target_latency_ms":100,"service":"ledger",
+        "max_attempts":1,"stream_resumption":true}"#;
     let pieces = r#""pieces":{"slots":1,"queue":2,"batch":8,"call_overhead_ms":10.0,
         "item_time_ms":1.0,"headroom_mb":41.0,"handle_ttl_s":4.0,"link_bandwidth_mbps":10000}"#;
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"ledger"}},
         {{"name":"portal",{pieces}}}],"tenants":[{{"name":"makers","api_keys":["k1"]}}]}}"#,
-        routes.join(",")
+        [&routes.join(","), pausing].join(",")
     )
 }
 
@@ -116,6 +123,14 @@
     assert_eq!(&freed.body[..], br#"{"handles":["10.0.0.1:1/aa","10.0.0.1:1/bb"]}"#);
 }
 
+/// Checks that each event arrived complete and once, followed by the last chunk of the body.
+fn assert_whole_stream(got: &HttpResponse) {
+    let events: String =
+        got.body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect();
+    assert_eq!(events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert!(got.body.ends_with("0\r\n\r\n"), "{got:?}");
+}
+
 #[test]
 fn stream_resumes() {
     let harness = Harness::start(76);
@@ -123,12 +138,35 @@
     harness.call_until(200, "/lots/1", KEY);
     let got = harness.call("GET", "/events/1", KEY, "");
     assert_eq!(got.status, 200);
-    // Each event arrives complete and once, followed by the last chunk of the body.
-    let events: String =
-        got.body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect();
-    assert_eq!(events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    assert!(got.body.ends_with("0\r\n\r\n"), "{got:?}");
+    assert_whole_stream(&got);
     let attempts = harness.requests("GET /events/1");
     assert_eq!(attempts[1].headers.get("last-event-id").unwrap(), "1");
     assert_ne!(attempts[0].target, attempts[1].target);
 }
+
+#[test]
+fn staged_stream_resumes() {
+    let harness = Harness::start(77);
+    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
+    harness.call_until(200, "/lots/1", KEY);
+    let fields = format!("{KEY}Pieces: 2\r\nPiece-Key: 7c1e\r\n");
+    let got = harness.call("GET", "/staged/1", &fields, "");
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_whole_stream(&got);
+    // The results of the stages were released when the first response began, so they run again.
+    let inputs = |r: &RecordedRequest| r.headers.get("inputs").is_some();
+    let attempts = harness.requests("GET /staged/1");
+    assert!(attempts.len() == 2 && attempts.iter().all(inputs), "{attempts:?}");
+    assert_eq!(harness.requests("POST /stage-run").len(), 2);
+}
+
+#[test]
+fn silent_stream_goes_on() {
+    let harness = Harness::start(78);
+    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
+    harness.call_until(200, "/lots/1", KEY);
+    let got = harness.call("GET", "/pausing/1", KEY, "");
+    assert_eq!(got.status, 200, "{got:?}");
+    assert_whole_stream(&got);
+    assert_eq!(harness.requests("GET /pausing/1").len(), 1);
+}
--- a/hawthornkeel_core/src/table/route.rs
+++ b/hawthornkeel_core/src/table/route.rs
@@ -21,6 +21,8 @@
     pub timeout: Duration,
     /// Latency objective: the time within which an answer has its full value.
     pub objective: Duration,
+    /// Longest pause between events of a stream after which its callers give up.
+    pub event_patience: Duration,
     /// Priority; zero is the highest.
     pub priority: u8,
     /// Pools with their weights; at least one.
--- a/hawthornkeel_core/tests/route_access.rs
+++ b/hawthornkeel_core/tests/route_access.rs
@@ -27,6 +27,7 @@
         kind: RouteKind::Idempotent,
         timeout: Duration::from_secs(1),
         objective: Duration::from_millis(100),
+        event_patience: Duration::from_secs(2),
         priority: 2,
         pools: vec![PoolWeight { pool: PoolName::new("pool"), weight: 1 }],
         max_attempts: 2,
