Schedulers: owned by entries of their data centre only, and partitions are known by all exchanges

Entries that could not reach the owners of a scheduler there fell back to themselves: 565 schedulers were opened (15 exist), 4,869 of 21,000 calls to targets failed, 2,751 as two schedulers called the same target, 2,063 as the target was behind the cut. Each of 195 entries learned of the partition alone, from its own requests.

Change: owners are decided in the core (fleet::ownership): a scheduler of one data centre is owned by an entry there, and by none for those that can't reach it. fleet::reachability keeps entries that don't respond, from reservations, submissions and probes; a data centre counts as cut off if several are silent and none responded since, so that a mass kill is no partition. Its engines and schedulers are then avoided. A stage whose scheduler can't be reached never ends by the estimate (it counted with its expected time), and a request that meets that later starts again elsewhere.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -7,6 +7,9 @@
 
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::fleet::ServingEntry;
+use hawthornkeel_core::fleet::ownership;
+use hawthornkeel_core::fleet::ownership::OwnerView;
+use hawthornkeel_core::fleet::reachability::Reachability;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
@@ -49,6 +52,8 @@
     pub table: RefCell<Option<Rc<RouteTable>>>,
     /// Entries that serve callers.
     pub serving_entries: RefCell<ServingEntries>,
+    /// Entries and data centres that don't respond.
+    pub reachability: RefCell<Reachability>,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
     /// Number of requests in progress.
@@ -112,6 +117,7 @@
             balancer: RefCell::default(),
             table: RefCell::default(),
             serving_entries: RefCell::default(),
+            reachability: RefCell::default(),
             stopping: Cell::new(false),
             in_flight: Cell::new(0),
             retry_buckets: RefCell::default(),
@@ -124,22 +130,55 @@
         &self.settings.instance.data_centre
     }
 
-    /// Returns the candidate owners of a scheduler, in the order in which they are tried.
-    ///
-    /// The order is rendezvous hashing, so entries with the same view agree on it and few
-    /// schedulers move when an entry joins or leaves. Entries in the scheduler's data centre come
-    /// first. Entries that have just started come last, as two schedulers call the same targets
-    /// for a while whenever ownership moves.
+    /// Returns the entries to try as owner of a scheduler, in order; none if it can't be reached.
     pub fn owners(&self, scheduler: &SchedulerName) -> Vec<InstanceName> {
-        let serving = self.serving_entries.borrow();
-        let rank = |p: &ServingEntry| {
-            let text = format!("{scheduler}/{}", p.name);
-            let far = scheduler.centre.as_ref().is_some_and(|c| p.centre != *c);
-            (far, !p.settled, xxhash_rust::xxh3::xxh3_64(text.as_bytes()))
+        let view = OwnerView {
+            own: self.endpoint.name(),
+            centre: self.centre(),
+            entries: &self.serving_entries.borrow().entries,
+            reachability: &self.reachability.borrow(),
         };
-        let mut ranked: Vec<_> = serving.entries.iter().map(|p| (rank(p), &p.name)).collect();
-        ranked.sort();
-        ranked.into_iter().map(|(_, name)| name.clone()).collect()
+        ownership::owners(scheduler, &view)
+    }
+
+    /// Records that an entry did not respond; returns whether it did so far.
+    pub fn suspect_entry(&self, entry: &InstanceName) -> bool {
+        let Some(centre) = self.centre_of(entry) else { return false };
+        let is_new = self.reachability.borrow_mut().suspect(boot_now(), entry, &centre);
+        self.update_cut_off();
+        is_new
+    }
+
+    /// Records that a suspected entry responded or is gone for good.
+    pub fn clear_suspect(&self, entry: &InstanceName) {
+        self.reachability.borrow_mut().clear(entry);
+        self.update_cut_off();
+    }
+
+    /// Records that an entry responded.
+    pub fn record_response(&self, entry: &InstanceName) {
+        if let Some(centre) = self.centre_of(entry) {
+            self.reachability.borrow_mut().record_response(boot_now(), &centre);
+            self.update_cut_off();
+        }
+    }
+
+    /// Returns the data centre of an entry that serves callers.
+    fn centre_of(&self, entry: &InstanceName) -> Option<CentreName> {
+        let serving = self.serving_entries.borrow();
+        serving.entries.iter().find(|e| e.name == *entry).map(|e| e.centre.clone())
+    }
+
+    /// Passes the data centres that are cut off on to the balancer.
+    fn update_cut_off(&self) {
+        let mut cut_off = self.reachability.borrow().cut_off();
+        cut_off.retain(|c| c != self.centre());
+        let mut balancer = self.balancer.borrow_mut();
+        if balancer.cut_off() != cut_off {
+            let centres = cut_off.iter().map(CentreName::as_str).collect::<Vec<_>>().join(",");
+            tracing::info!(event = "centres-cut-off", centres);
+            balancer.set_cut_off(cut_off);
+        }
     }
 
     /// Records a request, which adds to the retry budget of its pool.
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -96,8 +96,13 @@
     ) -> Response {
         let mut progress = RequestProgress::default();
         loop {
-            if let Err(error) = self.run_stages(&request, &mut progress).await {
-                return self.stages_failed(&request, &progress, error);
+            match self.run_stages(&request, &mut progress).await {
+                Ok(()) => {}
+                // The next pass runs in a data centre that can be reached.
+                Err(StagesError::Job(JobError::Unreachable)) if progress.passes() < MAX_PASSES => {
+                    continue;
+                }
+                Err(error) => return self.stages_failed(&request, &progress, error),
             }
             match self.forward(&request, &mut progress).await {
                 ForwardOutcome::Response(response, target) => {
@@ -146,7 +151,7 @@
         let (code, retry_after) = match error {
             StagesError::Rejected { retry_after } => (Code::Overloaded, retry_after),
             StagesError::Job(JobError::Late) => (Code::DeadlineUnreachable, DEFAULT_RETRY_AFTER),
-            StagesError::Job(JobError::Gone | JobError::Failed) => {
+            StagesError::Job(JobError::Gone | JobError::Failed | JobError::Unreachable) => {
                 (Code::NoTarget, DEFAULT_RETRY_AFTER)
             }
         };
--- a/hawthornkeel/src/forward/plan.rs
+++ b/hawthornkeel/src/forward/plan.rs
@@ -22,7 +22,6 @@
 
 use crate::forward::context::Context;
 use crate::forward::request::IncomingRequest;
-use crate::forward::schedulers::Schedulers;
 use crate::forward::schedulers::StageResults;
 use crate::forward::targeting::likely_centre;
 
@@ -85,7 +84,12 @@
         } else {
             Timeliness::OnTime
         };
-        let stage_centre = likely_centre.clone();
+        // Later passes reserve nothing, so they stay where schedulers can be reached.
+        let is_cut_off = |c: &CentreName| context.balancer.borrow().cut_off().contains(c);
+        let stage_centre = match &likely_centre {
+            Some(centre) if is_cut_off(centre) => Some(context.centre().clone()),
+            centre => centre.clone(),
+        };
         Self {
             context,
             request,
@@ -147,22 +151,18 @@
         }
     }
 
-    /// Returns the candidate data centres for the stages in order of preference.
-    ///
-    /// The one in which the request itself runs comes first, unless it is partitioned.
-    pub(super) fn candidate_centres(&self, schedulers: &Schedulers) -> Vec<Option<CentreName>> {
+    /// Returns the candidate data centres for the stages in order of preference: the one in which
+    /// the request itself is likely to run, or else this entry's own, and an alternative.
+    pub(super) fn candidate_centres(&self) -> Vec<Option<CentreName>> {
         let pools: Vec<&PoolName> =
             self.nonempty_stages().filter_map(|index| Some(&self.stage(index)?.pool)).collect();
         let balancer = self.context.balancer.borrow();
-        let first = self.likely_centre.clone();
+        let is_cut_off = |c: &CentreName| balancer.cut_off().contains(c);
+        let own = || self.context.centre().clone();
+        let first = self.likely_centre.clone().map(|c| if is_cut_off(&c) { own() } else { c });
         let alternative = balancer.alternative_centre(&pools, first.as_ref(), &self.request.id);
         let mut centres = vec![first];
         centres.extend(alternative.map(Some));
-        if centres.len() > 1
-            && self.likely_centre.as_ref().is_some_and(|c| schedulers.is_partitioned(c))
-        {
-            centres.reverse();
-        }
         centres
     }
 
--- a/hawthornkeel/src/forward/reservation.rs
+++ b/hawthornkeel/src/forward/reservation.rs
@@ -51,7 +51,7 @@
         schedulers: &Schedulers,
     ) -> Result<Reservations, StagesError> {
         let mut earliest = None;
-        for centre in self.candidate_centres(schedulers) {
+        for centre in self.candidate_centres() {
             self.stage_centre = centre;
             if self.timeliness == Timeliness::Late {
                 break;
@@ -102,7 +102,11 @@
         let mut reserved = Reservations::new(schedulers);
         let mut estimates: IndexMap<u16, Option<ReservationEstimate>> = IndexMap::new();
         while let Some((reply, scheduler, ids)) = pending.next().await {
-            let Some((owner, replies)) = reply else { continue };
+            let Some((owner, replies)) = reply else {
+                // Nothing runs it at the moment.
+                estimates.extend(ids.into_iter().map(|id| (id.stage, None)));
+                continue;
+            };
             for (id, estimate) in ids.into_iter().zip(replies) {
                 estimates.insert(id.stage, estimate);
                 reserved.unused.push((owner.clone(), scheduler.clone(), id));
--- a/hawthornkeel/src/forward/schedulers/mod.rs
+++ b/hawthornkeel/src/forward/schedulers/mod.rs
@@ -13,7 +13,6 @@
 use std::time::Instant;
 
 use futures_channel::oneshot;
-use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::stages::job::Job;
@@ -28,7 +27,6 @@
 use hawthornkeel_core::stages::scheduler::Summary;
 use hawthornkeel_core::table::pool::StageWorkload;
 use indexmap::IndexMap;
-use indexmap::IndexSet;
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
@@ -46,10 +44,6 @@
 const LONG_POLL_MS: u32 = 250;
 /// Timeout of a call to another entry, in addition to its long poll.
 const RESPONSE_TIMEOUT: Duration = Duration::from_millis(250);
-/// Maximum number of candidate owners tried before this entry itself.
-const MAX_OWNERS: usize = 3;
-/// Suspected entries of a data centre from which it counts as partitioned from this entry.
-const PARTITION_SUSPECTS: usize = 2;
 /// Interval between probes of a suspected entry.
 const PROBE_INTERVAL: Duration = Duration::from_millis(250);
 /// Time after which a suspected entry is dropped from the suspects, as it may be gone for good.
@@ -69,8 +63,6 @@
     context: Rc<Context>,
     pools: RefCell<IndexMap<PoolName, StageWorkload>>,
     schedulers: RefCell<IndexMap<SchedulerName, LocalScheduler>>,
-    /// Entries that did not respond to a call and are being probed.
-    suspects: RefCell<IndexSet<InstanceName>>,
     input_arrived: EventCount,
     ticking: Cell<bool>,
 }
@@ -89,7 +81,6 @@
                 context: Rc::clone(context),
                 pools: RefCell::default(),
                 schedulers: RefCell::default(),
-                suspects: RefCell::default(),
                 input_arrived: EventCount::default(),
                 ticking: Cell::new(false),
             }),
@@ -148,14 +139,6 @@
         }
     }
 
-    /// Returns whether a data centre seems partitioned from this entry: its entries don't respond.
-    pub fn is_partitioned(&self, centre: &CentreName) -> bool {
-        let serving_entries = self.inner.context.serving_entries.borrow();
-        let suspects = self.inner.suspects.borrow();
-        let members = serving_entries.entries.iter().filter(|e| e.centre == *centre);
-        members.filter(|e| suspects.contains(&e.name)).count() >= PARTITION_SUSPECTS
-    }
-
     /// Runs a stage on its scheduler, whichever entry owns it.
     ///
     /// Dropping the future cancels the job.
@@ -164,8 +147,8 @@
     /// Returns the reason if the stage yields no results.
     pub async fn run_job(&self, name: &SchedulerName, job: Job) -> Result<StageResults, JobError> {
         let started = Instant::now();
-        let mut last_error = JobError::Failed;
-        for owner in self.candidates(name) {
+        let mut last_error = JobError::Unreachable;
+        for owner in self.inner.context.owners(name) {
             let Some(job) = after_delay(&job, started.elapsed()) else {
                 return Err(JobError::Late);
             };
@@ -177,9 +160,8 @@
                 Some(JobOutcome::Late) => return Err(JobError::Late),
                 Some(JobOutcome::Gone) => return Err(JobError::Gone),
                 Some(JobOutcome::Failed) => return Err(JobError::Failed),
-                Some(JobOutcome::Open | JobOutcome::Elsewhere) | None => {
-                    last_error = JobError::Failed
-                }
+                Some(JobOutcome::Open | JobOutcome::Elsewhere) => last_error = JobError::Failed,
+                None => {}
             }
         }
         Err(last_error)
@@ -195,7 +177,7 @@
         reservations: Vec<Reservation>,
     ) -> Option<(InstanceName, Vec<Option<ReservationEstimate>>)> {
         let book = Book { scheduler: name.clone(), reservations };
-        for owner in self.candidates(name) {
+        for owner in self.inner.context.owners(name) {
             let estimates = self.reserve_at(&owner, &book).await;
             // An entry that is stopping returns no estimates.
             if let Some(estimates) = estimates.filter(|e| !e.is_empty()) {
@@ -215,7 +197,10 @@
         }
         let frame = Frame::Book(book.clone());
         match self.inner.context.endpoint.call(owner, &frame, RESPONSE_TIMEOUT).await {
-            Ok(Frame::Booked(estimates)) => Some(estimates),
+            Ok(Frame::Booked(estimates)) => {
+                self.inner.context.record_response(owner);
+                Some(estimates)
+            }
             Ok(_) => None,
             Err(error) => {
                 tracing::info!(event = "booking-failed", %owner, desk = %book.scheduler, %error);
@@ -239,22 +224,9 @@
         book.reservations.iter().map(|b| local.scheduler.reserve(boot_now(), b)).collect()
     }
 
-    /// Returns the candidate owners of a scheduler in the order to try, this entry included.
-    fn candidates(&self, name: &SchedulerName) -> Vec<InstanceName> {
-        let own = self.inner.context.endpoint.name();
-        let suspects = self.inner.suspects.borrow();
-        let mut owners = self.inner.context.owners(name);
-        owners.retain(|o| o == own || !suspects.contains(o));
-        owners.truncate(MAX_OWNERS);
-        if !owners.contains(own) {
-            owners.push(own.clone());
-        }
-        owners
-    }
-
     /// Skips an entry as owner until it responds to a probe.
     fn mark_suspect(&self, owner: &InstanceName) {
-        if !self.inner.suspects.borrow_mut().insert(owner.clone()) {
+        if !self.inner.context.suspect_entry(owner) {
             return;
         }
         tracing::info!(event = "entry-suspected", entry = %owner);
@@ -265,11 +237,12 @@
                 monoio::time::sleep(PROBE_INTERVAL).await;
                 let endpoint = &schedulers.inner.context.endpoint;
                 if endpoint.call(&owner, &Frame::Ping, RESPONSE_TIMEOUT).await.is_ok() {
+                    schedulers.inner.context.record_response(&owner);
                     break;
                 }
             }
             tracing::info!(event = "entry-trusted", entry = %owner);
-            schedulers.inner.suspects.borrow_mut().swap_remove(&owner);
+            schedulers.inner.context.clear_suspect(&owner);
         });
     }
 
@@ -316,7 +289,10 @@
         let timeout = RESPONSE_TIMEOUT + Duration::from_millis(offer.wait_ms.into());
         let frame = Frame::Offer(offer);
         match self.inner.context.endpoint.call(owner, &frame, timeout).await {
-            Ok(Frame::Offered(outcome)) => Some(outcome),
+            Ok(Frame::Offered(outcome)) => {
+                self.inner.context.record_response(owner);
+                Some(outcome)
+            }
             Ok(_) => None,
             Err(error) => {
                 tracing::info!(event = "offer-failed", owner = %owner, %error);
--- a/hawthornkeel/src/forward/schedulers/results.rs
+++ b/hawthornkeel/src/forward/schedulers/results.rs
@@ -46,6 +46,8 @@
     Gone,
     /// Targets failed the stage too often.
     Failed,
+    /// No owner of the stage's scheduler responds.
+    Unreachable,
 }
 
 /// Guard of a submitted job, which cancels the job when dropped before its outcome is known.
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -1,5 +1,8 @@
 //! Targets and entries, as reported by the platform's list and by the instances themselves.
 
+pub mod ownership;
+pub mod reachability;
+
 use std::net::SocketAddr;
 use std::sync::Arc;
 
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -106,6 +106,8 @@
 pub struct Balancer {
     pub(super) targets: IndexMap<TargetName, Target>,
     taken_out: Vec<CentreName>,
+    /// Data centres whose entries don't respond to this one.
+    pub(super) cut_off: Vec<CentreName>,
     /// Distribution of each pool's targets over schedulers.
     pub(super) partitions: IndexMap<PoolName, Partitions>,
     /// Targets that were recently unreachable, with the last time.
@@ -162,6 +164,16 @@
         self.update_partitions();
     }
 
+    /// Returns the data centres whose entries don't respond to this one.
+    pub fn cut_off(&self) -> &[CentreName] {
+        &self.cut_off
+    }
+
+    /// Sets the data centres whose entries don't respond to this one.
+    pub fn set_cut_off(&mut self, cut_off: Vec<CentreName>) {
+        self.cut_off = cut_off;
+    }
+
     /// Returns the data centre of the target at an address.
     pub fn centre_at(&self, address: SocketAddr) -> Option<&CentreName> {
         let target = self.targets.values().find(|t| t.listed.address == address)?;
@@ -265,7 +277,8 @@
             return Err(NoTarget::Tried);
         }
         let cut_off = self.cut_off_at(now, &target.listed.centre);
-        let cut_off = cut_off.is_some_and(|at| target.last_answer < at);
+        let cut_off = cut_off.is_some_and(|at| target.last_answer < at)
+            || self.cut_off.contains(&target.listed.centre);
         let (_, target) = self.targets.get_index_mut(index).ok_or(NoTarget::Empty)?;
         let cold = target.is_cold(now, query.cold);
         if cold && !target.has_cold_token(now, query) {
--- a/hawthornkeel_core/src/placement/partition.rs
+++ b/hawthornkeel_core/src/placement/partition.rs
@@ -81,7 +81,8 @@
         let partitions = self.partitions.get(pool);
         let centre = partitions.filter(|p| p.is_by_centre()).and_then(|p| {
             let wanted = centre.filter(|c| p.usable(c) > 0).cloned();
-            wanted.or_else(|| pick_centre(p.centres.iter().map(|c| (&c.centre, c.usable)), hash))
+            let others = p.centres.iter().filter(|c| !self.cut_off.contains(&c.centre));
+            wanted.or_else(|| pick_centre(others.map(|c| (&c.centre, c.usable)), hash))
         });
         let listed = match (&centre, partitions) {
             (Some(centre), Some(partitions)) => {
@@ -109,7 +110,8 @@
         let partitions: Vec<&Partitions> = partitions.filter(|p| p.is_by_centre()).collect();
         let first = partitions.first()?;
         let fewest = |c| partitions.iter().map(|p| p.usable(c)).min().unwrap_or(0);
-        let others = first.centres.iter().map(|c| &c.centre).filter(|c| Some(*c) != excluded);
+        let others = first.centres.iter().map(|c| &c.centre);
+        let others = others.filter(|c| Some(*c) != excluded && !self.cut_off.contains(c));
         pick_centre(others.map(|c| (c, fewest(c))), xxh3_64(request.as_bytes()))
     }
 
