Recovery: one poll per entry, entries reported between control instances, elections after a stall

Each of 195 entries connected to all five control instances to send its heartbeats, so that each of these made 195 handshakes at 0.3 of a core before it could vote; all five voters came out of that at the same moment, became candidates within 4 ms and split the vote (leader 1.7 s after the kill). A control instance that does not lead asked only the three seeds for the state, and waited 3 s where the leader was none of them; entries got the document from the leader only.

Changes: - An entry tells its presence with its discovery poll. Control instances report to each other whom they heard (fleet::presence), with ages, and one of them in turn all that they know, so that a cut between two of them hides nobody. A stop goes to the polled instance. Entries are sent only when they changed.

--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -39,6 +39,8 @@
 const MAX_STATE_AGE: Duration = Duration::from_millis(3_500);
 /// Time after which a preferred source is tried again.
 const FAILBACK_INTERVAL: Duration = Duration::from_secs(15);
+/// Delay before the leader is asked again for the initial state.
+const INITIAL_RETRY_DELAY: Duration = Duration::from_millis(50);
 /// Delay before a retry after all sources failed.
 const RETRY_DELAY: Duration = Duration::from_millis(200);
 
@@ -160,10 +162,14 @@
         let start = Instant::now();
         let peers: Vec<_> = self.endpoint.peers().map(|p| p.name.clone()).collect();
         while self.watch.index().is_none() {
-            let latest = Frame::Follow(Follow::Latest);
-            self.merge_from_all(&self.controls, &latest).await;
-            if self.control.is_some() {
-                self.watch.merge(self.latest().await);
+            match self.known_leader() {
+                Some(leader) if leader == *self.endpoint.name() => {
+                    self.watch.merge(self.latest().await);
+                }
+                Some(leader) => {
+                    self.merge_from_all(&[leader], &Frame::Follow(Follow::Latest)).await;
+                }
+                None => self.ask_for_leader().await,
             }
             if self.watch.index().is_none() && start.elapsed() > LEADER_TIMEOUT {
                 let newest = Frame::Follow(Follow::Newer { after: None, wait_ms: 0 });
@@ -173,8 +179,31 @@
                 }
             }
             if self.watch.index().is_none() {
-                monoio::time::sleep(RETRY_DELAY).await;
+                monoio::time::sleep(INITIAL_RETRY_DELAY).await;
+            }
+        }
+    }
+
+    /// Returns the leader that the control role of this instance knows.
+    ///
+    /// It may be none of the instances that the settings list.
+    fn known_leader(&self) -> Option<InstanceName> {
+        self.control.as_ref().and_then(|c| c.lead().leader)
+    }
+
+    /// Asks the listed control instances for the state of a leader, until this one knows a leader.
+    ///
+    /// Those that are down would hold it up until the timeout.
+    async fn ask_for_leader(&self) {
+        let learn_leader = async {
+            while self.known_leader().is_none() {
+                monoio::time::sleep(INITIAL_RETRY_DELAY).await;
             }
+        };
+        let latest = Frame::Follow(Follow::Latest);
+        monoio::select! {
+            () = self.merge_from_all(&self.controls, &latest) => {}
+            () = learn_leader => {}
         }
     }
 
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -44,6 +44,8 @@
     pub watch: Watch,
     /// Known control instances.
     pub directory: ControlDirectory,
+    /// Control instance that this entry polls.
+    pub polled_control: RefCell<Option<InstanceName>>,
     /// HTTP client with the connections to targets.
     pub http_client: HttpClient,
     /// Load balancer over the targets.
@@ -67,6 +69,10 @@
 pub struct ServingEntries {
     /// Entries in order of their names.
     pub entries: Vec<ServingEntry>,
+    /// Mark of the entries that a control instance reported last; zero before the first report.
+    pub mark: u64,
+    /// Entries that a control instance reported last.
+    reported: Vec<ServingEntry>,
     /// Time of the last report about each entry.
     last_reports: IndexMap<InstanceName, (hawthornkeel_core::time::Instant, ServingEntry)>,
     /// Highest recent number of entries and the time at which it was seen.
@@ -76,12 +82,16 @@
 impl ServingEntries {
     /// Merges the entries that a control instance reports; returns whether the set changed.
     ///
-    /// An entry missing from the report is kept for a while, as another control instance may still
-    /// report it.
-    pub fn merge(&mut self, entries: Vec<ServingEntry>) -> bool {
+    /// `entries` is `None` if they are the same as in the last report. An entry missing from the
+    /// report is kept for a while, as another control instance may still report it.
+    pub fn merge(&mut self, entries: Option<Vec<ServingEntry>>, mark: u64) -> bool {
         let now = boot_now();
-        for entry in entries {
-            self.last_reports.insert(entry.name.clone(), (now, entry));
+        self.mark = mark;
+        if let Some(entries) = entries {
+            self.reported = entries;
+        }
+        for entry in &self.reported {
+            self.last_reports.insert(entry.name.clone(), (now, entry.clone()));
         }
         self.last_reports.retain(|_, (at, _)| now.since(*at) < ENTRY_TTL);
         let mut known: Vec<ServingEntry> =
@@ -113,6 +123,7 @@
             endpoint,
             watch: Watch::default(),
             directory,
+            polled_control: RefCell::default(),
             http_client: HttpClient::new(fields::REQUEST_ID),
             balancer: RefCell::default(),
             table: RefCell::default(),
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -30,8 +30,6 @@
 const RETRY_DELAY: Duration = Duration::from_millis(40);
 /// Age of the published state above which another control instance is polled.
 const MAX_STATE_AGE: Duration = Duration::from_millis(1_600);
-/// Interval between heartbeats to the control instances.
-const HEARTBEAT_INTERVAL: Duration = Duration::from_millis(1_000);
 
 /// Polls the control instances until the process ends.
 pub async fn run(context: Rc<Context>, schedulers: Schedulers) {
@@ -44,12 +42,18 @@
             monoio::time::sleep(RETRY_DELAY).await;
             continue;
         };
+        context.polled_control.replace(Some(control.clone()));
         let sent = Instant::now();
         match poll(&context, control, mark).await {
             Some(update) => {
                 let age = update.followed.age_ms.map(Duration::from_millis);
                 mark = apply(&context, &schedulers, update, sent).or(mark);
-                if age.is_none_or(|a| a > MAX_STATE_AGE) {
+                // Without a state yet, the instance may just be waiting for a leader.
+                let is_stale = match age {
+                    Some(age) => age > MAX_STATE_AGE,
+                    None => sent.elapsed() > Duration::from_millis(LONG_POLL_MS.into()) / 2,
+                };
+                if is_stale {
                     index = index.wrapping_add(1);
                 }
                 monoio::time::sleep(MIN_POLL_INTERVAL.saturating_sub(sent.elapsed())).await;
@@ -69,11 +73,15 @@
 }
 
 async fn poll(context: &Context, control: &InstanceName, mark: Option<u64>) -> Option<Discovered> {
-    let after = context.watch.index();
-    let entries = context.serving_entries.borrow().entries.len();
-    // The first poll returns at once, so that the entry is ready as soon as possible.
-    let wait_ms = if after.is_some() { LONG_POLL_MS } else { 0 };
-    let frame = Frame::Discover(Discover { after, list_mark: mark, entry_count: entries, wait_ms });
+    // The first poll returns at once, so that the entry knows targets and entries early.
+    let wait_ms = if mark.is_some() { LONG_POLL_MS } else { 0 };
+    let frame = Frame::Discover(Discover {
+        after: context.watch.index(),
+        list_mark: mark,
+        entries_mark: Some(context.serving_entries.borrow().mark),
+        presence: (!context.stopping.get()).then(|| presence(context, false)),
+        wait_ms,
+    });
     let timeout = RESPONSE_TIMEOUT + Duration::from_millis(wait_ms.into());
     match context.endpoint.call(control, &frame, timeout).await {
         Ok(Frame::Discovered(update)) => Some(*update),
@@ -92,8 +100,7 @@
     update: Discovered,
     sent: Instant,
 ) -> Option<u64> {
-    let Discovered { followed, target_list: listing, control_instances: controls, entries, .. } =
-        update;
+    let Discovered { followed, target_list: listing, control_instances: controls, .. } = update;
     let now = boot_now();
     context.directory.update(controls);
     let old_index = context.watch.index();
@@ -106,7 +113,7 @@
     if changed {
         apply_document(context, schedulers);
     }
-    if context.serving_entries.borrow_mut().merge(entries) {
+    if context.serving_entries.borrow_mut().merge(update.entries, update.entries_mark) {
         tracing::info!(
             event = "entries-known",
             count = context.serving_entries.borrow().entries.len()
@@ -154,25 +161,16 @@
     }
 }
 
-/// Sends heartbeats to the control instances until this entry stops.
-pub async fn send_heartbeats(context: Rc<Context>) {
-    loop {
-        let stopping = context.stopping.get();
-        send_heartbeat(&context, stopping);
-        if stopping {
-            return;
-        }
-        monoio::time::sleep(HEARTBEAT_INTERVAL).await;
-    }
+/// Returns what this entry tells control instances about itself.
+fn presence(context: &Context, leaving: bool) -> Presence {
+    Presence { centre: context.centre().clone(), draining: leaving }
 }
 
-/// Tells the control instances that this entry serves callers or is `leaving`.
-pub fn send_heartbeat(context: &Context, leaving: bool) {
-    let presence = Presence { centre: context.centre().clone(), draining: leaving };
-    for control in context.directory.peers() {
-        let frame = Frame::Present(presence.clone());
-        if let Err(error) = context.endpoint.send(&control, &frame) {
-            tracing::info!(event = "presence-unsent", %control, %error);
-        }
+/// Tells the control instance that this entry polls that it stops; that one tells the others.
+pub fn announce_stop(context: &Context) {
+    let Some(control) = context.polled_control.borrow().clone() else { return };
+    let frame = Frame::Present(presence(context, true));
+    if let Err(error) = context.endpoint.send(&control, &frame) {
+        tracing::info!(event = "presence-unsent", %control, %error);
     }
 }
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -13,11 +13,13 @@
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::fleet::ServingEntry;
 use hawthornkeel_core::fleet::TargetList;
-use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::fleet::presence::EntryReports;
+use hawthornkeel_core::fleet::presence::PresenceTable;
+use hawthornkeel_core::fleet::presence::entries_mark;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_platform::target_list;
-use indexmap::IndexMap;
 
+use crate::clock::boot_now;
 use crate::control::directory::ControlDirectory;
 use crate::control::node::ControlNode;
 use crate::control::watch::Watch;
@@ -32,12 +34,14 @@
 use crate::peer::frame::Presence;
 use crate::peer::wakeup::EventCount;
 
-/// Time without a heartbeat after which an entry is removed.
-const ENTRY_TIMEOUT: Duration = Duration::from_millis(3_500);
-/// Time after its first heartbeat from which an entry counts as settled.
-///
-/// Schedulers are not moved to an entry that has just started.
-const SETTLE_TIME: Duration = Duration::from_secs(6);
+/// Interval between checks for entries that nobody heard.
+const EXPIRY_INTERVAL: Duration = Duration::from_millis(875);
+/// Interval between reports to the other control instances while nothing changes.
+const REPORT_INTERVAL: Duration = Duration::from_secs(1);
+/// Delay of reports about changes, so that changes at the same time share one.
+const REPORT_DELAY: Duration = Duration::from_millis(50);
+/// Time for which a poll is held at least while only the entries differ.
+const ENTRIES_DELAY: Duration = Duration::from_millis(150);
 /// Timeout for one page of the platform's list.
 const PAGE_TIMEOUT: Duration = Duration::from_millis(1_500);
 /// Maximum number of pages of the platform's list.
@@ -65,15 +69,10 @@
     poll_interval: Duration,
     target_list: RefCell<TargetList>,
     list_time: Cell<Option<Instant>>,
-    entries: RefCell<IndexMap<InstanceName, EntryRecord>>,
+    presence: RefCell<PresenceTable>,
     changed: EventCount,
-    started: Instant,
-}
-
-struct EntryRecord {
-    first_heartbeat: Instant,
-    last_heartbeat: Instant,
-    centre: CentreName,
+    /// Counts the entries that this instance itself heard for the first time or saw leave.
+    heard: EventCount,
 }
 
 /// Handles of the control instance that a discovery server uses.
@@ -105,25 +104,29 @@
                 poll_interval: Duration::from_millis(settings.platform.poll_ms),
                 target_list: RefCell::default(),
                 list_time: Cell::default(),
-                entries: RefCell::default(),
+                presence: RefCell::new(PresenceTable::new(boot_now())),
                 changed: EventCount::default(),
-                started: Instant::now(),
+                heard: EventCount::default(),
             }),
         };
         server.register_handlers();
         monoio::spawn(server.clone().follow_list());
         monoio::spawn(server.clone().expire_entries());
+        monoio::spawn(server.clone().report_entries());
         server
     }
 
     fn register_handlers(&self) {
         let endpoint = &self.inner.endpoint;
         let server = self.clone();
-        endpoint.on_call(FrameKind::Survey, move |_, frame| {
-            let server = server.clone();
+        endpoint.on_call(FrameKind::Survey, move |from, frame| {
+            let (server, from) = (server.clone(), from.clone());
             async move {
                 match frame {
                     Frame::Discover(poll) => {
+                        if let Some(presence) = &poll.presence {
+                            server.record_presence(&from, presence);
+                        }
                         Frame::Discovered(Box::new(server.handle_poll(&poll).await))
                     }
                     other => other,
@@ -133,59 +136,97 @@
         let server = self.clone();
         endpoint.on_frame(FrameKind::Present, move |from, frame| {
             if let Frame::Present(presence) = frame {
-                server.record_heartbeat(from, presence);
+                server.record_presence(from, &presence);
+            }
+        });
+        let server = self.clone();
+        endpoint.on_frame(FrameKind::Entries, move |_, frame| {
+            if let Frame::Entries(reports) = frame {
+                server.merge_reports(&reports);
             }
         });
     }
 
-    fn record_heartbeat(&self, from: &InstanceName, presence: Presence) {
-        let mut entries = self.inner.entries.borrow_mut();
+    fn record_presence(&self, from: &InstanceName, presence: &Presence) {
+        let mut table = self.inner.presence.borrow_mut();
         let changed = if presence.draining {
-            entries.shift_remove(from).is_some()
+            table.leave(boot_now(), from)
         } else {
-            let now = Instant::now();
-            let first_heartbeat = entries.get(from).map_or(now, |e| e.first_heartbeat);
-            let record =
-                EntryRecord { first_heartbeat, last_heartbeat: now, centre: presence.centre };
-            entries.insert(from.clone(), record).is_none()
+            table.hear(boot_now(), from, &presence.centre)
         };
-        drop(entries);
+        drop(table);
         if changed {
             tracing::info!(event = "entry-heard", entry = %from, leaving = presence.draining);
             self.inner.changed.notify();
         }
+        if changed || presence.draining {
+            self.inner.heard.notify();
+        }
+    }
+
+    fn merge_reports(&self, reports: &EntryReports) {
+        if self.inner.presence.borrow_mut().merge(boot_now(), reports) {
+            self.inner.changed.notify();
+        }
     }
 
     async fn expire_entries(self) {
         loop {
-            monoio::time::sleep(ENTRY_TIMEOUT / 4).await;
-            let mut entries = self.inner.entries.borrow_mut();
-            let count = entries.len();
-            entries.retain(|name, record| {
-                let alive = record.last_heartbeat.elapsed() < ENTRY_TIMEOUT;
-                if !alive {
-                    tracing::info!(event = "entry-silent", entry = %name);
-                }
-                alive
-            });
-            let changed = entries.len() != count;
-            drop(entries);
-            if changed {
+            monoio::time::sleep(EXPIRY_INTERVAL).await;
+            let silent = self.inner.presence.borrow_mut().expire(boot_now());
+            for name in &silent {
+                tracing::info!(event = "entry-silent", entry = %name);
+            }
+            if !silent.is_empty() {
                 self.inner.changed.notify();
             }
         }
     }
 
+    /// Returns what this instance heard itself, and all that it knows.
+    fn entry_reports(&self) -> (Frame, Frame) {
+        let (now, table) = (boot_now(), self.inner.presence.borrow());
+        (Frame::Entries(table.direct_reports(now)), Frame::Entries(table.all_reports(now)))
+    }
+
+    /// Tells the other control instances which entries this one heard.
+    ///
+    /// One of them in turn is told all that this one knows, in case a partition separates it from
+    /// those that heard the rest.
+    async fn report_entries(self) {
+        for round in 0_usize.. {
+            let seen = self.inner.heard.count();
+            let peers = self.inner.directory.peers();
+            let (direct, all) = self.entry_reports();
+            for (index, peer) in peers.iter().enumerate() {
+                let in_turn = index == round % peers.len().max(1);
+                let frame = if in_turn { &all } else { &direct };
+                if let Err(error) = self.inner.endpoint.send(peer, frame) {
+                    tracing::info!(event = "entries-unsent", control = %peer, %error);
+                }
+            }
+            let change = self.inner.heard.wait_after(seen);
+            let _ = monoio::time::timeout(REPORT_INTERVAL, change).await;
+            monoio::time::sleep(REPORT_DELAY).await;
+        }
+    }
+
     /// Responds to a poll once there is something new, or at the end of the long poll.
     async fn handle_poll(&self, poll: &Discover) -> Discovered {
         let wait = Duration::from_millis(poll.wait_ms.into()).min(MAX_LONG_POLL);
-        let deadline = monoio::time::Instant::now() + wait;
+        let started = monoio::time::Instant::now();
+        let deadline = started + wait;
         loop {
             let (state_changes, own_changes) =
                 (self.inner.watch.changes().count(), self.inner.changed.count());
             if self.has_news(poll) {
                 break;
             }
+            // Entries join and leave many at a time, and each change concerns all who poll.
+            let deadline = match self.has_other_entries(poll) {
+                true => deadline.min(started + ENTRIES_DELAY),
+                false => deadline,
+            };
             let changed = async {
                 monoio::select! {
                     () = self.inner.watch.changes().wait_after(state_changes) => {}
@@ -202,20 +243,22 @@
     fn has_news(&self, poll: &Discover) -> bool {
         self.inner.watch.index() > poll.after
             || Some(self.inner.target_list.borrow().mark) != poll.list_mark
-            || self.inner.entries.borrow().len() != poll.entry_count
+    }
+
+    /// Returns whether the caller knows other entries than this instance.
+    fn has_other_entries(&self, poll: &Discover) -> bool {
+        poll.entries_mark.is_some_and(|mark| mark != entries_mark(&self.serving()))
+    }
+
+    fn serving(&self) -> Vec<ServingEntry> {
+        self.inner.presence.borrow().serving(boot_now())
     }
 
     fn update_for(&self, poll: &Discover) -> Discovered {
         let target_list = self.inner.target_list.borrow().clone();
         let list_time = self.inner.list_time.get();
-        let entries = self.inner.entries.borrow();
-        // After its own start this instance can't tell old entries from new ones.
-        let just_started = self.inner.started.elapsed() < SETTLE_TIME * 2;
-        let serving = |(name, record): (&InstanceName, &EntryRecord)| ServingEntry {
-            name: name.clone(),
-            centre: record.centre.clone(),
-            settled: just_started || record.first_heartbeat.elapsed() > SETTLE_TIME,
-        };
+        let entries = self.serving();
+        let mark = entries_mark(&entries);
         Discovered {
             followed: self.inner.watch.reply_after(poll.after),
             target_list: (list_time.is_some() && Some(target_list.mark) != poll.list_mark)
@@ -223,7 +266,8 @@
             list_age_ms: list_time
                 .map(|l| u64::try_from(l.elapsed().as_millis()).unwrap_or(u64::MAX)),
             control_instances: self.controls(),
-            entries: sorted(entries.iter().map(serving).collect()),
+            entries: poll.entries_mark.is_some_and(|known| known != mark).then_some(entries),
+            entries_mark: mark,
         }
     }
 
@@ -259,11 +303,11 @@
     async fn fetch_from_leader(&self, leader: &InstanceName) -> bool {
         let wait_ms = u32::try_from(self.inner.poll_interval.as_millis()).unwrap_or(u32::MAX);
         let mark = self.inner.list_time.get().map(|_| self.inner.target_list.borrow().mark);
-        let entries = self.inner.entries.borrow().len();
         let poll = Discover {
             after: self.inner.watch.index(),
             list_mark: mark,
-            entry_count: entries,
+            entries_mark: None,
+            presence: None,
             wait_ms,
         };
         let sent = Instant::now();
@@ -278,7 +322,6 @@
             self.set_target_list(target_list);
         }
         self.inner.list_time.set(sent.checked_sub(age));
-        // The leader responds at once while it knows entries that this instance doesn't.
         monoio::time::sleep(self.inner.poll_interval.saturating_sub(sent.elapsed()) / 2).await;
         true
     }
@@ -333,9 +376,3 @@
         self.inner.changed.notify();
     }
 }
-
-/// Returns the entries in an order that is the same on all control instances.
-fn sorted(mut entries: Vec<ServingEntry>) -> Vec<ServingEntry> {
-    entries.sort();
-    entries
-}
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -134,6 +134,7 @@
             request = %request.id,
             route = %request.route.name,
             pool = %request.pool.name,
+            session = request.session,
             version = %request.table.version,
             rank = request.priority,
             outcome,
--- a/hawthornkeel/src/forward/reservation.rs
+++ b/hawthornkeel/src/forward/reservation.rs
@@ -1,5 +1,8 @@
 //! Capacity reservations for the stages of a request, which decide on its admission.
 
+use std::collections::VecDeque;
+use std::time::Duration;
+
 use futures_util::StreamExt;
 use futures_util::stream::FuturesUnordered;
 use hawthornkeel_core::names::InstanceName;
@@ -16,6 +19,9 @@
 use crate::forward::schedulers::Schedulers;
 use crate::forward::stages::StagesError;
 
+/// Time after which to retry while no scheduler can be reached, as at the start of a partition.
+const UNREACHABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
+
 /// Reservations for the stages of a request; unused ones are cancelled on drop.
 pub(super) struct Reservations {
     schedulers: Schedulers,
@@ -51,12 +57,21 @@
         schedulers: &Schedulers,
     ) -> Result<Reservations, StagesError> {
         let mut earliest = None;
-        for centre in self.candidate_centres() {
+        let mut candidates = VecDeque::from(self.candidate_centres());
+        let own = Some(self.context.centre().clone());
+        let mut tried_own = candidates.contains(&own);
+        while let Some(centre) = candidates.pop_front() {
             self.stage_centre = centre;
             if self.timeliness == Timeliness::Late {
                 break;
             }
-            let (reservations, outlook) = self.reserve_stages(schedulers).await;
+            let Some((reservations, outlook)) = self.reserve_stages(schedulers).await else {
+                // This entry's own data centre can be reached whatever is cut off.
+                if !std::mem::replace(&mut tried_own, true) {
+                    candidates.push_back(own.clone());
+                }
+                continue;
+            };
             if outlook.allows(self.timeliness, &self.times()) {
                 self.set_estimate(&outlook);
                 return Ok(reservations);
@@ -69,8 +84,11 @@
             self.stage_centre = centre;
         }
         self.timeliness = Timeliness::Late;
-        let (reservations, outlook) = self.reserve_stages(schedulers).await;
         let times = self.times();
+        let Some((reservations, outlook)) = self.reserve_stages(schedulers).await else {
+            let retry_after = UNREACHABLE_RETRY_AFTER.max(times.fresh);
+            return Err(StagesError::Rejected { retry_after });
+        };
         tracing::debug!(event = "request-judged", request = %self.request.id, ?outlook, ?times);
         if outlook.allows(self.timeliness, &times) {
             self.set_estimate(&outlook);
@@ -85,7 +103,9 @@
     }
 
     /// Reserves capacity for the stages in the current data centre and timeliness.
-    async fn reserve_stages(&self, schedulers: &Schedulers) -> (Reservations, Outlook) {
+    ///
+    /// Returns `None` if one of their schedulers can't be reached.
+    async fn reserve_stages(&self, schedulers: &Schedulers) -> Option<(Reservations, Outlook)> {
         let mut requests: IndexMap<SchedulerName, Vec<Reservation>> = IndexMap::new();
         for index in self.nonempty_stages() {
             if let Some(scheduler) = self.scheduler(index) {
@@ -102,16 +122,13 @@
         let mut reserved = Reservations::new(schedulers);
         let mut estimates: IndexMap<u16, Option<ReservationEstimate>> = IndexMap::new();
         while let Some((reply, scheduler, ids)) = pending.next().await {
-            let Some((owner, replies)) = reply else {
-                // Nothing runs it at the moment.
-                estimates.extend(ids.into_iter().map(|id| (id.stage, None)));
-                continue;
-            };
+            let (owner, replies) = reply?;
             for (id, estimate) in ids.into_iter().zip(replies) {
                 estimates.insert(id.stage, estimate);
                 reserved.unused.push((owner.clone(), scheduler.clone(), id));
             }
         }
-        (reserved, Outlook::new(&self.stage_timings(), &estimates, self.target_latency()))
+        let outlook = Outlook::new(&self.stage_timings(), &estimates, self.target_latency());
+        Some((reserved, outlook))
     }
 }
--- a/hawthornkeel/src/forward/server.rs
+++ b/hawthornkeel/src/forward/server.rs
@@ -60,7 +60,6 @@
         let context = Rc::new(Context::new(settings.clone(), endpoint.clone(), directory));
         let schedulers = Schedulers::start(&context);
         monoio::spawn(discovery_client::run(Rc::clone(&context), schedulers.clone()));
-        monoio::spawn(discovery_client::send_heartbeats(Rc::clone(&context)));
         if let Some(ready) = settings.forward.ready {
             let readiness = Rc::clone(&context);
             let checks = Server::bind(ready, Limits::default())?;
@@ -108,7 +107,7 @@
     let grace = Duration::from_secs_f64(context.settings.forward.grace_s.max(0.1));
     tracing::info!(event = "stop-begun", open = context.in_flight.get());
     context.stopping.set(true);
-    discovery_client::send_heartbeat(context, true);
+    discovery_client::announce_stop(context);
     control.drain.set();
     let started = std::time::Instant::now();
     monoio::time::sleep(grace.mul_f64(DRAIN_FRACTION)).await;
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -4,6 +4,7 @@
 
 use hawthornkeel_core::fleet::ServingEntry;
 use hawthornkeel_core::fleet::TargetList;
+use hawthornkeel_core::fleet::presence::EntryReports;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::ids::Term;
 use hawthornkeel_core::ids::Version;
@@ -69,6 +70,8 @@
     Discovered(Box<Discovered>),
     /// Heartbeat of an entry: it serves callers or is about to stop; one-way.
     Present(Presence),
+    /// Entries that a control instance heard; one-way, between control instances.
+    Entries(EntryReports),
     /// Call: runs a stage of a request.
     Offer(Offer),
     /// Answers [`Frame::Offer`].
@@ -112,6 +115,8 @@
     Survey,
     /// Of [`Frame::Present`].
     Present,
+    /// Of [`Frame::Entries`].
+    Entries,
     /// Of [`Frame::Offer`].
     Offer,
     /// Of [`Frame::Book`].
@@ -136,6 +141,7 @@
             Self::Entry(_) => FrameKind::Entry,
             Self::Discover(_) => FrameKind::Survey,
             Self::Present(_) => FrameKind::Present,
+            Self::Entries(_) => FrameKind::Entries,
             Self::Offer(_) => FrameKind::Offer,
             Self::Book(_) => FrameKind::Book,
             Self::Ping => FrameKind::Ping,
@@ -228,9 +234,10 @@
     /// Mark of the caller's list of targets.
     #[serde(rename = "listing")]
     pub list_mark: Option<u64>,
-    /// Number of entries that the caller knows.
-    #[serde(rename = "entries")]
-    pub entry_count: usize,
+    /// Mark of the entries that the caller knows, or `None` if it wants none.
+    pub entries_mark: Option<u64>,
+    /// Presence of the caller, if it is an entry.
+    pub presence: Option<Presence>,
     /// Long-poll timeout in milliseconds.
     pub wait_ms: u32,
 }
@@ -249,8 +256,10 @@
     /// Control instances.
     #[serde(rename = "controls")]
     pub control_instances: Vec<InstanceName>,
-    /// Entries that serve callers.
-    pub entries: Vec<ServingEntry>,
+    /// Entries that serve callers, if they differ from those that the caller knows.
+    pub entries: Option<Vec<ServingEntry>>,
+    /// Mark of these entries.
+    pub entries_mark: u64,
 }
 
 /// State of an entry in its heartbeat.
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -1,6 +1,7 @@
 //! Targets and entries, as reported by the platform's list and by the instances themselves.
 
 pub mod ownership;
+pub mod presence;
 pub mod reachability;
 
 use std::net::SocketAddr;
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -14,6 +14,10 @@
 use crate::replica::message::VoteRequest;
 use crate::replica::persistence::SyncBarrier;
 
+/// Longest time by which an overdue pre-vote is put off, in election timeouts.
+const MAX_DEFERRAL: f64 = 0.4;
+/// Shortest time between pre-votes without a quorum, in heartbeat intervals.
+const PRE_VOTE_INTERVALS: u32 = 1;
 /// Factor by which a learner waits longer than a voter before it starts a pre-vote.
 const LEARNER_TIMEOUT_FACTOR: u32 = 2;
 
@@ -32,6 +36,22 @@
         }
         let jitter = self.rng.random_range(0.0..1.0);
         self.election_at = self.now + timeout + timeout.mul_f64(jitter);
+        self.election_deferred = false;
+    }
+
+    /// Starts a pre-vote, or puts it off by a random time if its timer fired late.
+    ///
+    /// What stalls one replica mostly stalls the others too. Their timers are all overdue then, so
+    /// they would become candidates at the same moment and split the votes.
+    pub(super) fn election_due(&mut self) {
+        let is_late = self.now.since(self.election_at) > self.settings.heartbeat_interval / 2;
+        if !is_late || self.election_deferred {
+            self.start_pre_vote();
+            return;
+        }
+        let delay = self.settings.election_timeout.mul_f64(MAX_DEFERRAL);
+        self.election_at = self.now + delay.mul_f64(self.rng.random_range(0.0..1.0));
+        self.election_deferred = true;
     }
 
     /// Returns whether a leader may still hold a lease based on a reply of this replica.
@@ -47,6 +67,10 @@
     /// candidacy, nobody might be electable after the loss of the leader's disk.
     pub(super) fn start_pre_vote(&mut self) {
         self.reset_election_timer();
+        // Others may only deny it because they heard the last leader or started a moment later.
+        let jitter = self.rng.random_range(1.0..2.0);
+        let retry = (self.settings.heartbeat_interval * PRE_VOTE_INTERVALS).mul_f64(jitter);
+        self.election_at = self.election_at.min(self.now + retry);
         self.leader = None;
         let members = self.log.members();
         // A voter whose pre-vote got no quorum may have been removed while it was unreachable.
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -114,6 +114,8 @@
     last_contact: Option<Instant>,
     /// Time at which the next pre-vote starts.
     election_at: Instant,
+    /// Whether the pre-vote that is due was put off, as this replica was stalled.
+    election_deferred: bool,
     commit: LogIndex,
     snapshot: Option<Snapshot>,
     /// Size of the entries applied since the last snapshot, in bytes.
@@ -146,6 +148,7 @@
             leader: None,
             last_contact: None,
             election_at: now,
+            election_deferred: false,
             commit: LogIndex(0),
             snapshot: None,
             applied_bytes: 0,
@@ -244,7 +247,7 @@
             RoleState::Follower | RoleState::PreCandidate(_) | RoleState::Candidate(_)
                 if self.election_at <= self.now =>
             {
-                self.start_pre_vote();
+                self.election_due();
             }
             _ => {}
         }
--- a/hawthornkeel_core/src/routing/selection.rs
+++ b/hawthornkeel_core/src/routing/selection.rs
@@ -38,7 +38,7 @@
         };
         pool.refresh_after_backoff(now, set);
         pool.last_request = Some(now);
-        let stage_deadline = subtract(request.deadline, later);
+        let stage_deadline = request.deadline.before(later);
         match request.kind {
             AttemptKind::First => pool.record_first_attempt(),
             AttemptKind::SafeRetry | AttemptKind::Retry => {}
@@ -228,7 +228,7 @@
     }
     let ahead = pool.queue.calls_ahead(request, weight);
     let wait = pool.queue_delay(ahead);
-    let expires = subtract(stage_deadline, work);
+    let expires = stage_deadline.before(work);
     let first_stage = request.call.stage.0 == 0;
     if first_stage && now + wait > expires {
         return refuse(Reason::Deadline, wait, candidates);
@@ -239,12 +239,6 @@
     Decision::Wait { until: expires, reason: Reason::FairQueue, candidates }
 }
 
-/// Returns the instant `span` before `at`, saturating at zero.
-fn subtract(at: Instant, span: Duration) -> Instant {
-    let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
-    Instant::from_micros(at.as_micros().saturating_sub(micros))
-}
-
 /// Returns a refusal with a retry delay of at least `RETRY_AFTER_MIN`.
 fn refuse(reason: Reason, after: Duration, candidates: u32) -> Decision {
     Decision::Refuse { reason, retry_after: after.max(RETRY_AFTER_MIN), candidates }
--- a/hawthornkeel_core/src/stages/admission.rs
+++ b/hawthornkeel_core/src/stages/admission.rs
@@ -28,9 +28,6 @@
 const FIRST_ATTEMPT_SHARE: f64 = 0.84;
 /// Shortest time after which a rejected request may be retried.
 const MIN_RETRY_AFTER: Duration = Duration::from_millis(100);
-/// Time after which to retry while a stage can't run anywhere, as in the first seconds of a
-/// partition.
-const UNAVAILABLE_RETRY_AFTER: Duration = Duration::from_millis(500);
 /// Longest time after which a rejected request may be retried.
 const MAX_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -143,11 +140,7 @@
 
     /// Returns the time after which the request may be retried if it is rejected.
     pub fn retry_after(&self, timeliness: Timeliness, times: &Times) -> Duration {
-        let delay = match self.end {
-            Duration::MAX => UNAVAILABLE_RETRY_AFTER,
-            _ => self.delay(timeliness, times),
-        };
-        let delay = delay.max(times.fresh);
+        let delay = self.delay(timeliness, times).max(times.fresh);
         delay.clamp(MIN_RETRY_AFTER, MAX_RETRY_AFTER)
     }
 
--- a/hawthornkeel_core/src/time.rs
+++ b/hawthornkeel_core/src/time.rs
@@ -38,6 +38,12 @@
     pub fn since(self, earlier: Self) -> Duration {
         Duration::from_micros(self.micros.saturating_sub(earlier.micros))
     }
+
+    /// Returns the instant `span` before this one, saturating at zero.
+    pub fn before(self, span: Duration) -> Self {
+        let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
+        Self { micros: self.micros.saturating_sub(micros) }
+    }
 }
 
 impl Add<Duration> for Instant {
--- a/hawthornkeel_core/tests/scheduler_owners.rs
+++ b/hawthornkeel_core/tests/scheduler_owners.rs
@@ -123,7 +123,7 @@
     reachability.suspect(at(200), &name(10), &centre);
     assert!(!reachability.is_cut_off(&centre), "one silent entry is no partition");
     reachability.suspect(at(201), &name(11), &centre);
-    assert_eq!(reachability.cut_off(), [centre.clone()]);
+    assert_eq!(reachability.cut_off(), std::slice::from_ref(&centre));
     reachability.clear(&name(10));
     assert!(!reachability.is_cut_off(&centre));
 }
