Stages: estimates count with the throughput that is reached while work waits

Estimates by call times alone planned a p90 of 1.5 s too early, accepted work went past its objective and its inputs expired.

--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -79,7 +79,7 @@
     /// Returns whether more pieces wait than fit into the next calls of the healthy targets.
     ///
     /// Slow targets are used only then: otherwise waiting for another target is faster.
-    fn is_backlogged(&self) -> bool {
+    pub(super) fn is_backlogged(&self) -> bool {
         let healthy = self.workers.values().filter(|w| w.is_healthy(self.now)).count();
         let waiting: u32 = self.jobs.values().map(JobState::waiting_pieces).sum();
         waiting as usize > healthy * self.pool.batch_size
--- a/hawthornkeel_core/src/stages/mod.rs
+++ b/hawthornkeel_core/src/stages/mod.rs
@@ -13,4 +13,6 @@
 
 mod dispatch;
 mod estimate;
+mod reservations;
+mod throughput;
 mod worker;
--- /dev/null
+++ b/hawthornkeel_core/src/stages/reservations.rs
@@ -0,0 +1,82 @@
+//! Reservations of a scheduler's capacity, and the estimates that they are answered with.
+
+use std::time::Duration;
+
+use crate::stages::estimate::Capacity;
+use crate::stages::estimate::Queued;
+use crate::stages::estimate::call_time;
+use crate::stages::job::Reservation;
+use crate::stages::job::ReservationEstimate;
+use crate::stages::scheduler::JobState;
+use crate::stages::scheduler::Scheduler;
+use crate::table::pool::StageWorkload;
+use crate::time::Instant;
+
+impl Scheduler {
+    /// Reserves capacity for a job that will be submitted later, and returns its estimate.
+    ///
+    /// Returns `None` and reserves nothing if no target is available.
+    pub fn reserve(
+        &mut self,
+        now: Instant,
+        reservation: &Reservation,
+    ) -> Option<ReservationEstimate> {
+        self.now = self.now.max(now);
+        let due = self.now + Duration::from_millis(reservation.due_ms);
+        let new = Queued::new(due, reservation.priority, reservation.pieces);
+        let (capacity, queued) = (self.capacity(), self.queued());
+        let estimate = capacity.estimate(&self.measured_pool(), &queued, &new)?;
+        self.reservations.insert(reservation.id.clone(), new);
+        let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
+        Some(ReservationEstimate {
+            drain_ms: millis(estimate.drain),
+            run_ms: millis(estimate.run),
+            harm_ms: millis(estimate.harm),
+            slot_wait_ms: millis(estimate.slot_wait),
+        })
+    }
+
+    /// Returns the pool's parameters with the measured time of a piece.
+    pub(super) fn measured_pool(&self) -> StageWorkload {
+        self.piece_time.measured(&self.pool)
+    }
+
+    /// Returns the capacity that estimates count with.
+    fn capacity(&self) -> Capacity {
+        let now = self.now;
+        let available = || self.workers.values().filter(|w| w.is_available(now));
+        let count = u32::try_from(available().count()).unwrap_or(u32::MAX);
+        let running: Duration = self.calls.values().map(|c| c.expected).sum();
+        Capacity {
+            now,
+            workers: self.nominal_workers() * self.throughput.share(),
+            until_free: available().map(|w| w.until_free(now)).min().unwrap_or_default(),
+            // Calls start at independent times, so their ends are spread evenly over a call's time.
+            slot_wait: running / count.max(1) / count.saturating_add(1),
+            arrivals: self.arrivals,
+        }
+    }
+
+    /// Returns the waiting and reserved work, sorted.
+    fn queued(&self) -> Vec<Queued> {
+        let queued = |j: &JobState| Queued::new(j.due, j.spec.priority, j.waiting_pieces());
+        let waiting = self.jobs.values().map(queued);
+        let mut queued: Vec<Queued> = waiting.chain(self.reservations.values().copied()).collect();
+        queued.retain(|q| q.pieces > 0);
+        queued.sort_by_key(|q| q.virtual_deadline);
+        queued
+    }
+
+    /// Returns the number of available targets, each weighted by its speed.
+    fn nominal_workers(&self) -> f64 {
+        let available = self.workers.values().filter(|w| w.is_available(self.now));
+        available.map(|w| 1.0 / w.slowdown.max(0.5)).sum()
+    }
+
+    /// Returns what the available targets do in full calls, in pieces per second.
+    pub(super) fn nominal_rate(&self) -> f64 {
+        let pool = self.measured_pool();
+        let each = call_time(&pool, pool.batch_size).as_secs_f64() / pool.batch_size.max(1) as f64;
+        self.nominal_workers() / each.max(f64::MIN_POSITIVE)
+    }
+}
--- a/hawthornkeel_core/src/stages/scheduler.rs
+++ b/hawthornkeel_core/src/stages/scheduler.rs
@@ -20,7 +20,6 @@
 pub use crate::stages::action::WorkerInfo;
 use crate::stages::admission::LATE_PRIORITY;
 use crate::stages::estimate::ArrivalRates;
-use crate::stages::estimate::Capacity;
 use crate::stages::estimate::PieceTime;
 use crate::stages::estimate::Queued;
 use crate::stages::estimate::call_time;
@@ -29,8 +28,7 @@
 use crate::stages::job::Job;
 use crate::stages::job::JobId;
 use crate::stages::job::JobOutcome;
-use crate::stages::job::Reservation;
-use crate::stages::job::ReservationEstimate;
+use crate::stages::throughput::Throughput;
 use crate::stages::worker::Worker;
 use crate::table::pool::StageWorkload;
 use crate::time::Instant;
@@ -94,10 +92,12 @@
     pub(super) workers: IndexMap<TargetName, Worker>,
     pub(super) jobs: IndexMap<JobId, JobState>,
     /// Reserved work that has not been submitted.
-    reservations: IndexMap<JobId, Queued>,
+    pub(super) reservations: IndexMap<JobId, Queued>,
     /// Arrival rates of timely work.
-    arrivals: ArrivalRates,
-    piece_time: PieceTime,
+    pub(super) arrivals: ArrivalRates,
+    pub(super) piece_time: PieceTime,
+    /// Throughput while work waits.
+    pub(super) throughput: Throughput,
     /// Outcomes of recently finished jobs, in case they are submitted again.
     finished: IndexMap<JobId, (Instant, JobOutcome)>,
     pub(super) calls: IndexMap<CallNumber, Call>,
@@ -117,6 +117,7 @@
             reservations: IndexMap::new(),
             arrivals: ArrivalRates::default(),
             piece_time: PieceTime::default(),
+            throughput: Throughput::default(),
             finished: IndexMap::new(),
             calls: IndexMap::new(),
             results: IndexMap::new(),
@@ -145,32 +146,11 @@
         }
         self.expire();
         self.dispatch();
+        let rate = self.is_backlogged().then(|| self.nominal_rate());
+        self.throughput.update(self.now, rate);
         std::mem::take(&mut self.actions)
     }
 
-    /// Reserves capacity for a job that will be submitted later, and returns its estimate.
-    ///
-    /// Returns `None` and reserves nothing if no target is available.
-    pub fn reserve(
-        &mut self,
-        now: Instant,
-        reservation: &Reservation,
-    ) -> Option<ReservationEstimate> {
-        self.now = self.now.max(now);
-        let due = self.now + Duration::from_millis(reservation.due_ms);
-        let new = Queued::new(due, reservation.priority, reservation.pieces);
-        let (capacity, queued) = (self.capacity(), self.queued());
-        let estimate = capacity.estimate(&self.measured_pool(), &queued, &new)?;
-        self.reservations.insert(reservation.id.clone(), new);
-        let millis = |d: Duration| u64::try_from(d.as_millis()).unwrap_or(u64::MAX);
-        Some(ReservationEstimate {
-            drain_ms: millis(estimate.drain),
-            run_ms: millis(estimate.run),
-            harm_ms: millis(estimate.harm),
-            slot_wait_ms: millis(estimate.slot_wait),
-        })
-    }
-
     /// Returns the time at which the next [`Input::Tick`] is due, if any.
     pub fn next_tick(&self) -> Option<Instant> {
         let overdue = self.calls.values().filter(|c| !c.overdue).map(|c| self.overdue_at(c));
@@ -288,6 +268,8 @@
             }
         }
         self.subtract_held(&call.worker, call.bytes);
+        let is_done = |o: &&PieceOutcome| matches!(o, PieceOutcome::Done(_));
+        self.throughput.add(outcomes.iter().filter(is_done).count());
         let each = call.bytes.checked_div(call.items.len() as u64).unwrap_or_default();
         let missing = std::iter::repeat(PieceOutcome::Failed);
         let mut unwanted = Vec::new();
@@ -435,36 +417,6 @@
             }
         }
     }
-
-    /// Returns the pool's parameters with the measured time of a piece.
-    pub(super) fn measured_pool(&self) -> StageWorkload {
-        self.piece_time.measured(&self.pool)
-    }
-
-    fn capacity(&self) -> Capacity {
-        let now = self.now;
-        let available = || self.workers.values().filter(|w| w.is_available(now));
-        let count = u32::try_from(available().count()).unwrap_or(u32::MAX);
-        let running: Duration = self.calls.values().map(|c| c.expected).sum();
-        Capacity {
-            now,
-            workers: available().map(|w| 1.0 / w.slowdown.max(0.5)).sum(),
-            until_free: available().map(|w| w.until_free(now)).min().unwrap_or_default(),
-            // Calls start at independent times, so their ends are spread evenly over a call's time.
-            slot_wait: running / count.max(1) / count.saturating_add(1),
-            arrivals: self.arrivals,
-        }
-    }
-
-    /// Returns the waiting and reserved work, sorted.
-    fn queued(&self) -> Vec<Queued> {
-        let queued = |j: &JobState| Queued::new(j.due, j.spec.priority, j.waiting_pieces());
-        let waiting = self.jobs.values().map(queued);
-        let mut queued: Vec<Queued> = waiting.chain(self.reservations.values().copied()).collect();
-        queued.retain(|q| q.pieces > 0);
-        queued.sort_by_key(|q| q.virtual_deadline);
-        queued
-    }
 }
 
 impl JobState {
