Planned stop: no stream is begun that the end of the grace time might cut

Change: from 0.36 of the grace time (2.9 s of 8) streams are refused as not run, with a time to come back; short requests are served as before.

--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -58,6 +58,8 @@
     pub reachability: RefCell<Reachability>,
     /// Whether a planned stop is in progress.
     pub stopping: Cell<bool>,
+    /// Whether the planned stop is so far that a stream begun now might be cut.
+    pub refuses_streams: Cell<bool>,
     /// Number of requests in progress.
     pub in_flight: Cell<usize>,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
@@ -130,6 +132,7 @@
             serving_entries: RefCell::default(),
             reachability: RefCell::default(),
             stopping: Cell::new(false),
+            refuses_streams: Cell::new(false),
             in_flight: Cell::new(0),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -8,7 +8,6 @@
 use hawthornkeel_core::placement::balancer::NoTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::request::refusal::RunStatus;
-use hawthornkeel_core::table::route::RouteKind;
 
 use crate::clock::boot_now;
 use crate::forward::access;
@@ -49,6 +48,8 @@
 const COLD_WAIT_DIVISOR: u32 = 4;
 /// Minimum time without a response after which an idempotent request is retried.
 const MIN_RESPONSE_TIMEOUT: Duration = Duration::from_millis(120);
+/// Retry delay for callers of a stopping entry; other entries can serve them at once.
+const STOPPING_RETRY_AFTER: Duration = Duration::from_millis(50);
 /// Maximum number of targets tried for one request.
 const MAX_TARGETS: usize = 5;
 /// Maximum number of times that the stages of a request are run.
@@ -69,6 +70,11 @@
             Ok(admitted) => Rc::new(admitted),
             Err(problem) => return problem_response(problem),
         };
+        if self.context.refuses_streams.get() && admitted.route.kind.is_stream() {
+            tracing::info!(event = "stream-refused", request = %admitted.id, reason = "stopping");
+            let problem = Problem::not_run(Code::NotReady).with_retry_after(STOPPING_RETRY_AFTER);
+            return problem_response(problem);
+        }
         self.context.record_request(&admitted.pool.name);
         let guard = InFlightGuard::new(&self.context);
         let work = self.serve(admitted, disconnected.clone(), guard);
@@ -300,7 +306,7 @@
             &request.pool.name,
             progress.response_began.saturating_sub(progress.stages_done),
         );
-        let streams = matches!(request.route.kind, RouteKind::Stream { .. });
+        let streams = request.route.kind.is_stream();
         if streams && status.is_success() {
             // The target has fetched the stage results before its first event.
             progress.release_outputs();
--- a/hawthornkeel/src/forward/server.rs
+++ b/hawthornkeel/src/forward/server.rs
@@ -31,6 +31,11 @@
 ///
 /// The platform's load balancer keeps sending them until it notices the stop.
 const DRAIN_FRACTION: f64 = 0.45;
+/// Fraction of the grace time in which streams are still begun.
+///
+/// One that is begun later and takes long would be cut at the end of the grace time, while its
+/// caller could have got it whole from another entry.
+const STREAM_FRACTION: f64 = 0.36;
 /// Fraction of the grace time after which requests in progress are aborted.
 const ABORT_FRACTION: f64 = 0.93;
 /// Time for which an idle connection of a caller is kept open.
@@ -110,7 +115,9 @@
     discovery_client::announce_stop(context);
     control.drain.set();
     let started = std::time::Instant::now();
-    monoio::time::sleep(grace.mul_f64(DRAIN_FRACTION)).await;
+    monoio::time::sleep(grace.mul_f64(STREAM_FRACTION)).await;
+    context.refuses_streams.set(true);
+    monoio::time::sleep(grace.mul_f64(DRAIN_FRACTION - STREAM_FRACTION)).await;
     control.stop.set();
     while context.in_flight.get() > 0 && started.elapsed() < grace.mul_f64(ABORT_FRACTION) {
         monoio::time::sleep(POLL_INTERVAL).await;
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -169,6 +169,15 @@
         process.child = Some(child);
     }
 
+    /// Restarts an entry with another grace time for planned stops.
+    pub fn restart_with_grace(&mut self, at: usize, seconds: u32) {
+        self.kill(at);
+        let file = self.root.path().join(format!("{}.toml", self.processes[at].ip));
+        let settings = fs::read_to_string(&file).unwrap();
+        fs::write(&file, settings.replace("grace_s = 2", &format!("grace_s = {seconds}"))).unwrap();
+        self.spawn(at);
+    }
+
     /// Kills a process.
     pub fn kill(&mut self, at: usize) {
         if let Some(mut child) = self.processes[at].child.take() {
--- a/hawthornkeel_core/src/table/route.rs
+++ b/hawthornkeel_core/src/table/route.rs
@@ -52,6 +52,11 @@
 }
 
 impl RouteKind {
+    /// Returns whether answers are event streams.
+    pub fn is_stream(self) -> bool {
+        matches!(self, Self::Stream { .. })
+    }
+
     /// Returns whether a request may run again after its outcome was lost.
     pub fn is_retryable(self) -> bool {
         match self {
