--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -132,18 +132,17 @@
         }
     }
 
-    /// Runs the stages of a request, if it has any.
+    /// Runs the stages of a request.
     async fn run_stages(
         &self,
         request: &IncomingRequest,
         progress: &mut RequestProgress,
     ) -> Result<(), StagesError> {
-        if request.route.stages.is_empty() {
-            return Ok(());
-        }
         let outputs = progress.run_stages(&self.schedulers, &self.context, request).await?;
         progress.replace_outputs(outputs);
-        progress.stages_done = request.started.elapsed();
+        if !request.route.stages.is_empty() {
+            progress.stages_done = request.started.elapsed();
+        }
         Ok(())
     }
 
--- a/hawthornkeel/src/forward/plan.rs
+++ b/hawthornkeel/src/forward/plan.rs
@@ -84,7 +84,7 @@
         } else {
             Timeliness::OnTime
         };
-        // Later passes reserve nothing, so they stay where schedulers can be reached.
+        // Schedulers of a data centre that is cut off can't be reached.
         let is_cut_off = |c: &CentreName| context.balancer.borrow().cut_off().contains(c);
         let stage_centre = match &likely_centre {
             Some(centre) if is_cut_off(centre) => Some(context.centre().clone()),
@@ -157,9 +157,7 @@
         let pools: Vec<&PoolName> =
             self.nonempty_stages().filter_map(|index| Some(&self.stage(index)?.pool)).collect();
         let balancer = self.context.balancer.borrow();
-        let is_cut_off = |c: &CentreName| balancer.cut_off().contains(c);
-        let own = || self.context.centre().clone();
-        let first = self.likely_centre.clone().map(|c| if is_cut_off(&c) { own() } else { c });
+        let first = self.stage_centre.clone();
         let alternative = balancer.alternative_centre(&pools, first.as_ref(), &self.request.id);
         let mut centres = vec![first];
         centres.extend(alternative.map(Some));
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -28,7 +28,7 @@
     pub tried: Vec<TargetName>,
     /// Number of attempts in which the request may have run.
     pub possible_runs: u32,
-    /// Number of times that the stages were run.
+    /// Number of passes: times that the stages, if any, were run.
     passes: Cell<u16>,
     outputs: RefCell<StageOutputs>,
     /// Time from arrival until the stages were completed.
@@ -43,7 +43,7 @@
         self.outputs.borrow().handles()
     }
 
-    /// Returns the number of times that the stages were run.
+    /// Returns the number of passes so far.
     pub fn passes(&self) -> u16 {
         self.passes.get()
     }
@@ -58,11 +58,12 @@
         context: &Rc<Context>,
         request: &IncomingRequest,
     ) -> Result<StageOutputs, StagesError> {
+        // Counts for routes without stages as well, whose targets may still report lost results.
+        let pass = self.passes.replace(self.passes.get().saturating_add(1));
         if request.route.stages.is_empty() {
             return Ok(StageOutputs::default());
         }
         let pieces = request.piece_counts().ok_or(StagesError::Job(JobError::Failed))?;
-        let pass = self.passes.replace(self.passes.get().saturating_add(1));
         let work = stages::run_stages(context, schedulers, request, &pieces, pass);
         let outputs = monoio::time::timeout(request.time_left(), work).await;
         outputs.map_err(|_| StagesError::Job(JobError::Late))?
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -307,7 +307,8 @@
         let outputs = outputs.await.inspect_err(|error| {
             tracing::info!(event = "resume-unstaged", request = %self.request.id, ?error);
         });
+        let outputs = outputs.ok()?;
         let target = self.progress.choose_other_target(&self.context, &self.request, current);
-        Some(Resumption { outputs: outputs.ok()?, target: target.ok()? })
+        Some(Resumption { outputs, target: target.ok()? })
     }
 }
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -16,8 +16,6 @@
 
 /// Longest time by which an overdue pre-vote is put off, in election timeouts.
 const MAX_DEFERRAL: f64 = 0.4;
-/// Shortest time between pre-votes without a quorum, in heartbeat intervals.
-const PRE_VOTE_INTERVALS: u32 = 1;
 /// Factor by which a learner waits longer than a voter before it starts a pre-vote.
 const LEARNER_TIMEOUT_FACTOR: u32 = 2;
 
@@ -69,7 +67,7 @@
         self.reset_election_timer();
         // Others may only deny it because they heard the last leader or started a moment later.
         let jitter = self.rng.random_range(1.0..2.0);
-        let retry = (self.settings.heartbeat_interval * PRE_VOTE_INTERVALS).mul_f64(jitter);
+        let retry = self.settings.heartbeat_interval.mul_f64(jitter);
         self.election_at = self.election_at.min(self.now + retry);
         self.leader = None;
         let members = self.log.members();
--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -181,8 +181,7 @@
 
     /// Returns the share of the capacity that higher priorities leave to work of a priority.
     fn residual_share(&self, pool: &StageWorkload, priority: u16) -> f64 {
-        let max_rate =
-            pool.batch_size as f64 / call_time(pool, pool.batch_size).as_secs_f64() * self.workers;
+        let max_rate = full_rate(pool, self.workers);
         (1.0 - self.arrivals.above(self.now, priority) / max_rate).clamp(MIN_RESIDUAL_SHARE, 1.0)
     }
 
@@ -219,6 +218,12 @@
     call_time(pool, batch.max(1))
 }
 
+/// Returns what a number of targets do in full calls, in pieces per second.
+pub(super) fn full_rate(pool: &StageWorkload, workers: f64) -> f64 {
+    let call = call_time(pool, pool.batch_size).as_secs_f64();
+    pool.batch_size as f64 / call.max(f64::EPSILON) * workers
+}
+
 /// Returns the time of a call of `pieces` at a target of normal speed.
 pub(super) fn call_time(pool: &StageWorkload, pieces: usize) -> Duration {
     pool.call_overhead + pool.piece_time * u32::try_from(pieces).unwrap_or(u32::MAX)
--- a/hawthornkeel_core/src/stages/reservations.rs
+++ b/hawthornkeel_core/src/stages/reservations.rs
@@ -4,7 +4,7 @@
 
 use crate::stages::estimate::Capacity;
 use crate::stages::estimate::Queued;
-use crate::stages::estimate::call_time;
+use crate::stages::estimate::full_rate;
 use crate::stages::job::Reservation;
 use crate::stages::job::ReservationEstimate;
 use crate::stages::scheduler::JobState;
@@ -75,8 +75,6 @@
 
     /// Returns what the available targets do in full calls, in pieces per second.
     pub(super) fn nominal_rate(&self) -> f64 {
-        let pool = self.measured_pool();
-        let each = call_time(&pool, pool.batch_size).as_secs_f64() / pool.batch_size.max(1) as f64;
-        self.nominal_workers() / each.max(f64::MIN_POSITIVE)
+        full_rate(&self.measured_pool(), self.nominal_workers())
     }
 }
