--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -12,6 +12,8 @@
 
 use crate::clock::boot_now;
 use crate::forward::access;
+use crate::forward::broken_runs;
+use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::context::Context;
 use crate::forward::http_client::ExchangeError;
 use crate::forward::http_client::TargetResponse;
@@ -369,7 +371,12 @@
             Err(ExchangeError::TimedOut) if !was_patient => {
                 (AttemptOutcome::Lost, Some(TargetOutcome::Abandoned))
             }
-            Err(_) => (AttemptOutcome::Lost, Some(TargetOutcome::Failed)),
+            Err(error) => {
+                if error.is_broken_off() {
+                    broken_runs::record(request, target, AnswerPhase::Awaited);
+                }
+                (AttemptOutcome::Lost, Some(TargetOutcome::Failed))
+            }
         };
         if let Some(target_outcome) = target_outcome {
             self.context.record_outcome(&request.pool.name, target, target_outcome);
@@ -448,6 +455,9 @@
                     return Response { status, headers, body: Body::Blocks(body) };
                 }
                 Err(error) => {
+                    if error.is_broken_off() {
+                        broken_runs::record(request, &target, AnswerPhase::Begun);
+                    }
                     tracing::info!(
                         event = "answer-broken",
                         request = %request.id,
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -80,6 +80,11 @@
         matches!(self, Self::NotSent(_) | Self::NotResent(_))
     }
 
+    /// Returns whether the target ended the exchange before its answer was complete.
+    pub fn is_broken_off(&self) -> bool {
+        matches!(self, Self::Interrupted(_))
+    }
+
     /// Returns the error of sending a request again that was sent before.
     fn after_sending(self) -> Self {
         match self {
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -26,6 +26,7 @@
 pub mod target_calls;
 pub mod targeting;
 
+mod broken_runs;
 mod measures;
 mod plan;
 mod reservation;
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -18,6 +18,8 @@
 use hawthornkeel_platform::fields;
 use http::StatusCode;
 
+use crate::forward::broken_runs;
+use crate::forward::broken_runs::AnswerWatch;
 use crate::forward::context::Context;
 use crate::forward::event_buffer::EventBuffer;
 use crate::forward::http_client::ExchangeError;
@@ -110,7 +112,9 @@
         self.progress.possible_runs += 1;
         let (mut response, mut target) = (first, target);
         loop {
-            let end = self.forward_events(&mut response, &target, &mut events, &sender).await;
+            let mut watch = AnswerWatch::default();
+            let end =
+                self.forward_events(&mut response, &target, &mut events, &mut watch, &sender).await;
             let outcome = match &end {
                 StreamEnd::Complete => TargetOutcome::Succeeded,
                 StreamEnd::Disconnected | StreamEnd::DeadlinePassed => TargetOutcome::Abandoned,
@@ -143,6 +147,9 @@
                 last = events.last_id(),
                 failure = %cause,
             );
+            if cause.is_broken_off() {
+                broken_runs::record(&self.request, &target, watch.phase());
+            }
             // Cancels the old run before the stream is resumed elsewhere.
             drop(response);
             events.restart();
@@ -163,6 +170,7 @@
         response: &mut TargetResponse,
         target: &ChosenTarget,
         events: &mut EventBuffer,
+        watch: &mut AnswerWatch,
         sender: &Sender,
     ) -> StreamEnd {
         loop {
@@ -173,6 +181,7 @@
             };
             match next {
                 Ok(Some(complete)) => {
+                    watch.record_events();
                     if sender.send(complete).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -38,6 +38,9 @@
 /// Minimum time left for a request to be sent to a target.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
+/// Maximum number of parts of a prompt that are told apart.
+const MAX_SHARED_PARTS: usize = 16;
+
 /// Admitted request of a caller.
 pub struct IncomingRequest {
     /// Head of the request.
@@ -58,6 +61,8 @@
     pub priority: u16,
     /// Affinity key, equal for requests that share a prompt prefix.
     pub session: u64,
+    /// Parts of its prompt that other requests may hold as well.
+    pub parts: Box<[u64]>,
     /// Time of arrival.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
@@ -85,7 +90,8 @@
         let first_attempt_slack = first_attempt_slack(timeout, requested.unwrap_or(timeout));
         let deadline = started + requested.unwrap_or(timeout).min(timeout);
         let objective_deadline = deadline.min(started + admitted.route.objective);
-        let session = session_key(&head).unwrap_or(hash);
+        let parts = prompt_parts(&head);
+        let session = session_key(&parts).unwrap_or(hash);
         Some(Self {
             body: request.body,
             id,
@@ -95,6 +101,7 @@
             workspace: admitted.workspace,
             priority: admitted.priority,
             session,
+            parts: shared_parts(parts),
             started,
             objective_deadline,
             deadline,
@@ -177,12 +184,23 @@
     }
 }
 
-/// Returns the affinity key of the prompt prefix.
-fn session_key(head: &Head) -> Option<u64> {
-    let parts = fields::parse_prompt_prefix(head.header(fields::PROMPT_PREFIX)?);
-    // The last part belongs to this request only.
+/// Returns the parts of the prompt in order, which end with the one of this request only.
+fn prompt_parts(head: &Head) -> Vec<u64> {
+    let prefix = head.header(fields::PROMPT_PREFIX).unwrap_or_default();
+    fields::parse_prompt_prefix(prefix).into_iter().map(|p| p.id).collect()
+}
+
+/// Returns the affinity key of a prompt: the longest prefix that other requests may share.
+fn session_key(parts: &[u64]) -> Option<u64> {
     let shared = parts.len().checked_sub(2).and_then(|at| parts.get(at));
-    shared.or(parts.first()).map(|p| p.id)
+    shared.or(parts.first()).copied()
+}
+
+/// Returns the parts that other requests may hold as well: all but the last.
+fn shared_parts(mut parts: Vec<u64>) -> Box<[u64]> {
+    parts.pop();
+    parts.truncate(MAX_SHARED_PARTS);
+    parts.into_boxed_slice()
 }
 
 /// Returns whether a header field is hop-by-hop.
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -42,6 +42,8 @@
 pub const TARGET_NOTICES: &str = "hawthornkeel_target_notices_total";
 /// Requests refused because all targets of their pool had asked for a pause.
 pub const PAUSED_REFUSALS: &str = "hawthornkeel_paused_refusals_total";
+/// Runs that their targets broke off, by pool and by how far the answer had come.
+pub const BROKEN_RUNS: &str = "hawthornkeel_broken_runs_total";
 /// Lines of the log that were dropped, by reason.
 pub const DROPPED_LINES: &str = "hawthornkeel_dropped_log_lines_total";
 /// Forwarded requests that ended, by route and outcome.
--- a/hawthornkeel/tests/forward_harness/document.rs
+++ b/hawthornkeel/tests/forward_harness/document.rs
@@ -18,6 +18,7 @@
         route("chain", "/chain/", "idempotent", chained),
         route("review", "/review/", "idempotent", staged),
         route("staged", "/staged/", "streaming", &format!(r#","stream_resumption":true{staged}"#)),
+        route("talk", "/talk/", "streaming", r#","session_affinity":true"#),
         route("open", "/open/", "idempotent", r#","public":true"#),
     ];
     // Its callers wait for 2 s between events, and no second target may run a request.
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code, clippy::indexing_slicing, clippy::unwrap_used)]
 
 pub mod document;
+pub mod engines;
 pub mod requests;
 pub mod stop_calls;
 pub mod targets;
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -4,7 +4,8 @@
 //! event every 100 ms. A last segment `endless` makes a body without end, for streams and idempotent
 //! requests with an event first, the first time only where another target may answer. Pieces with
 //! the key `held` are never answered, those with the key `slow` after 500 ms. What a test sets for a
-//! target applies to its next answers and to the next poll of the list.
+//! target applies to its next answers and to the next poll of the list. `engines.rs` has the targets
+//! that a request can end.
 
 use std::net::SocketAddr;
 use std::sync::Arc;
@@ -24,6 +25,9 @@
 
 use crate::forward_harness::RecordedRequest;
 use crate::forward_harness::TARGETS;
+use crate::forward_harness::engines::FakeEngine;
+use crate::forward_harness::engines::engine_answer;
+use crate::forward_harness::engines::is_engine_request;
 
 /// Size of the response to a path with the segment `large`, in bytes.
 pub const LARGE_BODY_BYTES: usize = 7 << 20;
@@ -61,6 +65,8 @@
     pub address: Option<SocketAddr>,
     /// Data centres of further targets that the list names at the same address.
     pub copies: Vec<&'static str>,
+    /// What ends its process.
+    pub engine: FakeEngine,
 }
 
 /// Settings of the fake targets, in the order of [`TARGETS`].
@@ -89,9 +95,13 @@
                 monoio::spawn(server.serve(move |request: Request| {
                     let first = record_request(target, &request, &requests);
                     let fake = fakes.lock().unwrap()[at].clone();
+                    let fakes = Arc::clone(&fakes);
                     async move {
-                        let response = match fake.refusing {
+                        let response = match fake.refusing || fake.engine.is_down() {
                             true => refusal(&request, &fake),
+                            false if is_engine_request(&request) => {
+                                engine_answer(&request, &fakes, at)
+                            }
                             false => respond(target, &request, first).await,
                         };
                         match fake.leaving {
@@ -112,7 +122,8 @@
     let entries = TARGETS.iter().zip(addresses).zip(fakes).map(|((name, address), fake)| {
         let pool = if *name == "i-stage" { "portal" } else { "ledger" };
         let address = fake.address.unwrap_or(address);
-        let born = fake.born.map(|b| format!(r#","born":{b}"#)).unwrap_or_default();
+        let born =
+            fake.born.or(fake.engine.born()).map(|b| format!(r#","born":{b}"#)).unwrap_or_default();
         format!(
             r#"{{"identifier":"{name}","service":"{pool}","address":"{address}","zone":"a",
             "version":"v1","slots":4,"state":"ready","cold_remaining_ms":0{born}}}"#
