--- a/hawthornkeel/src/forward/broken_runs.rs
+++ b/hawthornkeel/src/forward/broken_runs.rs
@@ -1,9 +1,15 @@
 //! Runs that their targets broke off, with the parts of their prompts.
 
 use std::fmt;
+use std::rc::Rc;
+use std::time::Duration;
+use std::time::Instant;
 
 use hawthornkeel_core::placement::balancer::ChosenTarget;
+use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::quarantine::evidence::PartId;
 
+use crate::forward::context::Context;
 use crate::forward::request::IncomingRequest;
 use crate::telemetry;
 
@@ -28,39 +34,57 @@
     }
 }
 
+/// Time from the first event of an answer after which its target has survived its begin.
+const SOUND_TIME: Duration = Duration::from_millis(500);
+
 /// Watches how far the streamed answer of one run has come.
 #[derive(Clone, Copy, Debug, Default)]
 pub(super) struct AnswerWatch {
-    has_events: bool,
+    first_event: Option<Instant>,
+    is_sound: bool,
 }
 
 impl AnswerWatch {
-    /// Records that events have arrived.
-    pub(super) fn record_events(&mut self) {
-        self.has_events = true;
+    /// Records that events have arrived; returns whether they show that the run is sound.
+    pub(super) fn record_events(&mut self) -> bool {
+        let first = *self.first_event.get_or_insert_with(Instant::now);
+        let becomes_sound = !self.is_sound && first.elapsed() >= SOUND_TIME;
+        self.is_sound |= becomes_sound;
+        becomes_sound
+    }
+
+    /// Records the complete end; returns whether that shows that the run is sound.
+    pub(super) fn record_end(&mut self) -> bool {
+        !std::mem::replace(&mut self.is_sound, true)
     }
 
     /// Returns how far the answer has come.
     pub(super) fn phase(&self) -> AnswerPhase {
-        if self.has_events { AnswerPhase::Streaming } else { AnswerPhase::Begun }
+        if self.first_event.is_some() { AnswerPhase::Streaming } else { AnswerPhase::Begun }
     }
 }
 
 /// Parts of a prompt as a log line names them.
-struct PartList<'a>(&'a [u64]);
+struct PartList<'a>(&'a [PartId]);
 
 impl fmt::Display for PartList<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         for (at, part) in self.0.iter().enumerate() {
             let separator = if at == 0 { "" } else { "," };
-            write!(f, "{separator}{part:x}")?;
+            write!(f, "{separator}{part}")?;
         }
         Ok(())
     }
 }
 
-/// Logs and counts a run that its target broke off.
-pub(super) fn record(request: &IncomingRequest, target: &ChosenTarget, phase: AnswerPhase) {
+/// Logs and counts a run that its target broke off, and returns what it says about the target.
+pub(super) fn record(
+    context: &Rc<Context>,
+    request: &IncomingRequest,
+    target: &ChosenTarget,
+    phase: AnswerPhase,
+) -> TargetOutcome {
+    context.record_broken_run(request, target, phase);
     let (pool, phase) = (request.pool.name.to_string(), phase.as_str());
     metrics::counter!(telemetry::BROKEN_RUNS, "pool" => pool, "phase" => phase).increment(1);
     tracing::info!(
@@ -74,4 +98,9 @@
         parts = %PartList(&request.parts),
         age_ms = request.started.elapsed().as_millis(),
     );
+    match context.may_be_repeated(request) {
+        true => TargetOutcome::Failed,
+        // The request is the cause, not the target.
+        false => TargetOutcome::Abandoned,
+    }
 }
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -26,6 +26,7 @@
 use crate::control::watch::Watch;
 use crate::forward::http_client::HttpClient;
 use crate::forward::measures;
+use crate::forward::quarantine::Quarantine;
 use crate::forward::response_memory::ResponseMemory;
 use crate::forward::stop::EntryStop;
 use crate::peer::Endpoint;
@@ -61,6 +62,8 @@
     pub reachability: RefCell<Reachability>,
     /// Planned stop.
     pub stop: EntryStop,
+    /// Parts of prompts that end targets.
+    pub(super) quarantine: Quarantine,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
@@ -137,6 +140,7 @@
             serving_entries: RefCell::default(),
             reachability: RefCell::default(),
             stop,
+            quarantine: Quarantine::default(),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
         }
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -82,6 +82,7 @@
         after: context.watch.index(),
         list_mark: mark,
         entries_mark: Some(context.serving_entries.borrow().mark),
+        records_mark: Some(context.quarantine.records_mark()),
         presence: (!context.stop.is_begun()).then(|| presence(context, false)),
         wait_ms,
     });
@@ -122,6 +123,7 @@
             count = context.serving_entries.borrow().entries.len()
         );
     }
+    context.apply_part_records(update.part_records.as_deref(), update.records_mark);
     let mark = listing.as_ref().map(|l| l.mark);
     if let Some(listing) = listing {
         let dropped = context.balancer.borrow_mut().update(now, &listing);
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -26,6 +26,7 @@
 use crate::forward::list_reader;
 use crate::forward::list_reader::ListError;
 use crate::forward::list_reader::ListLimits;
+use crate::forward::quarantine_server::QuarantineServer;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
 use crate::peer::frame::Discover;
@@ -67,6 +68,7 @@
     target_list: RefCell<TargetList>,
     list_time: Cell<Option<Instant>>,
     presence: RefCell<PresenceTable>,
+    quarantine: QuarantineServer,
     changed: EventCount,
     /// Counts the entries that this instance itself heard for the first time or saw leave.
     heard: EventCount,
@@ -90,9 +92,11 @@
         handles: ControlHandles,
         list_address: SocketAddr,
     ) -> Self {
+        let quarantine = QuarantineServer::start(endpoint, &handles.control, &handles.directory);
         let server = Self {
             inner: Rc::new(Inner {
                 endpoint: endpoint.clone(),
+                quarantine,
                 control: handles.control,
                 watch: handles.watch,
                 directory: handles.directory,
@@ -216,6 +220,7 @@
         loop {
             let (state_changes, own_changes) =
                 (self.inner.watch.changes().count(), self.inner.changed.count());
+            let part_changes = self.inner.quarantine.changes().count();
             if self.has_news(poll) {
                 break;
             }
@@ -228,6 +233,7 @@
                 monoio::select! {
                     () = self.inner.watch.changes().wait_after(state_changes) => {}
                     () = self.inner.changed.wait_after(own_changes) => {}
+                    () = self.inner.quarantine.changes().wait_after(part_changes) => {}
                 }
             };
             if monoio::time::timeout_at(deadline, changed).await.is_err() {
@@ -240,6 +246,7 @@
     fn has_news(&self, poll: &Discover) -> bool {
         self.inner.watch.index() > poll.after
             || Some(self.inner.target_list.borrow().mark) != poll.list_mark
+            || poll.records_mark.is_some_and(|known| known != self.inner.quarantine.mark())
     }
 
     /// Returns whether the caller knows other entries than this instance.
@@ -256,6 +263,8 @@
         let list_time = self.inner.list_time.get();
         let entries = self.serving();
         let mark = entries_mark(&entries);
+        let records_mark = self.inner.quarantine.mark();
+        let records_differ = poll.records_mark.is_some_and(|known| known != records_mark);
         Discovered {
             followed: self.inner.watch.reply_after(poll.after),
             target_list: (list_time.is_some() && Some(target_list.mark) != poll.list_mark)
@@ -265,6 +274,8 @@
             control_instances: self.controls(),
             entries: poll.entries_mark.is_some_and(|known| known != mark).then_some(entries),
             entries_mark: mark,
+            part_records: records_differ.then(|| self.inner.quarantine.records()),
+            records_mark,
         }
     }
 
@@ -304,6 +315,7 @@
             after: self.inner.watch.index(),
             list_mark: mark,
             entries_mark: None,
+            records_mark: None,
             presence: None,
             wait_ms,
         };
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -62,6 +62,8 @@
     Exhausted,
     /// A stop would end before the response.
     Stopping,
+    /// A part of the prompt ends targets.
+    CrashingPrompt,
 }
 
 /// Handler of callers' requests.
@@ -105,6 +107,11 @@
 impl ForwardHandler {
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
+        if !self.context.admits_prompt(&request).await {
+            let problem = self.context.crashing_prompt(&request);
+            progress.log_end(&request, problem.code.as_str(), problem.code.status().as_u16());
+            return problem_response(problem);
+        }
         loop {
             match self.run_stages(&request, &mut progress).await {
                 Ok(()) => {}
@@ -210,6 +217,9 @@
             has_retry |= needs_retry;
             let target = match next {
                 Ok(target) => target,
+                Err(NoAttempt::CrashingPrompt) if request.run_status() == RunStatus::NotRun => {
+                    return ForwardOutcome::Exhausted(self.context.crashing_prompt(request));
+                }
                 Err(NoAttempt::Stopping) if request.run_status() == RunStatus::NotRun => {
                     return ForwardOutcome::Exhausted(stop::not_begun());
                 }
@@ -257,6 +267,13 @@
         if progress.tried.len() >= MAX_TARGETS || request.time_left() < MIN_TIME_LEFT {
             return Err(NoAttempt::Exhausted);
         }
+        // A part may have been rejected while the stages ran.
+        let was_run = progress.possible_runs > 0;
+        if self.context.is_prompt_rejected(request)
+            || was_run && !self.context.may_be_repeated(request)
+        {
+            return Err(NoAttempt::CrashingPrompt);
+        }
         if needs_retry && !self.may_retry(request, progress) {
             return Err(NoAttempt::Exhausted);
         }
@@ -371,12 +388,12 @@
             Err(ExchangeError::TimedOut) if !was_patient => {
                 (AttemptOutcome::Lost, Some(TargetOutcome::Abandoned))
             }
-            Err(error) => {
-                if error.is_broken_off() {
-                    broken_runs::record(request, target, AnswerPhase::Awaited);
-                }
-                (AttemptOutcome::Lost, Some(TargetOutcome::Failed))
+            Err(error) if error.is_broken_off() => {
+                let phase = AnswerPhase::Awaited;
+                let target_outcome = broken_runs::record(&self.context, request, target, phase);
+                (AttemptOutcome::Lost, Some(target_outcome))
             }
+            Err(_) => (AttemptOutcome::Lost, Some(TargetOutcome::Failed)),
         };
         if let Some(target_outcome) = target_outcome {
             self.context.record_outcome(&request.pool.name, target, target_outcome);
@@ -441,6 +458,9 @@
                 Ok(_) if !status.is_server_error() => TargetOutcome::Succeeded,
                 Ok(_) if asks_for_pause(&response) => TargetOutcome::Paused,
                 Err(error) if error.is_for_memory() => TargetOutcome::Abandoned,
+                Err(error) if error.is_broken_off() => {
+                    broken_runs::record(&self.context, request, &target, AnswerPhase::Begun)
+                }
                 _ => TargetOutcome::Failed,
             };
             self.context.record_outcome(&request.pool.name, &target, target_outcome);
@@ -449,15 +469,13 @@
                     let headers = forwarded_headers(&response.headers);
                     response.finish();
                     if status.is_success() {
+                        self.context.record_sound_run(request);
                         self.context.stop.record(request, progress.stages_done);
                     }
                     progress.log_end(request, "answered", status.as_u16());
                     return Response { status, headers, body: Body::Blocks(body) };
                 }
                 Err(error) => {
-                    if error.is_broken_off() {
-                        broken_runs::record(request, &target, AnswerPhase::Begun);
-                    }
                     tracing::info!(
                         event = "answer-broken",
                         request = %request.id,
--- a/hawthornkeel/src/forward/measures.rs
+++ b/hawthornkeel/src/forward/measures.rs
@@ -73,6 +73,8 @@
         }
         let entries = context.serving_entries.borrow().entries.len();
         metrics::gauge!(telemetry::SERVING_ENTRIES).set(entries as f64);
+        let rejected = context.quarantine.rejected_count();
+        metrics::gauge!(telemetry::REJECTED_PARTS).set(rejected as f64);
     }
 }
 
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -29,5 +29,7 @@
 mod broken_runs;
 mod measures;
 mod plan;
+mod quarantine;
+mod quarantine_server;
 mod reservation;
 mod silence;
--- /dev/null
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -0,0 +1,243 @@
+//! Entry side of the quarantine of prompt parts that end targets: reports evidence, applies what
+//! the control instances believe, and holds requests back.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hawthornkeel_core::placement::balancer::ChosenTarget;
+use hawthornkeel_core::quarantine::board::Board;
+use hawthornkeel_core::quarantine::board::SETTLE_TIME;
+use hawthornkeel_core::quarantine::board::SuspicionChange;
+use hawthornkeel_core::quarantine::evidence::Ending;
+use hawthornkeel_core::quarantine::evidence::Evidence;
+use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::evidence::ProcessId;
+use hawthornkeel_core::quarantine::evidence::SoundRuns;
+use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::record::Suspicion;
+use hawthornkeel_core::quarantine::sound::SoundTable;
+use hawthornkeel_core::time::Instant;
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::clock::boot_now;
+use crate::forward::broken_runs::AnswerPhase;
+use crate::forward::context::Context;
+use crate::forward::request::IncomingRequest;
+use crate::http::problem::Code;
+use crate::http::problem::Problem;
+use crate::peer::Frame;
+use crate::peer::frame::LendProbe;
+use crate::telemetry;
+
+/// Time in which the runs that one end breaks off are collected for one report.
+const REPORT_DELAY: Duration = Duration::from_millis(20);
+/// Interval at which an entry asks for the probe of a part.
+const ASK_INTERVAL: Duration = Duration::from_secs(1);
+/// Time to wait for the answer about a probe.
+const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Shortest time after which the caller of a rejected request is told to come back.
+const MIN_RETRY_AFTER: Duration = Duration::from_secs(5);
+
+/// What an entry knows of parts of prompts that end targets.
+#[derive(Debug, Default)]
+pub(super) struct Quarantine {
+    board: RefCell<Board>,
+    sound: RefCell<SoundTable>,
+    /// Runs that are not reported yet.
+    pending: RefCell<Vec<Ending>>,
+    /// Time at which the probe of a part was asked for last.
+    asked: RefCell<IndexMap<PartId, Instant>>,
+    /// Mark of the records that a control instance sent last.
+    records_mark: Cell<u64>,
+}
+
+impl Quarantine {
+    /// Returns the mark of the records that a control instance sent last; zero before the first.
+    pub(super) fn records_mark(&self) -> u64 {
+        self.records_mark.get()
+    }
+
+    /// Returns the number of rejected parts.
+    pub(super) fn rejected_count(&self) -> usize {
+        let board = self.board.borrow();
+        board.suspects().filter(|(_, s)| *s == Suspicion::Rejected).count()
+    }
+
+    /// Returns the sound runs of those among some parts that are suspect.
+    fn suspect_runs(&self, parts: Option<&[PartId]>) -> Vec<SoundRuns> {
+        let (board, sound) = (self.board.borrow(), self.sound.borrow());
+        let suspects = board.suspects().map(|(part, _)| part);
+        let wanted = suspects.filter(|part| parts.is_none_or(|p| p.contains(part)));
+        let runs = wanted.map(|part| sound.runs(boot_now(), part));
+        runs.filter(|r| r.age_ms.is_some()).collect()
+    }
+
+    /// Returns whether the probe of a part may be asked for now.
+    fn may_ask(&self, part: PartId) -> bool {
+        let now = boot_now();
+        let is_due = self.board.borrow().probe_at(part).is_some_and(|due| due <= now);
+        let mut asked = self.asked.borrow_mut();
+        asked.retain(|_, at| now.since(*at) < ASK_INTERVAL);
+        is_due && !asked.contains_key(&part) && asked.insert(part, now).is_none()
+    }
+}
+
+impl Context {
+    /// Records a run that its target broke off. It tells about the prompt unless events had arrived.
+    pub(super) fn record_broken_run(
+        self: &Rc<Self>,
+        request: &IncomingRequest,
+        target: &ChosenTarget,
+        phase: AnswerPhase,
+    ) {
+        if request.parts.is_empty() || phase == AnswerPhase::Streaming {
+            return;
+        }
+        let sound = self.quarantine.sound.borrow();
+        let parts = request.parts.iter().map(|part| sound.runs(boot_now(), *part)).collect();
+        let ending = Ending {
+            process: ProcessId::from(&target.run()),
+            request: xxh3_64(request.id.as_bytes()),
+            begun: phase == AnswerPhase::Begun,
+            parts,
+            age_ms: 0,
+        };
+        let mut pending = self.quarantine.pending.borrow_mut();
+        pending.push(ending);
+        if pending.len() == 1 {
+            let context = Rc::clone(self);
+            monoio::spawn(async move {
+                monoio::time::sleep(REPORT_DELAY).await;
+                let endings = context.quarantine.pending.take();
+                context.report_evidence(endings, Vec::new());
+                monoio::time::sleep(SETTLE_TIME).await;
+                log_changes(&context.quarantine.board.borrow_mut().settle(boot_now()));
+            });
+        }
+    }
+
+    /// Records that a request ran without an end of its target.
+    pub(super) fn record_sound_run(&self, request: &IncomingRequest) {
+        for part in &request.parts {
+            self.quarantine.sound.borrow_mut().record(boot_now(), *part);
+        }
+        let sound = self.quarantine.suspect_runs(Some(&request.parts));
+        if !sound.is_empty() {
+            self.report_evidence(Vec::new(), sound);
+        }
+    }
+
+    /// Returns whether a request may run once more after a run that may have ended its target.
+    pub(super) fn may_be_repeated(&self, request: &IncomingRequest) -> bool {
+        self.suspicion(request) == Suspicion::Clear
+    }
+
+    /// Returns whether a request is rejected for a part of its prompt.
+    pub(super) fn is_prompt_rejected(&self, request: &IncomingRequest) -> bool {
+        !request.is_probe.get() && self.suspicion(request) == Suspicion::Rejected
+    }
+
+    fn suspicion(&self, request: &IncomingRequest) -> Suspicion {
+        self.quarantine.board.borrow().suspicion(&request.parts)
+    }
+
+    /// Returns whether a request may run. One with a rejected part may as the part's probe, which
+    /// the leader of the control instances lends to one request of all entries.
+    pub(super) async fn admits_prompt(&self, request: &IncomingRequest) -> bool {
+        if !self.is_prompt_rejected(request) {
+            return true;
+        }
+        let part = self.quarantine.board.borrow().rejected(&request.parts).next();
+        if let Some(part) = part
+            && self.quarantine.may_ask(part)
+            && self.borrow_probe(part).await
+        {
+            tracing::info!(event = "probe-borrowed", request = %request.id, %part);
+            count("probe");
+            request.is_probe.set(true);
+        }
+        request.is_probe.get()
+    }
+
+    /// Returns the problem of a request that is rejected for a part of its prompt.
+    pub(super) fn crashing_prompt(&self, request: &IncomingRequest) -> Problem {
+        count("rejected");
+        let board = self.quarantine.board.borrow();
+        let due = board.rejected(&request.parts).filter_map(|part| board.probe_at(part)).max();
+        let left = due.map_or(Duration::ZERO, |due| due.since(boot_now()));
+        Problem::not_run(Code::CrashingPrompt).with_retry_after(left.max(MIN_RETRY_AFTER))
+    }
+
+    /// Applies what a control instance believes of prompt parts; `records` is `None` if that is the
+    /// same as before.
+    pub(super) fn apply_part_records(&self, records: Option<&[PartRecord]>, mark: u64) {
+        self.quarantine.records_mark.set(mark);
+        let Some(records) = records else { return };
+        let now = boot_now();
+        let missing = {
+            let mut board = self.quarantine.board.borrow_mut();
+            board.merge(now, records);
+            board.missing_in(now, records)
+        };
+        tracing::info!(
+            event = "part-records-known",
+            count = records.len(),
+            rejected = self.quarantine.rejected_count(),
+        );
+        let sound = self.quarantine.suspect_runs(None);
+        if !sound.is_empty() {
+            self.report_evidence(Vec::new(), sound);
+        }
+        if !missing.is_empty() {
+            self.send_to_control(&Frame::PartRecords(missing));
+        }
+    }
+
+    async fn borrow_probe(&self, part: PartId) -> bool {
+        let Some(control) = self.polled_control.borrow().clone() else { return false };
+        let frame = Frame::LendProbe(LendProbe { part, relayed: false });
+        let answer = self.endpoint.call(&control, &frame, PROBE_TIMEOUT).await;
+        matches!(answer, Ok(Frame::ProbeLent(true)))
+    }
+
+    /// Adds evidence to this entry's board and reports it to the control instance that it polls.
+    fn report_evidence(&self, endings: Vec<Ending>, sound: Vec<SoundRuns>) {
+        let reporter = self.endpoint.name().clone();
+        let evidence = Evidence { reporter, endings, sound, relayed: false };
+        log_changes(&self.quarantine.board.borrow_mut().record(boot_now(), &evidence));
+        self.send_to_control(&Frame::Evidence(evidence));
+    }
+
+    fn send_to_control(&self, frame: &Frame) {
+        let Some(control) = self.polled_control.borrow().clone() else { return };
+        if let Err(error) = self.endpoint.send(&control, frame) {
+            tracing::info!(event = "evidence-unsent", %control, %error);
+        }
+    }
+}
+
+/// Logs parts whose suspicion has changed by evidence that this instance has.
+pub(super) fn log_changes(changes: &[SuspicionChange]) {
+    for change in changes {
+        let suspicion = match change.suspicion {
+            Suspicion::Clear => "clear",
+            Suspicion::Suspected => "suspected",
+            Suspicion::Rejected => "rejected",
+        };
+        tracing::info!(
+            event = "part-judged",
+            part = %change.part,
+            suspicion,
+            blame = format_args!("{:.2}", change.blame),
+            processes = change.processes,
+            sound = format_args!("{:.2}", change.sound),
+        );
+    }
+}
+
+fn count(action: &'static str) {
+    metrics::counter!(telemetry::CRASHING_PROMPTS, "action" => action).increment(1);
+}
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -116,6 +116,9 @@
             let end =
                 self.forward_events(&mut response, &target, &mut events, &mut watch, &sender).await;
             let outcome = match &end {
+                StreamEnd::Failed(error) if error.is_broken_off() => {
+                    broken_runs::record(&self.context, &self.request, &target, watch.phase())
+                }
                 StreamEnd::Complete => TargetOutcome::Succeeded,
                 StreamEnd::Disconnected | StreamEnd::DeadlinePassed => TargetOutcome::Abandoned,
                 StreamEnd::Failed(error) if error.is_for_memory() => TargetOutcome::Abandoned,
@@ -124,6 +127,9 @@
             self.context.record_outcome(&self.request.pool.name, &target, outcome);
             let (cause, prepared) = match end {
                 StreamEnd::Complete => {
+                    if watch.record_end() {
+                        self.context.record_sound_run(&self.request);
+                    }
                     response.finish();
                     sender.finish();
                     self.context.stop.record(&self.request, self.progress.stages_done);
@@ -147,9 +153,6 @@
                 last = events.last_id(),
                 failure = %cause,
             );
-            if cause.is_broken_off() {
-                broken_runs::record(&self.request, &target, watch.phase());
-            }
             // Cancels the old run before the stream is resumed elsewhere.
             drop(response);
             events.restart();
@@ -181,7 +184,9 @@
             };
             match next {
                 Ok(Some(complete)) => {
-                    watch.record_events();
+                    if watch.record_events() {
+                        self.context.record_sound_run(&self.request);
+                    }
                     if sender.send(complete).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
@@ -315,6 +320,7 @@
     /// can't be resumed.
     async fn prepare(&self, current: Option<&TargetName>) -> Option<Resumption> {
         let allowed = self.progress.possible_runs < self.request.route.max_attempts
+            && self.context.may_be_repeated(&self.request)
             && self.request.time_left() > MIN_RESUME_TIME;
         if !allowed || !self.context.try_retry(&self.request.pool.name) {
             return None;
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -10,6 +10,7 @@
 use bytes::BytesMut;
 use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
+use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::stages::admission::first_attempt_slack;
 use hawthornkeel_core::stages::job::Handle;
@@ -62,7 +63,7 @@
     /// Affinity key, equal for requests that share a prompt prefix.
     pub session: u64,
     /// Parts of its prompt that other requests may hold as well.
-    pub parts: Box<[u64]>,
+    pub parts: Box<[PartId]>,
     /// Time of arrival.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
@@ -74,6 +75,8 @@
     pub first_attempt_slack: Duration,
     /// Whether it may have run: it was sent to a target that did not say otherwise.
     pub may_have_run: Cell<bool>,
+    /// Whether it runs as the probe of a rejected part of prompts.
+    pub is_probe: Cell<bool>,
 }
 
 impl IncomingRequest {
@@ -107,6 +110,7 @@
             deadline,
             first_attempt_slack,
             may_have_run: Cell::new(false),
+            is_probe: Cell::new(false),
             head,
         })
     }
@@ -185,19 +189,19 @@
 }
 
 /// Returns the parts of the prompt in order, which end with the one of this request only.
-fn prompt_parts(head: &Head) -> Vec<u64> {
+fn prompt_parts(head: &Head) -> Vec<PartId> {
     let prefix = head.header(fields::PROMPT_PREFIX).unwrap_or_default();
-    fields::parse_prompt_prefix(prefix).into_iter().map(|p| p.id).collect()
+    fields::parse_prompt_prefix(prefix).into_iter().map(|p| PartId(p.id)).collect()
 }
 
 /// Returns the affinity key of a prompt: the longest prefix that other requests may share.
-fn session_key(parts: &[u64]) -> Option<u64> {
+fn session_key(parts: &[PartId]) -> Option<u64> {
     let shared = parts.len().checked_sub(2).and_then(|at| parts.get(at));
-    shared.or(parts.first()).copied()
+    shared.or(parts.first()).map(|p| p.0)
 }
 
 /// Returns the parts that other requests may hold as well: all but the last.
-fn shared_parts(mut parts: Vec<u64>) -> Box<[u64]> {
+fn shared_parts(mut parts: Vec<PartId>) -> Box<[PartId]> {
     parts.pop();
     parts.truncate(MAX_SHARED_PARTS);
     parts.into_boxed_slice()
--- a/hawthornkeel/src/forward/silence.rs
+++ b/hawthornkeel/src/forward/silence.rs
@@ -99,6 +99,7 @@
         latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
     };
     let allowed = attempt.may_be_given_up()
+        && context.may_be_repeated(request)
         && context.stop.allows_send(request)
         && context.has_retry(&request.pool.name);
     if !allowed {
--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -75,6 +75,8 @@
     Conflict, "conflict", CONFLICT, "Another change came first.";
     /// The workspace has reached its limit of concurrent requests.
     WorkspaceLimit, "workspace-limit", TOO_MANY_REQUESTS, "The workspace is at its limit.";
+    /// Requests with one part of the prompt have ended targets.
+    CrashingPrompt, "crashing-prompt", SERVICE_UNAVAILABLE, "A part of the prompt ends the targets that answer it.";
     /// The system has no capacity for the request now.
     Overloaded, "overloaded", SERVICE_UNAVAILABLE, "The system is at its limit.";
     /// The deadline can't be met.
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -10,6 +10,9 @@
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::quarantine::evidence::Evidence;
+use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::record::PartRecord;
 use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::stages::job::Handle;
@@ -86,6 +89,14 @@
     Pong,
     /// Cancels jobs and releases results that are no longer needed; one-way.
     Dismiss(Dismiss),
+    /// Evidence about parts of prompts, from an entry or passed on; one-way.
+    Evidence(Evidence),
+    /// What an instance believes of parts of prompts; one-way.
+    PartRecords(Vec<PartRecord>),
+    /// Call: lends the only probe of a rejected part of prompts that is due.
+    LendProbe(LendProbe),
+    /// Answers [`Frame::LendProbe`]: whether it is lent.
+    ProbeLent(bool),
 }
 
 /// Kind of a frame, which selects its handler.
@@ -125,6 +136,12 @@
     Ping,
     /// Of [`Frame::Dismiss`].
     Dismiss,
+    /// Of [`Frame::Evidence`].
+    Evidence,
+    /// Of [`Frame::PartRecords`].
+    PartRecords,
+    /// Of [`Frame::LendProbe`].
+    LendProbe,
 }
 
 impl Frame {
@@ -146,6 +163,9 @@
             Self::Book(_) => FrameKind::Book,
             Self::Ping => FrameKind::Ping,
             Self::Dismiss(_) => FrameKind::Dismiss,
+            Self::Evidence(_) => FrameKind::Evidence,
+            Self::PartRecords(_) => FrameKind::PartRecords,
+            Self::LendProbe(_) => FrameKind::LendProbe,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
@@ -154,6 +174,7 @@
             | Self::Offered(_)
             | Self::Booked(_)
             | Self::Pong
+            | Self::ProbeLent(_)
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
@@ -236,6 +257,8 @@
     pub list_mark: Option<u64>,
     /// Mark of the entries that the caller knows, or `None` if it wants none.
     pub entries_mark: Option<u64>,
+    /// Mark of the records of prompt parts that the caller knows, or `None` if it wants none.
+    pub records_mark: Option<u64>,
     /// Presence of the caller, if it is an entry.
     pub presence: Option<Presence>,
     /// Long-poll timeout in milliseconds.
@@ -260,6 +283,19 @@
     pub entries: Option<Vec<ServingEntry>>,
     /// Mark of these entries.
     pub entries_mark: u64,
+    /// Records of prompt parts, if they differ from those that the caller knows.
+    pub part_records: Option<Vec<PartRecord>>,
+    /// Mark of these records.
+    pub records_mark: u64,
+}
+
+/// Request for the probe of a rejected part of prompts.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct LendProbe {
+    /// Part.
+    pub part: PartId,
+    /// Whether a control instance passes it on to the leader.
+    pub relayed: bool,
 }
 
 /// State of an entry in its heartbeat.
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -44,6 +44,10 @@
 pub const PAUSED_REFUSALS: &str = "hawthornkeel_paused_refusals_total";
 /// Runs that their targets broke off, by pool and by how far the answer had come.
 pub const BROKEN_RUNS: &str = "hawthornkeel_broken_runs_total";
+/// Requests with parts of prompts under suspicion, by what was done: rejected or sent as a probe.
+pub const CRASHING_PROMPTS: &str = "hawthornkeel_crashing_prompts_total";
+/// Parts of prompts that are rejected.
+pub const REJECTED_PARTS: &str = "hawthornkeel_rejected_parts";
 /// Lines of the log that were dropped, by reason.
 pub const DROPPED_LINES: &str = "hawthornkeel_dropped_log_lines_total";
 /// Forwarded requests that ended, by route and outcome.
--- a/hawthornkeel_core/src/lib.rs
+++ b/hawthornkeel_core/src/lib.rs
@@ -13,6 +13,7 @@
 pub mod names;
 pub mod orders;
 pub mod placement;
+pub mod quarantine;
 pub mod replica;
 pub mod request;
 pub mod response_memory;
--- /dev/null
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -0,0 +1,70 @@
+//! Evidence about parts of prompts, as an entry reports it.
+
+use std::fmt;
+
+use serde::Deserialize;
+use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
+
+use crate::fleet::TargetRun;
+use crate::names::InstanceName;
+
+/// Part of a prompt that several requests may hold.
+#[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
+pub struct PartId(pub u64);
+
+impl fmt::Display for PartId {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        write!(f, "{:x}", self.0)
+    }
+}
+
+/// Hash that tells one process of a target from all others.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct ProcessId(pub u64);
+
+impl From<&TargetRun> for ProcessId {
+    fn from(run: &TargetRun) -> Self {
+        let TargetRun { name, address, born } = run;
+        Self(xxh3_64(format!("{name}/{address}/{born:?}").as_bytes()))
+    }
+}
+
+/// Run that its target broke off before the first event of its answer.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Ending {
+    /// Process that broke it off.
+    pub process: ProcessId,
+    /// Hash of the request's identity.
+    pub request: u64,
+    /// Whether its answer had begun.
+    pub begun: bool,
+    /// Parts of the prompt that other requests may hold, with what the entry knows of them.
+    pub parts: Vec<SoundRuns>,
+    /// Time since then, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// Sound runs of one part at one entry.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct SoundRuns {
+    /// Part.
+    pub part: PartId,
+    /// Number of runs in thousandths, older ones counted less.
+    pub thousandths: u32,
+    /// Time since the last one, in milliseconds.
+    pub age_ms: Option<u32>,
+}
+
+/// What an entry reports.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct Evidence {
+    /// Entry.
+    pub reporter: InstanceName,
+    /// Runs that ended with their targets.
+    pub endings: Vec<Ending>,
+    /// Sound runs of parts under suspicion.
+    pub sound: Vec<SoundRuns>,
+    /// Whether a control instance passes it on to another one.
+    pub relayed: bool,
+}
--- /dev/null
+++ b/hawthornkeel_core/tests/crashing_parts.rs
@@ -0,0 +1,229 @@
+//! Parts of prompts that end targets: what is rejected, what is not, and how it ends.
+
+mod crash_simulation;
+
+use hawthornkeel_core::quarantine::board::Board;
+use hawthornkeel_core::quarantine::board::SETTLE_TIME;
+use hawthornkeel_core::quarantine::evidence::Ending;
+use hawthornkeel_core::quarantine::evidence::Evidence;
+use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::evidence::ProcessId;
+use hawthornkeel_core::quarantine::evidence::SoundRuns;
+use hawthornkeel_core::quarantine::record::Suspicion;
+use hawthornkeel_core::time::Instant;
+use rstest::rstest;
+
+use crate::crash_simulation::CRASHING_PART;
+use crate::crash_simulation::Plan;
+use crate::crash_simulation::Simulation;
+
+/// Duration of a simulation in milliseconds.
+const PLAYED_MS: u64 = 60_000;
+/// Time after the fifth crash from which on requests count, in milliseconds.
+const CONTACT_WINDOW_MS: u64 = 3_000;
+/// Number of requests with a crashing part that may reach targets from then on.
+const MAX_LATE_REQUESTS: usize = 3;
+
+/// Time at which [`rejecting`] rejects, in milliseconds: the third end and the time to settle it.
+const REJECTED_MS: u64 = 2_150;
+
+fn at(millis: u64) -> Instant {
+    Instant::from_millis(1_000_000 + millis)
+}
+
+/// Returns the number of requests with the crashing part that were sent too late.
+fn late_requests(simulation: &Simulation) -> usize {
+    let Some(fifth) = simulation.outcome.crashes.get(4) else { return 0 };
+    let sent = simulation.outcome.crashing_sent.iter();
+    sent.filter(|s| **s > fifth + CONTACT_WINDOW_MS).count()
+}
+
+#[rstest]
+fn crashing_part_is_rejected(#[values(0.5, 2.0, 6.0)] crashing_rate: f64) {
+    for seed in 0..20 {
+        let simulation =
+            Simulation::play(Plan { seed, crashing_rate, ..Plan::default() }, PLAYED_MS);
+        let outcome = &simulation.outcome;
+        assert!(outcome.crashes.len() >= 3, "seed {seed}: {outcome:?}");
+        assert!(late_requests(&simulation) <= MAX_LATE_REQUESTS, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_rejected, 0, "seed {seed}: {outcome:?}");
+        assert_eq!(simulation.rejected(), [CRASHING_PART], "seed {seed}");
+    }
+}
+
+#[rstest]
+fn random_crashes_reject_nothing(#[values(4.0, 40.0)] sound_rate: f64) {
+    for seed in 0..20 {
+        let plan = Plan { seed, sound_rate, crash_chance: 0.1, ..Plan::default() };
+        let simulation = Simulation::play(plan, PLAYED_MS);
+        let outcome = &simulation.outcome;
+        assert!(outcome.other_crashes > 10, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_rejected, 0, "seed {seed}: {outcome:?}");
+        assert!(simulation.rejected().is_empty(), "seed {seed}: {:?}", simulation.rejected());
+    }
+}
+
+#[test]
+fn both_at_once_are_told_apart() {
+    for seed in 0..20 {
+        let plan = Plan { seed, crashing_rate: 2.0, crash_chance: 0.05, ..Plan::default() };
+        let simulation = Simulation::play(plan, PLAYED_MS);
+        let outcome = &simulation.outcome;
+        assert!(late_requests(&simulation) <= MAX_LATE_REQUESTS, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_rejected, 0, "seed {seed}: {outcome:?}");
+        assert_eq!(simulation.rejected(), [CRASHING_PART], "seed {seed}");
+    }
+}
+
+#[rstest]
+fn end_of_all_targets_rejects_nothing(#[values(300, 1_000, 30_000)] all_end: u64) {
+    for seed in 0..20 {
+        let plan = Plan { seed, all_end: Some(all_end), ..Plan::default() };
+        let simulation = Simulation::play(plan, PLAYED_MS);
+        assert_eq!(simulation.outcome.sound_rejected, 0, "seed {seed}");
+        assert!(simulation.rejected().is_empty(), "seed {seed}: {:?}", simulation.rejected());
+    }
+}
+
+/// Records evidence and judges it.
+fn judge(board: &mut Board, millis: u64, evidence: &Evidence) {
+    board.record(at(millis), evidence);
+    board.settle(at(millis) + SETTLE_TIME);
+}
+
+fn runs(part: PartId) -> SoundRuns {
+    SoundRuns { part, thousandths: 0, age_ms: None }
+}
+
+/// Returns evidence that a process ended under one request with some parts.
+fn ending(process: u64, parts: &[PartId]) -> Evidence {
+    let parts = parts.iter().map(|p| runs(*p)).collect();
+    let process = ProcessId(process);
+    let ending = Ending { process, request: process.0, begun: true, parts, age_ms: 0 };
+    Evidence { reporter: "e".into(), endings: vec![ending], sound: Vec::new(), relayed: false }
+}
+
+/// Returns evidence of a sound run.
+fn sound(part: PartId, runs: u32) -> Evidence {
+    let sound = SoundRuns { part, thousandths: runs * 1_000, age_ms: Some(0) };
+    Evidence { reporter: "e".into(), endings: Vec::new(), sound: vec![sound], relayed: false }
+}
+
+/// Returns a board on which the parts were rejected at [`REJECTED_MS`].
+fn rejecting(parts: &[PartId]) -> Board {
+    let mut board = Board::default();
+    for n in 0..3 {
+        judge(&mut board, n * 1_000, &ending(n, parts));
+    }
+    assert_eq!(board.suspicion(parts), Suspicion::Rejected);
+    board
+}
+
+#[test]
+fn evidence_of_five_entries_adds_up() {
+    let mut board = Board::default();
+    for n in 0..5 {
+        let mut evidence = ending(n, &[PartId(7)]);
+        evidence.reporter = format!("e{n}").as_str().into();
+        judge(&mut board, n * 700, &evidence);
+    }
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Rejected);
+}
+
+#[test]
+fn one_process_counts_once() {
+    let mut board = Board::default();
+    for n in 0..20 {
+        let mut evidence = ending(1, &[PartId(7)]);
+        evidence.endings[0].request = n;
+        judge(&mut board, n * 1_000, &evidence);
+    }
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+}
+
+#[test]
+fn many_requests_at_once_blame_none() {
+    let mut board = Board::default();
+    for n in 0..8 {
+        for request in 0..8 {
+            let mut evidence = ending(n, &[PartId(request)]);
+            evidence.endings[0].request = request;
+            board.record(at(n * 1_000 + request), &evidence);
+        }
+        board.settle(at(n * 1_000) + SETTLE_TIME * 2);
+    }
+    assert_eq!(board.suspects().count(), 0);
+}
+
+#[test]
+fn one_probe_for_all() {
+    let mut board = rejecting(&[PartId(7)]);
+    assert!(!board.lend_probe(at(REJECTED_MS + 19_999), PartId(7)));
+    assert!(board.lend_probe(at(REJECTED_MS + 20_000), PartId(7)));
+    assert!(!board.lend_probe(at(REJECTED_MS + 20_001), PartId(7)));
+    // The next one is due after twice the time.
+    assert!(!board.lend_probe(at(REJECTED_MS + 59_999), PartId(7)));
+    assert!(board.lend_probe(at(REJECTED_MS + 60_000), PartId(7)));
+    assert!(!board.lend_probe(at(REJECTED_MS + 139_999), PartId(7)));
+}
+
+#[test]
+fn sound_probe_ends_the_rejection() {
+    let mut board = rejecting(&[PartId(7)]);
+    assert!(board.lend_probe(at(REJECTED_MS + 20_000), PartId(7)));
+    let changes = board.record(at(23_000), &sound(PartId(7), 1));
+    assert_eq!(changes.len(), 1);
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    // What ended before no longer counts.
+    judge(&mut board, 24_000, &ending(9, &[PartId(7)]));
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+}
+
+#[test]
+fn companion_runs_without_the_part() {
+    let (part, companion) = (PartId(7), PartId(8));
+    let mut board = rejecting(&[part, companion]);
+    assert_eq!(board.suspicion(&[companion]), Suspicion::Suspected);
+    board.record(at(4_000), &sound(companion, 1));
+    assert_eq!(board.suspicion(&[companion]), Suspicion::Clear);
+    assert_eq!(board.suspicion(&[part, companion]), Suspicion::Rejected);
+    assert_eq!(board.suspicion(&[part]), Suspicion::Rejected);
+}
+
+#[test]
+fn part_known_to_be_sound_needs_more() {
+    let mut board = Board::default();
+    board.record(at(0), &sound(PartId(7), 3));
+    for n in 1..=3 {
+        judge(&mut board, n * 700, &ending(n, &[PartId(7)]));
+    }
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    for n in 4..=8 {
+        judge(&mut board, n * 700, &ending(n, &[PartId(7)]));
+    }
+    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Rejected);
+}
+
+#[test]
+fn records_reach_an_empty_board() {
+    let (board, mut other) = (rejecting(&[PartId(7)]), Board::default());
+    let records = board.records(at(2_500));
+    assert_eq!(board.missing_in(at(2_500), &other.records(at(2_500))).len(), 1);
+    other.merge(at(2_600), &records);
+    assert_eq!(other.suspicion(&[PartId(7)]), Suspicion::Rejected);
+    assert_eq!(other.mark(), board.mark());
+    assert!(board.missing_in(at(2_700), &other.records(at(2_700))).is_empty());
+}
+
+#[test]
+fn exchanges_do_not_delay_a_probe() {
+    let (mut one, mut other) = (rejecting(&[PartId(7)]), Board::default());
+    for n in 0..1_000 {
+        let records = one.records(at(2_000 + n * 10));
+        other.merge(at(2_005 + n * 10), &records);
+        let records = other.records(at(2_005 + n * 10));
+        one.merge(at(2_010 + n * 10), &records);
+    }
+    assert!(one.probe_at(PartId(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
+    assert!(other.probe_at(PartId(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
+}
