Streams: a connection that ends before the first event has broken the stream off

Callers saw: a stream of a target that names neither length nor chunks and ends before its first event was passed on as a complete, empty stream, and its run counted as sound. Cause: read_events took every end of a connection between two events for the end of the stream. Class: an end that only the connection tells is no proof of completeness. unframed_end_without_events_is_broken failed before (the caller got a complete stream).

--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -520,6 +520,11 @@
         }
     }
 
+    /// Returns whether only the end of the connection ends the body.
+    pub fn ends_by_close(&self) -> bool {
+        matches!(self.body, Body::UntilClose(_))
+    }
+
     async fn next(&mut self) -> Result<Option<Bytes>, ExchangeError> {
         let reader = &mut self.connection.reader;
         match &mut self.body {
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -19,6 +19,7 @@
 use http::StatusCode;
 
 use crate::forward::broken_runs;
+use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::broken_runs::AnswerWatch;
 use crate::forward::context::Context;
 use crate::forward::event_buffer::EventBuffer;
@@ -89,8 +90,10 @@
 async fn read_events(
     events: &mut EventBuffer,
     response: &mut TargetResponse,
+    phase: AnswerPhase,
     deadline: Instant,
 ) -> Result<Option<Bytes>, ExchangeError> {
+    let ends_by_close = response.ends_by_close();
     while let Some(chunk) = response.held_chunk(deadline).await? {
         let complete = events.push(&chunk).map_err(|bound| response.exceeded(bound))?;
         if complete.is_some() {
@@ -102,6 +105,9 @@
     if events.has_partial_event() {
         return Err(ExchangeError::Interrupted("stream ended inside an event"));
     }
+    if ends_by_close && phase == AnswerPhase::Begun {
+        return Err(ExchangeError::Interrupted("connection ended before the first event"));
+    }
     Ok(None)
 }
 
@@ -177,7 +183,7 @@
         sender: &Sender,
     ) -> StreamEnd {
         loop {
-            let next = match self.next_part(response, target, events).await {
+            let next = match self.next_part(response, target, events, watch.phase()).await {
                 StreamPart::Events(next) => next,
                 StreamPart::Silent(resumption) => return StreamEnd::Silent(resumption),
                 StreamPart::Disconnected => return StreamEnd::Disconnected,
@@ -206,8 +212,9 @@
         response: &mut TargetResponse,
         target: &ChosenTarget,
         events: &mut EventBuffer,
+        phase: AnswerPhase,
     ) -> StreamPart {
-        let mut next = pin!(read_events(events, response, self.request.deadline));
+        let mut next = pin!(read_events(events, response, phase, self.request.deadline));
         let silence = self.request.route.event_patience.mul_f64(SILENCE_FRACTION);
         monoio::select! {
             next = &mut next => return StreamPart::Events(next),
--- a/hawthornkeel/tests/crashing_prompts.rs
+++ b/hawthornkeel/tests/crashing_prompts.rs
@@ -2,6 +2,10 @@
 
 mod forward_harness;
 
+use std::io::Read;
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::thread;
@@ -71,6 +75,37 @@
     assert!(line.is_some_and(|l| l.contains(&parts)), "{logs}");
 }
 
+// A stream without length or chunks that ended with its connection before any event counted as sound.
+#[test]
+fn unframed_end_without_events_is_broken() {
+    let harness = Harness::start(184);
+    harness.serve_routes();
+    let address = serve_unframed("");
+    for target in &TARGETS[..2] {
+        harness.set_target(target, |t| t.address = Some(address));
+    }
+    let (client, until) = (harness.client(), Instant::now() + TEST_TIMEOUT);
+    while !harness.logs().contains("event=run-broken") {
+        assert!(Instant::now() < until, "{}", harness.logs());
+        assert!(!ask(&client, 0, "bad", &format!("aa:10,{CRASHING_PART}:5,b:5")));
+    }
+}
+
+/// Serves responses without length or chunks on a new thread; each ends with its connection.
+fn serve_unframed(body: &'static str) -> SocketAddr {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    thread::spawn(move || {
+        while let Ok((mut stream, _)) = listener.accept() {
+            let mut request = [0; 4096];
+            let _ = stream.read(&mut request);
+            let head = "HTTP/1.1 200 OK\r\nRequest-Id: bad\r\nConnection: close\r\n\r\n";
+            let _ = stream.write_all(format!("{head}{body}").as_bytes());
+        }
+    });
+    address
+}
+
 // Every entry sent each new request with the part to the next target, which ended as well.
 #[test]
 fn crashing_part_reaches_few_targets() {
