Quarantine: ends that are frequent anyway take more evidence, and only control judges

Seen: random_crashes_blame_no_part failed in 1 of 3 and later in 1 of 4 runs of all its file: a sound part was rejected where half of all runs end with their targets (blame 2.50, 3 processes, no sound run). Cause: three ends in a row are no evidence where the next run ends with even odds; and each entry judged by its own evidence, a fraction of the whole, beside the control instances. Fix: the ends and sound runs without the part give the odds; the processes that ended under a part must be too many for chance (1e-4). Entries report how many sound runs they saw. An entry judges alone only while it hears no control instance. frequent_ends_take_more_evidence failed before.

--- a/hawthornkeel/src/forward/quarantine.rs
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -34,6 +34,8 @@
 
 /// Time in which the runs that one end breaks off are collected for one report.
 const REPORT_DELAY: Duration = Duration::from_millis(20);
+/// Age of the last contact with the control instances from which on an entry judges by itself.
+const MAX_CONTROL_AGE: Duration = Duration::from_secs(2);
 /// Interval at which an entry asks for the probe of a part.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to wait for the answer about a probe.
@@ -114,16 +116,27 @@
                 let endings = context.quarantine.pending.take();
                 context.report_evidence(endings, Vec::new());
                 monoio::time::sleep(SETTLE_TIME).await;
-                log_changes(&context.quarantine.board.borrow_mut().settle(boot_now()));
+                context.judge_evidence();
             });
         }
     }
 
+    /// Judges this entry's own evidence while no control instance does with that of all entries.
+    fn judge_evidence(&self) {
+        let mut board = self.quarantine.board.borrow_mut();
+        if self.watch.age().is_some_and(|age| age < MAX_CONTROL_AGE) {
+            board.defer();
+        } else {
+            log_changes(&board.settle(boot_now()));
+        }
+    }
+
     /// Records that a request ran without an end of its target.
     pub(super) fn record_sound_run(&self, request: &IncomingRequest) {
-        for part in &request.parts {
-            self.quarantine.sound.borrow_mut().record(boot_now(), *part);
+        if request.parts.is_empty() {
+            return;
         }
+        self.quarantine.sound.borrow_mut().record(boot_now(), &request.parts);
         let sound = self.quarantine.suspect_runs(Some(&request.parts));
         if !sound.is_empty() {
             self.report_evidence(Vec::new(), sound);
@@ -206,7 +219,8 @@
     /// Adds evidence to this entry's board and reports it to the control instance that it polls.
     fn report_evidence(&self, endings: Vec<Ending>, sound: Vec<SoundRuns>) {
         let reporter = self.endpoint.name().clone();
-        let evidence = Evidence { reporter, endings, sound, relayed: false };
+        let all_thousandths = self.quarantine.sound.borrow().all_thousandths(boot_now());
+        let evidence = Evidence { reporter, endings, sound, all_thousandths, relayed: false };
         log_changes(&self.quarantine.board.borrow_mut().record(boot_now(), &evidence));
         self.send_to_control(&Frame::Evidence(evidence));
     }
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -3,7 +3,8 @@
 //! The process of a target can end under many requests, so it blames each of them by its share only.
 //! Requests whose answers had begun without an event go before those that were still waiting. A
 //! part that went well later than a process ended under it is not blamed for that process, and its
-//! sound runs before weigh against the rest.
+//! sound runs before weigh against the rest. The more runs end with their targets anyway, whatever
+//! they hold, the more it takes: chance alone is to blame no part.
 
 use std::time::Duration;
 
@@ -24,10 +25,17 @@
 
 /// Time for which evidence about one end may come in before it is judged.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
-/// Blame from which on a part is suspected, beyond the weight of its sound runs.
-const SUSPECTED_BLAME: f64 = 1.5;
-/// Blame from which on a part is rejected, beyond the weight of its sound runs.
+/// Least blame from which on a part is rejected, beyond the weight of its sound runs.
 const REJECTED_BLAME: f64 = 2.0;
+/// Share of what a rejection takes from which on a part is suspected.
+const SUSPECTED_SHARE: f64 = 0.75;
+/// Probability with which the runs of a sound part may all end with their targets by chance for it
+/// to be rejected.
+const CHANCE: f64 = 1e-4;
+/// Runs that are assumed to have ended with their targets before any evidence.
+const PRIOR_ENDINGS: f64 = 0.1;
+/// Runs that are assumed before any evidence.
+const PRIOR_RUNS: f64 = 1.0;
 /// Number of processes that must have ended under a part for it to be suspected.
 const SUSPECTED_PROCESSES: usize = 2;
 /// Number of processes that must have ended under a part for it to be rejected.
@@ -43,6 +51,10 @@
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
 /// Time after which what is believed of a part that is not rejected is forgotten.
 const BELIEF_TTL: Duration = Duration::from_secs(60);
+/// Largest share of other runs that is assumed to end with their targets.
+const MAX_ENDING_RATE: f64 = 0.9;
+/// Weight below which the sound runs of an entry are forgotten.
+const MIN_SOUND: f64 = 0.001;
 /// Maximum number of processes with evidence; the oldest go first.
 const MAX_PROCESSES: usize = 256;
 /// Maximum number of requests counted for each process.
@@ -70,6 +82,8 @@
 pub struct Board {
     processes: IndexMap<ProcessId, EndedProcess>,
     parts: IndexMap<PartId, Part>,
+    /// Sound runs of each entry, whatever they held.
+    all_sound: IndexMap<InstanceName, Weight>,
     /// Parts to be judged, with the time of their last evidence.
     pending: IndexMap<PartId, Instant>,
 }
@@ -114,6 +128,8 @@
     /// Call [`Board::settle`] once [`SETTLE_TIME`] has passed.
     pub fn record(&mut self, now: Instant, evidence: &Evidence) -> Vec<SuspicionChange> {
         let ending_parts = evidence.endings.iter().flat_map(|e| e.parts.iter());
+        let all_sound = Weight::from_thousandths(evidence.all_thousandths, now);
+        self.all_sound.insert(evidence.reporter.clone(), all_sound);
         let mut cleared = Vec::new();
         for runs in ending_parts.chain(&evidence.sound) {
             let before = self.suspicion_of(runs.part);
@@ -139,6 +155,11 @@
         changed.into_iter().map(|part| self.change(now, part)).collect()
     }
 
+    /// Leaves the judgement of what was recorded to another instance.
+    pub fn defer(&mut self) {
+        self.pending.clear();
+    }
+
     /// Merges what another instance believes.
     pub fn merge(&mut self, now: Instant, records: &[PartRecord]) {
         for record in records {
@@ -248,19 +269,19 @@
         let part = self.parts.entry(runs.part).or_default();
         let Some(age_ms) = runs.age_ms else { return };
         let at = now.before(Duration::from_millis(age_ms.into()));
-        part.sound
-            .insert(reporter.clone(), Weight::new(f64::from(runs.thousandths) / 1_000.0, now));
+        part.sound.insert(reporter.clone(), Weight::from_thousandths(runs.thousandths, now));
         part.belief.sound = part.belief.sound.max(Some(at));
     }
 
     /// Decides on the suspicion of a part, and returns whether that changes it.
     fn judge(&mut self, now: Instant, id: PartId) -> bool {
         let blame = self.blame(now, id);
+        let ending_rate = self.ending_rate(now, id);
         let companions = self.companions(id);
         let Some(part) = self.parts.get_mut(&id) else { return false };
         let before = part.belief.suspicion();
         let was_suspect = part.belief.suspected.is_some_and(|at| now.since(at) >= MIN_SUSPICION);
-        match blame.suspicion(part.sound_weight(now)) {
+        match blame.suspicion(part.sound_weight(now), ending_rate) {
             Suspicion::Rejected if before == Suspicion::Rejected => {
                 part.belief.companions.retain(|c| companions.contains(c));
             }
@@ -300,6 +321,17 @@
         blame
     }
 
+    /// Returns the share of the runs without a part that end with their targets.
+    fn ending_rate(&self, now: Instant, part: PartId) -> f64 {
+        let without = |p: &EndedProcess| {
+            let others = p.requests.iter().filter(|r| r.begun && !r.parts.contains(&part));
+            Weight::new(others.count() as f64, p.at).value_at(now)
+        };
+        let endings: f64 = self.processes.values().map(without).sum();
+        let sound: f64 = self.all_sound.values().map(|w| w.value_at(now)).sum();
+        (endings + PRIOR_ENDINGS) / (endings + sound + PRIOR_RUNS)
+    }
+
     /// Returns the other parts that all requests hold which are counted against a part.
     fn companions(&self, part: PartId) -> Vec<PartId> {
         let sound = self.parts.get(&part).and_then(|p| p.belief.sound);
@@ -319,6 +351,7 @@
         self.processes.retain(|_, p| now.since(p.at) < EVIDENCE_TTL);
         let excess = self.processes.len().saturating_sub(MAX_PROCESSES);
         self.processes.drain(..excess);
+        self.all_sound.retain(|_, w| w.value_at(now) >= MIN_SOUND);
         self.parts.retain(|_, part| {
             let is_recent = |at: Instant| now.since(at) < BELIEF_TTL;
             let is_rejected = part.belief.suspicion() == Suspicion::Rejected;
@@ -357,12 +390,18 @@
         self.processes += 1;
     }
 
-    /// Returns the suspicion of a part whose sound runs have a weight.
-    fn suspicion(&self, sound: f64) -> Suspicion {
-        let beyond = self.value - sound;
-        if beyond >= REJECTED_BLAME && self.processes >= REJECTED_PROCESSES {
+    /// Returns the suspicion of a part whose sound runs have a weight, where a share of other runs
+    /// ends with their targets anyway.
+    fn suspicion(&self, sound: f64, ending_rate: f64) -> Suspicion {
+        let by_chance = CHANCE.ln() / ending_rate.min(MAX_ENDING_RATE).ln();
+        let processes = self.processes as f64;
+        let reached = |share: f64| {
+            let enough_blame = self.value - sound >= REJECTED_BLAME * share;
+            enough_blame && processes - sound >= by_chance * share
+        };
+        if self.processes >= REJECTED_PROCESSES && reached(1.0) {
             Suspicion::Rejected
-        } else if beyond >= SUSPECTED_BLAME && self.processes >= SUSPECTED_PROCESSES {
+        } else if self.processes >= SUSPECTED_PROCESSES && reached(SUSPECTED_SHARE) {
             Suspicion::Suspected
         } else {
             Suspicion::Clear
--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -65,6 +65,8 @@
     pub endings: Vec<Ending>,
     /// Sound runs of parts under suspicion.
     pub sound: Vec<SoundRuns>,
+    /// Number of sound runs of the entry, whatever they held, in thousandths; older ones counted less.
+    pub all_thousandths: u32,
     /// Whether a control instance passes it on to another one.
     pub relayed: bool,
 }
--- a/hawthornkeel_core/src/quarantine/sound.rs
+++ b/hawthornkeel_core/src/quarantine/sound.rs
@@ -25,24 +25,43 @@
         Self { value, at }
     }
 
+    /// Creates the weight that an entry reports in thousandths.
+    pub(super) fn from_thousandths(thousandths: u32, at: Instant) -> Self {
+        Self::new(f64::from(thousandths) / 1_000.0, at)
+    }
+
     /// Returns the weight at a time.
     pub(super) fn value_at(&self, now: Instant) -> f64 {
         let halvings = now.since(self.at).as_secs_f64() / HALF_LIFE.as_secs_f64();
         self.value * 0.5_f64.powf(halvings)
     }
+
+    /// Returns the weight at a time in thousandths, at most the largest that there is.
+    fn thousandths(&self, now: Instant) -> u32 {
+        (self.value_at(now) * 1_000.0) as u32
+    }
+}
+
+fn one_more(weight: Option<Weight>, now: Instant) -> Weight {
+    Weight::new(weight.map_or(0.0, |w| w.value_at(now)) + 1.0, now)
 }
 
 /// Sound runs of all parts that one entry has seen lately.
 #[derive(Clone, Debug, Default)]
 pub struct SoundTable {
     parts: IndexMap<PartId, Weight>,
+    /// Runs whatever they held.
+    all: Option<Weight>,
 }
 
 impl SoundTable {
-    /// Records a sound run of a request with a part.
-    pub fn record(&mut self, now: Instant, part: PartId) {
-        let value = self.parts.get(&part).map_or(0.0, |w| w.value_at(now));
-        self.parts.insert(part, Weight::new(value + 1.0, now));
+    /// Records a sound run of a request with some parts.
+    pub fn record(&mut self, now: Instant, parts: &[PartId]) {
+        self.all = Some(one_more(self.all, now));
+        for part in parts {
+            let weight = one_more(self.parts.get(part).copied(), now);
+            self.parts.insert(*part, weight);
+        }
         if self.parts.len() > MAX_PARTS {
             self.parts.sort_by(|_, one, _, other| other.at.cmp(&one.at));
             self.parts.truncate(MAX_PARTS / 2);
@@ -55,8 +74,11 @@
             return SoundRuns { part, thousandths: 0, age_ms: None };
         };
         let age_ms = u32::try_from(now.since(weight.at).as_millis()).unwrap_or(u32::MAX);
-        // The cast saturates.
-        let thousandths = (weight.value_at(now) * 1_000.0) as u32;
-        SoundRuns { part, thousandths, age_ms: Some(age_ms) }
+        SoundRuns { part, thousandths: weight.thousandths(now), age_ms: Some(age_ms) }
+    }
+
+    /// Returns the number of all sound runs in thousandths, older ones counted less.
+    pub fn all_thousandths(&self, now: Instant) -> u32 {
+        self.all.map_or(0, |w| w.thousandths(now))
     }
 }
