--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -3,16 +3,18 @@
 
 use std::fmt;
 use std::time::Duration;
-use std::time::Instant;
 
 use hawthornkeel_core::fleet::TargetRun;
+use hawthornkeel_core::placement::limit::RequestRate;
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
 use hawthornkeel_core::placement::notice::PauseWait;
 use hawthornkeel_core::placement::notice::return_delay;
+use hawthornkeel_core::time::Instant;
 use hawthornkeel_platform::notices;
 use hawthornkeel_platform::notices::AnswerNotices;
+use hawthornkeel_platform::notices::LimitField;
 use hawthornkeel_platform::notices::PauseField;
 use http::HeaderMap;
 use http::HeaderValue;
@@ -76,10 +78,11 @@
         run: &TargetRun,
         kind: CallKind,
         request: &OutgoingRequest,
-        deadline: Instant,
+        deadline: std::time::Instant,
     ) -> Result<TargetResponse, ExchangeError> {
+        let sent = boot_now();
         let observe = |status: StatusCode, headers: &HeaderMap| {
-            self.record_notices(run, kind, status, headers);
+            self.record_notices(run, kind, sent, status, headers);
         };
         self.http_client.send_observed(run.address, request, deadline, &observe).await
     }
@@ -94,8 +97,9 @@
         kind: CallKind,
         request: &InternalRequest<'_>,
     ) -> Result<InternalResponse, ExchangeError> {
+        let sent = boot_now();
         let observe = |status: StatusCode, headers: &HeaderMap| {
-            self.record_notices(run, kind, status, headers);
+            self.record_notices(run, kind, sent, status, headers);
         };
         internal_request::send_observed(&self.http_client, request, &observe).await
     }
@@ -104,10 +108,14 @@
         &self,
         run: &TargetRun,
         kind: CallKind,
+        sent: Instant,
         status: StatusCode,
         headers: &HeaderMap,
     ) {
-        let AnswerNotices { leaving, pause } = answer_notices(status, headers);
+        if status == StatusCode::MISDIRECTED_REQUEST {
+            return;
+        }
+        let AnswerNotices { leaving, pause, limit } = answer_notices(status, headers);
         let pause = match pause {
             Some(PauseField::Time(time)) => Some(time),
             Some(PauseField::Unreadable) => {
@@ -116,11 +124,16 @@
             }
             None => None,
         };
-        let notice = Notice { leaving, pause };
-        if notice == Notice::default() {
-            return;
-        }
-        let changes = self.balancer.borrow_mut().record_notice(boot_now(), run, notice);
+        let limit = match limit {
+            Some(LimitField::Rate(rate)) => Some(RequestRate(rate)),
+            Some(LimitField::Unreadable) => {
+                count("limit-unreadable");
+                None
+            }
+            None => None,
+        };
+        let notice = Notice { leaving, pause, limit };
+        let changes = self.balancer.borrow_mut().record_notice(boot_now(), run, sent, notice);
         for change in changes {
             log_change(run, kind, status, change);
         }
@@ -145,7 +158,7 @@
             waited,
             wait,
             latency: self.expected_latency(&request.pool.name, plan::DEFAULT_LATENCY),
-            left: request.objective_deadline.saturating_duration_since(Instant::now()),
+            left: request.objective_deadline.saturating_duration_since(std::time::Instant::now()),
             objective: request.route.objective,
         };
         times.is_worthwhile()
@@ -197,6 +210,18 @@
                 status,
             );
         }
+        NoticeChange::Limited { limit } => {
+            count(if limit.is_some() { "limit" } else { "limit-withdrawn" });
+            tracing::info!(
+                event = "target-limited",
+                target = %name,
+                %address,
+                born,
+                limit = limit.map(tracing::field::display),
+                answer = %kind,
+                status,
+            );
+        }
         NoticeChange::Paused { pause, bounded, extended } => {
             count(if bounded { "pause-bounded" } else { "pause" });
             tracing::info!(
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -197,14 +197,16 @@
         dropped
     }
 
-    /// Records what an answer of a process says about it, and returns the changes.
+    /// Records what a process says about itself in the answer to a request that was sent at `sent`,
+    /// and returns the changes.
     pub fn record_notice(
         &mut self,
         now: Instant,
         run: &TargetRun,
+        sent: Instant,
         notice: Notice,
     ) -> Vec<NoticeChange> {
-        let changes = self.notices.apply(now, run, notice);
+        let changes = self.notices.apply(now, run, sent, notice);
         if changes.contains(&NoticeChange::Leaving) {
             self.update_partitions();
         }
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -7,6 +7,7 @@
 
 pub mod balancer;
 pub mod health;
+pub mod limit;
 pub mod notice;
 pub mod retries;
 
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 
 use crate::fleet::TargetRun;
+use crate::placement::limit::RequestRate;
 use crate::time::Instant;
 
 /// Longest pause that a target gets; longer ones are probably not meant.
@@ -59,6 +60,8 @@
     pub leaving: bool,
     /// Time for which it wants no request.
     pub pause: Option<Duration>,
+    /// Requests that it takes from all entries together.
+    pub limit: Option<RequestRate>,
 }
 
 /// Change of what an entry believes about a target.
@@ -75,6 +78,11 @@
         /// Age of an earlier pause that this one extends.
         extended: Option<Duration>,
     },
+    /// It names another limit of requests than before, or none.
+    Limited {
+        /// Limit.
+        limit: Option<RequestRate>,
+    },
 }
 
 /// Belief that was dropped, as its process is no longer listed.
@@ -106,6 +114,14 @@
     /// Time at which it said first that it leaves.
     leaving_since: Option<Instant>,
     pause: Option<Pause>,
+    limit: Option<NamedLimit>,
+}
+
+/// Limit as it was named last.
+#[derive(Clone, Copy, Debug)]
+struct NamedLimit {
+    rate: RequestRate,
+    heard: Instant,
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -140,8 +156,8 @@
         }
     }
 
-    /// Applies what an answer says, and returns the changes.
-    fn apply(&self, now: Instant, notice: Notice) -> Vec<NoticeChange> {
+    /// Applies what the answer to a request says that was sent at `sent`, and returns the changes.
+    fn apply(&self, now: Instant, sent: Instant, notice: Notice) -> Vec<NoticeChange> {
         let mut belief = self.0.borrow_mut();
         let mut changes = Vec::new();
         if notice.leaving && belief.leaving_since.is_none() {
@@ -151,6 +167,7 @@
         if let Some(pause) = notice.pause {
             changes.extend(belief.extend_pause(now, pause));
         }
+        changes.extend(belief.update_limit(now, sent, notice.limit));
         changes
     }
 }
@@ -171,6 +188,26 @@
     }
 }
 
+impl Belief {
+    /// Updates the limit. An answer without one withdraws it if its request was sent after the limit
+    /// was heard, as answers may overtake each other.
+    fn update_limit(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        limit: Option<RequestRate>,
+    ) -> Option<NoticeChange> {
+        let before = self.limit.map(|l| l.rate);
+        match limit {
+            Some(rate) => self.limit = Some(NamedLimit { rate, heard: now }),
+            None if self.limit.is_some_and(|l| sent > l.heard) => self.limit = None,
+            None => {}
+        }
+        let limit = self.limit.map(|l| l.rate);
+        (limit != before).then_some(NoticeChange::Limited { limit })
+    }
+}
+
 impl Pause {
     /// Returns the time from which one more request may be sent.
     fn opens_at(&self, now: Instant) -> Instant {
@@ -234,9 +271,10 @@
         &mut self,
         now: Instant,
         run: &TargetRun,
+        sent: Instant,
         notice: Notice,
     ) -> Vec<NoticeChange> {
-        self.latest(run).map(|k| k.notice.apply(now, notice)).unwrap_or_default()
+        self.latest(run).map(|k| k.notice.apply(now, sent, notice)).unwrap_or_default()
     }
 
     /// Returns the process that was listed first most recently, among those that `run` may be.
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -21,7 +21,7 @@
 use hawthornkeel_core::time::Instant;
 
 /// Answer that says that the target leaves.
-pub const LEAVING: Notice = Notice { leaving: true, pause: None };
+pub const LEAVING: Notice = Notice { leaving: true, pause: None, limit: None };
 const COLD: ColdLimit = ColdLimit { duration: Duration::from_secs(3), rate: 18.0 };
 
 /// Balancer of one of eight entries.
@@ -50,7 +50,7 @@
 
     /// Applies what an answer says.
     pub fn tell(&mut self, ms: u64, run: &TargetRun, notice: Notice) -> Vec<NoticeChange> {
-        self.balancer.record_notice(at(ms), run, notice)
+        self.balancer.record_notice(at(ms), run, at(ms), notice)
     }
 
     /// Chooses a target for a session.
@@ -74,7 +74,7 @@
 
 /// Returns an answer that asks for a pause.
 pub fn pause(ms: u64) -> Notice {
-    Notice { leaving: false, pause: Some(Duration::from_millis(ms)) }
+    Notice { leaving: false, pause: Some(Duration::from_millis(ms)), limit: None }
 }
 
 pub fn pool() -> PoolName {
--- a/hawthornkeel_core/tests/scheduler_harness/mod.rs
+++ b/hawthornkeel_core/tests/scheduler_harness/mod.rs
@@ -106,7 +106,7 @@
     /// Applies what an answer of a target says about it.
     pub fn tell(&mut self, target: usize, notice: Notice) {
         let run = listed(target).run();
-        self.balancer.record_notice(self.time(), &run, notice);
+        self.balancer.record_notice(self.time(), &run, self.time(), notice);
     }
 
     pub fn hang(&mut self, target: usize) {
