--- a/hawthornkeel/tests/forward_harness/engines.rs
+++ b/hawthornkeel/tests/forward_harness/engines.rs
@@ -1,4 +1,4 @@
-//! Fake engines, whose processes a request can end.
+//! Fake engines, whose processes a request can end, and that may name a limit.
 //!
 //! Each request below `/talk/` gets the head of a stream at once, its first event after 60 ms and its
 //! last one after 180 ms. The end of a process breaks off all its streams; the target refuses until
@@ -33,6 +33,8 @@
     pub crash_part: Option<&'static str>,
     /// Number of requests after which the process ends, whatever they hold.
     pub crash_every: Option<u64>,
+    /// Requests a second that it names as its limit in its answers.
+    pub limit: Option<&'static str>,
     /// Number of its processes that have ended.
     pub crashes: u64,
     requests: u64,
@@ -75,10 +77,16 @@
     let prompt = request.head.header("prompt-prefix").unwrap_or_default();
     let process = fakes.lock().unwrap()[at].engine.crashes;
     let ends = fakes.lock().unwrap()[at].engine.is_ended_by(prompt);
+    let limit = fakes.lock().unwrap()[at].engine.limit;
     let (sender, receiver) = bounded(4);
     monoio::spawn(stream(sender, FakeTargets::clone(fakes), at, process, ends));
     let id = request.head.header("request-id").unwrap_or_default();
-    Response::events(receiver).with_header("server-signature", "s.1").with_header("request-id", id)
+    let response = Response::events(receiver).with_header("server-signature", "s.1");
+    let response = response.with_header("request-id", id);
+    match limit {
+        Some(limit) => response.with_header("server-limit", limit),
+        None => response,
+    }
 }
 
 /// Sends the events of one run, until its process ends.
