--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -1,6 +1,7 @@
 //! State shared by the components of a forwarding entry.
 
 use std::borrow::Cow;
+use std::cell::Cell;
 use std::cell::RefCell;
 use std::rc::Rc;
 use std::time::Duration;
@@ -14,6 +15,8 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::balancer::Balancer;
+use hawthornkeel_core::placement::limit::EntryView;
+use hawthornkeel_core::placement::limit::LimitReport;
 use hawthornkeel_core::placement::retries::RetryBucket;
 use hawthornkeel_core::placement::retries::RetryBudget;
 use hawthornkeel_core::stages::job::SchedulerName;
@@ -62,6 +65,8 @@
     pub reachability: RefCell<Reachability>,
     /// Planned stop.
     pub stop: EntryStop,
+    /// Mark of the limits of targets that a control instance sent last; zero before the first.
+    pub(super) limits_mark: Cell<u64>,
     /// Parts of prompts that end targets.
     pub(super) quarantine: Quarantine,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
@@ -140,6 +145,7 @@
             serving_entries: RefCell::default(),
             reachability: RefCell::default(),
             stop,
+            limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
@@ -211,6 +217,23 @@
         }
     }
 
+    /// Applies the entries that serve callers and what they have heard of the limits of targets;
+    /// `limits` is `None` if that is the same as before.
+    pub(super) fn apply_limits(&self, limits: Option<&[LimitReport]>, mark: u64) {
+        let (now, serving) = (boot_now(), self.serving_entries.borrow());
+        let view = EntryView {
+            own: self.endpoint.name().clone(),
+            entries: serving.entries.iter().map(|e| e.name.clone()).collect(),
+            peak: serving.peak_count(),
+        };
+        let mut balancer = self.balancer.borrow_mut();
+        balancer.set_entry_view(now, view);
+        if let Some(limits) = limits {
+            balancer.learn_limits(now, limits);
+        }
+        self.limits_mark.set(mark);
+    }
+
     /// Records a request, which adds to the retry budget of its pool.
     pub fn record_request(&self, pool: &PoolName) {
         let (budget, entry_count) =
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -83,6 +83,8 @@
         list_mark: mark,
         entries_mark: Some(context.serving_entries.borrow().mark),
         records_mark: Some(context.quarantine.records_mark()),
+        limits_mark: Some(context.limits_mark.get()),
+        limits: context.balancer.borrow().limit_reports(boot_now()),
         presence: (!context.stop.is_begun()).then(|| presence(context, false)),
         wait_ms,
     });
@@ -131,6 +133,8 @@
         let is_listed = |a: &std::net::SocketAddr| listing.targets.iter().any(|t| t.address == *a);
         context.http_client.retain(is_listed);
     }
+    // Limits hold for targets that the list names.
+    context.apply_limits(update.limits.as_deref(), update.limits_mark);
     if changed || mark.is_some() {
         schedulers.update_workers();
     }
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -23,6 +23,7 @@
 use crate::control::node::ControlNode;
 use crate::control::watch::Watch;
 use crate::forward::http_client::HttpClient;
+use crate::forward::limit_server::LimitServer;
 use crate::forward::list_reader;
 use crate::forward::list_reader::ListError;
 use crate::forward::list_reader::ListLimits;
@@ -69,6 +70,7 @@
     list_time: Cell<Option<Instant>>,
     presence: RefCell<PresenceTable>,
     quarantine: QuarantineServer,
+    limits: LimitServer,
     changed: EventCount,
     /// Counts the entries that this instance itself heard for the first time or saw leave.
     heard: EventCount,
@@ -97,6 +99,7 @@
             inner: Rc::new(Inner {
                 endpoint: endpoint.clone(),
                 quarantine,
+                limits: LimitServer::start(endpoint, &handles.directory),
                 control: handles.control,
                 watch: handles.watch,
                 directory: handles.directory,
@@ -125,6 +128,7 @@
             async move {
                 match frame {
                     Frame::Discover(poll) => {
+                        server.inner.limits.record(&poll.limits);
                         if let Some(presence) = &poll.presence {
                             server.record_presence(&from, presence);
                         }
@@ -221,6 +225,7 @@
             let (state_changes, own_changes) =
                 (self.inner.watch.changes().count(), self.inner.changed.count());
             let part_changes = self.inner.quarantine.changes().count();
+            let limit_changes = self.inner.limits.changes().count();
             if self.has_news(poll) {
                 break;
             }
@@ -234,6 +239,7 @@
                     () = self.inner.watch.changes().wait_after(state_changes) => {}
                     () = self.inner.changed.wait_after(own_changes) => {}
                     () = self.inner.quarantine.changes().wait_after(part_changes) => {}
+                    () = self.inner.limits.changes().wait_after(limit_changes) => {}
                 }
             };
             if monoio::time::timeout_at(deadline, changed).await.is_err() {
@@ -247,6 +253,7 @@
         self.inner.watch.index() > poll.after
             || Some(self.inner.target_list.borrow().mark) != poll.list_mark
             || poll.records_mark.is_some_and(|known| known != self.inner.quarantine.mark())
+            || poll.limits_mark.is_some_and(|known| known != self.inner.limits.mark())
     }
 
     /// Returns whether the caller knows other entries than this instance.
@@ -265,6 +272,8 @@
         let mark = entries_mark(&entries);
         let records_mark = self.inner.quarantine.mark();
         let records_differ = poll.records_mark.is_some_and(|known| known != records_mark);
+        let limits_mark = self.inner.limits.mark();
+        let limits_differ = poll.limits_mark.is_some_and(|known| known != limits_mark);
         Discovered {
             followed: self.inner.watch.reply_after(poll.after),
             target_list: (list_time.is_some() && Some(target_list.mark) != poll.list_mark)
@@ -276,6 +285,8 @@
             entries_mark: mark,
             part_records: records_differ.then(|| self.inner.quarantine.records()),
             records_mark,
+            limits: limits_differ.then(|| self.inner.limits.reports()),
+            limits_mark,
         }
     }
 
@@ -316,6 +327,8 @@
             list_mark: mark,
             entries_mark: None,
             records_mark: None,
+            limits_mark: None,
+            limits: Vec::new(),
             presence: None,
             wait_ms,
         };
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -27,6 +27,7 @@
 pub mod targeting;
 
 mod broken_runs;
+mod limit_server;
 mod measures;
 mod plan;
 mod quarantine;
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -10,6 +10,7 @@
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::placement::limit::LimitReport;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::quarantine::record::PartRecord;
@@ -97,6 +98,8 @@
     LendProbe(LendProbe),
     /// Answers [`Frame::LendProbe`]: whether it is lent.
     ProbeLent(bool),
+    /// Limits that targets have named; one-way, between control instances.
+    Limits(Vec<LimitReport>),
 }
 
 /// Kind of a frame, which selects its handler.
@@ -142,6 +145,8 @@
     PartRecords,
     /// Of [`Frame::LendProbe`].
     LendProbe,
+    /// Of [`Frame::Limits`].
+    Limits,
 }
 
 impl Frame {
@@ -166,6 +171,7 @@
             Self::Evidence(_) => FrameKind::Evidence,
             Self::PartRecords(_) => FrameKind::PartRecords,
             Self::LendProbe(_) => FrameKind::LendProbe,
+            Self::Limits(_) => FrameKind::Limits,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
@@ -259,6 +265,10 @@
     pub entries_mark: Option<u64>,
     /// Mark of the records of prompt parts that the caller knows, or `None` if it wants none.
     pub records_mark: Option<u64>,
+    /// Mark of the limits of targets that the caller knows, or `None` if it wants none.
+    pub limits_mark: Option<u64>,
+    /// What the caller has lately heard of the limits of targets.
+    pub limits: Vec<LimitReport>,
     /// Presence of the caller, if it is an entry.
     pub presence: Option<Presence>,
     /// Long-poll timeout in milliseconds.
@@ -287,6 +297,10 @@
     pub part_records: Option<Vec<PartRecord>>,
     /// Mark of these records.
     pub records_mark: u64,
+    /// Limits of targets, if they differ from those that the caller knows.
+    pub limits: Option<Vec<LimitReport>>,
+    /// Mark of these limits.
+    pub limits_mark: u64,
 }
 
 /// Request for the probe of a rejected part of prompts.
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -20,6 +20,8 @@
 use crate::names::TargetName;
 use crate::placement::health::Health;
 use crate::placement::health::TargetOutcome;
+use crate::placement::limit::EntryView;
+use crate::placement::limit::LimitReport;
 use crate::placement::notice::DroppedNotice;
 use crate::placement::notice::Notice;
 use crate::placement::notice::NoticeChange;
@@ -213,6 +215,21 @@
         changes
     }
 
+    /// Sets the entries among which the limits of targets are shared out.
+    pub fn set_entry_view(&mut self, now: Instant, view: EntryView) {
+        self.notices.set_view(now, view);
+    }
+
+    /// Returns what this entry itself has lately heard of the limits of targets.
+    pub fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
+        self.notices.limit_reports(now)
+    }
+
+    /// Applies what all entries together have heard of the limits of targets.
+    pub fn learn_limits(&mut self, now: Instant, reports: &[LimitReport]) {
+        self.notices.learn_limits(now, reports);
+    }
+
     /// Returns the time at which the first target of a pool may get a request, if all that may get
     /// work have asked for a pause.
     pub fn pool_opens_at(&self, now: Instant, pool: &PoolName) -> Option<Instant> {
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -9,7 +9,14 @@
 use std::time::Duration;
 
 use crate::fleet::TargetRun;
+use crate::placement::limit::EntryView;
+use crate::placement::limit::LimitBounds;
+use crate::placement::limit::LimitBucket;
+use crate::placement::limit::LimitReport;
+use crate::placement::limit::LimitShare;
 use crate::placement::limit::RequestRate;
+use crate::placement::limit::is_later;
+use crate::quarantine::evidence::ProcessId;
 use crate::time::Instant;
 
 /// Longest pause that a target gets; longer ones are probably not meant.
@@ -25,6 +32,11 @@
 /// Time for which a belief outlasts the listing of its target, as lists may be incomplete.
 const UNLISTED_TTL: Duration = Duration::from_secs(10);
 
+/// Time for which an entry reports a limit that it has heard, over several polls.
+const REPORT_TIME: Duration = Duration::from_secs(3);
+/// Time after which a limit is forgotten that no entry reports any more.
+const FORGOTTEN_AFTER: Duration = Duration::from_secs(60);
+
 /// Divisor of the objective that a request may wait for the end of a pause in any case.
 const SHORT_WAIT_DIVISOR: u32 = 8;
 
@@ -120,8 +132,28 @@
 /// Limit as it was named last.
 #[derive(Clone, Copy, Debug)]
 struct NamedLimit {
-    rate: RequestRate,
+    /// Requests that this entry may send; `None` if the limit was withdrawn.
+    bucket: Option<LimitBucket>,
+    rate: Option<RequestRate>,
     heard: Instant,
+    /// Time at which this entry itself heard it, if it did.
+    own: Option<Instant>,
+}
+
+/// How limits are shared out among the entries.
+#[derive(Clone, Debug, Default)]
+pub(super) struct LimitSharing {
+    bounds: LimitBounds,
+    /// Entries, once they are known.
+    view: Option<EntryView>,
+}
+
+impl LimitSharing {
+    /// Returns the part of this entry in the limit of a process; none until it knows the others.
+    fn share(&self, run: &TargetRun, rate: RequestRate) -> LimitShare {
+        let view = self.view.as_ref();
+        view.map_or(LimitShare::NONE, |v| v.share(ProcessId::from(run), rate, &self.bounds))
+    }
 }
 
 #[derive(Clone, Copy, Debug)]
@@ -140,24 +172,30 @@
 
     /// Returns the time at which the target may get the next request; `None` if it may at `now`.
     ///
-    /// That is the end of a pause, or shortly after it while requests return.
+    /// That is the end of a pause, or shortly after it while requests return, and the time at which
+    /// its limit leaves one to this entry.
     pub fn opens_at(&self, now: Instant) -> Option<Instant> {
         let belief = self.0.borrow();
-        let opens = belief.pause.as_ref()?.opens_at(now);
-        (opens > now).then_some(opens)
+        let paused = belief.pause.as_ref().map(|p| p.opens_at(now)).filter(|opens| *opens > now);
+        let bucket = belief.limit.as_ref().and_then(|l| l.bucket.as_ref());
+        paused.max(bucket.and_then(|b| b.opens_at(now)))
     }
 
     /// Counts a request that is sent at `now`, or pieces that are sent together.
     pub fn record_sent(&self, now: Instant) {
-        if let Some(pause) = &mut self.0.borrow_mut().pause
+        let mut belief = self.0.borrow_mut();
+        if let Some(pause) = &mut belief.pause
             && pause.end <= now
         {
             pause.sent = pause.sent.saturating_add(1);
         }
+        if let Some(bucket) = belief.limit.as_mut().and_then(|l| l.bucket.as_mut()) {
+            bucket.record_sent(now);
+        }
     }
 
-    /// Applies what the answer to a request says that was sent at `sent`, and returns the changes.
-    fn apply(&self, now: Instant, sent: Instant, notice: Notice) -> Vec<NoticeChange> {
+    /// Applies what an answer says, and returns the changes.
+    fn apply(&self, now: Instant, notice: Notice) -> Vec<NoticeChange> {
         let mut belief = self.0.borrow_mut();
         let mut changes = Vec::new();
         if notice.leaving && belief.leaving_since.is_none() {
@@ -167,7 +205,6 @@
         if let Some(pause) = notice.pause {
             changes.extend(belief.extend_pause(now, pause));
         }
-        changes.extend(belief.update_limit(now, sent, notice.limit));
         changes
     }
 }
@@ -189,22 +226,29 @@
 }
 
 impl Belief {
-    /// Updates the limit. An answer without one withdraws it if its request was sent after the limit
-    /// was heard, as answers may overtake each other.
-    fn update_limit(
+    fn rate(&self) -> Option<RequestRate> {
+        self.limit.and_then(|l| l.rate)
+    }
+
+    /// Sets what was heard of the limit, and returns the change. `share` is that of a limit.
+    fn set_limit(
         &mut self,
         now: Instant,
-        sent: Instant,
-        limit: Option<RequestRate>,
+        rate: Option<RequestRate>,
+        share: Option<LimitShare>,
+        heard: Instant,
     ) -> Option<NoticeChange> {
-        let before = self.limit.map(|l| l.rate);
-        match limit {
-            Some(rate) => self.limit = Some(NamedLimit { rate, heard: now }),
-            None if self.limit.is_some_and(|l| sent > l.heard) => self.limit = None,
-            None => {}
-        }
-        let limit = self.limit.map(|l| l.rate);
-        (limit != before).then_some(NoticeChange::Limited { limit })
+        let (before, known) = (self.rate(), self.limit.and_then(|l| l.bucket));
+        let bucket = rate.zip(share).map(|(rate, share)| match known {
+            Some(mut bucket) => {
+                bucket.update(now, rate, share);
+                bucket
+            }
+            None => LimitBucket::new(now, rate, share),
+        });
+        let own = self.limit.and_then(|l| l.own);
+        self.limit = Some(NamedLimit { bucket, rate, heard, own });
+        (rate != before).then_some(NoticeChange::Limited { limit: rate })
     }
 }
 
@@ -230,6 +274,7 @@
 #[derive(Clone, Debug, Default)]
 pub(super) struct Notices {
     known: Vec<KnownRun>,
+    sharing: LimitSharing,
 }
 
 #[derive(Clone, Debug)]
@@ -274,7 +319,36 @@
         sent: Instant,
         notice: Notice,
     ) -> Vec<NoticeChange> {
-        self.latest(run).map(|k| k.notice.apply(now, sent, notice)).unwrap_or_default()
+        let sharing = self.sharing.clone();
+        let Some(known) = self.latest(run) else { return Vec::new() };
+        let mut changes = known.notice.apply(now, notice);
+        changes.extend(known.hear_limit(now, sent, notice.limit, &sharing));
+        changes
+    }
+
+    /// Shares the limits out among other entries than before.
+    pub(super) fn set_view(&mut self, now: Instant, view: EntryView) {
+        if self.sharing.view.as_ref() == Some(&view) {
+            return;
+        }
+        self.sharing.view = Some(view);
+        for known in &self.known {
+            known.share_limit(now, &self.sharing);
+        }
+    }
+
+    /// Returns what this entry itself has lately heard of limits.
+    pub(super) fn limit_reports(&self, now: Instant) -> Vec<LimitReport> {
+        self.known.iter().filter_map(|k| k.limit_report(now)).collect()
+    }
+
+    /// Applies what all entries together have heard of limits.
+    pub(super) fn learn_limits(&mut self, now: Instant, reports: &[LimitReport]) {
+        for known in &self.known {
+            let process = ProcessId::from(&known.run);
+            let report = reports.iter().find(|r| r.process == process);
+            known.learn_limit(now, report, &self.sharing);
+        }
     }
 
     /// Returns the process that was listed first most recently, among those that `run` may be.
@@ -284,6 +358,66 @@
 }
 
 impl KnownRun {
+    /// Applies the limit in an answer to a request of this entry that was sent at `sent`.
+    ///
+    /// An answer without one withdraws a limit that was heard before that, as answers may overtake
+    /// each other.
+    fn hear_limit(
+        &self,
+        now: Instant,
+        sent: Instant,
+        limit: Option<RequestRate>,
+        sharing: &LimitSharing,
+    ) -> Option<NoticeChange> {
+        let mut belief = self.notice.0.borrow_mut();
+        let is_withdrawn = belief.rate().is_some() && belief.limit.is_some_and(|l| sent > l.heard);
+        if limit.is_none() && !is_withdrawn {
+            return None;
+        }
+        let share = limit.map(|rate| sharing.share(&self.run, rate));
+        let change = belief.set_limit(now, limit, share, now);
+        if let Some(limit) = &mut belief.limit {
+            limit.own = Some(now);
+        }
+        change
+    }
+
+    fn share_limit(&self, now: Instant, sharing: &LimitSharing) {
+        let mut belief = self.notice.0.borrow_mut();
+        if let Some((rate, heard)) = belief.limit.and_then(|l| Some((l.rate?, l.heard))) {
+            let share = sharing.share(&self.run, rate);
+            belief.set_limit(now, Some(rate), Some(share), heard);
+        }
+    }
+
+    fn limit_report(&self, now: Instant) -> Option<LimitReport> {
+        let belief = self.notice.0.borrow();
+        let limit = belief.limit.as_ref()?;
+        let age = now.since(limit.own?);
+        (age < REPORT_TIME).then(|| LimitReport {
+            process: ProcessId::from(&self.run),
+            rate: limit.rate,
+            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+        })
+    }
+
+    /// Applies what others have heard of the limit; `None` if nobody has for a while.
+    fn learn_limit(&self, now: Instant, report: Option<&LimitReport>, sharing: &LimitSharing) {
+        let mut belief = self.notice.0.borrow_mut();
+        let known = belief.limit.map(|l| l.heard);
+        let Some(report) = report else {
+            if known.is_some_and(|heard| now.since(heard) >= FORGOTTEN_AFTER) {
+                belief.limit = None;
+            }
+            return;
+        };
+        let heard = now.before(Duration::from_millis(report.age_ms.into()));
+        if known.is_none_or(|known| is_later(heard, known)) {
+            let share = report.rate.map(|rate| sharing.share(&self.run, rate));
+            belief.set_limit(now, report.rate, share, heard);
+        }
+    }
+
     /// Returns what is dropped with the process, if something was believed.
     fn dropped(&self, now: Instant) -> Option<DroppedNotice> {
         let belief = *self.notice.0.borrow();
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -53,6 +53,11 @@
         self.balancer.record_notice(at(ms), run, at(ms), notice)
     }
 
+    /// Returns the process of the first target.
+    pub fn run(&self) -> TargetRun {
+        listed(0, None).run()
+    }
+
     /// Chooses a target for a session.
     pub fn choose(&mut self, ms: u64, session: u64) -> Result<ChosenTarget, NoTarget> {
         self.choose_other(ms, session, &[])
