--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -3,6 +3,7 @@
 
 use std::fmt;
 use std::time::Duration;
+use std::time::Instant;
 
 use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::placement::limit::RequestRate;
@@ -11,7 +12,6 @@
 use hawthornkeel_core::placement::notice::NoticeChange;
 use hawthornkeel_core::placement::notice::PauseWait;
 use hawthornkeel_core::placement::notice::return_delay;
-use hawthornkeel_core::time::Instant;
 use hawthornkeel_platform::notices;
 use hawthornkeel_platform::notices::AnswerNotices;
 use hawthornkeel_platform::notices::LimitField;
@@ -78,7 +78,7 @@
         run: &TargetRun,
         kind: CallKind,
         request: &OutgoingRequest,
-        deadline: std::time::Instant,
+        deadline: Instant,
     ) -> Result<TargetResponse, ExchangeError> {
         let sent = boot_now();
         let observe = |status: StatusCode, headers: &HeaderMap| {
@@ -108,7 +108,7 @@
         &self,
         run: &TargetRun,
         kind: CallKind,
-        sent: Instant,
+        sent: hawthornkeel_core::time::Instant,
         status: StatusCode,
         headers: &HeaderMap,
     ) {
@@ -158,7 +158,7 @@
             waited,
             wait,
             latency: self.expected_latency(&request.pool.name, plan::DEFAULT_LATENCY),
-            left: request.objective_deadline.saturating_duration_since(std::time::Instant::now()),
+            left: request.objective_deadline.saturating_duration_since(Instant::now()),
             objective: request.route.objective,
         };
         times.is_worthwhile()
--- a/hawthornkeel/tests/peer_frames.rs
+++ b/hawthornkeel/tests/peer_frames.rs
@@ -19,6 +19,14 @@
 use hawthornkeel::peer::wire::WireError;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::placement::limit::LimitReport;
+use hawthornkeel_core::placement::limit::RequestRate;
+use hawthornkeel_core::quarantine::evidence::Ending;
+use hawthornkeel_core::quarantine::evidence::Evidence;
+use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::evidence::ProcessId;
+use hawthornkeel_core::quarantine::evidence::SoundRuns;
+use hawthornkeel_core::quarantine::record::PartRecord;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::CentreState;
 use hawthornkeel_core::state::published::PublishedState;
@@ -170,3 +178,55 @@
         Err(WireError::Decompress)
     ));
 }
+
+/// Returns the size of a frame on the wire, in bytes.
+fn encoded_size(frame: &Frame) -> usize {
+    wire::encode(frame).unwrap().len()
+}
+
+// What one crash and one limit cost an instance, as docs/CAPACITY.md has it.
+#[test]
+fn target_evidence_is_small() {
+    let part = |n: u64| SoundRuns {
+        part: PartId(u64::MAX - n),
+        thousandths: 20_000,
+        age_ms: Some(60_000),
+    };
+    let ending = |n: u64| Ending {
+        process: ProcessId(u64::MAX - n),
+        request: u64::MAX - n,
+        begun: true,
+        parts: (0..3).map(part).collect(),
+        age_ms: 20,
+    };
+    let evidence = |count: u64| {
+        Frame::Evidence(Evidence {
+            reporter: "10.1.0.30".into(),
+            endings: (0..count).map(ending).collect(),
+            sound: Vec::new(),
+            all_thousandths: 500_000,
+            relayed: false,
+        })
+    };
+    let record = |n: u64| PartRecord {
+        part: PartId(u64::MAX - n),
+        suspected_ms: Some(600_000),
+        rejected_ms: Some(600_000),
+        sound_ms: Some(600_000),
+        companions: vec![PartId(n)],
+        probed_ms: Some(600_000),
+        probes: 3,
+    };
+    let limit = |n: u64| LimitReport {
+        process: ProcessId(u64::MAX - n),
+        rate: Some(RequestRate(1_800)),
+        age_ms: 60_000,
+    };
+    let records = |count: u64| Frame::PartRecords((0..count).map(record).collect());
+    let limits = |count: u64| Frame::Limits((0..count).map(limit).collect());
+    // Few enough that the frame is not compressed.
+    let each = |of: &dyn Fn(u64) -> Frame| (encoded_size(&of(21)) - encoded_size(&of(1))) / 20;
+    let (ending, record, limit) = (each(&evidence), each(&records), each(&limits));
+    println!("bytes an ending {ending}, a record {record}, a limit {limit}");
+    assert!(ending <= 100 && record <= 48 && limit <= 20, "{ending} {record} {limit}");
+}
