--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -15,7 +15,7 @@
 use crate::forward::broken_runs;
 use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::context::Context;
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::measures;
 use crate::forward::outcome::AttemptOutcome;
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -1,7 +1,6 @@
 //! HTTP/1.1 client for targets: sends encoded requests, reads responses whole or in chunks.
 
 use std::cell::RefCell;
-use std::fmt;
 use std::io;
 use std::mem;
 use std::net::SocketAddr;
@@ -24,6 +23,7 @@
 use monoio_http::common::response::ResponseHead;
 
 use crate::forward::body_blocks::BodyBlocks;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::response_memory::Lease;
 use crate::forward::response_memory::ResponseMemory;
 use crate::http::connection::has_connection_option;
@@ -53,67 +53,6 @@
 /// Time to wait for an early response after writing the request failed.
 const EARLY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 
-/// Error of an exchange that yields no complete response.
-#[derive(Clone, Debug, Eq, PartialEq)]
-pub enum ExchangeError {
-    /// The request was not sent, so it can't have run.
-    NotSent(String),
-    /// The request was sent on a kept connection that broke, and none could be opened to send it
-    /// again; it may have run.
-    NotResent(String),
-    /// The exchange failed after the request may have been sent; it may have run.
-    Interrupted(&'static str),
-    /// The timeout has passed; the request may have run.
-    TimedOut,
-    /// The response exceeded a bound; the request may have run.
-    Exceeded(ResponseBound),
-}
-
-impl ExchangeError {
-    /// Returns whether the request is known not to have run.
-    pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_))
-    }
-
-    /// Returns whether no connection could be opened.
-    pub fn is_unreached(&self) -> bool {
-        matches!(self, Self::NotSent(_) | Self::NotResent(_))
-    }
-
-    /// Returns whether the target ended the exchange before its answer was complete.
-    pub fn is_broken_off(&self) -> bool {
-        matches!(self, Self::Interrupted(_))
-    }
-
-    /// Returns the error of sending a request again that was sent before.
-    fn after_sending(self) -> Self {
-        match self {
-            Self::NotSent(cause) => Self::NotResent(cause),
-            other => other,
-        }
-    }
-
-    /// Returns whether the entry gave the exchange up for its own memory, which says nothing about
-    /// the target.
-    pub fn is_for_memory(&self) -> bool {
-        matches!(self, Self::Exceeded(ResponseBound::Memory))
-    }
-}
-
-impl fmt::Display for ExchangeError {
-    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        match self {
-            Self::NotSent(cause) => write!(f, "not sent: {cause}"),
-            Self::NotResent(cause) => write!(f, "not sent again: {cause}"),
-            Self::Interrupted(cause) => write!(f, "interrupted: {cause}"),
-            Self::TimedOut => f.write_str("silent"),
-            Self::Exceeded(bound) => write!(f, "response exceeds its bound: {}", bound.as_str()),
-        }
-    }
-}
-
-impl std::error::Error for ExchangeError {}
-
 /// Encoded request to a target.
 #[derive(Clone, Debug)]
 pub struct OutgoingRequest {
@@ -314,7 +253,7 @@
             BodyLength::Absent => Body::UntilClose(0),
             BodyLength::Fixed(0) => Body::Done,
             length => {
-                let body = BodyReader::new(length, MAX_BODY_BYTES).map_err(read_error);
+                let body = BodyReader::new(length, MAX_BODY_BYTES).map_err(ExchangeError::from);
                 Body::Framed(body.inspect_err(|e| connection.record_exceeded(e))?)
             }
         };
@@ -401,7 +340,7 @@
             monoio::select! {
                 written = &mut writing => Some(written),
                 early = &mut head => {
-                    return early.map(|h| (h, false)).map_err(read_error);
+                    return early.map(|h| (h, false)).map_err(ExchangeError::from);
                 }
             }
         };
@@ -411,7 +350,7 @@
                 ExchangeError::Interrupted("connection failed while the request was being written");
             return early.ok().and_then(Result::ok).map(|h| (h, false)).ok_or(error);
         }
-        head.await.map(|h| (h, true)).map_err(read_error)
+        head.await.map(|h| (h, true)).map_err(ExchangeError::from)
     }
 }
 
@@ -529,17 +468,18 @@
         let reader = &mut self.connection.reader;
         match &mut self.body {
             Body::Done => Ok(None),
-            Body::Framed(body) => body.next(reader).await.map_err(read_error),
+            Body::Framed(body) => body.next(reader).await.map_err(ExchangeError::from),
             Body::UntilClose(received) => {
                 reader.pause_if_busy().await;
-                if reader.buffered() == 0 && reader.fill(0).await.map_err(io_error)? == 0 {
+                if reader.buffered() == 0 && reader.fill(0).await.map_err(ExchangeError::from)? == 0
+                {
                     self.body = Body::Done;
                     return Ok(None);
                 }
                 let chunk = reader.buffer().split().freeze();
                 *received = received.saturating_add(chunk.len());
                 if *received > MAX_BODY_BYTES {
-                    return Err(read_error(ReadError::BodyTooLarge));
+                    return Err(ReadError::BodyTooLarge.into());
                 }
                 Ok(Some(chunk))
             }
@@ -568,23 +508,6 @@
     Ok(())
 }
 
-fn read_error(error: ReadError) -> ExchangeError {
-    if let Some(bound) = ResponseBound::of(&error) {
-        return ExchangeError::Exceeded(bound);
-    }
-    match error {
-        ReadError::Closed => ExchangeError::Interrupted("closed before the response"),
-        ReadError::Truncated => ExchangeError::Interrupted("response is truncated"),
-        ReadError::Malformed(cause) => ExchangeError::Interrupted(cause),
-        ReadError::Io(error) => io_error(error),
-        _ => ExchangeError::Interrupted("response can't be read"),
-    }
-}
-
-fn io_error(_: io::Error) -> ExchangeError {
-    ExchangeError::Interrupted("connection reset")
-}
-
 /// Returns the reuse time of an idle connection according to the `Keep-Alive` header field.
 fn keep_alive_timeout(headers: &HeaderMap) -> Option<Duration> {
     let text = headers.get("keep-alive")?.to_str().ok()?;
--- a/hawthornkeel/src/forward/internal_request.rs
+++ b/hawthornkeel/src/forward/internal_request.rs
@@ -6,7 +6,7 @@
 use bytes::Bytes;
 use bytes::BytesMut;
 
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::HeadObserver;
 use crate::forward::http_client::HttpClient;
 use crate::forward::http_client::OutgoingRequest;
--- a/hawthornkeel/src/forward/list_reader.rs
+++ b/hawthornkeel/src/forward/list_reader.rs
@@ -10,7 +10,7 @@
 use hawthornkeel_platform::target_list;
 use indexmap::IndexSet;
 
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::HttpClient;
 use crate::forward::internal_request;
 use crate::forward::internal_request::InternalRequest;
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -9,6 +9,7 @@
 pub mod discovery_client;
 pub mod discovery_server;
 pub mod event_buffer;
+pub mod exchange_error;
 pub mod handler;
 pub mod http_client;
 pub mod internal_request;
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -23,7 +23,7 @@
 use crate::forward::broken_runs::AnswerWatch;
 use crate::forward::context::Context;
 use crate::forward::event_buffer::EventBuffer;
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::outcome::refusal_outcome;
 use crate::forward::progress::RequestProgress;
--- a/hawthornkeel/src/forward/schedulers/batches.rs
+++ b/hawthornkeel/src/forward/schedulers/batches.rs
@@ -16,7 +16,7 @@
 use hawthornkeel_platform::pieces::PieceReply;
 
 use crate::clock::boot_now;
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::internal_request::InternalRequest;
 use crate::forward::internal_request::InternalResponse;
 use crate::forward::measures;
--- a/hawthornkeel/src/forward/silence.rs
+++ b/hawthornkeel/src/forward/silence.rs
@@ -13,7 +13,7 @@
 use hawthornkeel_core::placement::retries::RunningAttempt;
 
 use crate::forward::context::Context;
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::plan::DEFAULT_LATENCY;
 use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -23,7 +23,7 @@
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
-use crate::forward::http_client::ExchangeError;
+use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::OutgoingRequest;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::internal_request;
--- a/hawthornkeel/tests/kept_connections.rs
+++ b/hawthornkeel/tests/kept_connections.rs
@@ -15,7 +15,7 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hawthornkeel::forward::http_client::ExchangeError;
+use hawthornkeel::forward::exchange_error::ExchangeError;
 use hawthornkeel::forward::http_client::HttpClient;
 use hawthornkeel::forward::http_client::OutgoingRequest;
 use hawthornkeel::forward::http_client::TargetResponse;
