--- a/hawthornkeel/src/forward/quarantine.rs
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthornkeel_core::fleet::ProcessId;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::quarantine::board::Board;
 use hawthornkeel_core::quarantine::board::SETTLE_TIME;
@@ -13,7 +14,6 @@
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::evidence::PartId;
-use hawthornkeel_core::quarantine::evidence::ProcessId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
 use hawthornkeel_core::quarantine::record::PartRecord;
 use hawthornkeel_core::quarantine::record::Suspicion;
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -9,6 +9,7 @@
 
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::names::CentreName;
 use crate::names::InstanceName;
@@ -62,6 +63,17 @@
     }
 }
 
+/// Hash that tells one process of a target from all others.
+#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
+pub struct ProcessId(pub u64);
+
+impl From<&TargetRun> for ProcessId {
+    fn from(run: &TargetRun) -> Self {
+        let TargetRun { name, address, born } = run;
+        Self(xxh3_64(format!("{name}/{address}/{born:?}").as_bytes()))
+    }
+}
+
 /// Snapshot of the platform's list of targets.
 #[derive(Clone, Debug, Default, Eq, PartialEq, Serialize, Deserialize)]
 pub struct TargetList {
--- a/hawthornkeel_core/src/placement/limit.rs
+++ b/hawthornkeel_core/src/placement/limit.rs
@@ -14,8 +14,8 @@
 use xxhash_rust::xxh3::xxh3_64;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::fleet::ProcessId;
 use crate::names::InstanceName;
-use crate::quarantine::evidence::ProcessId;
 use crate::time::Instant;
 
 /// Requests by which the senders stay below the bound, as requests may be held up on their way.
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use crate::fleet::ProcessId;
 use crate::fleet::TargetRun;
 use crate::placement::limit::EntryView;
 use crate::placement::limit::LimitBounds;
@@ -16,7 +17,6 @@
 use crate::placement::limit::LimitShare;
 use crate::placement::limit::RequestRate;
 use crate::placement::limit::is_later;
-use crate::quarantine::evidence::ProcessId;
 use crate::time::Instant;
 
 /// Longest pause that a target gets; longer ones are probably not meant.
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -11,11 +11,11 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::fleet::ProcessId;
 use crate::names::InstanceName;
 use crate::quarantine::evidence::Ending;
 use crate::quarantine::evidence::Evidence;
 use crate::quarantine::evidence::PartId;
-use crate::quarantine::evidence::ProcessId;
 use crate::quarantine::evidence::SoundRuns;
 use crate::quarantine::record::Belief;
 use crate::quarantine::record::PartRecord;
--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -4,9 +4,8 @@
 
 use serde::Deserialize;
 use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::TargetRun;
+use crate::fleet::ProcessId;
 use crate::names::InstanceName;
 
 /// Part of a prompt that several requests may hold.
@@ -19,17 +18,6 @@
     }
 }
 
-/// Hash that tells one process of a target from all others.
-#[derive(Clone, Copy, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
-pub struct ProcessId(pub u64);
-
-impl From<&TargetRun> for ProcessId {
-    fn from(run: &TargetRun) -> Self {
-        let TargetRun { name, address, born } = run;
-        Self(xxh3_64(format!("{name}/{address}/{born:?}").as_bytes()))
-    }
-}
-
 /// Run that its target broke off before the first event of its answer.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Ending {
--- a/hawthornkeel_core/tests/crash_simulation/mod.rs
+++ b/hawthornkeel_core/tests/crash_simulation/mod.rs
@@ -5,12 +5,12 @@
 
 use std::collections::VecDeque;
 
+use hawthornkeel_core::fleet::ProcessId;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::quarantine::board::Board;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::evidence::PartId;
-use hawthornkeel_core::quarantine::evidence::ProcessId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
 use hawthornkeel_core::quarantine::record::PartRecord;
 use hawthornkeel_core::quarantine::record::Suspicion;
--- a/hawthornkeel_core/tests/crashing_parts.rs
+++ b/hawthornkeel_core/tests/crashing_parts.rs
@@ -2,12 +2,12 @@
 
 mod crash_simulation;
 
+use hawthornkeel_core::fleet::ProcessId;
 use hawthornkeel_core::quarantine::board::Board;
 use hawthornkeel_core::quarantine::board::SETTLE_TIME;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::evidence::PartId;
-use hawthornkeel_core::quarantine::evidence::ProcessId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
 use hawthornkeel_core::quarantine::record::Suspicion;
 use hawthornkeel_core::time::Instant;
