--- a/hawthornkeel_core/src/fleet/presence.rs
+++ b/hawthornkeel_core/src/fleet/presence.rs
@@ -88,10 +88,9 @@
 
     /// Merges the reports of another control instance. Returns whether the entries changed.
     pub fn merge(&mut self, now: Instant, reports: &EntryReports) -> bool {
-        let ago = |ms: u32| now.before(Duration::from_millis(ms.into()));
         let mut changed = false;
         for (name, ms) in &reports.left {
-            let left = ago(*ms);
+            let left = now.before_millis(*ms);
             if self.entries.get(name).is_some_and(|r| r.last <= left) {
                 self.entries.swap_remove(name);
                 changed = true;
@@ -100,10 +99,15 @@
             *known = left.max(*known);
         }
         for report in &reports.entries {
-            let heard = ago(report.heard_ms);
+            let heard = now.before_millis(report.heard_ms);
             let has_left = self.left.get(&report.name).is_some_and(|left| heard <= *left);
             if !has_left && now.since(heard) < ENTRY_TIMEOUT {
-                changed |= self.record(&report.name, &report.centre, ago(report.known_ms), heard);
+                changed |= self.record(
+                    &report.name,
+                    &report.centre,
+                    now.before_millis(report.known_ms),
+                    heard,
+                );
             }
         }
         changed
@@ -167,15 +171,15 @@
     }
 
     fn reports(&self, now: Instant, include: impl Fn(&Record) -> bool) -> EntryReports {
-        let millis = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let report = |(name, record): (&InstanceName, &Record)| EntryReport {
             name: name.clone(),
             centre: record.centre.clone(),
-            heard_ms: millis(record.last),
-            known_ms: millis(record.first),
+            heard_ms: now.millis_since(record.last),
+            known_ms: now.millis_since(record.first),
         };
         let entries = self.entries.iter().filter(|(_, r)| include(r)).map(report).collect();
-        let left = self.left.iter().map(|(name, at)| (name.clone(), millis(*at))).collect();
+        let left =
+            self.left.iter().map(|(name, at)| (name.clone(), now.millis_since(*at))).collect();
         EntryReports { entries, left }
     }
 }
--- a/hawthornkeel_core/src/placement/limit.rs
+++ b/hawthornkeel_core/src/placement/limit.rs
@@ -28,8 +28,6 @@
 const ROUNDING: f64 = 1e-6;
 /// Time for which a control instance keeps a report that nobody repeats.
 const REPORT_TTL: Duration = Duration::from_secs(120);
-/// Time by which two instances may place the same event differently.
-const CLOCK_SLACK: Duration = Duration::from_millis(250);
 
 /// Rate of requests, in requests per 1,000 s.
 #[derive(Clone, Copy, Debug, Eq, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
@@ -191,9 +189,9 @@
     /// Merges reports of entries or of another control instance.
     pub fn merge(&mut self, now: Instant, reports: &[LimitReport]) {
         for report in reports {
-            let heard = now.before(Duration::from_millis(report.age_ms.into()));
+            let heard = now.before_millis(report.age_ms);
             let known = self.limits.entry(report.process).or_insert((report.rate, heard));
-            if is_later(heard, known.1) {
+            if heard.is_clearly_after(known.1) {
                 *known = (report.rate, heard);
             }
         }
@@ -202,11 +200,10 @@
 
     /// Returns all that is known.
     pub fn reports(&self, now: Instant) -> Vec<LimitReport> {
-        let age = |at: Instant| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX);
         let report = |(process, (rate, heard)): (&ProcessId, &(_, Instant))| LimitReport {
             process: *process,
             rate: *rate,
-            age_ms: age(*heard),
+            age_ms: now.millis_since(*heard),
         };
         self.limits.iter().map(report).collect()
     }
@@ -221,8 +218,3 @@
         xxh3_64(texts.concat().as_bytes()).max(1)
     }
 }
-
-/// Returns whether one time is later than another by more than clocks may differ.
-pub(super) fn is_later(one: Instant, other: Instant) -> bool {
-    one > other + CLOCK_SLACK
-}
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -16,7 +16,6 @@
 use crate::placement::limit::LimitReport;
 use crate::placement::limit::LimitShare;
 use crate::placement::limit::RequestRate;
-use crate::placement::limit::is_later;
 use crate::time::Instant;
 
 /// Longest pause that a target gets; longer ones are probably not meant.
@@ -406,11 +405,11 @@
     fn limit_report(&self, now: Instant) -> Option<LimitReport> {
         let belief = self.notice.0.borrow();
         let limit = belief.limit.as_ref()?;
-        let age = now.since(limit.own?);
-        (age < REPORT_TIME).then(|| LimitReport {
+        let heard = limit.own?;
+        (now.since(heard) < REPORT_TIME).then(|| LimitReport {
             process: ProcessId::from(&self.run),
             rate: limit.rate,
-            age_ms: u32::try_from(age.as_millis()).unwrap_or(u32::MAX),
+            age_ms: now.millis_since(heard),
         })
     }
 
@@ -424,8 +423,8 @@
             }
             return;
         };
-        let heard = now.before(Duration::from_millis(report.age_ms.into()));
-        if known.is_none_or(|known| is_later(heard, known)) {
+        let heard = now.before_millis(report.age_ms);
+        if known.is_none_or(|known| heard.is_clearly_after(known)) {
             let share = report.rate.map(|rate| sharing.share(&self.run, rate));
             belief.set_limit(now, report.rate, share, heard);
         }
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -250,7 +250,7 @@
     }
 
     fn record_ending(&mut self, now: Instant, ending: &Ending) {
-        let at = now.before(Duration::from_millis(ending.age_ms.into()));
+        let at = now.before_millis(ending.age_ms);
         let process = self
             .processes
             .entry(ending.process)
@@ -268,7 +268,7 @@
     fn record_sound(&mut self, now: Instant, reporter: &InstanceName, runs: &SoundRuns) {
         let part = self.parts.entry(runs.part).or_default();
         let Some(age_ms) = runs.age_ms else { return };
-        let at = now.before(Duration::from_millis(age_ms.into()));
+        let at = now.before_millis(age_ms);
         part.sound.insert(reporter.clone(), Weight::from_thousandths(runs.thousandths, now));
         part.belief.sound = part.belief.sound.max(Some(at));
     }
--- a/hawthornkeel_core/src/quarantine/record.rs
+++ b/hawthornkeel_core/src/quarantine/record.rs
@@ -13,9 +13,6 @@
 /// Longest time between two probes; it doubles up to here.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(640);
 
-/// Time by which two instances may place the same event differently.
-const CLOCK_SLACK: Duration = Duration::from_millis(250);
-
 /// Suspicion of a part.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
@@ -96,9 +93,7 @@
 
     /// Returns the record of a part for another instance.
     pub(super) fn record(&self, now: Instant, part: PartId) -> PartRecord {
-        let age = |at: Option<Instant>| {
-            at.map(|at| u32::try_from(now.since(at).as_millis()).unwrap_or(u32::MAX))
-        };
+        let age = |at: Option<Instant>| at.map(|at| now.millis_since(at));
         PartRecord {
             part,
             suspected_ms: age(self.suspected),
@@ -116,7 +111,7 @@
 /// Times that may be the same stay as they are, so that they do not rise with each exchange.
 fn later(own: Option<Instant>, other: Option<Instant>) -> Option<Instant> {
     match (own, other) {
-        (Some(own), Some(other)) if other > own + CLOCK_SLACK => Some(other),
+        (Some(own), Some(other)) if other.is_clearly_after(own) => Some(other),
         (None, other) => other,
         (own, _) => own,
     }
@@ -144,7 +139,7 @@
 impl PartRecord {
     /// Returns the belief that a record received at `now` tells.
     pub(super) fn belief(&self, now: Instant) -> Belief {
-        let at = |ms: Option<u32>| ms.map(|ms| now.before(Duration::from_millis(ms.into())));
+        let at = |ms: Option<u32>| ms.map(|ms| now.before_millis(ms));
         Belief {
             suspected: at(self.suspected_ms),
             rejected: at(self.rejected_ms),
--- a/hawthornkeel_core/src/quarantine/sound.rs
+++ b/hawthornkeel_core/src/quarantine/sound.rs
@@ -73,8 +73,8 @@
         let Some(weight) = self.parts.get(&part) else {
             return SoundRuns { part, thousandths: 0, age_ms: None };
         };
-        let age_ms = u32::try_from(now.since(weight.at).as_millis()).unwrap_or(u32::MAX);
-        SoundRuns { part, thousandths: weight.thousandths(now), age_ms: Some(age_ms) }
+        let age_ms = Some(now.millis_since(weight.at));
+        SoundRuns { part, thousandths: weight.thousandths(now), age_ms }
     }
 
     /// Returns the number of all sound runs in thousandths, older ones counted less.
--- a/hawthornkeel_core/src/time.rs
+++ b/hawthornkeel_core/src/time.rs
@@ -7,6 +7,9 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+/// Time by which two instances may place the same event differently, as messages tell its age.
+const CLOCK_SLACK: Duration = Duration::from_millis(250);
+
 /// Time on a process's monotonic clock, in microseconds since an arbitrary origin.
 ///
 /// Values of different processes are not comparable.
@@ -39,6 +42,24 @@
         Duration::from_micros(self.micros.saturating_sub(earlier.micros))
     }
 
+    /// Returns the whole milliseconds elapsed since `earlier`, as messages between instances tell
+    /// ages; the largest value stands for more.
+    pub fn millis_since(self, earlier: Self) -> u32 {
+        u32::try_from(self.since(earlier).as_millis()).unwrap_or(u32::MAX)
+    }
+
+    /// Returns the instant `millis` milliseconds before this one: the time of an event whose age a
+    /// message tells.
+    pub fn before_millis(self, millis: u32) -> Self {
+        self.before(Duration::from_millis(millis.into()))
+    }
+
+    /// Returns whether this is later than `other` by more than two instances may differ about the
+    /// time of one event.
+    pub fn is_clearly_after(self, other: Self) -> bool {
+        self > other + CLOCK_SLACK
+    }
+
     /// Returns the instant `span` before this one, saturating at zero.
     pub fn before(self, span: Duration) -> Self {
         let micros = u64::try_from(span.as_micros()).unwrap_or(u64::MAX);
