Limits: the rate is kept in its bucket only, and a mark is worked out once a merge

A named limit held its rate beside a bucket that has it, kept in step by hand, and the control side hashed its table twice for each merge. Behaviour as before.

--- a/hawthornkeel/src/forward/limit_server.rs
+++ b/hawthornkeel/src/forward/limit_server.rs
@@ -82,7 +82,8 @@
     fn merge(&self, reports: &[LimitReport]) -> bool {
         let mut table = self.inner.table.borrow_mut();
         table.merge(boot_now(), reports);
-        let changed = self.inner.mark.replace(table.mark()) != table.mark();
+        let mark = table.mark();
+        let changed = self.inner.mark.replace(mark) != mark;
         if changed {
             self.inner.changes.notify();
         }
--- a/hawthornkeel_core/src/placement/limit.rs
+++ b/hawthornkeel_core/src/placement/limit.rs
@@ -138,6 +138,11 @@
         *self = Self { rate, share, tokens, refilled: now };
     }
 
+    /// Returns the rate of all entries together.
+    pub(super) fn rate(&self) -> RequestRate {
+        self.rate
+    }
+
     /// Takes the token of a request that is sent at `now`.
     pub(super) fn record_sent(&mut self, now: Instant) {
         self.tokens = self.tokens_at(now) - 1.0;
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -133,12 +133,17 @@
 struct NamedLimit {
     /// Requests that this entry may send; `None` if the limit was withdrawn.
     bucket: Option<LimitBucket>,
-    rate: Option<RequestRate>,
     heard: Instant,
     /// Time at which this entry itself heard it, if it did.
     own: Option<Instant>,
 }
 
+impl NamedLimit {
+    fn rate(&self) -> Option<RequestRate> {
+        self.bucket.map(|b| b.rate())
+    }
+}
+
 /// How limits are shared out among the entries.
 #[derive(Clone, Debug, Default)]
 pub(super) struct LimitSharing {
@@ -148,10 +153,11 @@
 }
 
 impl LimitSharing {
-    /// Returns the part of this entry in the limit of a process; none until it knows the others.
-    fn share(&self, run: &TargetRun, rate: RequestRate) -> LimitShare {
-        let view = self.view.as_ref();
-        view.map_or(LimitShare::NONE, |v| v.share(ProcessId::from(run), rate, &self.bounds))
+    /// Returns the limit of a process with the part of this entry in it; none until it knows the
+    /// others.
+    fn share(&self, run: &TargetRun, rate: RequestRate) -> (RequestRate, LimitShare) {
+        let share = |v: &EntryView| v.share(ProcessId::from(run), rate, &self.bounds);
+        (rate, self.view.as_ref().map_or(LimitShare::NONE, share))
     }
 }
 
@@ -226,19 +232,18 @@
 
 impl Belief {
     fn rate(&self) -> Option<RequestRate> {
-        self.limit.and_then(|l| l.rate)
+        self.limit.as_ref()?.rate()
     }
 
-    /// Sets what was heard of the limit, and returns the change. `share` is that of a limit.
+    /// Sets the limit that was heard, with the part of this entry in it, and returns the change.
     fn set_limit(
         &mut self,
         now: Instant,
-        rate: Option<RequestRate>,
-        share: Option<LimitShare>,
+        limit: Option<(RequestRate, LimitShare)>,
         heard: Instant,
     ) -> Option<NoticeChange> {
         let (before, known) = (self.rate(), self.limit.and_then(|l| l.bucket));
-        let bucket = rate.zip(share).map(|(rate, share)| match known {
+        let bucket = limit.map(|(rate, share)| match known {
             Some(mut bucket) => {
                 bucket.update(now, rate, share);
                 bucket
@@ -246,8 +251,9 @@
             None => LimitBucket::new(now, rate, share),
         });
         let own = self.limit.and_then(|l| l.own);
-        self.limit = Some(NamedLimit { bucket, rate, heard, own });
-        (rate != before).then_some(NoticeChange::Limited { limit: rate })
+        self.limit = Some(NamedLimit { bucket, heard, own });
+        let limit = self.rate();
+        (limit != before).then_some(NoticeChange::Limited { limit })
     }
 }
 
@@ -386,8 +392,8 @@
         if limit.is_none() && !is_withdrawn {
             return None;
         }
-        let share = limit.map(|rate| sharing.share(&self.run, rate));
-        let change = belief.set_limit(now, limit, share, now);
+        let limit = limit.map(|rate| sharing.share(&self.run, rate));
+        let change = belief.set_limit(now, limit, now);
         if let Some(limit) = &mut belief.limit {
             limit.own = Some(now);
         }
@@ -396,9 +402,8 @@
 
     fn share_limit(&self, now: Instant, sharing: &LimitSharing) {
         let mut belief = self.notice.0.borrow_mut();
-        if let Some((rate, heard)) = belief.limit.and_then(|l| Some((l.rate?, l.heard))) {
-            let share = sharing.share(&self.run, rate);
-            belief.set_limit(now, Some(rate), Some(share), heard);
+        if let Some((rate, heard)) = belief.limit.and_then(|l| Some((l.rate()?, l.heard))) {
+            belief.set_limit(now, Some(sharing.share(&self.run, rate)), heard);
         }
     }
 
@@ -408,7 +413,7 @@
         let heard = limit.own?;
         (now.since(heard) < REPORT_TIME).then(|| LimitReport {
             process: ProcessId::from(&self.run),
-            rate: limit.rate,
+            rate: limit.rate(),
             age_ms: now.millis_since(heard),
         })
     }
@@ -425,8 +430,8 @@
         };
         let heard = now.before_millis(report.age_ms);
         if known.is_none_or(|known| heard.is_clearly_after(known)) {
-            let share = report.rate.map(|rate| sharing.share(&self.run, rate));
-            belief.set_limit(now, report.rate, share, heard);
+            let limit = report.rate.map(|rate| sharing.share(&self.run, rate));
+            belief.set_limit(now, limit, heard);
         }
     }
 
