--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -108,9 +108,7 @@
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
         if !self.context.admits_prompt(&request).await {
-            let problem = self.context.crashing_prompt(&request);
-            progress.log_end(&request, problem.code.as_str(), problem.code.status().as_u16());
-            return problem_response(problem);
+            return end_with(&request, &progress, self.context.crashing_prompt(&request));
         }
         loop {
             match self.run_stages(&request, &mut progress).await {
@@ -132,12 +130,7 @@
                     return self.stages_failed(&request, &progress, JobError::Gone.into());
                 }
                 ForwardOutcome::Exhausted(problem) => {
-                    progress.log_end(
-                        &request,
-                        problem.code.as_str(),
-                        problem.code.status().as_u16(),
-                    );
-                    return problem_response(problem);
+                    return end_with(&request, &progress, problem);
                 }
             }
         }
@@ -183,15 +176,12 @@
                 (Code::NoTarget, DEFAULT_RETRY_AFTER)
             }
         };
-        progress.log_end(request, code.as_str(), code.status().as_u16());
-        problem_response(Problem::not_run(code).with_retry_after(retry_after))
+        end_with(request, progress, Problem::not_run(code).with_retry_after(retry_after))
     }
 
     /// Returns the response to a request that may have run and gets none from a target.
     fn outcome_unknown(&self, request: &IncomingRequest, progress: &RequestProgress) -> Response {
-        let problem = Problem::new(Code::OutcomeUnknown, request.run_status());
-        progress.log_end(request, problem.code.as_str(), problem.code.status().as_u16());
-        problem_response(problem)
+        end_with(request, progress, Problem::new(Code::OutcomeUnknown, request.run_status()))
     }
 
     /// Sends a request to one target after the other until one responds or retries are exhausted.
@@ -515,3 +505,9 @@
         }
     }
 }
+
+/// Logs the end of a request with a problem, and returns its response.
+fn end_with(request: &IncomingRequest, progress: &RequestProgress, problem: Problem) -> Response {
+    progress.log_end(request, problem.code.as_str(), problem.code.status().as_u16());
+    problem_response(problem)
+}
