--- a/hawthornkeel/src/forward/broken_runs.rs
+++ b/hawthornkeel/src/forward/broken_runs.rs
@@ -1,4 +1,4 @@
-//! Runs that their targets broke off, with the parts of their prompts.
+//! Runs that their targets broke off, with the subjects of their prompts.
 
 use std::fmt;
 use std::rc::Rc;
@@ -7,7 +7,7 @@
 
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
-use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::evidence::Subject;
 
 use crate::forward::context::Context;
 use crate::forward::request::IncomingRequest;
@@ -64,14 +64,14 @@
     }
 }
 
-/// Parts of a prompt as a log line names them.
-struct PartList<'a>(&'a [PartId]);
+/// Subjects of a request as a log line names them.
+struct SubjectList<'a>(&'a [Subject]);
 
-impl fmt::Display for PartList<'_> {
+impl fmt::Display for SubjectList<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (at, part) in self.0.iter().enumerate() {
+        for (at, subject) in self.0.iter().enumerate() {
             let separator = if at == 0 { "" } else { "," };
-            write!(f, "{separator}{part}")?;
+            write!(f, "{separator}{subject}")?;
         }
         Ok(())
     }
@@ -95,7 +95,7 @@
         address = %target.address,
         born = target.born,
         phase,
-        parts = %PartList(&request.parts),
+        parts = %SubjectList(&request.subjects),
         age_ms = request.started.elapsed().as_millis(),
     );
     match context.may_be_repeated(request) {
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -125,7 +125,7 @@
             count = context.serving_entries.borrow().entries.len()
         );
     }
-    context.apply_part_records(update.part_records.as_deref(), update.records_mark);
+    context.apply_subject_records(update.subject_records.as_deref(), update.records_mark);
     let mark = listing.as_ref().map(|l| l.mark);
     if let Some(listing) = listing {
         let dropped = context.balancer.borrow_mut().update(now, &listing);
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -283,7 +283,7 @@
             control_instances: self.controls(),
             entries: poll.entries_mark.is_some_and(|known| known != mark).then_some(entries),
             entries_mark: mark,
-            part_records: records_differ.then(|| self.inner.quarantine.records()),
+            subject_records: records_differ.then(|| self.inner.quarantine.records()),
             records_mark,
             limits: limits_differ.then(|| self.inner.limits.reports()),
             limits_mark,
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -35,3 +35,4 @@
 mod quarantine_server;
 mod reservation;
 mod silence;
+mod subjects;
--- a/hawthornkeel/src/forward/quarantine.rs
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -1,4 +1,4 @@
-//! Entry side of the quarantine of prompt parts that end targets: reports evidence, applies what
+//! Entry side of the quarantine of subjects that end targets: reports evidence, applies what
 //! the control instances believe, and holds requests back.
 
 use std::cell::Cell;
@@ -13,9 +13,9 @@
 use hawthornkeel_core::quarantine::board::SuspicionChange;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
-use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::evidence::Subject;
+use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::quarantine::record::Suspicion;
 use hawthornkeel_core::quarantine::sound::SoundTable;
 use hawthornkeel_core::time::Instant;
@@ -36,22 +36,22 @@
 const REPORT_DELAY: Duration = Duration::from_millis(20);
 /// Age of the last contact with the control instances from which on an entry judges by itself.
 const MAX_CONTROL_AGE: Duration = Duration::from_secs(2);
-/// Interval at which an entry asks for the probe of a part.
+/// Interval at which an entry asks for the probe of a subject.
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to wait for the answer about a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
 /// Shortest time after which the caller of a rejected request is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(5);
 
-/// What an entry knows of parts of prompts that end targets.
+/// What an entry knows of subjects that end targets.
 #[derive(Debug, Default)]
 pub(super) struct Quarantine {
     board: RefCell<Board>,
     sound: RefCell<SoundTable>,
     /// Runs that are not reported yet.
     pending: RefCell<Vec<Ending>>,
-    /// Time at which the probe of a part was asked for last.
-    asked: RefCell<IndexMap<PartId, Instant>>,
+    /// Time at which the probe of a subject was asked for last.
+    asked: RefCell<IndexMap<Subject, Instant>>,
     /// Mark of the records that a control instance sent last.
     records_mark: Cell<u64>,
 }
@@ -62,28 +62,28 @@
         self.records_mark.get()
     }
 
-    /// Returns the number of rejected parts.
+    /// Returns the number of rejected subjects.
     pub(super) fn rejected_count(&self) -> usize {
         let board = self.board.borrow();
         board.suspects().filter(|(_, s)| *s == Suspicion::Rejected).count()
     }
 
-    /// Returns the sound runs of those among some parts that are suspect.
-    fn suspect_runs(&self, parts: Option<&[PartId]>) -> Vec<SoundRuns> {
+    /// Returns the sound runs of those among some subjects that are suspect.
+    fn suspect_runs(&self, subjects: Option<&[Subject]>) -> Vec<SoundRuns> {
         let (board, sound) = (self.board.borrow(), self.sound.borrow());
-        let suspects = board.suspects().map(|(part, _)| part);
-        let wanted = suspects.filter(|part| parts.is_none_or(|p| p.contains(part)));
-        let runs = wanted.map(|part| sound.runs(boot_now(), part));
+        let suspects = board.suspects().map(|(subject, _)| subject);
+        let wanted = suspects.filter(|subject| subjects.is_none_or(|p| p.contains(subject)));
+        let runs = wanted.map(|subject| sound.runs(boot_now(), subject));
         runs.filter(|r| r.age_ms.is_some()).collect()
     }
 
-    /// Returns whether the probe of a part may be asked for now.
-    fn may_ask(&self, part: PartId) -> bool {
+    /// Returns whether the probe of a subject may be asked for now.
+    fn may_ask(&self, subject: Subject) -> bool {
         let now = boot_now();
-        let is_due = self.board.borrow().probe_at(part).is_some_and(|due| due <= now);
+        let is_due = self.board.borrow().probe_at(subject).is_some_and(|due| due <= now);
         let mut asked = self.asked.borrow_mut();
         asked.retain(|_, at| now.since(*at) < ASK_INTERVAL);
-        is_due && !asked.contains_key(&part) && asked.insert(part, now).is_none()
+        is_due && !asked.contains_key(&subject) && asked.insert(subject, now).is_none()
     }
 }
 
@@ -95,16 +95,17 @@
         target: &ChosenTarget,
         phase: AnswerPhase,
     ) {
-        if request.parts.is_empty() || phase == AnswerPhase::Streaming {
+        if request.subjects.is_empty() || phase == AnswerPhase::Streaming {
             return;
         }
         let sound = self.quarantine.sound.borrow();
-        let parts = request.parts.iter().map(|part| sound.runs(boot_now(), *part)).collect();
+        let subjects =
+            request.subjects.iter().map(|subject| sound.runs(boot_now(), *subject)).collect();
         let ending = Ending {
             process: ProcessId::from(&target.run()),
             request: xxh3_64(request.id.as_bytes()),
             begun: phase == AnswerPhase::Begun,
-            parts,
+            subjects,
             age_ms: 0,
         };
         let mut pending = self.quarantine.pending.borrow_mut();
@@ -133,11 +134,11 @@
 
     /// Records that a request ran without an end of its target.
     pub(super) fn record_sound_run(&self, request: &IncomingRequest) {
-        if request.parts.is_empty() {
+        if request.subjects.is_empty() {
             return;
         }
-        self.quarantine.sound.borrow_mut().record(boot_now(), &request.parts);
-        let sound = self.quarantine.suspect_runs(Some(&request.parts));
+        self.quarantine.sound.borrow_mut().record(boot_now(), &request.subjects);
+        let sound = self.quarantine.suspect_runs(Some(&request.subjects));
         if !sound.is_empty() {
             self.report_evidence(Vec::new(), sound);
         }
@@ -148,45 +149,46 @@
         self.suspicion(request) == Suspicion::Clear
     }
 
-    /// Returns whether a request is rejected for a part of its prompt.
+    /// Returns whether a request is rejected for a subject of it.
     pub(super) fn is_prompt_rejected(&self, request: &IncomingRequest) -> bool {
         !request.is_probe.get() && self.suspicion(request) == Suspicion::Rejected
     }
 
     fn suspicion(&self, request: &IncomingRequest) -> Suspicion {
-        self.quarantine.board.borrow().suspicion(&request.parts)
+        self.quarantine.board.borrow().suspicion(&request.subjects)
     }
 
-    /// Returns whether a request may run. One with a rejected part may as the part's probe, which
+    /// Returns whether a request may run. One with a rejected subject may as the subject's probe, which
     /// the leader of the control instances lends to one request of all entries.
     pub(super) async fn admits_prompt(&self, request: &IncomingRequest) -> bool {
         if !self.is_prompt_rejected(request) {
             return true;
         }
-        let part = self.quarantine.board.borrow().rejected(&request.parts).next();
-        if let Some(part) = part
-            && self.quarantine.may_ask(part)
-            && self.borrow_probe(part).await
+        let subject = self.quarantine.board.borrow().rejected(&request.subjects).next();
+        if let Some(subject) = subject
+            && self.quarantine.may_ask(subject)
+            && self.borrow_probe(subject).await
         {
-            tracing::info!(event = "probe-borrowed", request = %request.id, %part);
+            tracing::info!(event = "probe-borrowed", request = %request.id, %subject);
             count("probe");
             request.is_probe.set(true);
         }
         request.is_probe.get()
     }
 
-    /// Returns the problem of a request that is rejected for a part of its prompt.
+    /// Returns the problem of a request that is rejected for a subject of it.
     pub(super) fn crashing_prompt(&self, request: &IncomingRequest) -> Problem {
         count("rejected");
         let board = self.quarantine.board.borrow();
-        let due = board.rejected(&request.parts).filter_map(|part| board.probe_at(part)).max();
+        let due =
+            board.rejected(&request.subjects).filter_map(|subject| board.probe_at(subject)).max();
         let left = due.map_or(Duration::ZERO, |due| due.since(boot_now()));
         Problem::not_run(Code::CrashingPrompt).with_retry_after(left.max(MIN_RETRY_AFTER))
     }
 
-    /// Applies what a control instance believes of prompt parts; `records` is `None` if that is the
+    /// Applies what a control instance believes of subjects; `records` is `None` if that is the
     /// same as before.
-    pub(super) fn apply_part_records(&self, records: Option<&[PartRecord]>, mark: u64) {
+    pub(super) fn apply_subject_records(&self, records: Option<&[SubjectRecord]>, mark: u64) {
         self.quarantine.records_mark.set(mark);
         let Some(records) = records else { return };
         let now = boot_now();
@@ -196,7 +198,7 @@
             board.missing_in(now, records)
         };
         tracing::info!(
-            event = "part-records-known",
+            event = "subject-records-known",
             count = records.len(),
             rejected = self.quarantine.rejected_count(),
         );
@@ -205,13 +207,13 @@
             self.report_evidence(Vec::new(), sound);
         }
         if !missing.is_empty() {
-            self.send_to_control(&Frame::PartRecords(missing));
+            self.send_to_control(&Frame::SubjectRecords(missing));
         }
     }
 
-    async fn borrow_probe(&self, part: PartId) -> bool {
+    async fn borrow_probe(&self, subject: Subject) -> bool {
         let Some(control) = self.polled_control.borrow().clone() else { return false };
-        let frame = Frame::LendProbe(LendProbe { part, relayed: false });
+        let frame = Frame::LendProbe(LendProbe { subject, relayed: false });
         let answer = self.endpoint.call(&control, &frame, PROBE_TIMEOUT).await;
         matches!(answer, Ok(Frame::ProbeLent(true)))
     }
@@ -233,7 +235,7 @@
     }
 }
 
-/// Logs parts whose suspicion has changed by evidence that this instance has.
+/// Logs subjects whose suspicion has changed by evidence that this instance has.
 pub(super) fn log_changes(changes: &[SuspicionChange]) {
     for change in changes {
         let suspicion = match change.suspicion {
@@ -242,8 +244,8 @@
             Suspicion::Rejected => "rejected",
         };
         tracing::info!(
-            event = "part-judged",
-            part = %change.part,
+            event = "subject-judged",
+            subject = %change.subject,
             suspicion,
             blame = format_args!("{:.2}", change.blame),
             processes = change.processes,
--- a/hawthornkeel/src/forward/quarantine_server.rs
+++ b/hawthornkeel/src/forward/quarantine_server.rs
@@ -1,4 +1,4 @@
-//! Control side of the quarantine of prompt parts that end targets: adds up the evidence of all
+//! Control side of the quarantine of subjects that end targets: adds up the evidence of all
 //! entries and lends probes.
 //!
 //! Each control instance passes the evidence of the entries that poll it on to the others, and they
@@ -13,7 +13,7 @@
 use hawthornkeel_core::quarantine::board::Board;
 use hawthornkeel_core::quarantine::board::SETTLE_TIME;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::time::Instant;
 
 use crate::clock::boot_now;
@@ -86,7 +86,7 @@
     }
 
     /// Returns what this instance believes.
-    pub(super) fn records(&self) -> Vec<PartRecord> {
+    pub(super) fn records(&self) -> Vec<SubjectRecord> {
         self.inner.board.borrow().records(boot_now())
     }
 
@@ -99,8 +99,8 @@
             }
         });
         let server = self.clone();
-        endpoint.on_frame(FrameKind::PartRecords, move |_, frame| {
-            if let Frame::PartRecords(records) = frame {
+        endpoint.on_frame(FrameKind::SubjectRecords, move |_, frame| {
+            if let Frame::SubjectRecords(records) = frame {
                 server.inner.board.borrow_mut().merge(boot_now(), &records);
                 server.publish();
             }
@@ -149,7 +149,7 @@
             self.inner.leads_since.set(leads.then_some(since));
             let records = self.records();
             if !records.is_empty() {
-                self.send_to_peers(&Frame::PartRecords(records));
+                self.send_to_peers(&Frame::SubjectRecords(records));
             }
         }
     }
@@ -162,7 +162,7 @@
         }
     }
 
-    /// Lends the probe of a part if it is due, or asks the leader to.
+    /// Lends the probe of a subject if it is due, or asks the leader to.
     async fn lend(&self, request: LendProbe) -> bool {
         let lead = self.inner.control.lead();
         if lead.is_leader {
@@ -178,11 +178,11 @@
         let now = boot_now();
         let leads_long =
             self.inner.leads_since.get().is_some_and(|s| now.since(s) >= MIN_LEAD_TIME);
-        let lent = leads_long && self.inner.board.borrow_mut().lend_probe(now, request.part);
+        let lent = leads_long && self.inner.board.borrow_mut().lend_probe(now, request.subject);
         if lent {
-            tracing::info!(event = "probe-lent", part = %request.part);
+            tracing::info!(event = "probe-lent", subject = %request.subject);
             self.publish();
-            self.send_to_peers(&Frame::PartRecords(self.records()));
+            self.send_to_peers(&Frame::SubjectRecords(self.records()));
         }
         lent
     }
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -10,7 +10,7 @@
 use bytes::BytesMut;
 use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
-use hawthornkeel_core::quarantine::evidence::PartId;
+use hawthornkeel_core::quarantine::evidence::Subject;
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::stages::admission::first_attempt_slack;
 use hawthornkeel_core::stages::job::Handle;
@@ -33,15 +33,13 @@
 use http::header::UPGRADE;
 
 use crate::forward::http_client::OutgoingRequest;
+use crate::forward::subjects;
 use crate::http::message::Head;
 use crate::http::message::Request;
 
 /// Minimum time left for a request to be sent to a target.
 pub const MIN_TIME_LEFT: Duration = Duration::from_millis(5);
 
-/// Maximum number of parts of a prompt that are told apart.
-const MAX_SHARED_PARTS: usize = 16;
-
 /// Admitted request of a caller.
 pub struct IncomingRequest {
     /// Head of the request.
@@ -62,8 +60,8 @@
     pub priority: u16,
     /// Affinity key, equal for requests that share a prompt prefix.
     pub session: u64,
-    /// Parts of its prompt that other requests may hold as well.
-    pub parts: Box<[PartId]>,
+    /// What other requests may have in common with it.
+    pub subjects: Box<[Subject]>,
     /// Time of arrival.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
@@ -75,7 +73,7 @@
     pub first_attempt_slack: Duration,
     /// Whether it may have run: it was sent to a target that did not say otherwise.
     pub may_have_run: Cell<bool>,
-    /// Whether it runs as the probe of a rejected part of prompts.
+    /// Whether it runs as the probe of a rejected subject.
     pub is_probe: Cell<bool>,
 }
 
@@ -93,8 +91,8 @@
         let first_attempt_slack = first_attempt_slack(timeout, requested.unwrap_or(timeout));
         let deadline = started + requested.unwrap_or(timeout).min(timeout);
         let objective_deadline = deadline.min(started + admitted.route.objective);
-        let parts = prompt_parts(&head);
-        let session = session_key(&parts).unwrap_or(hash);
+        let parts = subjects::prompt_parts(&head);
+        let session = subjects::session_key(&parts).unwrap_or(hash);
         Some(Self {
             body: request.body,
             id,
@@ -104,7 +102,7 @@
             workspace: admitted.workspace,
             priority: admitted.priority,
             session,
-            parts: shared_parts(parts),
+            subjects: subjects::shared_parts(&parts),
             started,
             objective_deadline,
             deadline,
@@ -188,25 +186,6 @@
     }
 }
 
-/// Returns the parts of the prompt in order, which end with the one of this request only.
-fn prompt_parts(head: &Head) -> Vec<PartId> {
-    let prefix = head.header(fields::PROMPT_PREFIX).unwrap_or_default();
-    fields::parse_prompt_prefix(prefix).into_iter().map(|p| PartId(p.id)).collect()
-}
-
-/// Returns the affinity key of a prompt: the longest prefix that other requests may share.
-fn session_key(parts: &[PartId]) -> Option<u64> {
-    let shared = parts.len().checked_sub(2).and_then(|at| parts.get(at));
-    shared.or(parts.first()).map(|p| p.0)
-}
-
-/// Returns the parts that other requests may hold as well: all but the last.
-fn shared_parts(mut parts: Vec<PartId>) -> Box<[PartId]> {
-    parts.pop();
-    parts.truncate(MAX_SHARED_PARTS);
-    parts.into_boxed_slice()
-}
-
 /// Returns whether a header field is hop-by-hop.
 pub fn is_hop_by_hop(name: &HeaderName, headers: &HeaderMap) -> bool {
     let is_standard = [CONNECTION, TE, TRAILER, TRANSFER_ENCODING, UPGRADE].contains(name)
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -12,8 +12,8 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::placement::limit::LimitReport;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::evidence::PartId;
-use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::evidence::Subject;
+use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::replica::Members;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::stages::job::Handle;
@@ -90,11 +90,11 @@
     Pong,
     /// Cancels jobs and releases results that are no longer needed; one-way.
     Dismiss(Dismiss),
-    /// Evidence about parts of prompts, from an entry or passed on; one-way.
+    /// Evidence about subjects, from an entry or passed on; one-way.
     Evidence(Evidence),
-    /// What an instance believes of parts of prompts; one-way.
-    PartRecords(Vec<PartRecord>),
-    /// Call: lends the only probe of a rejected part of prompts that is due.
+    /// What an instance believes of subjects; one-way.
+    SubjectRecords(Vec<SubjectRecord>),
+    /// Call: lends the only probe of a rejected subject that is due.
     LendProbe(LendProbe),
     /// Answers [`Frame::LendProbe`]: whether it is lent.
     ProbeLent(bool),
@@ -141,8 +141,8 @@
     Dismiss,
     /// Of [`Frame::Evidence`].
     Evidence,
-    /// Of [`Frame::PartRecords`].
-    PartRecords,
+    /// Of [`Frame::SubjectRecords`].
+    SubjectRecords,
     /// Of [`Frame::LendProbe`].
     LendProbe,
     /// Of [`Frame::Limits`].
@@ -169,7 +169,7 @@
             Self::Ping => FrameKind::Ping,
             Self::Dismiss(_) => FrameKind::Dismiss,
             Self::Evidence(_) => FrameKind::Evidence,
-            Self::PartRecords(_) => FrameKind::PartRecords,
+            Self::SubjectRecords(_) => FrameKind::SubjectRecords,
             Self::LendProbe(_) => FrameKind::LendProbe,
             Self::Limits(_) => FrameKind::Limits,
             Self::Refused(_)
@@ -263,7 +263,7 @@
     pub list_mark: Option<u64>,
     /// Mark of the entries that the caller knows, or `None` if it wants none.
     pub entries_mark: Option<u64>,
-    /// Mark of the records of prompt parts that the caller knows, or `None` if it wants none.
+    /// Mark of the records of subjects that the caller knows, or `None` if it wants none.
     pub records_mark: Option<u64>,
     /// Mark of the limits of targets that the caller knows, or `None` if it wants none.
     pub limits_mark: Option<u64>,
@@ -293,8 +293,8 @@
     pub entries: Option<Vec<ServingEntry>>,
     /// Mark of these entries.
     pub entries_mark: u64,
-    /// Records of prompt parts, if they differ from those that the caller knows.
-    pub part_records: Option<Vec<PartRecord>>,
+    /// Records of subjects, if they differ from those that the caller knows.
+    pub subject_records: Option<Vec<SubjectRecord>>,
     /// Mark of these records.
     pub records_mark: u64,
     /// Limits of targets, if they differ from those that the caller knows.
@@ -303,11 +303,11 @@
     pub limits_mark: u64,
 }
 
-/// Request for the probe of a rejected part of prompts.
+/// Request for the probe of a rejected subject.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct LendProbe {
     /// Part.
-    pub part: PartId,
+    pub subject: Subject,
     /// Whether a control instance passes it on to the leader.
     pub relayed: bool,
 }
--- a/hawthornkeel/src/peer/wire.rs
+++ b/hawthornkeel/src/peer/wire.rs
@@ -14,7 +14,7 @@
 use crate::peer::frame::Frame;
 
 /// Protocol version of this build.
-pub const VERSION: u16 = 7;
+pub const VERSION: u16 = 8;
 /// Maximum size of a frame's body before compression, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time from the first byte of a frame within which the rest of it must arrive.
--- a/hawthornkeel/tests/peer_frames.rs
+++ b/hawthornkeel/tests/peer_frames.rs
@@ -24,9 +24,9 @@
 use hawthornkeel_core::placement::limit::RequestRate;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
-use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::evidence::Subject;
+use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::CentreState;
 use hawthornkeel_core::state::published::PublishedState;
@@ -188,7 +188,7 @@
 #[test]
 fn target_evidence_is_small() {
     let part = |n: u64| SoundRuns {
-        part: PartId(u64::MAX - n),
+        subject: Subject::Part(u64::MAX - n),
         thousandths: 20_000,
         age_ms: Some(60_000),
     };
@@ -196,7 +196,7 @@
         process: ProcessId(u64::MAX - n),
         request: u64::MAX - n,
         begun: true,
-        parts: (0..3).map(part).collect(),
+        subjects: (0..3).map(part).collect(),
         age_ms: 20,
     };
     let evidence = |count: u64| {
@@ -208,12 +208,12 @@
             relayed: false,
         })
     };
-    let record = |n: u64| PartRecord {
-        part: PartId(u64::MAX - n),
+    let record = |n: u64| SubjectRecord {
+        subject: Subject::Part(u64::MAX - n),
         suspected_ms: Some(600_000),
         rejected_ms: Some(600_000),
         sound_ms: Some(600_000),
-        companions: vec![PartId(n)],
+        companions: vec![Subject::Part(n)],
         probed_ms: Some(600_000),
         probes: 3,
     };
@@ -222,7 +222,7 @@
         rate: Some(RequestRate(1_800)),
         age_ms: 60_000,
     };
-    let records = |count: u64| Frame::PartRecords((0..count).map(record).collect());
+    let records = |count: u64| Frame::SubjectRecords((0..count).map(record).collect());
     let limits = |count: u64| Frame::Limits((0..count).map(limit).collect());
     // Few enough that the frame is not compressed.
     let each = |of: &dyn Fn(u64) -> Frame| (encoded_size(&of(21)) - encoded_size(&of(1))) / 20;
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -1,10 +1,10 @@
-//! Adds up the evidence about parts of prompts and decides which requests are rejected.
+//! Adds up the evidence about subjects and decides which requests are rejected.
 //!
 //! The process of a target can end under many requests, so it blames each of them by its share only.
 //! Requests whose answers had begun without an event go before those that were still waiting. A
-//! part that went well later than a process ended under it is not blamed for that process, and its
+//! subject that went well later than a process ended under it is not blamed for that process, and its
 //! sound runs before weigh against the rest. The more runs end with their targets anyway, whatever
-//! they hold, the more it takes: chance alone is to blame no part.
+//! they hold, the more it takes: chance alone is to blame no subject.
 
 use std::time::Duration;
 
@@ -15,41 +15,41 @@
 use crate::names::InstanceName;
 use crate::quarantine::evidence::Ending;
 use crate::quarantine::evidence::Evidence;
-use crate::quarantine::evidence::PartId;
 use crate::quarantine::evidence::SoundRuns;
+use crate::quarantine::evidence::Subject;
 use crate::quarantine::record::Belief;
-use crate::quarantine::record::PartRecord;
+use crate::quarantine::record::SubjectRecord;
 use crate::quarantine::record::Suspicion;
 use crate::quarantine::sound::Weight;
 use crate::time::Instant;
 
 /// Time for which evidence about one end may come in before it is judged.
 pub const SETTLE_TIME: Duration = Duration::from_millis(150);
-/// Least blame from which on a part is rejected, beyond the weight of its sound runs.
+/// Least blame from which on a subject is rejected, beyond the weight of its sound runs.
 const REJECTED_BLAME: f64 = 2.0;
-/// Share of what a rejection takes from which on a part is suspected.
+/// Share of what a rejection takes from which on a subject is suspected.
 const SUSPECTED_SHARE: f64 = 0.75;
-/// Probability with which the runs of a sound part may all end with their targets by chance for it
+/// Probability with which the runs of a sound subject may all end with their targets by chance for it
 /// to be rejected.
 const CHANCE: f64 = 1e-4;
 /// Runs that are assumed to have ended with their targets before any evidence.
 const PRIOR_ENDINGS: f64 = 0.1;
 /// Runs that are assumed before any evidence.
 const PRIOR_RUNS: f64 = 1.0;
-/// Number of processes that must have ended under a part for it to be suspected.
+/// Number of processes that must have ended under a subject for it to be suspected.
 const SUSPECTED_PROCESSES: usize = 2;
-/// Number of processes that must have ended under a part for it to be rejected.
+/// Number of processes that must have ended under a subject for it to be rejected.
 const REJECTED_PROCESSES: usize = 3;
-/// Time for which a part is suspected at the least before it is rejected.
+/// Time for which a subject is suspected at the least before it is rejected.
 ///
 /// All entries report their sound runs of it meanwhile, and what ends many processes at the same
-/// moment rejects no part.
+/// moment rejects no subject.
 const MIN_SUSPICION: Duration = Duration::from_millis(600);
 /// Share of the blame of a process that the requests waiting for it take, if none had begun.
 const WAITING_SHARE: f64 = 0.5;
 /// Time for which evidence counts.
 const EVIDENCE_TTL: Duration = Duration::from_secs(600);
-/// Time after which what is believed of a part that is not rejected is forgotten.
+/// Time after which what is believed of a subject that is not rejected is forgotten.
 const BELIEF_TTL: Duration = Duration::from_secs(60);
 /// Largest share of other runs that is assumed to end with their targets.
 const MAX_ENDING_RATE: f64 = 0.9;
@@ -59,14 +59,14 @@
 const MAX_PROCESSES: usize = 256;
 /// Maximum number of requests counted for each process.
 const MAX_REQUESTS: usize = 64;
-/// Maximum number of parts of which something is believed.
-const MAX_PARTS: usize = 1_024;
+/// Maximum number of subjects of which something is believed.
+const MAX_SUBJECTS: usize = 1_024;
 
-/// Change of the suspicion of a part.
+/// Change of the suspicion of a subject.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SuspicionChange {
     /// Part.
-    pub part: PartId,
+    pub subject: Subject,
     /// Suspicion from now on.
     pub suspicion: Suspicion,
     /// Blame of the processes that ended under it.
@@ -77,15 +77,15 @@
     pub sound: f64,
 }
 
-/// Evidence about parts and what is believed of them.
+/// Evidence about subjects and what is believed of them.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
     processes: IndexMap<ProcessId, EndedProcess>,
-    parts: IndexMap<PartId, Part>,
+    subjects: IndexMap<Subject, KnownSubject>,
     /// Sound runs of each entry, whatever they held.
     all_sound: IndexMap<InstanceName, Weight>,
     /// Parts to be judged, with the time of their last evidence.
-    pending: IndexMap<PartId, Instant>,
+    pending: IndexMap<Subject, Instant>,
 }
 
 /// Process that ended under requests.
@@ -99,23 +99,23 @@
 struct EndedRequest {
     request: u64,
     begun: bool,
-    parts: Vec<PartId>,
+    subjects: Vec<Subject>,
 }
 
 #[derive(Clone, Debug, Default)]
-struct Part {
+struct KnownSubject {
     belief: Belief,
     /// Sound runs by the entry that saw them.
     sound: IndexMap<InstanceName, Weight>,
 }
 
-impl Part {
+impl KnownSubject {
     fn sound_weight(&self, now: Instant) -> f64 {
         self.sound.values().map(|w| w.value_at(now)).sum()
     }
 }
 
-/// Blame of a part by the processes that ended under it.
+/// Blame of a subject by the processes that ended under it.
 #[derive(Clone, Copy, Debug, Default)]
 struct Blame {
     value: f64,
@@ -123,36 +123,36 @@
 }
 
 impl Board {
-    /// Adds evidence, and returns the parts that it clears.
+    /// Adds evidence, and returns the subjects that it clears.
     ///
     /// Call [`Board::settle`] once [`SETTLE_TIME`] has passed.
     pub fn record(&mut self, now: Instant, evidence: &Evidence) -> Vec<SuspicionChange> {
-        let ending_parts = evidence.endings.iter().flat_map(|e| e.parts.iter());
+        let ending_parts = evidence.endings.iter().flat_map(|e| e.subjects.iter());
         let all_sound = Weight::from_thousandths(evidence.all_thousandths, now);
         self.all_sound.insert(evidence.reporter.clone(), all_sound);
         let mut cleared = Vec::new();
         for runs in ending_parts.chain(&evidence.sound) {
-            let before = self.suspicion_of(runs.part);
+            let before = self.suspicion_of(runs.subject);
             self.record_sound(now, &evidence.reporter, runs);
-            if self.suspicion_of(runs.part) < before {
-                cleared.push(runs.part);
+            if self.suspicion_of(runs.subject) < before {
+                cleared.push(runs.subject);
             }
         }
         for ending in &evidence.endings {
             self.record_ending(now, ending);
         }
         self.expire(now);
-        cleared.into_iter().map(|part| self.change(now, part)).collect()
+        cleared.into_iter().map(|subject| self.change(now, subject)).collect()
     }
 
-    /// Judges the parts of what was recorded, and returns those that are suspect now.
+    /// Judges the subjects of what was recorded, and returns those that are suspect now.
     pub fn settle(&mut self, now: Instant) -> Vec<SuspicionChange> {
         let is_settled = |at: &Instant| now.since(*at) >= SETTLE_TIME;
         let due = self.pending.iter().filter(|(_, at)| is_settled(at));
-        let due: Vec<PartId> = due.map(|(part, _)| *part).collect();
+        let due: Vec<Subject> = due.map(|(subject, _)| *subject).collect();
         self.pending.retain(|_, at| !is_settled(at));
-        let changed: Vec<PartId> = due.into_iter().filter(|p| self.judge(now, *p)).collect();
-        changed.into_iter().map(|part| self.change(now, part)).collect()
+        let changed: Vec<Subject> = due.into_iter().filter(|p| self.judge(now, *p)).collect();
+        changed.into_iter().map(|subject| self.change(now, subject)).collect()
     }
 
     /// Leaves the judgement of what was recorded to another instance.
@@ -161,41 +161,43 @@
     }
 
     /// Merges what another instance believes.
-    pub fn merge(&mut self, now: Instant, records: &[PartRecord]) {
+    pub fn merge(&mut self, now: Instant, records: &[SubjectRecord]) {
         for record in records {
-            let part = self.parts.entry(record.part).or_default();
-            part.belief.merge(record.belief(now));
+            let subject = self.subjects.entry(record.subject).or_default();
+            subject.belief.merge(record.belief(now));
         }
         self.expire(now);
     }
 
-    /// Returns the suspicion of the parts of a prompt: that of the worst one.
+    /// Returns the suspicion of the subjects of a request: that of the worst one.
     ///
-    /// A part that is rejected with companions counts as suspected only where one of them is missing.
-    pub fn suspicion(&self, parts: &[PartId]) -> Suspicion {
-        let suspicion = |part: &PartId| match self.suspicion_of(*part) {
-            Suspicion::Rejected if !self.holds_companions(*part, parts) => Suspicion::Suspected,
+    /// A subject that is rejected with companions counts as suspected only where one of them is missing.
+    pub fn suspicion(&self, subjects: &[Subject]) -> Suspicion {
+        let suspicion = |subject: &Subject| match self.suspicion_of(*subject) {
+            Suspicion::Rejected if !self.holds_companions(*subject, subjects) => {
+                Suspicion::Suspected
+            }
             suspicion => suspicion,
         };
-        parts.iter().map(suspicion).max().unwrap_or_default()
+        subjects.iter().map(suspicion).max().unwrap_or_default()
     }
 
-    /// Returns the rejected parts of a prompt.
-    pub fn rejected<'a>(&'a self, parts: &'a [PartId]) -> impl Iterator<Item = PartId> + 'a {
-        let rejected = |p: &PartId| {
-            self.suspicion_of(*p) == Suspicion::Rejected && self.holds_companions(*p, parts)
+    /// Returns the rejected subjects of a request.
+    pub fn rejected<'a>(&'a self, subjects: &'a [Subject]) -> impl Iterator<Item = Subject> + 'a {
+        let rejected = |p: &Subject| {
+            self.suspicion_of(*p) == Suspicion::Rejected && self.holds_companions(*p, subjects)
         };
-        parts.iter().copied().filter(rejected)
+        subjects.iter().copied().filter(rejected)
     }
 
-    /// Returns the time from which on a request with a rejected part may run as a probe.
-    pub fn probe_at(&self, part: PartId) -> Option<Instant> {
-        self.parts.get(&part)?.belief.probe_at()
+    /// Returns the time from which on a request with a rejected subject may run as a probe.
+    pub fn probe_at(&self, subject: Subject) -> Option<Instant> {
+        self.subjects.get(&subject)?.belief.probe_at()
     }
 
-    /// Lends the next probe of a part, if it is due; there is one for all instances.
-    pub fn lend_probe(&mut self, now: Instant, part: PartId) -> bool {
-        let Some(known) = self.parts.get_mut(&part) else { return false };
+    /// Lends the next probe of a subject, if it is due; there is one for all instances.
+    pub fn lend_probe(&mut self, now: Instant, subject: Subject) -> bool {
+        let Some(known) = self.subjects.get_mut(&subject) else { return false };
         if known.belief.probe_at().is_none_or(|at| at > now) {
             return false;
         }
@@ -204,28 +206,31 @@
         true
     }
 
-    /// Returns what is believed of all parts that are or were suspect, for another instance.
-    pub fn records(&self, now: Instant) -> Vec<PartRecord> {
-        let known = self.parts.iter().filter(|(_, p)| p.belief.suspected.is_some());
+    /// Returns what is believed of all subjects that are or were suspect, for another instance.
+    pub fn records(&self, now: Instant) -> Vec<SubjectRecord> {
+        let known = self.subjects.iter().filter(|(_, p)| p.belief.suspected.is_some());
         known.map(|(id, p)| p.belief.record(now, *id)).collect()
     }
 
-    /// Returns the records that lack what is believed here: rejected parts that they don't name so.
-    pub fn missing_in(&self, now: Instant, records: &[PartRecord]) -> Vec<PartRecord> {
-        let is_known =
-            |part: &PartId| records.iter().any(|r| r.part == *part && r.rejected_ms.is_some());
+    /// Returns the records that lack what is believed here: rejected subjects that they don't name so.
+    pub fn missing_in(&self, now: Instant, records: &[SubjectRecord]) -> Vec<SubjectRecord> {
+        let is_known = |subject: &Subject| {
+            records.iter().any(|r| r.subject == *subject && r.rejected_ms.is_some())
+        };
         let mut own = self.records(now);
-        own.retain(|r| self.suspicion_of(r.part) == Suspicion::Rejected && !is_known(&r.part));
+        own.retain(|r| {
+            self.suspicion_of(r.subject) == Suspicion::Rejected && !is_known(&r.subject)
+        });
         own
     }
 
     /// Returns a hash that differs between different beliefs; never zero.
     pub fn mark(&self) -> u64 {
         let mut texts: Vec<String> = Vec::new();
-        for (id, part) in &self.parts {
-            let Belief { suspected, companions, probes, .. } = &part.belief;
+        for (id, subject) in &self.subjects {
+            let Belief { suspected, companions, probes, .. } = &subject.belief;
             if suspected.is_some() {
-                let suspicion = part.belief.suspicion();
+                let suspicion = subject.belief.suspicion();
                 texts.push(format!("{id}/{suspicion:?}/{companions:?}/{probes};"));
             }
         }
@@ -233,20 +238,21 @@
         xxh3_64(texts.concat().as_bytes()).max(1)
     }
 
-    /// Returns the parts that are suspect.
-    pub fn suspects(&self) -> impl Iterator<Item = (PartId, Suspicion)> + '_ {
-        let suspicion = |(id, part): (&PartId, &Part)| (*id, part.belief.suspicion());
-        self.parts.iter().map(suspicion).filter(|(_, s)| *s > Suspicion::Clear)
+    /// Returns the subjects that are suspect.
+    pub fn suspects(&self) -> impl Iterator<Item = (Subject, Suspicion)> + '_ {
+        let suspicion =
+            |(id, subject): (&Subject, &KnownSubject)| (*id, subject.belief.suspicion());
+        self.subjects.iter().map(suspicion).filter(|(_, s)| *s > Suspicion::Clear)
     }
 
-    fn suspicion_of(&self, part: PartId) -> Suspicion {
-        self.parts.get(&part).map(|p| p.belief.suspicion()).unwrap_or_default()
+    fn suspicion_of(&self, subject: Subject) -> Suspicion {
+        self.subjects.get(&subject).map(|p| p.belief.suspicion()).unwrap_or_default()
     }
 
-    fn holds_companions(&self, part: PartId, parts: &[PartId]) -> bool {
-        let Some(known) = self.parts.get(&part) else { return true };
-        let is_cleared = |c: &PartId| self.suspicion_of(*c) != Suspicion::Rejected;
-        known.belief.companions.iter().all(|c| parts.contains(c) || is_cleared(c))
+    fn holds_companions(&self, subject: Subject, subjects: &[Subject]) -> bool {
+        let Some(known) = self.subjects.get(&subject) else { return true };
+        let is_cleared = |c: &Subject| self.suspicion_of(*c) != Suspicion::Rejected;
+        known.belief.companions.iter().all(|c| subjects.contains(c) || is_cleared(c))
     }
 
     fn record_ending(&mut self, now: Instant, ending: &Ending) {
@@ -259,61 +265,61 @@
         if is_known || process.requests.len() >= MAX_REQUESTS {
             return;
         }
-        let parts: Vec<PartId> = ending.parts.iter().map(|runs| runs.part).collect();
-        self.pending.extend(parts.iter().map(|part| (*part, now)));
+        let subjects: Vec<Subject> = ending.subjects.iter().map(|runs| runs.subject).collect();
+        self.pending.extend(subjects.iter().map(|subject| (*subject, now)));
         let Ending { request, begun, .. } = *ending;
-        process.requests.push(EndedRequest { request, begun, parts });
+        process.requests.push(EndedRequest { request, begun, subjects });
     }
 
     fn record_sound(&mut self, now: Instant, reporter: &InstanceName, runs: &SoundRuns) {
-        let part = self.parts.entry(runs.part).or_default();
+        let subject = self.subjects.entry(runs.subject).or_default();
         let Some(age_ms) = runs.age_ms else { return };
         let at = now.before_millis(age_ms);
-        part.sound.insert(reporter.clone(), Weight::from_thousandths(runs.thousandths, now));
-        part.belief.sound = part.belief.sound.max(Some(at));
+        subject.sound.insert(reporter.clone(), Weight::from_thousandths(runs.thousandths, now));
+        subject.belief.sound = subject.belief.sound.max(Some(at));
     }
 
-    /// Decides on the suspicion of a part, and returns whether that changes it.
-    fn judge(&mut self, now: Instant, id: PartId) -> bool {
+    /// Decides on the suspicion of a subject, and returns whether that changes it.
+    fn judge(&mut self, now: Instant, id: Subject) -> bool {
         let blame = self.blame(now, id);
         let ending_rate = self.ending_rate(now, id);
         let companions = self.companions(id);
-        let Some(part) = self.parts.get_mut(&id) else { return false };
-        let before = part.belief.suspicion();
-        let was_suspect = part.belief.suspected.is_some_and(|at| now.since(at) >= MIN_SUSPICION);
-        match blame.suspicion(part.sound_weight(now), ending_rate) {
+        let Some(subject) = self.subjects.get_mut(&id) else { return false };
+        let before = subject.belief.suspicion();
+        let was_suspect = subject.belief.suspected.is_some_and(|at| now.since(at) >= MIN_SUSPICION);
+        match blame.suspicion(subject.sound_weight(now), ending_rate) {
             Suspicion::Rejected if before == Suspicion::Rejected => {
-                part.belief.companions.retain(|c| companions.contains(c));
+                subject.belief.companions.retain(|c| companions.contains(c));
             }
             Suspicion::Rejected if before == Suspicion::Suspected && was_suspect => {
-                part.belief.reject(now, companions);
+                subject.belief.reject(now, companions);
             }
             Suspicion::Rejected | Suspicion::Suspected if before == Suspicion::Clear => {
-                part.belief.suspected = Some(now);
+                subject.belief.suspected = Some(now);
             }
             _ => {}
         }
-        part.belief.suspicion() != before
+        subject.belief.suspicion() != before
     }
 
-    /// Describes the suspicion of a part.
-    fn change(&self, now: Instant, part: PartId) -> SuspicionChange {
-        let Blame { value, processes } = self.blame(now, part);
+    /// Describes the suspicion of a subject.
+    fn change(&self, now: Instant, subject: Subject) -> SuspicionChange {
+        let Blame { value, processes } = self.blame(now, subject);
         SuspicionChange {
-            part,
-            suspicion: self.suspicion_of(part),
+            subject,
+            suspicion: self.suspicion_of(subject),
             blame: value,
             processes,
-            sound: self.parts.get(&part).map_or(0.0, |p| p.sound_weight(now)),
+            sound: self.subjects.get(&subject).map_or(0.0, |p| p.sound_weight(now)),
         }
     }
 
-    /// Returns the blame of a part by the processes that ended after its last sound run.
-    fn blame(&self, now: Instant, part: PartId) -> Blame {
-        let sound = self.parts.get(&part).and_then(|p| p.belief.sound);
+    /// Returns the blame of a subject by the processes that ended after its last sound run.
+    fn blame(&self, now: Instant, subject: Subject) -> Blame {
+        let sound = self.subjects.get(&subject).and_then(|p| p.belief.sound);
         let mut blame = Blame::default();
         for process in self.processes.values().filter(|p| sound.is_none_or(|s| p.at > s)) {
-            let share = process.share(part);
+            let share = process.share(subject);
             if share > 0.0 && now.since(process.at) < EVIDENCE_TTL {
                 blame.add(share);
             }
@@ -321,10 +327,10 @@
         blame
     }
 
-    /// Returns the share of the runs without a part that end with their targets.
-    fn ending_rate(&self, now: Instant, part: PartId) -> f64 {
+    /// Returns the share of the runs without a subject that end with their targets.
+    fn ending_rate(&self, now: Instant, subject: Subject) -> f64 {
         let without = |p: &EndedProcess| {
-            let others = p.requests.iter().filter(|r| r.begun && !r.parts.contains(&part));
+            let others = p.requests.iter().filter(|r| r.begun && !r.subjects.contains(&subject));
             Weight::new(others.count() as f64, p.at).value_at(now)
         };
         let endings: f64 = self.processes.values().map(without).sum();
@@ -332,16 +338,16 @@
         (endings + PRIOR_ENDINGS) / (endings + sound + PRIOR_RUNS)
     }
 
-    /// Returns the other parts that all requests hold which are counted against a part.
-    fn companions(&self, part: PartId) -> Vec<PartId> {
-        let sound = self.parts.get(&part).and_then(|p| p.belief.sound);
+    /// Returns the other subjects that all requests hold which are counted against a subject.
+    fn companions(&self, subject: Subject) -> Vec<Subject> {
+        let sound = self.subjects.get(&subject).and_then(|p| p.belief.sound);
         let processes = self.processes.values().filter(|p| sound.is_none_or(|s| p.at > s));
         let mut requests =
-            processes.flat_map(EndedProcess::blamed).filter(|r| r.parts.contains(&part));
-        let mut common = requests.next().map(|r| r.parts.clone()).unwrap_or_default();
-        common.retain(|c| *c != part);
+            processes.flat_map(EndedProcess::blamed).filter(|r| r.subjects.contains(&subject));
+        let mut common = requests.next().map(|r| r.subjects.clone()).unwrap_or_default();
+        common.retain(|c| *c != subject);
         for request in requests {
-            common.retain(|c| request.parts.contains(c));
+            common.retain(|c| request.subjects.contains(c));
         }
         common
     }
@@ -352,17 +358,17 @@
         let excess = self.processes.len().saturating_sub(MAX_PROCESSES);
         self.processes.drain(..excess);
         self.all_sound.retain(|_, w| w.value_at(now) >= MIN_SOUND);
-        self.parts.retain(|_, part| {
+        self.subjects.retain(|_, subject| {
             let is_recent = |at: Instant| now.since(at) < BELIEF_TTL;
-            let is_rejected = part.belief.suspicion() == Suspicion::Rejected;
-            is_rejected || part.belief.changed().is_none_or(is_recent)
+            let is_rejected = subject.belief.suspicion() == Suspicion::Rejected;
+            is_rejected || subject.belief.changed().is_none_or(is_recent)
         });
-        if self.parts.len() > MAX_PARTS {
+        if self.subjects.len() > MAX_SUBJECTS {
             // Among those as suspect as each other the order is kept, so the oldest are dropped.
-            self.parts
+            self.subjects
                 .sort_by(|_, one, _, other| one.belief.suspicion().cmp(&other.belief.suspicion()));
-            let excess = self.parts.len() - MAX_PARTS;
-            self.parts.drain(..excess);
+            let excess = self.subjects.len() - MAX_SUBJECTS;
+            self.subjects.drain(..excess);
         }
     }
 }
@@ -374,10 +380,10 @@
         self.requests.iter().filter(move |r| r.begun || !any_begun)
     }
 
-    /// Returns the share of a part in the blame for the end of the process, from zero to one.
-    fn share(&self, part: PartId) -> f64 {
+    /// Returns the share of a subject in the blame for the end of the process, from zero to one.
+    fn share(&self, subject: Subject) -> f64 {
         let all = self.blamed().count().max(1);
-        let with_part = self.blamed().filter(|r| r.parts.contains(&part)).count();
+        let with_part = self.blamed().filter(|r| r.subjects.contains(&subject)).count();
         let begun = self.blamed().any(|r| r.begun);
         let factor = if begun { 1.0 } else { WAITING_SHARE };
         factor * with_part as f64 / all as f64
@@ -390,7 +396,7 @@
         self.processes += 1;
     }
 
-    /// Returns the suspicion of a part whose sound runs have a weight, where a share of other runs
+    /// Returns the suspicion of a subject whose sound runs have a weight, where a share of other runs
     /// ends with their targets anyway.
     fn suspicion(&self, sound: f64, ending_rate: f64) -> Suspicion {
         let by_chance = CHANCE.ln() / ending_rate.min(MAX_ENDING_RATE).ln();
--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -1,4 +1,4 @@
-//! Evidence about parts of prompts, as an entry reports it.
+//! Evidence about subjects, as an entry reports it.
 
 use std::fmt;
 
@@ -8,13 +8,18 @@
 use crate::fleet::ProcessId;
 use crate::names::InstanceName;
 
-/// Part of a prompt that several requests may hold.
+/// What several requests have in common that may end their targets.
 #[derive(Clone, Copy, Debug, Eq, Hash, Ord, PartialEq, PartialOrd, Serialize, Deserialize)]
-pub struct PartId(pub u64);
+pub enum Subject {
+    /// Part of a prompt.
+    Part(u64),
+}
 
-impl fmt::Display for PartId {
+impl fmt::Display for Subject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        write!(f, "{:x}", self.0)
+        match self {
+            Self::Part(id) => write!(f, "{id:x}"),
+        }
     }
 }
 
@@ -28,16 +33,16 @@
     /// Whether its answer had begun.
     pub begun: bool,
     /// Parts of the prompt that other requests may hold, with what the entry knows of them.
-    pub parts: Vec<SoundRuns>,
+    pub subjects: Vec<SoundRuns>,
     /// Time since then, in milliseconds.
     pub age_ms: u32,
 }
 
-/// Sound runs of one part at one entry.
+/// Sound runs of one subject at one entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct SoundRuns {
     /// Part.
-    pub part: PartId,
+    pub subject: Subject,
     /// Number of runs in thousandths, older ones counted less.
     pub thousandths: u32,
     /// Time since the last one, in milliseconds.
@@ -51,7 +56,7 @@
     pub reporter: InstanceName,
     /// Runs that ended with their targets.
     pub endings: Vec<Ending>,
-    /// Sound runs of parts under suspicion.
+    /// Sound runs of subjects under suspicion.
     pub sound: Vec<SoundRuns>,
     /// Number of sound runs of the entry, whatever they held, in thousandths; older ones counted less.
     pub all_thousandths: u32,
--- a/hawthornkeel_core/src/quarantine/record.rs
+++ b/hawthornkeel_core/src/quarantine/record.rs
@@ -1,19 +1,19 @@
-//! What is believed of one part of prompts, as instances tell each other.
+//! What is believed of one subject, as instances tell each other.
 
 use std::time::Duration;
 
 use serde::Deserialize;
 use serde::Serialize;
 
-use crate::quarantine::evidence::PartId;
+use crate::quarantine::evidence::Subject;
 use crate::time::Instant;
 
-/// Time after a part was rejected until one request with it may run as a probe.
+/// Time after a subject was rejected until one request with it may run as a probe.
 const FIRST_PROBE: Duration = Duration::from_secs(20);
 /// Longest time between two probes; it doubles up to here.
 const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(640);
 
-/// Suspicion of a part.
+/// Suspicion of a subject.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
 pub enum Suspicion {
     /// None.
@@ -25,7 +25,7 @@
     Rejected,
 }
 
-/// What is believed of a part. Every time only rises as records are merged.
+/// What is believed of a subject. Every time only rises as records are merged.
 #[derive(Clone, Debug, Default, PartialEq)]
 pub(super) struct Belief {
     /// Last time at which it became suspected.
@@ -35,7 +35,7 @@
     /// Time of the last sound run that is known.
     pub(super) sound: Option<Instant>,
     /// Parts that all its evidence holds as well and that are no less suspect.
-    pub(super) companions: Vec<PartId>,
+    pub(super) companions: Vec<Subject>,
     /// Time at which a probe was lent last.
     pub(super) probed: Option<Instant>,
     /// Number of probes since it was rejected.
@@ -60,8 +60,8 @@
         Some(self.probed.unwrap_or(rejected).max(rejected) + interval.min(MAX_PROBE_INTERVAL))
     }
 
-    /// Rejects the part.
-    pub(super) fn reject(&mut self, now: Instant, companions: Vec<PartId>) {
+    /// Rejects the subject.
+    pub(super) fn reject(&mut self, now: Instant, companions: Vec<Subject>) {
         self.suspected = Some(now);
         self.rejected = Some(now);
         self.companions = companions;
@@ -91,11 +91,11 @@
         self.probed = later(self.probed, other.probed);
     }
 
-    /// Returns the record of a part for another instance.
-    pub(super) fn record(&self, now: Instant, part: PartId) -> PartRecord {
+    /// Returns the record of a subject for another instance.
+    pub(super) fn record(&self, now: Instant, subject: Subject) -> SubjectRecord {
         let age = |at: Option<Instant>| at.map(|at| now.millis_since(at));
-        PartRecord {
-            part,
+        SubjectRecord {
+            subject,
             suspected_ms: age(self.suspected),
             rejected_ms: age(self.rejected),
             sound_ms: age(self.sound),
@@ -117,11 +117,11 @@
     }
 }
 
-/// What an instance believes of a part; times are relative to when it is sent, in milliseconds.
+/// What an instance believes of a subject; times are relative to when it is sent, in milliseconds.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
-pub struct PartRecord {
+pub struct SubjectRecord {
     /// Part.
-    pub part: PartId,
+    pub subject: Subject,
     /// Time since it became suspected last.
     pub suspected_ms: Option<u32>,
     /// Time since it became rejected last.
@@ -129,14 +129,14 @@
     /// Time since the last sound run.
     pub sound_ms: Option<u32>,
     /// Parts that all its evidence holds as well: only requests with all of them are rejected.
-    pub companions: Vec<PartId>,
+    pub companions: Vec<Subject>,
     /// Time since a probe was lent last.
     pub probed_ms: Option<u32>,
     /// Number of probes since it was rejected.
     pub probes: u32,
 }
 
-impl PartRecord {
+impl SubjectRecord {
     /// Returns the belief that a record received at `now` tells.
     pub(super) fn belief(&self, now: Instant) -> Belief {
         let at = |ms: Option<u32>| ms.map(|ms| now.before_millis(ms));
--- a/hawthornkeel_core/src/quarantine/sound.rs
+++ b/hawthornkeel_core/src/quarantine/sound.rs
@@ -1,17 +1,17 @@
-//! Sound runs: how often requests with a part of a prompt went well lately.
+//! Sound runs: how often requests with a subject went well lately.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 
-use crate::quarantine::evidence::PartId;
 use crate::quarantine::evidence::SoundRuns;
+use crate::quarantine::evidence::Subject;
 use crate::time::Instant;
 
 /// Time in which the weight of a sound run halves.
 const HALF_LIFE: Duration = Duration::from_secs(10);
-/// Maximum number of parts; the ones not seen for longest go first.
-const MAX_PARTS: usize = 4_096;
+/// Maximum number of subjects; the ones not seen for longest go first.
+const MAX_SUBJECTS: usize = 4_096;
 
 /// Number of sound runs, older ones counted less.
 #[derive(Clone, Copy, Debug, PartialEq)]
@@ -46,35 +46,35 @@
     Weight::new(weight.map_or(0.0, |w| w.value_at(now)) + 1.0, now)
 }
 
-/// Sound runs of all parts that one entry has seen lately.
+/// Sound runs of all subjects that one entry has seen lately.
 #[derive(Clone, Debug, Default)]
 pub struct SoundTable {
-    parts: IndexMap<PartId, Weight>,
+    subjects: IndexMap<Subject, Weight>,
     /// Runs whatever they held.
     all: Option<Weight>,
 }
 
 impl SoundTable {
-    /// Records a sound run of a request with some parts.
-    pub fn record(&mut self, now: Instant, parts: &[PartId]) {
+    /// Records a sound run of a request with some subjects.
+    pub fn record(&mut self, now: Instant, subjects: &[Subject]) {
         self.all = Some(one_more(self.all, now));
-        for part in parts {
-            let weight = one_more(self.parts.get(part).copied(), now);
-            self.parts.insert(*part, weight);
+        for subject in subjects {
+            let weight = one_more(self.subjects.get(subject).copied(), now);
+            self.subjects.insert(*subject, weight);
         }
-        if self.parts.len() > MAX_PARTS {
-            self.parts.sort_by(|_, one, _, other| other.at.cmp(&one.at));
-            self.parts.truncate(MAX_PARTS / 2);
+        if self.subjects.len() > MAX_SUBJECTS {
+            self.subjects.sort_by(|_, one, _, other| other.at.cmp(&one.at));
+            self.subjects.truncate(MAX_SUBJECTS / 2);
         }
     }
 
-    /// Returns the sound runs of a part.
-    pub fn runs(&self, now: Instant, part: PartId) -> SoundRuns {
-        let Some(weight) = self.parts.get(&part) else {
-            return SoundRuns { part, thousandths: 0, age_ms: None };
+    /// Returns the sound runs of a subject.
+    pub fn runs(&self, now: Instant, subject: Subject) -> SoundRuns {
+        let Some(weight) = self.subjects.get(&subject) else {
+            return SoundRuns { subject, thousandths: 0, age_ms: None };
         };
         let age_ms = Some(now.millis_since(weight.at));
-        SoundRuns { part, thousandths: weight.thousandths(now), age_ms }
+        SoundRuns { subject, thousandths: weight.thousandths(now), age_ms }
     }
 
     /// Returns the number of all sound runs in thousandths, older ones counted less.
--- a/hawthornkeel_core/tests/crash_simulation/mod.rs
+++ b/hawthornkeel_core/tests/crash_simulation/mod.rs
@@ -10,9 +10,9 @@
 use hawthornkeel_core::quarantine::board::Board;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
-use hawthornkeel_core::quarantine::record::PartRecord;
+use hawthornkeel_core::quarantine::evidence::Subject;
+use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::quarantine::record::Suspicion;
 use hawthornkeel_core::quarantine::sound::SoundTable;
 use hawthornkeel_core::time::Instant;
@@ -21,9 +21,9 @@
 use rand::rngs::StdRng;
 
 /// Part that all requests hold.
-pub const SHARED_PART: PartId = PartId(1);
+pub const SHARED_PART: Subject = Subject::Part(1);
 /// Part that ends the engines.
-pub const CRASHING_PART: PartId = PartId(2);
+pub const CRASHING_PART: Subject = Subject::Part(2);
 const ENTRIES: usize = 8;
 const ENGINES: usize = 9;
 /// Step of the clock, and time that a message takes, in milliseconds.
@@ -82,7 +82,7 @@
     first_event: u64,
     ends: u64,
     id: u64,
-    parts: Vec<PartId>,
+    parts: Vec<Subject>,
     crashing: bool,
 }
 
@@ -102,7 +102,7 @@
     engines: Vec<(u64, u64)>,
     runs: Vec<Run>,
     to_control: VecDeque<(u64, Evidence)>,
-    to_entries: VecDeque<(u64, Vec<PartRecord>)>,
+    to_entries: VecDeque<(u64, Vec<SubjectRecord>)>,
     mark: u64,
     next_id: u64,
     pub outcome: Outcome,
@@ -140,15 +140,15 @@
     }
 
     /// Returns the suspicion of a part at the control instance.
-    pub fn suspicion(&self, part: PartId) -> Suspicion {
+    pub fn suspicion(&self, part: Subject) -> Suspicion {
         self.control.suspicion(&[part])
     }
 
     /// Returns the parts that any entry rejects.
-    pub fn rejected(&self) -> Vec<PartId> {
+    pub fn rejected(&self) -> Vec<Subject> {
         let suspects = self.entries.iter().flat_map(|e| e.board.suspects());
         let rejected = suspects.filter(|(_, s)| *s == Suspicion::Rejected);
-        let mut parts: Vec<PartId> = rejected.map(|(part, _)| part).collect();
+        let mut parts: Vec<Subject> = rejected.map(|(part, _)| part).collect();
         parts.sort();
         parts.dedup();
         parts
@@ -173,7 +173,7 @@
     fn arrive(&mut self, now: u64) {
         let per_step = STEP_MS as f64 / 1_000.0;
         if self.random.random_bool(self.plan.sound_rate * per_step) {
-            let session = PartId(100 + self.random.random_range(0..self.plan.sessions));
+            let session = Subject::Part(100 + self.random.random_range(0..self.plan.sessions));
             self.begin(now, vec![SHARED_PART, session], false);
         }
         if now >= 5_000 && self.random.random_bool(self.plan.crashing_rate * per_step) {
@@ -181,7 +181,7 @@
         }
     }
 
-    fn begin(&mut self, now: u64, parts: Vec<PartId>, crashing: bool) {
+    fn begin(&mut self, now: u64, parts: Vec<Subject>, crashing: bool) {
         let entry = self.random.random_range(0..ENTRIES);
         if self.entries[entry].board.suspicion(&parts) == Suspicion::Rejected {
             self.outcome.sound_rejected += usize::from(!crashing);
@@ -238,17 +238,17 @@
         if !run.crashing && run.first_event < now {
             return;
         }
-        let parts = run.parts.iter().map(|p| entry.sound.runs(at(now), *p)).collect();
+        let subjects = run.parts.iter().map(|p| entry.sound.runs(at(now), *p)).collect();
         let process = ProcessId(run.engine as u64 * 1_000 + run.process);
         let begun = run.begins <= now;
-        let ending = Ending { process, request: run.id, begun, parts, age_ms: 0 };
+        let ending = Ending { process, request: run.id, begun, subjects, age_ms: 0 };
         self.report(now, run.entry, vec![ending], Vec::new());
     }
 
     fn record_sound(&mut self, now: u64, run: &Run) {
         let entry = &mut self.entries[run.entry];
         entry.sound.record(at(now), &run.parts);
-        let suspects: Vec<PartId> = entry.board.suspects().map(|(part, _)| part).collect();
+        let suspects: Vec<Subject> = entry.board.suspects().map(|(part, _)| part).collect();
         let watched = run.parts.iter().filter(|p| suspects.contains(p));
         let sound: Vec<SoundRuns> = watched.map(|p| entry.sound.runs(at(now), *p)).collect();
         if !sound.is_empty() {
@@ -283,7 +283,7 @@
         }
     }
 
-    fn receive(&mut self, now: u64, entry: usize, records: &[PartRecord]) {
+    fn receive(&mut self, now: u64, entry: usize, records: &[SubjectRecord]) {
         let state = &mut self.entries[entry];
         state.board.merge(at(now), records);
         let suspects = state.board.suspects().map(|(part, _)| part);
--- a/hawthornkeel_core/tests/crashing_parts.rs
+++ b/hawthornkeel_core/tests/crashing_parts.rs
@@ -7,8 +7,8 @@
 use hawthornkeel_core::quarantine::board::SETTLE_TIME;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
-use hawthornkeel_core::quarantine::evidence::PartId;
 use hawthornkeel_core::quarantine::evidence::SoundRuns;
+use hawthornkeel_core::quarantine::evidence::Subject;
 use hawthornkeel_core::quarantine::record::Suspicion;
 use hawthornkeel_core::time::Instant;
 use rstest::rstest;
@@ -91,8 +91,8 @@
     board.settle(at(millis) + SETTLE_TIME);
 }
 
-fn runs(part: PartId) -> SoundRuns {
-    SoundRuns { part, thousandths: 0, age_ms: None }
+fn runs(subject: Subject) -> SoundRuns {
+    SoundRuns { subject, thousandths: 0, age_ms: None }
 }
 
 /// Returns the report of an entry that has seen 100 sound runs, without evidence about a part.
@@ -107,21 +107,21 @@
 }
 
 /// Returns evidence that a process ended under one request with some parts.
-fn ending(process: u64, parts: &[PartId]) -> Evidence {
-    let parts = parts.iter().map(|p| runs(*p)).collect();
+fn ending(process: u64, parts: &[Subject]) -> Evidence {
+    let subjects = parts.iter().map(|p| runs(*p)).collect();
     let process = ProcessId(process);
-    let ending = Ending { process, request: process.0, begun: true, parts, age_ms: 0 };
+    let ending = Ending { process, request: process.0, begun: true, subjects, age_ms: 0 };
     Evidence { endings: vec![ending], ..evidence() }
 }
 
 /// Returns evidence of a sound run.
-fn sound(part: PartId, runs: u32) -> Evidence {
-    let sound = SoundRuns { part, thousandths: runs * 1_000, age_ms: Some(0) };
+fn sound(subject: Subject, runs: u32) -> Evidence {
+    let sound = SoundRuns { subject, thousandths: runs * 1_000, age_ms: Some(0) };
     Evidence { sound: vec![sound], ..evidence() }
 }
 
 /// Returns a board on which the parts were rejected at [`REJECTED_MS`].
-fn rejecting(parts: &[PartId]) -> Board {
+fn rejecting(parts: &[Subject]) -> Board {
     let mut board = Board::default();
     for n in 0..3 {
         judge(&mut board, n * 1_000, &ending(n, parts));
@@ -134,22 +134,22 @@
 fn evidence_of_five_entries_adds_up() {
     let mut board = Board::default();
     for n in 0..5 {
-        let mut evidence = ending(n, &[PartId(7)]);
+        let mut evidence = ending(n, &[Subject::Part(7)]);
         evidence.reporter = format!("e{n}").as_str().into();
         judge(&mut board, n * 700, &evidence);
     }
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Rejected);
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Rejected);
 }
 
 #[test]
 fn one_process_counts_once() {
     let mut board = Board::default();
     for n in 0..20 {
-        let mut evidence = ending(1, &[PartId(7)]);
+        let mut evidence = ending(1, &[Subject::Part(7)]);
         evidence.endings[0].request = n;
         judge(&mut board, n * 1_000, &evidence);
     }
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Clear);
 }
 
 #[test]
@@ -157,7 +157,7 @@
     let mut board = Board::default();
     for n in 0..8 {
         for request in 0..8 {
-            let mut evidence = ending(n, &[PartId(request)]);
+            let mut evidence = ending(n, &[Subject::Part(request)]);
             evidence.endings[0].request = request;
             board.record(at(n * 1_000 + request), &evidence);
         }
@@ -171,7 +171,7 @@
 fn frequent_ends_take_more_evidence() {
     let mut board = Board::default();
     for n in 0..24 {
-        let part = PartId(if n % 6 == 0 { 7 } else { 1_000 + n });
+        let part = Subject::Part(if n % 6 == 0 { 7 } else { 1_000 + n });
         let evidence = Evidence { all_thousandths: 20_000, ..ending(n, &[part]) };
         judge(&mut board, n * 300, &evidence);
     }
@@ -180,31 +180,31 @@
 
 #[test]
 fn one_probe_for_all() {
-    let mut board = rejecting(&[PartId(7)]);
-    assert!(!board.lend_probe(at(REJECTED_MS + 19_999), PartId(7)));
-    assert!(board.lend_probe(at(REJECTED_MS + 20_000), PartId(7)));
-    assert!(!board.lend_probe(at(REJECTED_MS + 20_001), PartId(7)));
+    let mut board = rejecting(&[Subject::Part(7)]);
+    assert!(!board.lend_probe(at(REJECTED_MS + 19_999), Subject::Part(7)));
+    assert!(board.lend_probe(at(REJECTED_MS + 20_000), Subject::Part(7)));
+    assert!(!board.lend_probe(at(REJECTED_MS + 20_001), Subject::Part(7)));
     // The next one is due after twice the time.
-    assert!(!board.lend_probe(at(REJECTED_MS + 59_999), PartId(7)));
-    assert!(board.lend_probe(at(REJECTED_MS + 60_000), PartId(7)));
-    assert!(!board.lend_probe(at(REJECTED_MS + 139_999), PartId(7)));
+    assert!(!board.lend_probe(at(REJECTED_MS + 59_999), Subject::Part(7)));
+    assert!(board.lend_probe(at(REJECTED_MS + 60_000), Subject::Part(7)));
+    assert!(!board.lend_probe(at(REJECTED_MS + 139_999), Subject::Part(7)));
 }
 
 #[test]
 fn sound_probe_ends_the_rejection() {
-    let mut board = rejecting(&[PartId(7)]);
-    assert!(board.lend_probe(at(REJECTED_MS + 20_000), PartId(7)));
-    let changes = board.record(at(23_000), &sound(PartId(7), 1));
+    let mut board = rejecting(&[Subject::Part(7)]);
+    assert!(board.lend_probe(at(REJECTED_MS + 20_000), Subject::Part(7)));
+    let changes = board.record(at(23_000), &sound(Subject::Part(7), 1));
     assert_eq!(changes.len(), 1);
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Clear);
     // What ended before no longer counts.
-    judge(&mut board, 24_000, &ending(9, &[PartId(7)]));
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    judge(&mut board, 24_000, &ending(9, &[Subject::Part(7)]));
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Clear);
 }
 
 #[test]
 fn companion_runs_without_the_part() {
-    let (part, companion) = (PartId(7), PartId(8));
+    let (part, companion) = (Subject::Part(7), Subject::Part(8));
     let mut board = rejecting(&[part, companion]);
     assert_eq!(board.suspicion(&[companion]), Suspicion::Suspected);
     board.record(at(4_000), &sound(companion, 1));
@@ -216,37 +216,37 @@
 #[test]
 fn part_known_to_be_sound_needs_more() {
     let mut board = Board::default();
-    board.record(at(0), &sound(PartId(7), 3));
+    board.record(at(0), &sound(Subject::Part(7), 3));
     for n in 1..=3 {
-        judge(&mut board, n * 700, &ending(n, &[PartId(7)]));
+        judge(&mut board, n * 700, &ending(n, &[Subject::Part(7)]));
     }
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Clear);
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Clear);
     for n in 4..=8 {
-        judge(&mut board, n * 700, &ending(n, &[PartId(7)]));
+        judge(&mut board, n * 700, &ending(n, &[Subject::Part(7)]));
     }
-    assert_eq!(board.suspicion(&[PartId(7)]), Suspicion::Rejected);
+    assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Rejected);
 }
 
 #[test]
 fn records_reach_an_empty_board() {
-    let (board, mut other) = (rejecting(&[PartId(7)]), Board::default());
+    let (board, mut other) = (rejecting(&[Subject::Part(7)]), Board::default());
     let records = board.records(at(2_500));
     assert_eq!(board.missing_in(at(2_500), &other.records(at(2_500))).len(), 1);
     other.merge(at(2_600), &records);
-    assert_eq!(other.suspicion(&[PartId(7)]), Suspicion::Rejected);
+    assert_eq!(other.suspicion(&[Subject::Part(7)]), Suspicion::Rejected);
     assert_eq!(other.mark(), board.mark());
     assert!(board.missing_in(at(2_700), &other.records(at(2_700))).is_empty());
 }
 
 #[test]
 fn exchanges_do_not_delay_a_probe() {
-    let (mut one, mut other) = (rejecting(&[PartId(7)]), Board::default());
+    let (mut one, mut other) = (rejecting(&[Subject::Part(7)]), Board::default());
     for n in 0..1_000 {
         let records = one.records(at(2_000 + n * 10));
         other.merge(at(2_005 + n * 10), &records);
         let records = other.records(at(2_005 + n * 10));
         one.merge(at(2_010 + n * 10), &records);
     }
-    assert!(one.probe_at(PartId(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
-    assert!(other.probe_at(PartId(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
+    assert!(one.probe_at(Subject::Part(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
+    assert!(other.probe_at(Subject::Part(7)).is_some_and(|due| due <= at(REJECTED_MS + 20_250)));
 }
