--- a/hawthornkeel/src/forward/broken_runs.rs
+++ b/hawthornkeel/src/forward/broken_runs.rs
@@ -96,6 +96,7 @@
         born = target.born,
         phase,
         parts = %SubjectList(&request.subjects),
+        work = %SubjectList(&request.works),
         age_ms = request.started.elapsed().as_millis(),
     );
     match context.may_be_repeated(request) {
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -294,6 +294,7 @@
             context.http_client.discard_idle(target.address);
         }
         let was_patient = retry_time < request.deadline;
+        let failure = result.as_ref().err().cloned();
         let outcome = self.record_attempt(request, target, result, was_patient);
         if !matches!(outcome, AttemptOutcome::Responded(_)) {
             tracing::info!(
@@ -301,6 +302,7 @@
                 request = %request.id,
                 target = %target.name,
                 outcome = %outcome,
+                failure = failure.map(tracing::field::display),
             );
         }
         if outcome.is_not_run() {
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -62,6 +62,8 @@
     pub session: u64,
     /// What other requests may have in common with it.
     pub subjects: Box<[Subject]>,
+    /// Identities of the work that it asks for, the most exact one last.
+    pub works: Box<[Subject]>,
     /// Time of arrival.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
@@ -93,6 +95,7 @@
         let objective_deadline = deadline.min(started + admitted.route.objective);
         let parts = subjects::prompt_parts(&head);
         let session = subjects::session_key(&parts).unwrap_or(hash);
+        let works = subjects::works(&head, admitted.workspace.as_ref(), &request.body);
         Some(Self {
             body: request.body,
             id,
@@ -102,7 +105,8 @@
             workspace: admitted.workspace,
             priority: admitted.priority,
             session,
-            subjects: subjects::shared_parts(&parts),
+            subjects: subjects::shared_parts(&parts).collect(),
+            works: works.into_boxed_slice(),
             started,
             objective_deadline,
             deadline,
--- a/hawthornkeel/src/forward/subjects.rs
+++ b/hawthornkeel/src/forward/subjects.rs
@@ -1,7 +1,11 @@
-//! What a request has in common with others: the parts of its prompt.
+//! What a request has in common with others: the parts of its prompt, and the work that it asks for.
 
+use hawthornkeel_core::names::WorkspaceName;
 use hawthornkeel_core::quarantine::evidence::Subject;
 use hawthornkeel_platform::fields;
+use http::header::AUTHORIZATION;
+use http::header::HOST;
+use xxhash_rust::xxh3::Xxh3Default;
 
 use crate::http::message::Head;
 
@@ -22,7 +26,36 @@
 }
 
 /// Returns the parts of a prompt that other requests may hold as well: all but the last.
-pub(super) fn shared_parts(parts: &[u64]) -> Box<[Subject]> {
+pub(super) fn shared_parts(parts: &[u64]) -> impl Iterator<Item = Subject> + '_ {
     let shared = parts.len().saturating_sub(1).min(MAX_SHARED_PARTS);
-    parts.iter().take(shared).map(|id| Subject::Part(*id)).collect()
+    parts.iter().take(shared).map(|id| Subject::Part(*id))
+}
+
+/// Returns the identities of the work that a request asks for, the most exact one last: equal for
+/// requests with the same target resource, caller and body, and for those with the same prompt too.
+pub(super) fn works(head: &Head, workspace: Option<&WorkspaceName>, body: &[u8]) -> Vec<Subject> {
+    let header = |name: &str| head.header(name).unwrap_or_default();
+    let caller = match workspace {
+        Some(workspace) => workspace.as_str(),
+        None => header(AUTHORIZATION.as_str()),
+    };
+    let mut hasher = Xxh3Default::new();
+    let resource = [head.method.as_str(), header(HOST.as_str()), &head.path, &head.query];
+    for text in resource.into_iter().chain([caller]) {
+        hash_field(&mut hasher, text.as_bytes());
+    }
+    hash_field(&mut hasher, body);
+    let mut works = vec![Subject::Work(hasher.digest())];
+    let prompt = [fields::MODEL, fields::TOKEN_COUNTS, fields::PROMPT_PREFIX].map(header);
+    if prompt.iter().any(|text| !text.is_empty()) {
+        prompt.iter().for_each(|text| hash_field(&mut hasher, text.as_bytes()));
+        works.push(Subject::Work(hasher.digest()));
+    }
+    works
+}
+
+/// Adds a field with its length, so that no two lists of fields hash alike.
+fn hash_field(hasher: &mut Xxh3Default, field: &[u8]) {
+    hasher.update(&field.len().to_le_bytes());
+    hasher.update(field);
 }
--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -13,12 +13,14 @@
 pub enum Subject {
     /// Part of a prompt.
     Part(u64),
+    /// Identical work, whatever the identity of the attempt.
+    Work(u64),
 }
 
 impl fmt::Display for Subject {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
-            Self::Part(id) => write!(f, "{id:x}"),
+            Self::Part(id) | Self::Work(id) => write!(f, "{id:x}"),
         }
     }
 }
