--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod document;
 pub mod engines;
+pub mod process;
 pub mod requests;
 pub mod stop_calls;
 pub mod targets;
@@ -77,6 +78,17 @@
     ) -> Option<HttpResponse> {
         call(self.entries[entry], method, path, fields, "")
     }
+
+    /// Posts a body to one of the entries once; returns `None` without a response.
+    pub fn try_post(
+        &self,
+        entry: usize,
+        path: &str,
+        fields: &str,
+        body: &str,
+    ) -> Option<HttpResponse> {
+        call(self.entries[entry], "POST", path, fields, body)
+    }
 }
 
 /// Instance of the harness, running or not.
@@ -366,6 +378,11 @@
         change(&mut self.fakes.lock().unwrap()[at]);
     }
 
+    /// Returns the settings of the fake targets.
+    pub fn fakes(&self) -> &FakeTargets {
+        &self.fakes
+    }
+
     /// Returns the number of requests that a target received so far.
     pub fn request_count(&self, target: &str) -> usize {
         self.requests.lock().unwrap().iter().filter(|r| r.target == target).count()
