--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -375,6 +375,7 @@
                 (AttemptOutcome::Unreached, Some(TargetOutcome::Unreached))
             }
             Err(error) if error.is_unreached() => {
+                broken_runs::record(&self.context, request, target, AnswerPhase::Awaited);
                 (AttemptOutcome::Lost, Some(TargetOutcome::Unreached))
             }
             Err(ExchangeError::TimedOut) if !was_patient => {
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -297,7 +297,12 @@
     ) -> TargetOutcome {
         let (status, outcome) = match &result {
             Ok(response) => (Some(response.status.as_u16()), refusal_outcome(response)),
-            Err(error) if error.is_unreached() => (None, TargetOutcome::Unreached),
+            Err(error) if error.is_not_run() => (None, TargetOutcome::Unreached),
+            Err(error) if error.is_unreached() => {
+                self.record_broken(target);
+                (None, TargetOutcome::Unreached)
+            }
+            Err(error) if error.is_broken_off() => (None, self.record_broken(target)),
             Err(_) => (None, TargetOutcome::Failed),
         };
         tracing::info!(
@@ -321,6 +326,11 @@
         outcome
     }
 
+    /// Records an attempt to resume the stream that its target broke off.
+    fn record_broken(&self, target: &ChosenTarget) -> TargetOutcome {
+        broken_runs::record(&self.context, &self.request, target, AnswerPhase::Awaited)
+    }
+
     /// Chooses a target to resume the stream at, after running the stages again if needed.
     ///
     /// `current` is the target of the stream, if it may still go on. Returns `None` if the stream
