--- a/hawthornkeel/src/forward/broken_runs.rs
+++ b/hawthornkeel/src/forward/broken_runs.rs
@@ -64,12 +64,15 @@
     }
 }
 
-/// Subjects of a request as a log line names them.
-struct SubjectList<'a>(&'a [Subject]);
+/// Subjects of one kind as a log line names them.
+struct SubjectList<'a> {
+    subjects: &'a [Subject],
+    is_listed: fn(&Subject) -> bool,
+}
 
 impl fmt::Display for SubjectList<'_> {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        for (at, subject) in self.0.iter().enumerate() {
+        for (at, subject) in self.subjects.iter().filter(|s| (self.is_listed)(s)).enumerate() {
             let separator = if at == 0 { "" } else { "," };
             write!(f, "{separator}{subject}")?;
         }
@@ -85,6 +88,7 @@
     phase: AnswerPhase,
 ) -> TargetOutcome {
     context.record_broken_run(request, target, phase);
+    let list = |is_listed| SubjectList { subjects: &request.subjects, is_listed };
     let (pool, phase) = (request.pool.name.to_string(), phase.as_str());
     metrics::counter!(telemetry::BROKEN_RUNS, "pool" => pool, "phase" => phase).increment(1);
     tracing::info!(
@@ -95,8 +99,8 @@
         address = %target.address,
         born = target.born,
         phase,
-        parts = %SubjectList(&request.subjects),
-        work = %SubjectList(&request.works),
+        parts = %list(|s| matches!(s, Subject::Part(_))),
+        work = %list(|s| matches!(s, Subject::Work(_))),
         age_ms = request.started.elapsed().as_millis(),
     );
     match context.may_be_repeated(request) {
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -38,6 +38,8 @@
 pub async fn run(context: Rc<Context>, schedulers: Schedulers) {
     let mut index = start_index(&context);
     let mut mark = None;
+    // Control instance that answered the last poll.
+    let mut answering: Option<InstanceName> = None;
     loop {
         let controls = context.directory.instances();
         let Some(control) = controls.get(index.checked_rem(controls.len()).unwrap_or_default())
@@ -51,6 +53,9 @@
             Some(update) => {
                 let age = update.followed.age_ms.map(Duration::from_millis);
                 mark = apply(&context, &schedulers, update, sent).or(mark);
+                if answering.replace(control.clone()).as_ref() != Some(control) {
+                    context.repeat_evidence();
+                }
                 // Without a state yet, the instance may just be waiting for a leader.
                 let is_stale = match age {
                     Some(age) => age > MAX_STATE_AGE,
@@ -62,6 +67,7 @@
                 monoio::time::sleep(MIN_POLL_INTERVAL.saturating_sub(sent.elapsed())).await;
             }
             None => {
+                answering = None;
                 index = index.wrapping_add(1);
                 monoio::time::sleep(RETRY_DELAY).await;
             }
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -16,6 +16,7 @@
 use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::context::Context;
 use crate::forward::exchange_error::ExchangeError;
+use crate::forward::http_client::OutgoingRequest;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::measures;
 use crate::forward::outcome::AttemptOutcome;
@@ -284,6 +285,9 @@
         progress.tried.push(target.name.clone());
         let context = &self.context;
         let outgoing = request.encode_for(target, &progress.results(), None);
+        // Sending it again on another connection is a repeat as well.
+        let retryable = outgoing.retryable && context.may_be_repeated(request);
+        let outgoing = OutgoingRequest { retryable, ..outgoing };
         let retry_time = silence::retry_time(context, request, progress);
         request.may_have_run.set(true);
         let run = target.run();
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -171,7 +171,7 @@
             route = %request.route.name,
             pool = %request.pool.name,
             session = request.session,
-            work = request.works.last().map(tracing::field::display),
+            work = request.subjects.last().map(tracing::field::display),
             version = %request.table.version,
             rank = request.priority,
             outcome,
--- a/hawthornkeel/src/forward/quarantine.rs
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -3,13 +3,13 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::VecDeque;
 use std::rc::Rc;
 use std::time::Duration;
 
 use hawthornkeel_core::fleet::ProcessId;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::quarantine::board::Board;
-use hawthornkeel_core::quarantine::board::SETTLE_TIME;
 use hawthornkeel_core::quarantine::board::SuspicionChange;
 use hawthornkeel_core::quarantine::evidence::Ending;
 use hawthornkeel_core::quarantine::evidence::Evidence;
@@ -40,6 +40,8 @@
 const ASK_INTERVAL: Duration = Duration::from_secs(1);
 /// Time to wait for the answer about a probe.
 const PROBE_TIMEOUT: Duration = Duration::from_millis(400);
+/// Maximum number of reported runs that are remembered for another control instance.
+const MAX_REPORTED: usize = 64;
 /// Shortest time after which the caller of a rejected request is told to come back.
 const MIN_RETRY_AFTER: Duration = Duration::from_secs(5);
 
@@ -50,6 +52,8 @@
     sound: RefCell<SoundTable>,
     /// Runs that are not reported yet.
     pending: RefCell<Vec<Ending>>,
+    /// Runs that were reported last, with the time of the report.
+    reported: RefCell<VecDeque<(Instant, Ending)>>,
     /// Time at which the probe of a subject was asked for last.
     asked: RefCell<IndexMap<Subject, Instant>>,
     /// Mark of the records that a control instance sent last.
@@ -68,15 +72,45 @@
         board.suspects().filter(|(_, s)| *s == Suspicion::Rejected).count()
     }
 
-    /// Returns the sound runs of those among some subjects that are suspect.
-    fn suspect_runs(&self, subjects: Option<&[Subject]>) -> Vec<SoundRuns> {
-        let (board, sound) = (self.board.borrow(), self.sound.borrow());
-        let suspects = board.suspects().map(|(subject, _)| subject);
-        let wanted = suspects.filter(|subject| subjects.is_none_or(|p| p.contains(subject)));
-        let runs = wanted.map(|subject| sound.runs(boot_now(), subject));
+    /// Returns the sound runs of all subjects that are suspect.
+    fn suspect_runs(&self) -> Vec<SoundRuns> {
+        let board = self.board.borrow();
+        self.sound_runs(board.suspects().map(|(subject, _)| subject))
+    }
+
+    /// Returns the sound runs of those among the subjects of a sound request that other instances
+    /// should know.
+    fn news_of_sound_run(&self, subjects: &[Subject]) -> Vec<SoundRuns> {
+        let board = self.board.borrow();
+        let is_news =
+            |s: &Subject| board.suspicion(&[*s]) > Suspicion::Clear || board.awaits_sound_run(*s);
+        self.sound_runs(subjects.iter().copied().filter(is_news))
+    }
+
+    fn sound_runs(&self, subjects: impl Iterator<Item = Subject>) -> Vec<SoundRuns> {
+        let sound = self.sound.borrow();
+        let runs = subjects.map(|subject| sound.runs(boot_now(), subject));
         runs.filter(|r| r.age_ms.is_some()).collect()
     }
 
+    /// Remembers reported endings, the last [`MAX_REPORTED`] of them.
+    fn remember(&self, endings: &[Ending]) {
+        let mut reported = self.reported.borrow_mut();
+        reported.extend(endings.iter().map(|ending| (boot_now(), ending.clone())));
+        let excess = reported.len().saturating_sub(MAX_REPORTED);
+        reported.drain(..excess);
+    }
+
+    /// Returns the endings that were reported, with their age now.
+    fn reported_endings(&self) -> Vec<Ending> {
+        let now = boot_now();
+        let aged = |(at, ending): &(Instant, Ending)| Ending {
+            age_ms: ending.age_ms.saturating_add(now.millis_since(*at)),
+            ..ending.clone()
+        };
+        self.reported.borrow().iter().map(aged).collect()
+    }
+
     /// Returns whether the probe of a subject may be asked for now.
     fn may_ask(&self, subject: Subject) -> bool {
         let now = boot_now();
@@ -95,7 +129,7 @@
         target: &ChosenTarget,
         phase: AnswerPhase,
     ) {
-        if request.subjects.is_empty() || phase == AnswerPhase::Streaming {
+        if phase == AnswerPhase::Streaming {
             return;
         }
         let sound = self.quarantine.sound.borrow();
@@ -103,7 +137,7 @@
             request.subjects.iter().map(|subject| sound.runs(boot_now(), *subject)).collect();
         let ending = Ending {
             process: ProcessId::from(&target.run()),
-            request: xxh3_64(request.id.as_bytes()),
+            request: xxh3_64(request.id.as_bytes()) as u32,
             begun: phase == AnswerPhase::Begun,
             subjects,
             age_ms: 0,
@@ -115,30 +149,31 @@
             monoio::spawn(async move {
                 monoio::time::sleep(REPORT_DELAY).await;
                 let endings = context.quarantine.pending.take();
+                context.quarantine.remember(&endings);
                 context.report_evidence(endings, Vec::new());
-                monoio::time::sleep(SETTLE_TIME).await;
-                context.judge_evidence();
+                context.judge_evidence().await;
             });
         }
     }
 
     /// Judges this entry's own evidence while no control instance does with that of all entries.
-    fn judge_evidence(&self) {
-        let mut board = self.quarantine.board.borrow_mut();
-        if self.watch.age().is_some_and(|age| age < MAX_CONTROL_AGE) {
-            board.defer();
-        } else {
-            log_changes(&board.settle(boot_now()));
+    async fn judge_evidence(&self) {
+        let settles_at = || self.quarantine.board.borrow().settles_at();
+        while let Some(at) = settles_at() {
+            monoio::time::sleep(at.since(boot_now())).await;
+            let mut board = self.quarantine.board.borrow_mut();
+            if self.watch.age().is_some_and(|age| age < MAX_CONTROL_AGE) {
+                board.defer();
+            } else {
+                log_changes(&board.settle(boot_now()));
+            }
         }
     }
 
     /// Records that a request ran without an end of its target.
     pub(super) fn record_sound_run(&self, request: &IncomingRequest) {
-        if request.subjects.is_empty() {
-            return;
-        }
         self.quarantine.sound.borrow_mut().record(boot_now(), &request.subjects);
-        let sound = self.quarantine.suspect_runs(Some(&request.subjects));
+        let sound = self.quarantine.news_of_sound_run(&request.subjects);
         if !sound.is_empty() {
             self.report_evidence(Vec::new(), sound);
         }
@@ -202,7 +237,7 @@
             count = records.len(),
             rejected = self.quarantine.rejected_count(),
         );
-        let sound = self.quarantine.suspect_runs(None);
+        let sound = self.quarantine.suspect_runs();
         if !sound.is_empty() {
             self.report_evidence(Vec::new(), sound);
         }
@@ -218,6 +253,15 @@
         matches!(answer, Ok(Frame::ProbeLent(true)))
     }
 
+    /// Reports the last endings once more, to a control instance that may not know them.
+    pub(super) fn repeat_evidence(&self) {
+        let endings = self.quarantine.reported_endings();
+        if !endings.is_empty() {
+            tracing::info!(event = "evidence-repeated", count = endings.len());
+            self.report_evidence(endings, self.quarantine.suspect_runs());
+        }
+    }
+
     /// Adds evidence to this entry's board and reports it to the control instance that it polls.
     fn report_evidence(&self, endings: Vec<Ending>, sound: Vec<SoundRuns>) {
         let reporter = self.endpoint.name().clone();
--- a/hawthornkeel/src/forward/quarantine_server.rs
+++ b/hawthornkeel/src/forward/quarantine_server.rs
@@ -11,7 +11,6 @@
 
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::quarantine::board::Board;
-use hawthornkeel_core::quarantine::board::SETTLE_TIME;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::record::SubjectRecord;
 use hawthornkeel_core::time::Instant;
@@ -121,11 +120,7 @@
         log_changes(&self.inner.board.borrow_mut().record(boot_now(), &evidence));
         if !evidence.endings.is_empty() {
             let server = self.clone();
-            monoio::spawn(async move {
-                monoio::time::sleep(SETTLE_TIME).await;
-                log_changes(&server.inner.board.borrow_mut().settle(boot_now()));
-                server.publish();
-            });
+            monoio::spawn(async move { server.judge().await });
         }
         self.publish();
         if !evidence.relayed {
@@ -133,6 +128,16 @@
         }
     }
 
+    /// Judges what was recorded until nothing is due any more.
+    async fn judge(&self) {
+        let settles_at = || self.inner.board.borrow().settles_at();
+        while let Some(at) = settles_at() {
+            monoio::time::sleep(at.since(boot_now())).await;
+            log_changes(&self.inner.board.borrow_mut().settle(boot_now()));
+            self.publish();
+        }
+    }
+
     /// Wakes the polls of entries if the beliefs have changed.
     fn publish(&self) {
         let mark = self.inner.board.borrow().mark();
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -60,10 +60,9 @@
     pub priority: u16,
     /// Affinity key, equal for requests that share a prompt prefix.
     pub session: u64,
-    /// What other requests may have in common with it.
+    /// What other requests may have in common with it: parts of its prompt, then the identities of the
+    /// work, the most exact one last.
     pub subjects: Box<[Subject]>,
-    /// Identities of the work that it asks for, the most exact one last.
-    pub works: Box<[Subject]>,
     /// Time of arrival.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
@@ -105,8 +104,7 @@
             workspace: admitted.workspace,
             priority: admitted.priority,
             session,
-            subjects: subjects::shared_parts(&parts).collect(),
-            works: works.into_boxed_slice(),
+            subjects: subjects::shared_parts(&parts).chain(works).collect(),
             started,
             objective_deadline,
             deadline,
--- a/hawthornkeel/tests/peer_frames.rs
+++ b/hawthornkeel/tests/peer_frames.rs
@@ -192,11 +192,14 @@
         thousandths: 20_000,
         age_ms: Some(60_000),
     };
+    // Work that comes again has no sound runs.
+    let work =
+        |n: u64| SoundRuns { subject: Subject::Work(u64::MAX - n), thousandths: 0, age_ms: None };
     let ending = |n: u64| Ending {
         process: ProcessId(u64::MAX - n),
-        request: u64::MAX - n,
+        request: u32::MAX - n as u32,
         begun: true,
-        subjects: (0..3).map(part).collect(),
+        subjects: (0..3).map(part).chain((0..2).map(work)).collect(),
         age_ms: 20,
     };
     let evidence = |count: u64| {
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -1,18 +1,18 @@
 //! Adds up the evidence about subjects and decides which requests are rejected.
 //!
-//! The process of a target can end under many requests, so it blames each of them by its share only.
-//! Requests whose answers had begun without an event go before those that were still waiting. A
-//! subject that went well later than a process ended under it is not blamed for that process, and its
-//! sound runs before weigh against the rest. The more runs end with their targets anyway, whatever
-//! they hold, the more it takes: chance alone is to blame no subject.
+//! A subject that went well later than a process ended under it is not blamed for that process, and
+//! its sound runs before weigh against the rest. The more runs end with their targets anyway,
+//! whatever they hold, the more it takes: chance alone is to blame no subject.
 
 use std::time::Duration;
 
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64;
 
-use crate::fleet::ProcessId;
 use crate::names::InstanceName;
+use crate::quarantine::endings::Blame;
+use crate::quarantine::endings::EVIDENCE_TTL;
+use crate::quarantine::endings::Endings;
 use crate::quarantine::evidence::Ending;
 use crate::quarantine::evidence::Evidence;
 use crate::quarantine::evidence::SoundRuns;
@@ -45,20 +45,12 @@
 /// All entries report their sound runs of it meanwhile, and what ends many processes at the same
 /// moment rejects no subject.
 const MIN_SUSPICION: Duration = Duration::from_millis(600);
-/// Share of the blame of a process that the requests waiting for it take, if none had begun.
-const WAITING_SHARE: f64 = 0.5;
-/// Time for which evidence counts.
-const EVIDENCE_TTL: Duration = Duration::from_secs(600);
 /// Time after which what is believed of a subject that is not rejected is forgotten.
-const BELIEF_TTL: Duration = Duration::from_secs(60);
+const BELIEF_TTL: Duration = EVIDENCE_TTL;
 /// Largest share of other runs that is assumed to end with their targets.
 const MAX_ENDING_RATE: f64 = 0.9;
 /// Weight below which the sound runs of an entry are forgotten.
 const MIN_SOUND: f64 = 0.001;
-/// Maximum number of processes with evidence; the oldest go first.
-const MAX_PROCESSES: usize = 256;
-/// Maximum number of requests counted for each process.
-const MAX_REQUESTS: usize = 64;
 /// Maximum number of subjects of which something is believed.
 const MAX_SUBJECTS: usize = 1_024;
 
@@ -80,7 +72,7 @@
 /// Evidence about subjects and what is believed of them.
 #[derive(Clone, Debug, Default)]
 pub struct Board {
-    processes: IndexMap<ProcessId, EndedProcess>,
+    endings: Endings,
     subjects: IndexMap<Subject, KnownSubject>,
     /// Sound runs of each entry, whatever they held.
     all_sound: IndexMap<InstanceName, Weight>,
@@ -88,20 +80,6 @@
     pending: IndexMap<Subject, Instant>,
 }
 
-/// Process that ended under requests.
-#[derive(Clone, Debug)]
-struct EndedProcess {
-    at: Instant,
-    requests: Vec<EndedRequest>,
-}
-
-#[derive(Clone, Debug)]
-struct EndedRequest {
-    request: u64,
-    begun: bool,
-    subjects: Vec<Subject>,
-}
-
 #[derive(Clone, Debug, Default)]
 struct KnownSubject {
     belief: Belief,
@@ -115,17 +93,10 @@
     }
 }
 
-/// Blame of a subject by the processes that ended under it.
-#[derive(Clone, Copy, Debug, Default)]
-struct Blame {
-    value: f64,
-    processes: usize,
-}
-
 impl Board {
     /// Adds evidence, and returns the subjects that it clears.
     ///
-    /// Call [`Board::settle`] once [`SETTLE_TIME`] has passed.
+    /// Call [`Board::settle`] at [`Board::settles_at`].
     pub fn record(&mut self, now: Instant, evidence: &Evidence) -> Vec<SuspicionChange> {
         let ending_parts = evidence.endings.iter().flat_map(|e| e.subjects.iter());
         let all_sound = Weight::from_thousandths(evidence.all_thousandths, now);
@@ -145,16 +116,20 @@
         cleared.into_iter().map(|subject| self.change(now, subject)).collect()
     }
 
-    /// Judges the subjects of what was recorded, and returns those that are suspect now.
+    /// Judges the subjects that are due, and returns those whose suspicion changes.
     pub fn settle(&mut self, now: Instant) -> Vec<SuspicionChange> {
-        let is_settled = |at: &Instant| now.since(*at) >= SETTLE_TIME;
-        let due = self.pending.iter().filter(|(_, at)| is_settled(at));
+        let due = self.pending.iter().filter(|(_, at)| **at <= now);
         let due: Vec<Subject> = due.map(|(subject, _)| *subject).collect();
-        self.pending.retain(|_, at| !is_settled(at));
-        let changed: Vec<Subject> = due.into_iter().filter(|p| self.judge(now, *p)).collect();
+        self.pending.retain(|_, at| *at > now);
+        let changed: Vec<Subject> = due.into_iter().filter(|s| self.judge(now, *s)).collect();
         changed.into_iter().map(|subject| self.change(now, subject)).collect()
     }
 
+    /// Returns the time from which on [`Board::settle`] judges the next subject.
+    pub fn settles_at(&self) -> Option<Instant> {
+        self.pending.values().min().copied()
+    }
+
     /// Leaves the judgement of what was recorded to another instance.
     pub fn defer(&mut self) {
         self.pending.clear();
@@ -238,6 +213,13 @@
         xxh3_64(texts.concat().as_bytes()).max(1)
     }
 
+    /// Returns whether a sound run of a subject would be news: it is work under which processes have
+    /// ended since the last one.
+    pub fn awaits_sound_run(&self, subject: Subject) -> bool {
+        let is_work = matches!(subject, Subject::Work(_));
+        is_work && self.subjects.contains_key(&subject) && self.blame(subject).processes > 0
+    }
+
     /// Returns the subjects that are suspect.
     pub fn suspects(&self) -> impl Iterator<Item = (Subject, Suspicion)> + '_ {
         let suspicion =
@@ -256,19 +238,10 @@
     }
 
     fn record_ending(&mut self, now: Instant, ending: &Ending) {
-        let at = now.before_millis(ending.age_ms);
-        let process = self
-            .processes
-            .entry(ending.process)
-            .or_insert_with(|| EndedProcess { at, requests: Vec::new() });
-        let is_known = process.requests.iter().any(|r| r.request == ending.request);
-        if is_known || process.requests.len() >= MAX_REQUESTS {
-            return;
+        if self.endings.record(now, ending) {
+            let subjects = ending.subjects.iter().map(|runs| runs.subject);
+            self.pending.extend(subjects.map(|subject| (subject, now + SETTLE_TIME)));
         }
-        let subjects: Vec<Subject> = ending.subjects.iter().map(|runs| runs.subject).collect();
-        self.pending.extend(subjects.iter().map(|subject| (*subject, now)));
-        let Ending { request, begun, .. } = *ending;
-        process.requests.push(EndedRequest { request, begun, subjects });
     }
 
     fn record_sound(&mut self, now: Instant, reporter: &InstanceName, runs: &SoundRuns) {
@@ -281,30 +254,44 @@
 
     /// Decides on the suspicion of a subject, and returns whether that changes it.
     fn judge(&mut self, now: Instant, id: Subject) -> bool {
-        let blame = self.blame(now, id);
+        let blame = self.blame(id);
         let ending_rate = self.ending_rate(now, id);
         let companions = self.companions(id);
-        let Some(subject) = self.subjects.get_mut(&id) else { return false };
-        let before = subject.belief.suspicion();
-        let was_suspect = subject.belief.suspected.is_some_and(|at| now.since(at) >= MIN_SUSPICION);
-        match blame.suspicion(subject.sound_weight(now), ending_rate) {
+        let Some(known) = self.subjects.get_mut(&id) else { return false };
+        let before = known.belief.suspicion();
+        let suspected = known.belief.suspected;
+        match suspicion(blame, known.sound_weight(now), ending_rate) {
             Suspicion::Rejected if before == Suspicion::Rejected => {
-                subject.belief.companions.retain(|c| companions.contains(c));
+                known.belief.companions.retain(|c| companions.contains(c));
             }
-            Suspicion::Rejected if before == Suspicion::Suspected && was_suspect => {
-                subject.belief.reject(now, companions);
+            Suspicion::Rejected if before == Suspicion::Suspected => {
+                let due = suspected.map_or(now, |at| at + MIN_SUSPICION);
+                if due <= now {
+                    known.belief.reject(now, companions);
+                } else {
+                    self.judge_again(id, due);
+                }
             }
             Suspicion::Rejected | Suspicion::Suspected if before == Suspicion::Clear => {
-                subject.belief.suspected = Some(now);
+                known.belief.suspected = Some(now);
+                self.judge_again(id, now + MIN_SUSPICION);
             }
             _ => {}
         }
-        subject.belief.suspicion() != before
+        self.suspicion_of(id) != before
+    }
+
+    /// Has work judged again without another end: what ends many processes at the same moment ends
+    /// each of them under other work, but may do so under the same parts of prompts.
+    fn judge_again(&mut self, id: Subject, due: Instant) {
+        if matches!(id, Subject::Work(_)) {
+            self.pending.insert(id, due);
+        }
     }
 
     /// Describes the suspicion of a subject.
     fn change(&self, now: Instant, subject: Subject) -> SuspicionChange {
-        let Blame { value, processes } = self.blame(now, subject);
+        let Blame { value, processes } = self.blame(subject);
         SuspicionChange {
             subject,
             suspicion: self.suspicion_of(subject),
@@ -314,49 +301,30 @@
         }
     }
 
+    fn sound_at(&self, subject: Subject) -> Option<Instant> {
+        self.subjects.get(&subject).and_then(|known| known.belief.sound)
+    }
+
     /// Returns the blame of a subject by the processes that ended after its last sound run.
-    fn blame(&self, now: Instant, subject: Subject) -> Blame {
-        let sound = self.subjects.get(&subject).and_then(|p| p.belief.sound);
-        let mut blame = Blame::default();
-        for process in self.processes.values().filter(|p| sound.is_none_or(|s| p.at > s)) {
-            let share = process.share(subject);
-            if share > 0.0 && now.since(process.at) < EVIDENCE_TTL {
-                blame.add(share);
-            }
-        }
-        blame
+    fn blame(&self, subject: Subject) -> Blame {
+        self.endings.blame(subject, &|s| self.sound_at(s))
     }
 
     /// Returns the share of the runs without a subject that end with their targets.
     fn ending_rate(&self, now: Instant, subject: Subject) -> f64 {
-        let without = |p: &EndedProcess| {
-            let others = p.requests.iter().filter(|r| r.begun && !r.subjects.contains(&subject));
-            Weight::new(others.count() as f64, p.at).value_at(now)
-        };
-        let endings: f64 = self.processes.values().map(without).sum();
+        let endings = self.endings.weight_without(now, subject);
         let sound: f64 = self.all_sound.values().map(|w| w.value_at(now)).sum();
         (endings + PRIOR_ENDINGS) / (endings + sound + PRIOR_RUNS)
     }
 
     /// Returns the other subjects that all requests hold which are counted against a subject.
     fn companions(&self, subject: Subject) -> Vec<Subject> {
-        let sound = self.subjects.get(&subject).and_then(|p| p.belief.sound);
-        let processes = self.processes.values().filter(|p| sound.is_none_or(|s| p.at > s));
-        let mut requests =
-            processes.flat_map(EndedProcess::blamed).filter(|r| r.subjects.contains(&subject));
-        let mut common = requests.next().map(|r| r.subjects.clone()).unwrap_or_default();
-        common.retain(|c| *c != subject);
-        for request in requests {
-            common.retain(|c| request.subjects.contains(c));
-        }
-        common
+        self.endings.companions(subject, self.sound_at(subject))
     }
 
     /// Forgets what is too old or too much.
     fn expire(&mut self, now: Instant) {
-        self.processes.retain(|_, p| now.since(p.at) < EVIDENCE_TTL);
-        let excess = self.processes.len().saturating_sub(MAX_PROCESSES);
-        self.processes.drain(..excess);
+        self.endings.expire(now);
         self.all_sound.retain(|_, w| w.value_at(now) >= MIN_SOUND);
         self.subjects.retain(|_, subject| {
             let is_recent = |at: Instant| now.since(at) < BELIEF_TTL;
@@ -373,44 +341,20 @@
     }
 }
 
-impl EndedProcess {
-    /// Returns the requests that are blamed: those whose answers had begun, or else all.
-    fn blamed(&self) -> impl Iterator<Item = &EndedRequest> {
-        let any_begun = self.requests.iter().any(|r| r.begun);
-        self.requests.iter().filter(move |r| r.begun || !any_begun)
-    }
-
-    /// Returns the share of a subject in the blame for the end of the process, from zero to one.
-    fn share(&self, subject: Subject) -> f64 {
-        let all = self.blamed().count().max(1);
-        let with_part = self.blamed().filter(|r| r.subjects.contains(&subject)).count();
-        let begun = self.blamed().any(|r| r.begun);
-        let factor = if begun { 1.0 } else { WAITING_SHARE };
-        factor * with_part as f64 / all as f64
-    }
-}
-
-impl Blame {
-    fn add(&mut self, share: f64) {
-        self.value += share;
-        self.processes += 1;
-    }
-
-    /// Returns the suspicion of a subject whose sound runs have a weight, where a share of other runs
-    /// ends with their targets anyway.
-    fn suspicion(&self, sound: f64, ending_rate: f64) -> Suspicion {
-        let by_chance = CHANCE.ln() / ending_rate.min(MAX_ENDING_RATE).ln();
-        let processes = self.processes as f64;
-        let reached = |share: f64| {
-            let enough_blame = self.value - sound >= REJECTED_BLAME * share;
-            enough_blame && processes - sound >= by_chance * share
-        };
-        if self.processes >= REJECTED_PROCESSES && reached(1.0) {
-            Suspicion::Rejected
-        } else if self.processes >= SUSPECTED_PROCESSES && reached(SUSPECTED_SHARE) {
-            Suspicion::Suspected
-        } else {
-            Suspicion::Clear
-        }
+/// Returns the suspicion of a subject with some blame whose sound runs have a weight, where a share of
+/// other runs ends with their targets anyway.
+fn suspicion(blame: Blame, sound: f64, ending_rate: f64) -> Suspicion {
+    let by_chance = CHANCE.ln() / ending_rate.min(MAX_ENDING_RATE).ln();
+    let processes = blame.processes as f64;
+    let reached = |share: f64| {
+        let enough_blame = blame.value - sound >= REJECTED_BLAME * share;
+        enough_blame && processes - sound >= by_chance * share
+    };
+    if blame.processes >= REJECTED_PROCESSES && reached(1.0) {
+        Suspicion::Rejected
+    } else if blame.processes >= SUSPECTED_PROCESSES && reached(SUSPECTED_SHARE) {
+        Suspicion::Suspected
+    } else {
+        Suspicion::Clear
     }
 }
--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -31,7 +31,7 @@
     /// Process that broke it off.
     pub process: ProcessId,
     /// Hash of the request's identity.
-    pub request: u64,
+    pub request: u32,
     /// Whether its answer had begun.
     pub begun: bool,
     /// Parts of the prompt that other requests may hold, with what the entry knows of them.
--- a/hawthornkeel_core/src/quarantine/mod.rs
+++ b/hawthornkeel_core/src/quarantine/mod.rs
@@ -10,3 +10,5 @@
 pub mod evidence;
 pub mod record;
 pub mod sound;
+
+mod endings;
--- a/hawthornkeel_core/tests/crashing_parts.rs
+++ b/hawthornkeel_core/tests/crashing_parts.rs
@@ -85,6 +85,53 @@
     }
 }
 
+/// Number of ends under a work after which it is to be known, and repeats of it that may reach engines
+/// later than the contact window from then on, as the users' rule has it.
+const KNOWN_ENDS: usize = 3;
+const MAX_LATE_REPEATS: usize = 3;
+
+/// Returns the number of repeats of the crashing work that were sent too late by entries in touch.
+fn late_repeats(simulation: &Simulation) -> usize {
+    let Some(third) = simulation.outcome.work_crashes.get(KNOWN_ENDS - 1) else { return 0 };
+    let sent = simulation.outcome.work_sent.iter();
+    sent.filter(|s| **s > third + CONTACT_WINDOW_MS).count()
+}
+
+// The same request ended engine after engine, and took the sound ones of its session with it.
+#[rstest]
+fn crashing_work_is_rejected(
+    #[values(0.1, 1.0, 8.0)] work_rate: f64,
+    #[values(0.0, 0.05)] crash_chance: f64,
+) {
+    for seed in 0..20 {
+        let plan = Plan { seed, work_rate, crash_chance, ..Plan::default() };
+        let simulation = Simulation::play(plan, 2 * PLAYED_MS);
+        let outcome = &simulation.outcome;
+        assert!(!outcome.work_crashes.is_empty(), "seed {seed}: {outcome:?}");
+        assert!(late_repeats(&simulation) <= MAX_LATE_REPEATS, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_rejected, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
+// Entries that have just started, were cut off or did not hear of it sent the request on.
+#[test]
+fn crashing_work_is_rejected_by_changing_entries() {
+    for seed in 0..40 {
+        let plan = Plan {
+            seed,
+            work_rate: 4.0,
+            restart_chance: 0.05,
+            cut_chance: 0.02,
+            loss: 0.1,
+            ..Plan::default()
+        };
+        let simulation = Simulation::play(plan, 2 * PLAYED_MS);
+        let outcome = &simulation.outcome;
+        assert!(late_repeats(&simulation) <= MAX_LATE_REPEATS, "seed {seed}: {outcome:?}");
+        assert_eq!(outcome.sound_rejected, 0, "seed {seed}: {outcome:?}");
+    }
+}
+
 /// Records evidence and judges it.
 fn judge(board: &mut Board, millis: u64, evidence: &Evidence) {
     board.record(at(millis), evidence);
@@ -110,7 +157,7 @@
 fn ending(process: u64, parts: &[Subject]) -> Evidence {
     let subjects = parts.iter().map(|p| runs(*p)).collect();
     let process = ProcessId(process);
-    let ending = Ending { process, request: process.0, begun: true, subjects, age_ms: 0 };
+    let ending = Ending { process, request: process.0 as u32, begun: true, subjects, age_ms: 0 };
     Evidence { endings: vec![ending], ..evidence() }
 }
 
@@ -146,7 +193,7 @@
     let mut board = Board::default();
     for n in 0..20 {
         let mut evidence = ending(1, &[Subject::Part(7)]);
-        evidence.endings[0].request = n;
+        evidence.endings[0].request = n as u32;
         judge(&mut board, n * 1_000, &evidence);
     }
     assert_eq!(board.suspicion(&[Subject::Part(7)]), Suspicion::Clear);
@@ -158,7 +205,7 @@
     for n in 0..8 {
         for request in 0..8 {
             let mut evidence = ending(n, &[Subject::Part(request)]);
-            evidence.endings[0].request = request;
+            evidence.endings[0].request = request as u32;
             board.record(at(n * 1_000 + request), &evidence);
         }
         board.settle(at(n * 1_000) + SETTLE_TIME * 2);
