--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -269,29 +269,29 @@
                 if due <= now {
                     known.belief.reject(now, companions);
                 } else {
-                    self.judge_again(id, due);
+                    self.judge_again(id, blame, due);
                 }
             }
             Suspicion::Rejected | Suspicion::Suspected if before == Suspicion::Clear => {
                 known.belief.suspected = Some(now);
-                self.judge_again(id, now + MIN_SUSPICION);
+                self.judge_again(id, blame, now + MIN_SUSPICION);
             }
             _ => {}
         }
         self.suspicion_of(id) != before
     }
 
-    /// Has work judged again without another end: what ends many processes at the same moment ends
-    /// each of them under other work, but may do so under the same parts of prompts.
-    fn judge_again(&mut self, id: Subject, due: Instant) {
-        if matches!(id, Subject::Work(_)) {
+    /// Has a subject judged again without another end, unless it may be a part of prompts under which
+    /// many processes ended at the same moment.
+    fn judge_again(&mut self, id: Subject, blame: Blame, due: Instant) {
+        if matches!(id, Subject::Work(_)) || blame.moments >= REJECTED_PROCESSES {
             self.pending.insert(id, due);
         }
     }
 
     /// Describes the suspicion of a subject.
     fn change(&self, now: Instant, subject: Subject) -> SuspicionChange {
-        let Blame { value, processes } = self.blame(subject);
+        let Blame { value, processes, .. } = self.blame(subject);
         SuspicionChange {
             subject,
             suspicion: self.suspicion_of(subject),
--- a/hawthornkeel_core/src/quarantine/endings.rs
+++ b/hawthornkeel_core/src/quarantine/endings.rs
@@ -20,6 +20,8 @@
 pub(super) const EVIDENCE_TTL: Duration = Duration::from_secs(3_600);
 /// Time within which the runs that one end breaks off are reported.
 const SAME_END: Duration = Duration::from_millis(500);
+/// Time between two ends from which on they are not of the same moment.
+const MOMENT: Duration = Duration::from_millis(150);
 /// Share of the blame of a process that the requests waiting for it take, if none had begun.
 const WAITING_SHARE: f64 = 0.5;
 /// Maximum number of processes with evidence; the oldest go first.
@@ -34,6 +36,8 @@
     pub(super) value: f64,
     /// Number of these processes.
     pub(super) processes: usize,
+    /// Number of times at which they ended, those of one moment counted once.
+    pub(super) moments: usize,
 }
 
 /// Processes that ended under requests.
@@ -89,6 +93,7 @@
 
     fn blame_of_part(&self, part: Subject, since: Option<Instant>) -> Blame {
         let mut blame = Blame::default();
+        let mut times = Vec::new();
         let mut counted = IndexSet::new();
         for process in self.processes.values() {
             let Some(at) = process.ended_under(part, since) else { continue };
@@ -97,9 +102,11 @@
             let share = process.share_of_part(part, at);
             if share > 0.0 && !works.iter().any(|w| counted.contains(w)) {
                 blame.add(share);
+                times.push(at);
             }
             counted.extend(works);
         }
+        blame.moments = count_moments(times);
         blame
     }
 
@@ -110,6 +117,7 @@
         sound: &dyn Fn(Subject) -> Option<Instant>,
     ) -> Blame {
         let mut blame = Blame::default();
+        let mut times = Vec::new();
         let ends = self.end_count(work, since);
         for process in self.processes.values() {
             let Some(at) = process.ended_under(work, since) else { continue };
@@ -123,7 +131,9 @@
             };
             let rivals = process.blamed(work, at).filter(is_rival).count();
             blame.add(1.0 / (1 + rivals) as f64);
+            times.push(at);
         }
+        blame.moments = count_moments(times);
         blame
     }
 
@@ -225,3 +235,17 @@
         self.processes += 1;
     }
 }
+
+/// Returns the number of times that are apart from the ones before.
+fn count_moments(mut times: Vec<Instant>) -> usize {
+    times.sort();
+    let mut last = None;
+    let is_apart = |at: &&Instant| {
+        let apart = last.is_none_or(|last| at.since(last) >= MOMENT);
+        if apart {
+            last = Some(**at);
+        }
+        apart
+    };
+    times.iter().filter(is_apart).count()
+}
--- a/hawthornkeel_core/tests/crashing_parts.rs
+++ b/hawthornkeel_core/tests/crashing_parts.rs
@@ -38,9 +38,10 @@
     sent.filter(|s| **s > fifth + CONTACT_WINDOW_MS).count()
 }
 
+// Where all engines were down at once, nothing was left to end after the part was suspected.
 #[rstest]
 fn crashing_part_is_rejected(#[values(0.5, 2.0, 6.0)] crashing_rate: f64) {
-    for seed in 0..20 {
+    for seed in 0..60 {
         let simulation =
             Simulation::play(Plan { seed, crashing_rate, ..Plan::default() }, PLAYED_MS);
         let outcome = &simulation.outcome;
