--- a/hawthornkeel_core/src/quarantine/record.rs
+++ b/hawthornkeel_core/src/quarantine/record.rs
@@ -10,8 +10,10 @@
 
 /// Time after a subject was rejected until one request with it may run as a probe.
 const FIRST_PROBE: Duration = Duration::from_secs(20);
-/// Longest time between two probes; it doubles up to here.
-const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(640);
+/// Factor by which the time to each further probe grows: each that fails ends one more target.
+const PROBE_GROWTH: u32 = 8;
+/// Longest time between two probes.
+const MAX_PROBE_INTERVAL: Duration = Duration::from_secs(6 * 3_600);
 
 /// Suspicion of a subject.
 #[derive(Clone, Copy, Debug, Default, Eq, Ord, PartialEq, PartialOrd)]
@@ -56,7 +58,7 @@
     /// Returns the time from which the next probe may be lent.
     pub(super) fn probe_at(&self) -> Option<Instant> {
         let rejected = self.rejected.filter(|_| self.suspicion() == Suspicion::Rejected)?;
-        let interval = FIRST_PROBE * 2_u32.saturating_pow(self.probes.min(8));
+        let interval = FIRST_PROBE.saturating_mul(PROBE_GROWTH.saturating_pow(self.probes));
         Some(self.probed.unwrap_or(rejected).max(rejected) + interval.min(MAX_PROBE_INTERVAL))
     }
 
