--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -9,6 +9,7 @@
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::placement::retries::MAX_TARGETS;
 use hawthornkeel_core::request::refusal::RunStatus;
+use hawthornkeel_platform::fields;
 
 use crate::clock::boot_now;
 use crate::forward::access;
@@ -108,6 +109,7 @@
 impl ForwardHandler {
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
+        log_take_up(&request);
         if !self.context.admits_prompt(&request).await {
             return end_with(&request, &progress, self.context.crashing_prompt(&request));
         }
@@ -408,6 +410,7 @@
         target: ChosenTarget,
     ) -> Response {
         let status = response.status;
+        progress.software = Some(target.version.clone());
         progress.response_began = request.started.elapsed();
         measures::response_began(&request, progress.response_began);
         self.context.record_latency(
@@ -513,6 +516,13 @@
     }
 }
 
+/// Logs a request that takes up a stream.
+fn log_take_up(request: &IncomingRequest) {
+    let Some(last) = request.head.header(fields::LAST_EVENT_ID) else { return };
+    let (id, resumes) = (&request.id, request.head.header(fields::RESUMES));
+    tracing::info!(event = "stream-taken-up", request = %id, resumes, last);
+}
+
 /// Logs the end of a request with a problem, and returns its response.
 fn end_with(request: &IncomingRequest, progress: &RequestProgress, problem: Problem) -> Response {
     progress.log_end(request, problem.code.as_str(), problem.code.status().as_u16());
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use hawthornkeel_core::names::SoftwareVersion;
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::balancer::NoTarget;
@@ -40,6 +41,8 @@
     pub stages_done: Duration,
     /// Time from arrival until the response began.
     pub response_began: Duration,
+    /// Version of the software whose response began.
+    pub software: Option<SoftwareVersion>,
 }
 
 impl Drop for RequestProgress {
@@ -68,6 +71,7 @@
             ended: Cell::new(false),
             stages_done: Duration::ZERO,
             response_began: Duration::ZERO,
+            software: None,
         }
     }
 
@@ -179,6 +183,7 @@
             time_ms = ms(request.deadline.saturating_duration_since(request.started)),
             tries = self.tried.len(),
             target = self.tried.last().map(TargetName::as_str),
+            software = self.software.as_ref().map(SoftwareVersion::as_str),
             staged_ms = ms(self.stages_done),
             planned_ms = self.outputs.borrow().estimate.map(|e| ms(e.until_response)),
             pace = self.outputs.borrow().estimate.map(|e| e.timeliness.as_str()),
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -156,6 +156,7 @@
                 event = "stream-broken",
                 request = %self.request.id,
                 target = %target.name,
+                software = %target.version,
                 last = events.last_id(),
                 failure = %cause,
             );
@@ -277,6 +278,7 @@
                         event = "stream-resumed",
                         request = %self.request.id,
                         target = %target.name,
+                        software = %target.version,
                         last,
                     );
                     self.progress.release_outputs();
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -14,6 +14,7 @@
 use crate::names::CentreName;
 use crate::names::InstanceName;
 use crate::names::PoolName;
+use crate::names::SoftwareVersion;
 use crate::names::TargetName;
 
 /// Target in the platform's list.
@@ -29,6 +30,8 @@
     pub centre: CentreName,
     /// Start of its process on the wall clock, in milliseconds, if the list names it.
     pub born: Option<u64>,
+    /// Version of its software; empty if the list names none.
+    pub version: SoftwareVersion,
     /// Number of requests that it processes concurrently.
     pub slots: u32,
     /// Whether it is draining and must get no new work.
--- a/hawthornkeel_core/src/names.rs
+++ b/hawthornkeel_core/src/names.rs
@@ -93,3 +93,7 @@
     /// Name of an operator, as given in an order.
     OperatorName
 }
+name_type! {
+    /// Version of the software of a target's process. Versions have no order.
+    SoftwareVersion
+}
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -17,6 +17,7 @@
 use crate::fleet::TargetRun;
 use crate::names::CentreName;
 use crate::names::PoolName;
+use crate::names::SoftwareVersion;
 use crate::names::TargetName;
 use crate::placement::health::Health;
 use crate::placement::health::TargetOutcome;
@@ -78,6 +79,8 @@
     pub centre: CentreName,
     /// Start of its process on the wall clock, in milliseconds, if it is known.
     pub born: Option<u64>,
+    /// Version of its software, by the list.
+    pub version: SoftwareVersion,
     /// Whether it counted as cold.
     pub cold: bool,
     _in_flight: InFlight,
@@ -300,9 +303,16 @@
             target.cold_tokens -= 1.0;
         }
         target.notice.record_sent(now);
-        let ListedTarget { address, centre, born, .. } = &target.listed;
-        let (address, centre, born) = (*address, centre.clone(), *born);
-        Ok(ChosenTarget { name: name.clone(), address, centre, born, cold, _in_flight: in_flight })
+        let ListedTarget { address, centre, born, version, .. } = &target.listed;
+        Ok(ChosenTarget {
+            name: name.clone(),
+            address: *address,
+            centre: centre.clone(),
+            born: *born,
+            version: version.clone(),
+            cold,
+            _in_flight: in_flight,
+        })
     }
 
     /// Returns the index of the target with the highest score.
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -98,6 +98,7 @@
         address: ([10, 0, 0, 1], 8_000 + number).into(),
         centre: CentreName::new("a"),
         born,
+        version: "v1".into(),
         slots: 64,
         leaving: false,
         cold_ms: 0,
--- a/hawthornkeel_core/tests/scheduler_harness/mod.rs
+++ b/hawthornkeel_core/tests/scheduler_harness/mod.rs
@@ -281,6 +281,7 @@
         address: ([10, 0, 0, 1], 8_000 + number as u16).into(),
         centre: CentreName::new(&format!("c{number}")),
         born: None,
+        version: "v1".into(),
         slots: 1,
         leaving: false,
         cold_ms: 0,
--- a/hawthornkeel_core/tests/scheduler_partitions.rs
+++ b/hawthornkeel_core/tests/scheduler_partitions.rs
@@ -24,6 +24,7 @@
         address: ([10, 0, 0, 1], 8000 + number).into(),
         centre: centre(["a", "b", "c"][usize::from(number % 3)]),
         born: None,
+        version: "v1".into(),
         slots: 1,
         leaving: false,
         cold_ms: 0,
--- a/hawthornkeel_core/tests/target_choice.rs
+++ b/hawthornkeel_core/tests/target_choice.rs
@@ -23,6 +23,7 @@
         address: ([10, 0, 0, 1], 8000 + number).into(),
         centre: CentreName::new(["a", "b", "c"][usize::from(number % 3)]),
         born: None,
+        version: "v1".into(),
         slots: 64,
         leaving: false,
         cold_ms,
