--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -9,6 +9,7 @@
 pub mod stop_calls;
 pub mod targets;
 pub mod waits;
+pub mod writers;
 
 use std::fs;
 use std::io::Read;
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -28,6 +28,8 @@
 use crate::forward_harness::engines::FakeEngine;
 use crate::forward_harness::engines::engine_answer;
 use crate::forward_harness::engines::is_engine_request;
+use crate::forward_harness::writers;
+use crate::forward_harness::writers::FakeWriter;
 
 /// Size of the response to a path with the segment `large`, in bytes.
 pub const LARGE_BODY_BYTES: usize = 7 << 20;
@@ -67,6 +69,8 @@
     pub copies: Vec<&'static str>,
     /// What ends its process.
     pub engine: FakeEngine,
+    /// What it writes in versioned streams.
+    pub writer: FakeWriter,
 }
 
 /// Settings of the fake targets, in the order of [`TARGETS`].
@@ -102,6 +106,9 @@
                             false if is_engine_request(&request) => {
                                 engine_answer(&request, &fakes, at)
                             }
+                            false if writers::is_written(&request) => {
+                                writers::answer(&request, &fake.writer)
+                            }
                             false => respond(target, &request, first).await,
                         };
                         match fake.leaving {
@@ -122,11 +129,12 @@
     let entries = TARGETS.iter().zip(addresses).zip(fakes).map(|((name, address), fake)| {
         let pool = if *name == "i-stage" { "portal" } else { "ledger" };
         let address = fake.address.unwrap_or(address);
+        let (version, state) = (fake.writer.version(), fake.writer.state());
         let born =
             fake.born.or(fake.engine.born()).map(|b| format!(r#","born":{b}"#)).unwrap_or_default();
         format!(
             r#"{{"identifier":"{name}","service":"{pool}","address":"{address}","zone":"a",
-            "version":"v1","slots":4,"state":"ready","cold_remaining_ms":0{born}}}"#
+            "version":"{version}","slots":4,"state":"{state}","cold_remaining_ms":0{born}}}"#
         )
     });
     let copies = TARGETS.iter().zip(addresses).zip(fakes).flat_map(|((name, address), fake)| {
--- /dev/null
+++ b/hawthornkeel/tests/joined_streams.rs
@@ -0,0 +1,178 @@
+//! Streams and the software versions of the targets that write them.
+
+mod forward_harness;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexSet;
+
+use crate::forward_harness::EntryClient;
+use crate::forward_harness::Harness;
+use crate::forward_harness::HttpResponse;
+use crate::forward_harness::TARGETS;
+use crate::forward_harness::requests::fields;
+use crate::forward_harness::targets::FakeTargets;
+use crate::forward_harness::writers::EVENTS;
+
+/// Versions of the software of the two targets that write streams.
+const VERSIONS: [&str; 2] = ["old", "new"];
+/// Processes of the entries.
+const ENTRIES: [usize; 2] = [1, 2];
+/// Time within which a condition must hold.
+const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+
+/// Starts a harness whose two targets have different software.
+fn start(net: u8) -> Harness {
+    let fakes = FakeTargets::default();
+    for (at, version) in VERSIONS.into_iter().enumerate() {
+        fakes.lock().unwrap()[at].writer.version = Some(version);
+    }
+    let harness = Harness::with_fakes(net, 1, fakes);
+    harness.serve_routes();
+    wait_for_entries(&harness);
+    harness
+}
+
+/// Waits until both entries serve callers.
+fn wait_for_entries(harness: &Harness) {
+    let (client, until) = (harness.client(), Instant::now() + TEST_TIMEOUT);
+    for entry in 0..2 {
+        while client
+            .try_call(entry, "GET", "/lots/warm", &fields("warm"))
+            .is_none_or(|r| r.status != 200)
+        {
+            assert!(Instant::now() < until, "{}", harness.logs());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+}
+
+/// Sets what the list and the streams of a target say from now on.
+fn set_draining(harness: &Harness, version: &str) {
+    let at = VERSIONS.iter().position(|v| *v == version).unwrap();
+    harness.set_target(TARGETS[at], |target| target.writer.draining = true);
+    let line = "event=list-changed targets=3 leaving=1";
+    harness.wait_for_log(line);
+}
+
+/// Asks for a stream; one that is taken up goes on after the event `last` of the attempt `first`.
+fn ask(
+    client: &EntryClient,
+    entry: usize,
+    id: &str,
+    taken_up: Option<(&str, u32)>,
+) -> HttpResponse {
+    let mut fields = fields(id);
+    if let Some((first, last)) = taken_up {
+        fields += &format!("Resumes: {first}\r\nLast-Event-Id: {last}\r\n");
+    }
+    client.try_call(entry, "GET", "/events/written/1", &fields).unwrap()
+}
+
+/// Returns the versions that wrote the events of a response.
+fn versions(response: &HttpResponse) -> IndexSet<&str> {
+    response.body.lines().filter_map(|l| l.strip_prefix("data: ")).collect()
+}
+
+/// Returns the number of the last event of a response.
+fn last_event(response: &HttpResponse) -> u32 {
+    let ids = response.body.lines().filter_map(|l| l.strip_prefix("id: "));
+    ids.filter_map(|id| id.parse().ok()).max().unwrap_or(0)
+}
+
+/// Begins streams that are cut after their first events as both entries end at once, and starts the
+/// entries anew; returns the identity, the version and the last event of each.
+fn cut_streams(harness: &mut Harness, count: usize) -> Vec<(String, String, u32)> {
+    let client = harness.client();
+    let begun: Vec<_> = (0..count)
+        .map(|n| {
+            let client = harness.client();
+            let id = format!("cut-{n}");
+            thread::spawn(move || {
+                let response = client.try_call(n % 2, "GET", "/events/written/1", &fields(&id));
+                (id, response)
+            })
+        })
+        .collect();
+    drop(client);
+    thread::sleep(Duration::from_millis(450));
+    ENTRIES.iter().for_each(|entry| harness.kill(*entry));
+    let cut = begun.into_iter().filter_map(|thread| {
+        let (id, response) = thread.join().unwrap();
+        let response = response?;
+        let last = last_event(&response);
+        let version = versions(&response).first().copied()?.to_owned();
+        Some((id, version, last)).filter(|_| last < EVENTS)
+    });
+    let cut: Vec<_> = cut.collect();
+    ENTRIES.iter().for_each(|entry| harness.spawn(*entry));
+    wait_for_entries(harness);
+    cut
+}
+
+// The system resumed a stream at a target with other software.
+#[test]
+fn broken_stream_keeps_its_software() {
+    let harness = start(221);
+    for target in &TARGETS[..2] {
+        harness.set_target(target, |t| t.writer.breaks_after = Some(3));
+    }
+    let client = harness.client();
+    for n in 0..8 {
+        let response = ask(&client, n % 2, &format!("broken-{n}"), None);
+        assert_eq!(versions(&response).len(), 1, "{response:?}\n{}", harness.logs());
+    }
+}
+
+// Entries that had just started sent streams on to targets with other software.
+#[test]
+fn taken_up_stream_keeps_its_software() {
+    let mut harness = start(222);
+    let cut = cut_streams(&mut harness, 24);
+    let begun: IndexSet<&str> = cut.iter().map(|(_, version, _)| version.as_str()).collect();
+    assert_eq!(begun.len(), 2, "{cut:?}");
+    let client = harness.client();
+    let mut whole = 0;
+    for (n, (id, version, last)) in cut.iter().enumerate() {
+        let response = ask(&client, n % 2, &format!("on-{id}"), Some((id, *last)));
+        let written = versions(&response);
+        assert!(written.iter().all(|v| v == version), "{id} {version} {response:?}");
+        whole += usize::from(response.status == 200 && last_event(&response) == EVENTS);
+    }
+    // Both versions still serve.
+    assert!(whole * 10 >= cut.len() * 9, "{whole} of {}:\n{}", cut.len(), harness.logs());
+}
+
+// A stream whose software had left went on at the only target that was left.
+#[test]
+fn stream_of_departed_software_is_refused() {
+    let mut harness = start(223);
+    let cut = cut_streams(&mut harness, 24);
+    set_draining(&harness, "old");
+    let client = harness.client();
+    thread::sleep(Duration::from_secs(1));
+    let before = harness.requests("GET /events/").len();
+    let old: Vec<_> = cut.iter().filter(|(_, version, _)| version == "old").collect();
+    assert!(!old.is_empty(), "{cut:?}");
+    for (id, _, last) in &old {
+        let response = ask(&client, 0, &format!("on-{id}"), Some((id, *last)));
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.body.contains(r#""ran":"not-run""#), "{response:?}");
+        assert!(response.body.contains("stream-software-gone"), "{response:?}");
+    }
+    assert_eq!(harness.requests("GET /events/").len(), before);
+}
+
+// A stream that nobody knows went on at any software.
+#[test]
+fn unknown_stream_is_refused() {
+    let harness = start(224);
+    let client = harness.client();
+    for n in 0..4 {
+        let response = ask(&client, n % 2, &format!("on-{n}"), Some(("never", 3)));
+        assert_eq!(response.status, 503, "{response:?}");
+        assert!(response.body.contains("stream-unknown"), "{response:?}");
+    }
+}
