--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -9,6 +9,7 @@
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::placement::retries::MAX_TARGETS;
 use hawthornkeel_core::request::refusal::RunStatus;
+use hawthornkeel_core::streams::origin::StreamOrigin;
 use hawthornkeel_platform::fields;
 
 use crate::clock::boot_now;
@@ -425,7 +426,10 @@
             let headers = forwarded_headers(&response.headers);
             let context = Rc::clone(&self.context);
             let schedulers = self.schedulers.clone();
-            let relay = StreamRelay { context, request, disconnected, progress, schedulers };
+            let origin =
+                StreamOrigin { pool: request.pool.name.clone(), version: target.version.clone() };
+            let relay =
+                StreamRelay { context, request, disconnected, progress, schedulers, origin };
             let finish = self.context.stop.finish();
             monoio::spawn(async move {
                 monoio::select! {
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -10,7 +10,9 @@
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::balancer::NoTarget;
+use hawthornkeel_core::placement::balancer::TargetQuery;
 use hawthornkeel_core::stages::job::Handle;
+use hawthornkeel_core::streams::origin::StreamOrigin;
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
@@ -144,23 +146,35 @@
         context: &Context,
         request: &IncomingRequest,
     ) -> Result<ChosenTarget, NoTarget> {
-        self.choose_other_target(context, request, None)
+        self.choose(context, request, &self.tried, request.origin.as_ref())
     }
 
-    /// Chooses the target to try next, other than `current`.
+    /// Chooses the target that goes on with a stream of some software, other than `current`.
     ///
     /// # Errors
     /// Returns the reason if there is none.
-    pub fn choose_other_target(
+    pub fn choose_next_writer(
         &self,
         context: &Context,
         request: &IncomingRequest,
         current: Option<&TargetName>,
+        origin: &StreamOrigin,
+    ) -> Result<ChosenTarget, NoTarget> {
+        let tried: Vec<TargetName> = self.tried.iter().chain(current).cloned().collect();
+        self.choose(context, request, &tried, Some(origin))
+    }
+
+    fn choose(
+        &self,
+        context: &Context,
+        request: &IncomingRequest,
+        tried: &[TargetName],
+        origin: Option<&StreamOrigin>,
     ) -> Result<ChosenTarget, NoTarget> {
         let entry_count = context.serving_entries.borrow().peak_count();
         let centre = preferred_centre(context, request);
-        let tried: Vec<TargetName> = self.tried.iter().chain(current).cloned().collect();
-        let query = target_query(request, centre.as_ref(), &tried, entry_count);
+        let query = target_query(request, centre.as_ref(), tried, entry_count);
+        let query = TargetQuery { version: origin.map(|o| &o.version), ..query };
         context.balancer.borrow_mut().choose(boot_now(), &query)
     }
 
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -14,6 +14,7 @@
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::streams::origin::StreamOrigin;
 use hawthornkeel_core::table::route::RouteKind;
 use hawthornkeel_platform::fields;
 use http::StatusCode;
@@ -56,6 +57,8 @@
     pub progress: RequestProgress,
     /// Stage schedulers.
     pub schedulers: Schedulers,
+    /// Software that writes the stream.
+    pub origin: StreamOrigin,
 }
 
 /// How a stream from one target ended.
@@ -349,7 +352,8 @@
             tracing::info!(event = "resume-unstaged", request = %self.request.id, ?error);
         });
         let outputs = outputs.ok()?;
-        let target = self.progress.choose_other_target(&self.context, &self.request, current);
+        let (context, request) = (&self.context, &self.request);
+        let target = self.progress.choose_next_writer(context, request, current, &self.origin);
         Some(Resumption { outputs, target: target.ok()? })
     }
 }
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -14,6 +14,7 @@
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::stages::admission::first_attempt_slack;
 use hawthornkeel_core::stages::job::Handle;
+use hawthornkeel_core::streams::origin::StreamOrigin;
 use hawthornkeel_core::table::RouteTable;
 use hawthornkeel_core::table::access::Admitted;
 use hawthornkeel_core::table::pool::Pool;
@@ -56,6 +57,8 @@
     pub table: Rc<RouteTable>,
     /// Workspace of the caller.
     pub workspace: Option<WorkspaceName>,
+    /// Software that began the stream that the request goes on with.
+    pub origin: Option<StreamOrigin>,
     /// Priority; zero is the highest.
     pub priority: u16,
     /// Affinity key, equal for requests that share a prompt prefix.
@@ -102,6 +105,7 @@
             pool,
             table,
             workspace: admitted.workspace,
+            origin: None,
             priority: admitted.priority,
             session,
             subjects: subjects::shared_parts(&parts).chain(works).collect(),
--- a/hawthornkeel/src/forward/targeting.rs
+++ b/hawthornkeel/src/forward/targeting.rs
@@ -15,14 +15,15 @@
     context.balancer.borrow_mut().likely_centre(boot_now(), &query)
 }
 
-/// Returns the query for a target of the request's pool other than those `tried`.
+/// Returns the query for a target of the request's pool other than those `tried`, which has the
+/// software that began the stream if the request goes on with one.
 pub(super) fn target_query<'a>(
     request: &'a IncomingRequest,
     centre: Option<&'a CentreName>,
     tried: &'a [TargetName],
     entry_count: usize,
 ) -> TargetQuery<'a> {
-    let IncomingRequest { pool, session, .. } = request;
+    let IncomingRequest { pool, session, origin, .. } = request;
     TargetQuery {
         pool: &pool.name,
         session: *session,
@@ -30,6 +31,7 @@
         tried,
         cold: pool.cold,
         entries: entry_count,
+        version: origin.as_ref().map(|o| &o.version),
     }
 }
 
--- a/hawthornkeel_core/src/lib.rs
+++ b/hawthornkeel_core/src/lib.rs
@@ -21,5 +21,6 @@
 pub mod stages;
 pub mod state;
 pub mod stop;
+pub mod streams;
 pub mod table;
 pub mod time;
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -29,6 +29,7 @@
 use crate::placement::notice::Notices;
 use crate::placement::notice::TargetNotice;
 use crate::placement::partition::Partitions;
+use crate::streams::origin::StreamOrigin;
 use crate::table::pool::ColdLimit;
 use crate::time::Instant;
 
@@ -66,6 +67,8 @@
     pub cold: Option<ColdLimit>,
     /// Number of entries that serve callers.
     pub entries: usize,
+    /// Only software that may run the request, if it goes on with a stream.
+    pub version: Option<&'a SoftwareVersion>,
 }
 
 /// Chosen target. Its request counts as in progress until this is dropped.
@@ -280,6 +283,14 @@
         Some((target.listed.run(), target.notice.opens_at(now)))
     }
 
+    /// Returns whether any target with some software may get work.
+    pub fn serves_software(&self, origin: &StreamOrigin) -> bool {
+        let is_origin = |t: &&Target| {
+            t.listed.pool == origin.pool && t.listed.version == origin.version && self.is_usable(t)
+        };
+        self.targets.values().any(|t| is_origin(&t))
+    }
+
     /// Returns the data centre of the target that would be chosen.
     pub fn likely_centre(&mut self, now: Instant, query: &TargetQuery<'_>) -> Option<CentreName> {
         let index = self.best(now, query).ok()?;
@@ -373,7 +384,8 @@
         query: &TargetQuery<'_>,
     ) -> Result<f64, NoTarget> {
         let (_, target) = self.targets.get_index(index).ok_or(NoTarget::Empty)?;
-        if target.listed.pool != *query.pool || !self.is_usable(target) {
+        let is_other_software = query.version.is_some_and(|v| *v != target.listed.version);
+        if target.listed.pool != *query.pool || is_other_software || !self.is_usable(target) {
             return Err(NoTarget::Empty);
         }
         if query.tried.contains(&target.listed.name) {
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -72,7 +72,15 @@
     ) -> Result<ChosenTarget, NoTarget> {
         let pool = pool();
         let cold = Some(COLD);
-        let query = TargetQuery { pool: &pool, session, centre: None, tried, cold, entries: 8 };
+        let query = TargetQuery {
+            pool: &pool,
+            session,
+            centre: None,
+            tried,
+            cold,
+            entries: 8,
+            version: None,
+        };
         self.balancer.choose(at(ms), &query)
     }
 }
--- a/hawthornkeel_core/tests/target_choice.rs
+++ b/hawthornkeel_core/tests/target_choice.rs
@@ -42,7 +42,15 @@
 }
 
 fn query(pool: &PoolName, session: u64) -> TargetQuery<'_> {
-    TargetQuery { pool, session, centre: None, tried: &[], cold: Some(COLD), entries: 8 }
+    TargetQuery {
+        pool,
+        session,
+        centre: None,
+        tried: &[],
+        cold: Some(COLD),
+        entries: 8,
+        version: None,
+    }
 }
 
 #[test]
