--- a/hawthornkeel/src/control/directory.rs
+++ b/hawthornkeel/src/control/directory.rs
@@ -63,6 +63,13 @@
         names
     }
 
+    /// Returns the members of the group as far as they are known, without configured ones that may no
+    /// longer exist.
+    pub fn members(&self) -> Vec<InstanceName> {
+        let discovered = self.inner.discovered.borrow();
+        if discovered.is_empty() { self.instances() } else { discovered.clone() }
+    }
+
     /// Returns the control instances other than this one.
     pub fn peers(&self) -> Vec<InstanceName> {
         let own = self.inner.own.as_ref();
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -32,6 +32,7 @@
 use crate::forward::quarantine::Quarantine;
 use crate::forward::response_memory::ResponseMemory;
 use crate::forward::stop::EntryStop;
+use crate::forward::streams::Streams;
 use crate::peer::Endpoint;
 
 /// Time for which entries that stopped reporting still count towards the shares of target capacity.
@@ -67,8 +68,10 @@
     pub stop: EntryStop,
     /// Mark of the limits of targets that a control instance sent last; zero before the first.
     pub(super) limits_mark: Cell<u64>,
-    /// Parts of prompts that end targets.
+    /// Subjects that end targets.
     pub(super) quarantine: Quarantine,
+    /// Origins of streams.
+    pub(super) streams: Streams,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
@@ -147,6 +150,7 @@
             stop,
             limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
+            streams: Streams::default(),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
         }
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -55,6 +55,7 @@
                 mark = apply(&context, &schedulers, update, sent).or(mark);
                 if answering.replace(control.clone()).as_ref() != Some(control) {
                     context.repeat_evidence();
+                    context.repeat_streams();
                 }
                 // Without a state yet, the instance may just be waiting for a leader.
                 let is_stale = match age {
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -28,6 +28,7 @@
 use crate::forward::list_reader::ListError;
 use crate::forward::list_reader::ListLimits;
 use crate::forward::quarantine_server::QuarantineServer;
+use crate::forward::stream_server::StreamServer;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
 use crate::peer::frame::Discover;
@@ -71,6 +72,7 @@
     presence: RefCell<PresenceTable>,
     quarantine: QuarantineServer,
     limits: LimitServer,
+    streams: StreamServer,
     changed: EventCount,
     /// Counts the entries that this instance itself heard for the first time or saw leave.
     heard: EventCount,
@@ -100,6 +102,7 @@
                 endpoint: endpoint.clone(),
                 quarantine,
                 limits: LimitServer::start(endpoint, &handles.directory),
+                streams: StreamServer::start(endpoint),
                 control: handles.control,
                 watch: handles.watch,
                 directory: handles.directory,
@@ -340,8 +343,10 @@
         if age > MAX_LIST_AGE {
             return false;
         }
-        if let Some(target_list) = update.target_list {
-            self.set_target_list(target_list);
+        match update.target_list {
+            Some(target_list) => self.set_target_list(target_list),
+            // The list is still the same.
+            None => self.inner.streams.observe(&self.inner.target_list.borrow()),
         }
         self.inner.list_time.set(sent.checked_sub(age));
         monoio::time::sleep(self.inner.poll_interval.saturating_sub(sent.elapsed()) / 2).await;
@@ -366,6 +371,7 @@
     }
 
     fn set_target_list(&self, list: TargetList) {
+        self.inner.streams.observe(&list);
         let known = self.inner.list_time.get().is_some();
         if known && self.inner.target_list.borrow().mark == list.mark {
             // Only the times of cold targets have changed.
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -1,5 +1,6 @@
 //! Handles callers' requests from admission to the response.
 
+use std::cell::Cell;
 use std::rc::Rc;
 use std::time::Duration;
 use std::time::Instant;
@@ -10,7 +11,6 @@
 use hawthornkeel_core::placement::retries::MAX_TARGETS;
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::streams::origin::StreamOrigin;
-use hawthornkeel_platform::fields;
 
 use crate::clock::boot_now;
 use crate::forward::access;
@@ -37,6 +37,7 @@
 use crate::forward::silence;
 use crate::forward::stages::StagesError;
 use crate::forward::stop;
+use crate::forward::streams;
 use crate::forward::target_calls::CallKind;
 use crate::forward::target_calls::asks_for_pause;
 use crate::forward::target_calls::caller_delay;
@@ -80,7 +81,7 @@
 impl Handler for ForwardHandler {
     async fn handle(&self, request: Request) -> Response {
         let disconnected = request.disconnected.clone();
-        let admitted = match access::admit(&self.context, request) {
+        let admitted = match self.admit(request).await {
             Ok(admitted) => Rc::new(admitted),
             Err(problem) => return problem_response(problem),
         };
@@ -108,9 +109,14 @@
 }
 
 impl ForwardHandler {
+    /// Admits a request, and binds one that takes up a stream to the software that began it.
+    async fn admit(&self, request: Request) -> Result<IncomingRequest, Problem> {
+        let admitted = access::admit(&self.context, request)?;
+        streams::bind(&self.context, admitted).await
+    }
+
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
-        log_take_up(&request);
         if !self.context.admits_prompt(&request).await {
             return end_with(&request, &progress, self.context.crashing_prompt(&request));
         }
@@ -324,6 +330,9 @@
         request: &IncomingRequest,
         failed: Option<(Box<TargetResponse>, ChosenTarget)>,
     ) -> ForwardOutcome {
+        if let Some(problem) = self.context.software_gone(request) {
+            return ForwardOutcome::Exhausted(problem);
+        }
         let ran = request.run_status();
         let refused = ran == RunStatus::NotRun && failed.is_none();
         let paused = refused.then(|| self.context.paused_delay(request)).flatten();
@@ -428,8 +437,16 @@
             let schedulers = self.schedulers.clone();
             let origin =
                 StreamOrigin { pool: request.pool.name.clone(), version: target.version.clone() };
-            let relay =
-                StreamRelay { context, request, disconnected, progress, schedulers, origin };
+            let recorded = Cell::default();
+            let relay = StreamRelay {
+                context,
+                request,
+                disconnected,
+                progress,
+                schedulers,
+                origin,
+                recorded,
+            };
             let finish = self.context.stop.finish();
             monoio::spawn(async move {
                 monoio::select! {
@@ -520,13 +537,6 @@
     }
 }
 
-/// Logs a request that takes up a stream.
-fn log_take_up(request: &IncomingRequest) {
-    let Some(last) = request.head.header(fields::LAST_EVENT_ID) else { return };
-    let (id, resumes) = (&request.id, request.head.header(fields::RESUMES));
-    tracing::info!(event = "stream-taken-up", request = %id, resumes, last);
-}
-
 /// Logs the end of a request with a problem, and returns its response.
 fn end_with(request: &IncomingRequest, progress: &RequestProgress, problem: Problem) -> Response {
     progress.log_end(request, problem.code.as_str(), problem.code.status().as_u16());
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -35,4 +35,6 @@
 mod quarantine_server;
 mod reservation;
 mod silence;
+mod stream_server;
+mod streams;
 mod subjects;
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -5,6 +5,7 @@
 //! or sends bytes but completes no event, goes on until everything is ready to resume it, as its
 //! target may just be busy.
 
+use std::cell::Cell;
 use std::pin::pin;
 use std::rc::Rc;
 use std::time::Duration;
@@ -40,6 +41,8 @@
 ///
 /// The rest is for running the stages again and for the first event from another target.
 const SILENCE_FRACTION: f64 = 0.4;
+/// Interval at which the origin of a stream that goes on is recorded again.
+const RECORD_INTERVAL: Duration = Duration::from_secs(15);
 /// Minimum time left for a stream to be resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(600);
 /// Time to wait for another target's response to a resumed request.
@@ -59,6 +62,8 @@
     pub schedulers: Schedulers,
     /// Software that writes the stream.
     pub origin: StreamOrigin,
+    /// Last time at which the origin was recorded.
+    pub recorded: Cell<Option<Instant>>,
 }
 
 /// How a stream from one target ended.
@@ -173,6 +178,15 @@
         }
     }
 
+    /// Records the origin of the stream with its first event, and again while it goes on.
+    fn record_origin(&self) {
+        let is_recent = self.recorded.get().is_some_and(|at| at.elapsed() < RECORD_INTERVAL);
+        if self.is_resumable() && !is_recent {
+            self.recorded.set(Some(Instant::now()));
+            self.context.record_stream(&self.request, &self.origin);
+        }
+    }
+
     fn record_abandoned(&self) {
         self.context.stop.record_abandoned(&self.request, self.progress.stages_done);
     }
@@ -197,6 +211,7 @@
                     if watch.record_events() {
                         self.context.record_sound_run(&self.request);
                     }
+                    self.record_origin();
                     if sender.send(complete).await.is_err() {
                         return StreamEnd::Disconnected;
                     }
--- a/hawthornkeel/src/http/problem.rs
+++ b/hawthornkeel/src/http/problem.rs
@@ -75,8 +75,8 @@
     Conflict, "conflict", CONFLICT, "Another change came first.";
     /// The workspace has reached its limit of concurrent requests.
     WorkspaceLimit, "workspace-limit", TOO_MANY_REQUESTS, "The workspace is at its limit.";
-    /// Requests with one part of the prompt have ended targets.
-    CrashingPrompt, "crashing-prompt", SERVICE_UNAVAILABLE, "A part of the prompt ends the targets that answer it.";
+    /// Requests that have something in common with this one have ended targets.
+    CrashingPrompt, "crashing-prompt", SERVICE_UNAVAILABLE, "This request, or a part of its prompt, ends the targets that run it.";
     /// The system has no capacity for the request now.
     Overloaded, "overloaded", SERVICE_UNAVAILABLE, "The system is at its limit.";
     /// The deadline can't be met.
@@ -87,6 +87,10 @@
     NoTarget, "no-target", SERVICE_UNAVAILABLE, "No target can take the work now.";
     /// A stage failed on every target that was tried.
     StageFailed, "stage-failed", BAD_GATEWAY, "A stage failed.";
+    /// No instance knows which software version began the stream that is taken up.
+    StreamUnknown, "stream-unknown", SERVICE_UNAVAILABLE, "The software that began the stream is not known; only a new stream can be served.";
+    /// No target has the software version that began the stream that is taken up.
+    StreamSoftwareGone, "stream-software-gone", SERVICE_UNAVAILABLE, "The software that began the stream is gone; only a new stream can be served.";
     /// A non-idempotent stage was dispatched and its outcome is unknown.
     OutcomeUnknown, "outcome-unknown", BAD_GATEWAY, "The outcome is not known.";
     /// No quorum can be reached to claim the request's idempotency key.
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -10,6 +10,7 @@
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::limit::LimitReport;
 use hawthornkeel_core::quarantine::evidence::Evidence;
 use hawthornkeel_core::quarantine::evidence::Subject;
@@ -28,6 +29,10 @@
 use hawthornkeel_core::state::command::Outcome;
 use hawthornkeel_core::state::published::PublishedState;
 use hawthornkeel_core::state::take_out::TakeOut;
+use hawthornkeel_core::streams::origin::StreamBatch;
+use hawthornkeel_core::streams::origin::StreamKey;
+use hawthornkeel_core::streams::origin::StreamOrigin;
+use hawthornkeel_core::streams::versions::SoleVersion;
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -100,6 +105,12 @@
     ProbeLent(bool),
     /// Limits that targets have named; one-way, between control instances.
     Limits(Vec<LimitReport>),
+    /// Origins of streams; one-way, from an entry.
+    Streams(Vec<StreamBatch>),
+    /// Call: returns what is known of the origin of a stream.
+    FindStream(FindStream),
+    /// Answers [`Frame::FindStream`].
+    StreamFound(StreamFound),
 }
 
 /// Kind of a frame, which selects its handler.
@@ -147,6 +158,10 @@
     LendProbe,
     /// Of [`Frame::Limits`].
     Limits,
+    /// Of [`Frame::Streams`].
+    Streams,
+    /// Of [`Frame::FindStream`].
+    FindStream,
 }
 
 impl Frame {
@@ -172,6 +187,8 @@
             Self::SubjectRecords(_) => FrameKind::SubjectRecords,
             Self::LendProbe(_) => FrameKind::LendProbe,
             Self::Limits(_) => FrameKind::Limits,
+            Self::Streams(_) => FrameKind::Streams,
+            Self::FindStream(_) => FrameKind::FindStream,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
@@ -181,6 +198,7 @@
             | Self::Booked(_)
             | Self::Pong
             | Self::ProbeLent(_)
+            | Self::StreamFound(_)
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
@@ -312,6 +330,24 @@
     pub relayed: bool,
 }
 
+/// Request for the origin of a stream.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct FindStream {
+    /// Stream, if its caller names it.
+    pub stream: Option<StreamKey>,
+    /// Pool that would go on with it.
+    pub pool: PoolName,
+}
+
+/// What a control instance knows of the origin of a stream.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct StreamFound {
+    /// Origin, if it is recorded.
+    pub origin: Option<StreamOrigin>,
+    /// The only version of the pool, if there has been a single one.
+    pub sole_version: Option<SoleVersion>,
+}
+
 /// State of an entry in its heartbeat.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Presence {
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -64,6 +64,10 @@
 pub const ATTEMPTS: &str = "hawthornkeel_attempts_total";
 /// Attempts at cold targets, by pool.
 pub const COLD_ATTEMPTS: &str = "hawthornkeel_cold_attempts_total";
+/// Streams that callers took up, by what came of it: `bound` to the software that began them, or why not.
+pub const TAKEN_UP_STREAMS: &str = "hawthornkeel_taken_up_streams_total";
+/// Origins of streams that a control instance holds.
+pub const STREAM_RECORDS: &str = "hawthornkeel_stream_records";
 /// Repeats that were asked of the retry budget, by pool and whether it granted them.
 pub const RETRY_GRANTS: &str = "hawthornkeel_retry_grants_total";
 /// Duration of calls that run pieces of stages in seconds, by pool and outcome.
