--- a/hawthornkeel/src/forward/plan.rs
+++ b/hawthornkeel/src/forward/plan.rs
@@ -79,11 +79,9 @@
             (0..stages).map(|index| pieces.get(index).copied().unwrap_or(0)).collect();
         let final_stages = request.route.final_stages();
         let likely_centre = likely_centre(context, request);
-        let timeliness = if request.first_attempt_slack.is_zero() {
-            Timeliness::Late
-        } else {
-            Timeliness::OnTime
-        };
+        // A caller that takes a stream up was served, not rejected.
+        let is_retry = request.first_attempt_slack.is_zero() && request.origin.is_none();
+        let timeliness = if is_retry { Timeliness::Late } else { Timeliness::OnTime };
         // Schedulers of a data centre that is cut off can't be reached.
         let is_cut_off = |c: &CentreName| context.balancer.borrow().cut_off().contains(c);
         let stage_centre = match &likely_centre {
