--- a/hawthornkeel/src/forward/streams.rs
+++ b/hawthornkeel/src/forward/streams.rs
@@ -29,8 +29,8 @@
 use crate::peer::frame::StreamFound;
 use crate::telemetry;
 
-/// Time in which the streams that begin are collected for one message to each control instance.
-const REPORT_DELAY: Duration = Duration::from_millis(10);
+/// Least time between two messages about streams that have begun.
+const REPORT_INTERVAL: Duration = Duration::from_millis(5);
 /// Time to wait for control instances that may hold a record.
 const FIND_TIMEOUT: Duration = Duration::from_millis(400);
 /// Time by which the only version of a pool must be older than a stream can be.
@@ -122,6 +122,9 @@
         request.pool = pool.clone();
     }
     request.origin = Some(origin);
+    // The first event came in time or not long ago; what counts now is that its caller waits.
+    let patience_end = request.started + request.route.event_patience;
+    request.objective_deadline = request.deadline.min(patience_end);
     Ok(request)
 }
 
@@ -131,16 +134,24 @@
         let Some(stream) = stream_key(request) else { return };
         self.streams.table.borrow_mut().record(boot_now(), stream, origin);
         self.streams.pending.borrow_mut().entry(origin.clone()).or_default().push(stream);
-        if !self.streams.is_reporting.replace(true) {
-            let context = Rc::clone(self);
-            monoio::spawn(async move {
-                monoio::time::sleep(REPORT_DELAY).await;
-                context.streams.is_reporting.set(false);
-                let pending = context.streams.pending.take().into_iter();
-                let batch = |(origin, streams)| StreamBatch { origin, streams };
-                context.report_streams(pending.map(batch).collect());
-            });
+        if self.streams.is_reporting.replace(true) {
+            return;
         }
+        // The first stream is reported before its caller gets the event, as far as that can be.
+        self.report_pending();
+        let context = Rc::clone(self);
+        monoio::spawn(async move {
+            monoio::time::sleep(REPORT_INTERVAL).await;
+            context.streams.is_reporting.set(false);
+            context.report_pending();
+        });
+    }
+
+    fn report_pending(&self) {
+        let pending = self.streams.pending.take().into_iter();
+        self.report_streams(
+            pending.map(|(origin, streams)| StreamBatch { origin, streams }).collect(),
+        );
     }
 
     /// Reports all streams once more, to control instances that may not know them.
