--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -129,7 +129,7 @@
     let entries = TARGETS.iter().zip(addresses).zip(fakes).map(|((name, address), fake)| {
         let pool = if *name == "i-stage" { "portal" } else { "ledger" };
         let address = fake.address.unwrap_or(address);
-        let (version, state) = (fake.writer.version(), fake.writer.state());
+        let (version, state) = (fake.writer.listed(), fake.writer.state());
         let born =
             fake.born.or(fake.engine.born()).map(|b| format!(r#","born":{b}"#)).unwrap_or_default();
         format!(
--- a/hawthornkeel/tests/forward_harness/writers.rs
+++ b/hawthornkeel/tests/forward_harness/writers.rs
@@ -23,6 +23,8 @@
 pub struct FakeWriter {
     /// Version of its software, also in the list.
     pub version: Option<&'static str>,
+    /// Version that the list still names in place of that one.
+    pub listed: Option<&'static str>,
     /// Whether the list shows it as draining.
     pub draining: bool,
     /// Number of events after which its streams break off.
@@ -35,6 +37,11 @@
         self.version.unwrap_or("v1")
     }
 
+    /// Returns the version that the list names.
+    pub fn listed(&self) -> &'static str {
+        self.listed.unwrap_or(self.version())
+    }
+
     /// Returns its state in the list.
     pub fn state(&self) -> &'static str {
         if self.draining { "draining" } else { "ready" }
--- a/hawthornkeel/tests/joined_streams.rs
+++ b/hawthornkeel/tests/joined_streams.rs
@@ -176,3 +176,75 @@
         assert!(response.body.contains("stream-unknown"), "{response:?}");
     }
 }
+
+/// Starts a harness whose entries are new, and whose first target has started anew under its name with
+/// other software, which the list does not show yet.
+fn start_behind_list(net: u8) -> Harness {
+    let fakes = FakeTargets::default();
+    for fake in fakes.lock().unwrap().iter_mut() {
+        fake.writer.version = Some("old");
+        fake.born = Some(1);
+    }
+    let mut harness = Harness::with_fakes(net, 1, fakes);
+    harness.serve_routes();
+    harness.set_target(TARGETS[0], |target| {
+        target.writer.version = Some("new");
+        target.writer.listed = Some("old");
+        target.writer.breaks_after = Some(3);
+    });
+    ENTRIES.iter().for_each(|entry| harness.kill(*entry));
+    ENTRIES.iter().for_each(|entry| harness.spawn(*entry));
+    wait_for_entries(&harness);
+    harness
+}
+
+/// Lets the list show the software of the first target.
+fn catch_up(harness: &Harness) {
+    harness.set_target(TARGETS[0], |target| {
+        target.writer.listed = None;
+        target.born = Some(2);
+    });
+}
+
+// The list named the software from before a restart, and a stream of the new one went on at the old one.
+#[test]
+fn restart_behind_the_list_joins_nothing() {
+    let harness = start_behind_list(225);
+    let streams: Vec<_> = (0..12)
+        .map(|n| {
+            let client = harness.client();
+            thread::spawn(move || ask(&client, n % 2, &format!("behind-{n}"), None))
+        })
+        .collect();
+    thread::sleep(Duration::from_millis(500));
+    catch_up(&harness);
+    let responses: Vec<_> = streams.into_iter().map(|s| s.join().unwrap()).collect();
+    let has_new = |r: &HttpResponse| versions(r).contains("new");
+    assert!(responses.iter().any(has_new), "{}", harness.logs());
+    for response in &responses {
+        assert_eq!(versions(response).len(), 1, "{response:?}\n{}", harness.settled_logs());
+    }
+}
+
+// The same, for a caller that takes its stream up.
+#[test]
+fn take_up_behind_the_list_joins_nothing() {
+    let harness = start_behind_list(226);
+    harness.set_target(TARGETS[1], |target| target.writer.breaks_after = Some(3));
+    let client = harness.client();
+    let mut begun = (0..40).map(|n| (format!("first-{n}"), n % 2)).map(|(id, entry)| {
+        let fields = fields(&id) + "X: 1\r\n";
+        let response = client.try_call(entry, "GET", "/events/written/1", &fields).unwrap();
+        (id, response)
+    });
+    let (id, first) = begun.find(|(_, r)| versions(r).contains("new")).unwrap();
+    harness.set_target(TARGETS[1], |target| target.writer.breaks_after = None);
+    let caught_up = thread::scope(|scope| {
+        scope.spawn(|| {
+            thread::sleep(Duration::from_millis(300));
+            catch_up(&harness);
+        });
+        ask(&client, 1, "second", Some((&id, last_event(&first))))
+    });
+    assert!(!versions(&caught_up).contains("old"), "{first:?} {caught_up:?}\n{}", harness.logs());
+}
