--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -66,6 +66,8 @@
     pub reachability: RefCell<Reachability>,
     /// Planned stop.
     pub stop: EntryStop,
+    /// Time at which the list of targets in force was read from the platform, at the latest.
+    pub(super) list_read: Cell<Option<hawthornkeel_core::time::Instant>>,
     /// Mark of the limits of targets that a control instance sent last; zero before the first.
     pub(super) limits_mark: Cell<u64>,
     /// Subjects that end targets.
@@ -148,6 +150,7 @@
             serving_entries: RefCell::default(),
             reachability: RefCell::default(),
             stop,
+            list_read: Cell::default(),
             limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -49,10 +49,15 @@
         };
         context.polled_control.replace(Some(control.clone()));
         let sent = Instant::now();
+        let sent_at = boot_now();
         match poll(&context, control, mark).await {
             Some(update) => {
                 let age = update.followed.age_ms.map(Duration::from_millis);
+                let list_age = update.list_age_ms.map(Duration::from_millis);
                 mark = apply(&context, &schedulers, update, sent).or(mark);
+                if let Some(age) = list_age {
+                    context.list_read.set(Some(sent_at.before(age)));
+                }
                 if answering.replace(control.clone()).as_ref() != Some(control) {
                     context.repeat_evidence();
                     context.repeat_streams();
--- a/hawthornkeel/src/forward/exchange_error.rs
+++ b/hawthornkeel/src/forward/exchange_error.rs
@@ -20,6 +20,8 @@
     TimedOut,
     /// The response exceeded a bound; the request may have run.
     Exceeded(ResponseBound),
+    /// The process that answers may have other software than the stream needs.
+    Unproved,
 }
 
 impl ExchangeError {
@@ -60,6 +62,7 @@
             Self::NotResent(cause) => write!(f, "not sent again: {cause}"),
             Self::Interrupted(cause) => write!(f, "interrupted: {cause}"),
             Self::TimedOut => f.write_str("silent"),
+            Self::Unproved => f.write_str("software not proved"),
             Self::Exceeded(bound) => write!(f, "response exceeds its bound: {}", bound.as_str()),
         }
     }
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -11,6 +11,7 @@
 use hawthornkeel_core::placement::retries::MAX_TARGETS;
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::streams::origin::StreamOrigin;
+use hawthornkeel_core::streams::origin::StreamSource;
 
 use crate::clock::boot_now;
 use crate::forward::access;
@@ -435,8 +436,7 @@
             let headers = forwarded_headers(&response.headers);
             let context = Rc::clone(&self.context);
             let schedulers = self.schedulers.clone();
-            let origin =
-                StreamOrigin { pool: request.pool.name.clone(), version: target.version.clone() };
+            let source = self.source(&request, &response, &target);
             let recorded = Cell::default();
             let relay = StreamRelay {
                 context,
@@ -444,7 +444,7 @@
                 disconnected,
                 progress,
                 schedulers,
-                origin,
+                source,
                 recorded,
             };
             let finish = self.context.stop.finish();
@@ -461,6 +461,21 @@
         self.return_whole(&request, progress, *response, target).await
     }
 
+    /// Returns the software that writes the stream of a response, and what that rests on.
+    fn source(
+        &self,
+        request: &IncomingRequest,
+        response: &TargetResponse,
+        target: &ChosenTarget,
+    ) -> StreamSource {
+        let unproved = match &request.origin {
+            Some(_) => None,
+            None => self.context.unproved_writer(&target.run(), response.opened()),
+        };
+        let (pool, version) = (request.pool.name.clone(), target.version.clone());
+        StreamSource { origin: StreamOrigin { pool, version }, unproved }
+    }
+
     /// Returns a response once it is complete; a truncated one may be retried.
     async fn return_whole(
         &self,
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -11,6 +11,7 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use hawthornkeel_core::time::Instant as BootInstant;
 use http::HeaderMap;
 use http::StatusCode;
 use http::Version;
@@ -22,6 +23,7 @@
 use monoio::time::timeout;
 use monoio_http::common::response::ResponseHead;
 
+use crate::clock::boot_now;
 use crate::forward::body_blocks::BodyBlocks;
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::response_memory::Lease;
@@ -91,6 +93,8 @@
     write: OwnedWriteHalf<TcpStream>,
     reused: bool,
     address: SocketAddr,
+    /// Time at which it was opened, on the clock that runs while the machine is suspended.
+    opened: BootInstant,
     /// Start of the current exchange.
     started: Instant,
     /// Number of bytes received before the current exchange.
@@ -293,6 +297,7 @@
 impl Connection {
     async fn open(address: SocketAddr, time_limit: Duration) -> Result<Self, ExchangeError> {
         let not_sent = |cause: String| ExchangeError::NotSent(cause);
+        let opened = boot_now();
         let connect =
             timeout(CONNECT_TIMEOUT.min(time_limit), TcpStream::connect_addr(address)).await;
         let stream = connect.map_err(|_| not_sent("connect timed out".to_owned()))?;
@@ -305,6 +310,7 @@
             write,
             reused: false,
             address,
+            opened,
             started: Instant::now(),
             received_before: 0,
         })
@@ -443,6 +449,11 @@
         self.lease.shrink(bytes);
     }
 
+    /// Returns the time at which the connection was opened.
+    pub fn opened(&self) -> BootInstant {
+        self.connection.opened
+    }
+
     /// Ends the exchange; the connection is kept for reuse if the response was read to its end.
     pub fn finish(self) {
         if self.is_complete() && self.reusable {
--- a/hawthornkeel/src/forward/list_reader.rs
+++ b/hawthornkeel/src/forward/list_reader.rs
@@ -64,7 +64,7 @@
     pub const fn as_str(&self) -> &'static str {
         match self {
             Self::Exchange(ExchangeError::NotSent(_) | ExchangeError::NotResent(_)) => "unreached",
-            Self::Exchange(ExchangeError::Interrupted(_)) => "broken",
+            Self::Exchange(ExchangeError::Interrupted(_) | ExchangeError::Unproved) => "broken",
             Self::Exchange(ExchangeError::TimedOut) | Self::TimedOut => "time",
             Self::Exchange(ExchangeError::Exceeded(_)) | Self::TooLarge => "bytes",
             Self::TooManyPages => "pages",
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -31,6 +31,7 @@
 mod limit_server;
 mod measures;
 mod plan;
+mod proofs;
 mod quarantine;
 mod quarantine_server;
 mod reservation;
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -15,7 +15,7 @@
 use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
-use hawthornkeel_core::streams::origin::StreamOrigin;
+use hawthornkeel_core::streams::origin::StreamSource;
 use hawthornkeel_core::table::route::RouteKind;
 use hawthornkeel_platform::fields;
 use http::StatusCode;
@@ -60,8 +60,8 @@
     pub progress: RequestProgress,
     /// Stage schedulers.
     pub schedulers: Schedulers,
-    /// Software that writes the stream.
-    pub origin: StreamOrigin,
+    /// Software that writes the stream, and what that rests on.
+    pub source: StreamSource,
     /// Last time at which the origin was recorded.
     pub recorded: Cell<Option<Instant>>,
 }
@@ -183,7 +183,7 @@
         let is_recent = self.recorded.get().is_some_and(|at| at.elapsed() < RECORD_INTERVAL);
         if self.is_resumable() && !is_recent {
             self.recorded.set(Some(Instant::now()));
-            self.context.record_stream(&self.request, &self.origin);
+            self.context.record_stream(&self.request, &self.source);
         }
     }
 
@@ -264,6 +264,10 @@
         if !self.progress.tried.contains(failed) {
             self.progress.tried.push(failed.clone());
         }
+        if !self.context.proves_source(&self.source).await {
+            tracing::info!(event = "stream-unproved", request = %self.request.id, target = %failed);
+            return None;
+        }
         let last =
             last.or_else(|| self.request.head.header(fields::LAST_EVENT_ID)).map(str::to_owned);
         let mut prepared = prepared;
@@ -290,6 +294,7 @@
                 }
                 () = self.disconnected.wait() => return None,
             };
+            let result = self.context.check_writer(&run, result).await;
             let outcome = match result {
                 Ok(response) if response.status.is_success() => {
                     tracing::info!(
@@ -368,7 +373,8 @@
         });
         let outputs = outputs.ok()?;
         let (context, request) = (&self.context, &self.request);
-        let target = self.progress.choose_next_writer(context, request, current, &self.origin);
+        let target =
+            self.progress.choose_next_writer(context, request, current, &self.source.origin);
         Some(Resumption { outputs, target: target.ok()? })
     }
 }
--- a/hawthornkeel/src/forward/stream_server.rs
+++ b/hawthornkeel/src/forward/stream_server.rs
@@ -54,7 +54,9 @@
     fn find(&self, request: &FindStream) -> StreamFound {
         let table = self.table.borrow();
         StreamFound {
-            origin: request.stream.and_then(|stream| table.origin(stream).cloned()),
+            record: request
+                .stream
+                .and_then(|stream| Some(table.source(stream)?.batch(boot_now(), vec![stream]))),
             sole_version: self.versions.borrow().sole_version(boot_now(), &request.pool),
         }
     }
--- a/hawthornkeel/src/forward/streams.rs
+++ b/hawthornkeel/src/forward/streams.rs
@@ -13,9 +13,11 @@
 use hawthornkeel_core::streams::origin::StreamBatch;
 use hawthornkeel_core::streams::origin::StreamKey;
 use hawthornkeel_core::streams::origin::StreamOrigin;
+use hawthornkeel_core::streams::origin::StreamSource;
 use hawthornkeel_core::streams::table::OriginTable;
 use hawthornkeel_core::streams::versions::SoleVersion;
 use hawthornkeel_core::table::route::RouteKind;
+use hawthornkeel_core::time::Instant as BootInstant;
 use hawthornkeel_platform::fields;
 use indexmap::IndexMap;
 
@@ -43,7 +45,7 @@
 pub(super) struct Streams {
     table: RefCell<OriginTable>,
     /// Streams that are not reported yet.
-    pending: RefCell<IndexMap<StreamOrigin, Vec<StreamKey>>>,
+    pending: RefCell<Vec<(StreamSource, StreamKey)>>,
     is_reporting: Cell<bool>,
 }
 
@@ -54,6 +56,8 @@
     Unknown,
     /// Control instances that may know it did not answer.
     Unanswered,
+    /// The list names another process where the one was that began it, or does not tell.
+    Unproved,
     /// No target has the software that began it.
     Gone,
     /// The route no longer leads to the pool that began it.
@@ -65,6 +69,7 @@
         match self {
             Self::Unknown => "unknown",
             Self::Unanswered => "unanswered",
+            Self::Unproved => "unproved",
             Self::Gone => "gone",
             Self::Moved => "moved",
         }
@@ -72,7 +77,7 @@
 
     fn problem(self) -> Problem {
         match self {
-            Self::Unknown => Problem::not_run(Code::StreamUnknown),
+            Self::Unknown | Self::Unproved => Problem::not_run(Code::StreamUnknown),
             Self::Unanswered => {
                 Problem::not_run(Code::StreamUnknown).with_retry_after(FIND_RETRY_AFTER)
             }
@@ -129,11 +134,11 @@
 }
 
 impl Context {
-    /// Records the origin of the stream that a request begins or goes on with.
-    pub(super) fn record_stream(self: &Rc<Self>, request: &IncomingRequest, origin: &StreamOrigin) {
+    /// Records the source of the stream that a request begins or goes on with.
+    pub(super) fn record_stream(self: &Rc<Self>, request: &IncomingRequest, source: &StreamSource) {
         let Some(stream) = stream_key(request) else { return };
-        self.streams.table.borrow_mut().record(boot_now(), stream, origin);
-        self.streams.pending.borrow_mut().entry(origin.clone()).or_default().push(stream);
+        self.streams.table.borrow_mut().record(boot_now(), stream, source);
+        self.streams.pending.borrow_mut().push((source.clone(), stream));
         if self.streams.is_reporting.replace(true) {
             return;
         }
@@ -149,14 +154,13 @@
 
     fn report_pending(&self) {
         let pending = self.streams.pending.take().into_iter();
-        self.report_streams(
-            pending.map(|(origin, streams)| StreamBatch { origin, streams }).collect(),
-        );
+        let batch = |(source, stream): (StreamSource, _)| source.batch(boot_now(), vec![stream]);
+        self.report_streams(pending.map(batch).collect());
     }
 
     /// Reports all streams once more, to control instances that may not know them.
     pub(super) fn repeat_streams(&self) {
-        let batches = self.streams.table.borrow().batches();
+        let batches = self.streams.table.borrow().batches(boot_now());
         if !batches.is_empty() {
             tracing::info!(event = "streams-repeated", count = self.streams.table.borrow().len());
             self.report_streams(batches);
@@ -167,15 +171,15 @@
     fn report_streams(&self, batches: Vec<StreamBatch>) {
         let members = self.directory.members();
         let mut reports: IndexMap<&InstanceName, Vec<StreamBatch>> = IndexMap::new();
-        for StreamBatch { origin, streams } in batches {
+        for batch in batches {
             let mut held: IndexMap<&InstanceName, Vec<StreamKey>> = IndexMap::new();
-            for stream in streams {
+            for stream in &batch.streams {
                 for holder in stream.holders(&members) {
-                    held.entry(holder).or_default().push(stream);
+                    held.entry(holder).or_default().push(*stream);
                 }
             }
             for (holder, streams) in held {
-                let batch = StreamBatch { origin: origin.clone(), streams };
+                let batch = StreamBatch { streams, ..batch.clone() };
                 reports.entry(holder).or_default().push(batch);
             }
         }
@@ -188,10 +192,26 @@
 
     /// Returns the software that began the stream that a request goes on with.
     async fn find_origin(&self, request: &IncomingRequest) -> Result<StreamOrigin, Unresumable> {
+        let arrived = boot_now();
         let stream = stream_key(request);
-        if let Some(origin) = stream.and_then(|s| self.streams.table.borrow().origin(s).cloned()) {
-            return Ok(origin);
+        let known = stream.and_then(|s| self.streams.table.borrow().source(s));
+        let found = match known {
+            Some(source) => source,
+            None => self.ask_holders(request, stream, arrived).await?,
+        };
+        match self.proves_source(&found).await {
+            true => Ok(found.origin),
+            false => Err(Unresumable::Unproved),
         }
+    }
+
+    /// Asks the control instances that may hold the record of a stream.
+    async fn ask_holders(
+        &self,
+        request: &IncomingRequest,
+        stream: Option<StreamKey>,
+        arrived: BootInstant,
+    ) -> Result<StreamSource, Unresumable> {
         let members = self.directory.members();
         let holders = stream.unwrap_or(StreamKey(0)).holders(&members);
         let frame = Frame::FindStream(FindStream { stream, pool: request.pool.name.clone() });
@@ -201,16 +221,20 @@
         while let Some(answer) = answers.next().await {
             asked += 1;
             let Ok(Frame::StreamFound(found)) = answer else { continue };
-            let StreamFound { origin, sole_version } = found;
-            if let Some(origin) = origin {
-                return Ok(origin);
+            let StreamFound { record, sole_version } = found;
+            if let Some(record) = record {
+                return Ok(record.source(boot_now()));
             }
             answered += 1;
             sole = sole.or(sole_version);
         }
         match sole.filter(|sole| is_older_than_stream(request, sole)) {
             Some(SoleVersion { version, .. }) => {
-                Ok(StreamOrigin { pool: request.pool.name.clone(), version })
+                let origin = StreamOrigin { pool: request.pool.name.clone(), version };
+                match self.is_sole_origin(&origin, arrived).await {
+                    true => Ok(StreamSource { origin, unproved: None }),
+                    false => Err(Unresumable::Unproved),
+                }
             }
             None if answered == asked && asked > 0 => Err(Unresumable::Unknown),
             None => Err(Unresumable::Unanswered),
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -44,6 +44,8 @@
     Pieces,
     /// To free results of stages.
     Release,
+    /// To report about its process.
+    Report,
 }
 
 impl fmt::Display for CallKind {
@@ -53,6 +55,7 @@
             Self::Resumption => "resumption",
             Self::Pieces => "pieces",
             Self::Release => "release",
+            Self::Report => "report",
         })
     }
 }
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -31,7 +31,6 @@
 use hawthornkeel_core::state::take_out::TakeOut;
 use hawthornkeel_core::streams::origin::StreamBatch;
 use hawthornkeel_core::streams::origin::StreamKey;
-use hawthornkeel_core::streams::origin::StreamOrigin;
 use hawthornkeel_core::streams::versions::SoleVersion;
 use serde::Deserialize;
 use serde::Serialize;
@@ -342,8 +341,8 @@
 /// What a control instance knows of the origin of a stream.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct StreamFound {
-    /// Origin, if it is recorded.
-    pub origin: Option<StreamOrigin>,
+    /// Record of the stream, if there is one.
+    pub record: Option<StreamBatch>,
     /// The only version of the pool, if there has been a single one.
     pub sole_version: Option<SoleVersion>,
 }
--- a/hawthornkeel/tests/joined_streams.rs
+++ b/hawthornkeel/tests/joined_streams.rs
@@ -198,53 +198,55 @@
     harness
 }
 
-/// Lets the list show the software of the first target.
-fn catch_up(harness: &Harness) {
+/// Begins streams beside each other, and lets the list show the software of the first target meanwhile.
+fn begin_and_catch_up(harness: &Harness) -> Vec<(String, HttpResponse)> {
+    let begin = |n: usize| {
+        let (client, id) = (harness.client(), format!("behind-{n}"));
+        thread::spawn(move || {
+            let response = ask(&client, n % 2, &id, None);
+            (id, response)
+        })
+    };
+    let streams: Vec<_> = (0..12).map(begin).collect();
+    thread::sleep(Duration::from_millis(500));
     harness.set_target(TARGETS[0], |target| {
         target.writer.listed = None;
         target.born = Some(2);
     });
+    streams.into_iter().map(|s| s.join().unwrap()).collect()
 }
 
 // The list named the software from before a restart, and a stream of the new one went on at the old one.
 #[test]
 fn restart_behind_the_list_joins_nothing() {
     let harness = start_behind_list(225);
-    let streams: Vec<_> = (0..12)
-        .map(|n| {
-            let client = harness.client();
-            thread::spawn(move || ask(&client, n % 2, &format!("behind-{n}"), None))
-        })
-        .collect();
-    thread::sleep(Duration::from_millis(500));
-    catch_up(&harness);
-    let responses: Vec<_> = streams.into_iter().map(|s| s.join().unwrap()).collect();
-    let has_new = |r: &HttpResponse| versions(r).contains("new");
+    let responses = begin_and_catch_up(&harness);
+    let has_new = |(_, r): &(String, HttpResponse)| versions(r).contains("new");
     assert!(responses.iter().any(has_new), "{}", harness.logs());
-    for response in &responses {
+    for (_, response) in &responses {
         assert_eq!(versions(response).len(), 1, "{response:?}\n{}", harness.settled_logs());
     }
 }
 
-// The same, for a caller that takes its stream up.
+// The same, for callers that take their streams up.
 #[test]
 fn take_up_behind_the_list_joins_nothing() {
     let harness = start_behind_list(226);
     harness.set_target(TARGETS[1], |target| target.writer.breaks_after = Some(3));
+    let begun = begin_and_catch_up(&harness);
+    for target in &TARGETS[..2] {
+        harness.set_target(target, |t| t.writer.breaks_after = None);
+    }
     let client = harness.client();
-    let mut begun = (0..40).map(|n| (format!("first-{n}"), n % 2)).map(|(id, entry)| {
-        let fields = fields(&id) + "X: 1\r\n";
-        let response = client.try_call(entry, "GET", "/events/written/1", &fields).unwrap();
-        (id, response)
-    });
-    let (id, first) = begun.find(|(_, r)| versions(r).contains("new")).unwrap();
-    harness.set_target(TARGETS[1], |target| target.writer.breaks_after = None);
-    let caught_up = thread::scope(|scope| {
-        scope.spawn(|| {
-            thread::sleep(Duration::from_millis(300));
-            catch_up(&harness);
-        });
-        ask(&client, 1, "second", Some((&id, last_event(&first))))
-    });
-    assert!(!versions(&caught_up).contains("old"), "{first:?} {caught_up:?}\n{}", harness.logs());
+    let mut whole = 0;
+    for (id, first) in &begun {
+        let (version, last) = (versions(first), last_event(first));
+        let second = ask(&client, 0, &format!("on-{id}"), Some((id, last)));
+        let written = versions(&second);
+        assert!(written.iter().all(|v| version.contains(v)), "{first:?} {second:?}");
+        whole += usize::from(version.contains("old") && last_event(&second) == EVENTS);
+    }
+    let old = begun.iter().filter(|(_, r)| versions(r).contains("old")).count();
+    assert!(old > 0 && old < begun.len(), "{begun:?}");
+    assert!(whole * 10 >= old * 9, "{whole} of {old}:\n{}", harness.logs());
 }
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -79,6 +79,7 @@
     Key::new("ready", ValueKind::Address, ""),
     Key::new("max_connections", ValueKind::integer(1, 65_536, "connections"), "1500"),
     Key::new("confirm_ms", ValueKind::integer(100, MAX_DURATION_MS, "milliseconds"), "5000"),
+    Key::new("list_lag_ms", ValueKind::integer(0, MAX_DURATION_MS, "milliseconds"), "1000"),
     Key::new("grace_s", ValueKind::Float, "30.0"),
     Key::new("retry_ratio", ValueKind::Float, "0.2"),
     Key::new("retry_slack", ValueKind::Float, "10.0"),
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -206,6 +206,8 @@
     /// Maximum time for which keys are accepted while the control instances do not confirm the
     /// document, in milliseconds.
     pub confirm_ms: u64,
+    /// Time by which the platform's list may lag behind the targets, in milliseconds.
+    pub list_lag_ms: u64,
     /// Grace period between the request to stop and the kill of the process, in seconds.
     pub grace_s: f64,
     /// Retries that all entries together may send to a pool, as a ratio of its requests.
@@ -242,6 +244,7 @@
             ready: None,
             max_connections: 1_500,
             confirm_ms: 5_000,
+            list_lag_ms: 1_000,
             grace_s: 30.0,
             retry_ratio: 0.2,
             retry_slack: 10.0,
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -30,6 +30,7 @@
 use crate::placement::notice::TargetNotice;
 use crate::placement::partition::Partitions;
 use crate::streams::origin::StreamOrigin;
+use crate::streams::origin::Writer;
 use crate::table::pool::ColdLimit;
 use crate::time::Instant;
 
@@ -291,6 +292,22 @@
         self.targets.values().any(|t| is_origin(&t))
     }
 
+    /// Returns whether all targets of a pool have the software of an origin.
+    pub fn lists_only(&self, origin: &StreamOrigin) -> bool {
+        let mut of_pool = self.targets.values().filter(|t| t.listed.pool == origin.pool);
+        of_pool.all(|t| t.listed.version == origin.version)
+    }
+
+    /// Returns whether the list names a process, and no other one at its place.
+    pub fn lists(&self, run: &TargetRun) -> bool {
+        self.targets.get(&run.name).is_some_and(|t| t.listed.run().is_same(run))
+    }
+
+    /// Returns whether the list names another process at the place of the writer of a stream.
+    pub fn contradicts(&self, writer: &Writer) -> bool {
+        self.targets.values().any(|t| writer.is_contradicted_by(&t.listed.run()))
+    }
+
     /// Returns the data centre of the target that would be chosen.
     pub fn likely_centre(&mut self, now: Instant, query: &TargetQuery<'_>) -> Option<CentreName> {
         let index = self.best(now, query).ok()?;
--- a/hawthornkeel_core/src/streams/table.rs
+++ b/hawthornkeel_core/src/streams/table.rs
@@ -13,6 +13,8 @@
 use crate::streams::origin::StreamBatch;
 use crate::streams::origin::StreamKey;
 use crate::streams::origin::StreamOrigin;
+use crate::streams::origin::StreamSource;
+use crate::streams::origin::Unproved;
 use crate::time::Instant;
 
 /// Duration of a generation, and so the least time for which a record is kept.
@@ -23,7 +25,10 @@
 /// What is known of the origin of a stream.
 #[derive(Clone, Debug, Eq, PartialEq)]
 enum Record {
-    Origin(Rc<StreamOrigin>),
+    Origin {
+        origin: Rc<StreamOrigin>,
+        unproved: Option<Unproved>,
+    },
     /// Different origins were reported for the same attempt, so none is certain.
     Conflict,
 }
@@ -42,46 +47,54 @@
 }
 
 impl OriginTable {
-    /// Records the origin of a stream.
-    pub fn record(&mut self, now: Instant, stream: StreamKey, origin: &StreamOrigin) {
+    /// Records the source of a stream.
+    pub fn record(&mut self, now: Instant, stream: StreamKey, source: &StreamSource) {
         self.rotate(now);
+        let unproved = source.unproved;
         let known = self.current.get(&stream).or_else(|| self.previous.get(&stream));
         let record = match known {
-            Some(Record::Origin(known)) if **known == *origin => Record::Origin(Rc::clone(known)),
+            Some(Record::Origin { origin, unproved: before }) if **origin == source.origin => {
+                // What was proved once stays so.
+                let unproved = before.and(unproved);
+                Record::Origin { origin: Rc::clone(origin), unproved }
+            }
             Some(_) => Record::Conflict,
-            None => Record::Origin(self.shared(origin)),
+            None => Record::Origin { origin: self.shared(&source.origin), unproved },
         };
         self.current.insert(stream, record);
     }
 
     /// Records a batch of streams.
     pub fn record_batch(&mut self, now: Instant, batch: &StreamBatch) {
+        let source = batch.source(now);
         for stream in &batch.streams {
-            self.record(now, *stream, &batch.origin);
+            self.record(now, *stream, &source);
         }
     }
 
-    /// Returns the origin of a stream, if it is known.
-    pub fn origin(&self, stream: StreamKey) -> Option<&StreamOrigin> {
+    /// Returns the source of a stream, if it is known.
+    pub fn source(&self, stream: StreamKey) -> Option<StreamSource> {
         match self.current.get(&stream).or_else(|| self.previous.get(&stream))? {
-            Record::Origin(origin) => Some(origin),
+            Record::Origin { origin, unproved } => {
+                Some(StreamSource { origin: origin.as_ref().clone(), unproved: *unproved })
+            }
             Record::Conflict => None,
         }
     }
 
-    /// Returns all records, by origin.
-    pub fn batches(&self) -> Vec<StreamBatch> {
-        let mut batches: IndexMap<&Rc<StreamOrigin>, Vec<StreamKey>> = IndexMap::new();
+    /// Returns all records, by source.
+    pub fn batches(&self, now: Instant) -> Vec<StreamBatch> {
+        let mut streams: IndexMap<(&StreamOrigin, Option<Unproved>), Vec<StreamKey>> =
+            IndexMap::new();
         for (stream, record) in self.previous.iter().chain(&self.current) {
-            if let Record::Origin(origin) = record {
-                batches.entry(origin).or_default().push(*stream);
+            if let Record::Origin { origin, unproved } = record {
+                streams.entry((origin, *unproved)).or_default().push(*stream);
             }
         }
-        let batch = |(origin, streams): (&Rc<StreamOrigin>, Vec<StreamKey>)| StreamBatch {
-            origin: origin.as_ref().clone(),
-            streams,
+        let batch = |((origin, unproved), streams): ((&StreamOrigin, _), _)| {
+            StreamSource { origin: origin.clone(), unproved }.batch(now, streams)
         };
-        batches.into_iter().map(batch).collect()
+        streams.into_iter().map(batch).collect()
     }
 
     /// Returns the number of records.
--- a/hawthornkeel_core/tests/stream_origins.rs
+++ b/hawthornkeel_core/tests/stream_origins.rs
@@ -5,10 +5,14 @@
 
 use hawthornkeel_core::fleet::ListedTarget;
 use hawthornkeel_core::fleet::TargetList;
+use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::streams::origin::StreamKey;
 use hawthornkeel_core::streams::origin::StreamOrigin;
+use hawthornkeel_core::streams::origin::StreamSource;
+use hawthornkeel_core::streams::origin::Unproved;
+use hawthornkeel_core::streams::origin::Writer;
 use hawthornkeel_core::streams::table::GENERATION;
 use hawthornkeel_core::streams::table::OriginTable;
 use hawthornkeel_core::streams::versions::VersionHistory;
@@ -18,8 +22,9 @@
     Instant::from_millis(1_000_000) + Duration::from_secs_f64(seconds)
 }
 
-fn origin(version: &str) -> StreamOrigin {
-    StreamOrigin { pool: "engines".into(), version: version.into() }
+fn source(version: &str) -> StreamSource {
+    let origin = StreamOrigin { pool: "engines".into(), version: version.into() };
+    StreamSource { origin, unproved: None }
 }
 
 /// Returns a list with one target of each version.
@@ -63,13 +68,13 @@
 fn record_lasts_a_generation() {
     let mut table = OriginTable::default();
     let (stream, generation) = (StreamKey(1), GENERATION.as_secs_f64());
-    table.record(at(0.0), StreamKey(0), &origin("v1"));
-    table.record(at(generation * 0.9), stream, &origin("v1"));
-    table.record(at(generation * 1.8), StreamKey(2), &origin("v2"));
-    assert_eq!(table.origin(stream), Some(&origin("v1")));
-    table.record(at(generation * 2.9), StreamKey(3), &origin("v2"));
-    table.record(at(generation * 4.0), StreamKey(4), &origin("v2"));
-    assert_eq!(table.origin(stream), None);
+    table.record(at(0.0), StreamKey(0), &source("v1"));
+    table.record(at(generation * 0.9), stream, &source("v1"));
+    table.record(at(generation * 1.8), StreamKey(2), &source("v2"));
+    assert_eq!(table.source(stream), Some(source("v1")));
+    table.record(at(generation * 2.9), StreamKey(3), &source("v2"));
+    table.record(at(generation * 4.0), StreamKey(4), &source("v2"));
+    assert_eq!(table.source(stream), None);
 }
 
 #[test]
@@ -77,9 +82,9 @@
     let mut table = OriginTable::default();
     for n in 0..40 {
         let now = at(n as f64 * GENERATION.as_secs_f64() / 2.0);
-        table.record(now, StreamKey(1), &origin("v1"));
-        table.record(now, StreamKey(100 + n), &origin("v2"));
-        assert_eq!(table.origin(StreamKey(1)), Some(&origin("v1")));
+        table.record(now, StreamKey(1), &source("v1"));
+        table.record(now, StreamKey(100 + n), &source("v2"));
+        assert_eq!(table.source(StreamKey(1)), Some(source("v1")));
     }
     assert!(table.len() < 10, "{}", table.len());
 }
@@ -88,19 +93,19 @@
 #[test]
 fn contradicting_records_tell_nothing() {
     let mut table = OriginTable::default();
-    table.record(at(0.0), StreamKey(1), &origin("v1"));
-    table.record(at(0.1), StreamKey(1), &origin("v2"));
-    assert_eq!(table.origin(StreamKey(1)), None);
-    table.record(at(0.2), StreamKey(1), &origin("v1"));
-    assert_eq!(table.origin(StreamKey(1)), None);
+    table.record(at(0.0), StreamKey(1), &source("v1"));
+    table.record(at(0.1), StreamKey(1), &source("v2"));
+    assert_eq!(table.source(StreamKey(1)), None);
+    table.record(at(0.2), StreamKey(1), &source("v1"));
+    assert_eq!(table.source(StreamKey(1)), None);
 }
 
 #[test]
 fn table_is_bounded() {
     let mut table = OriginTable::default();
-    (0..2_000_000).for_each(|n| table.record(at(1.0), StreamKey(n), &origin("v1")));
+    (0..2_000_000).for_each(|n| table.record(at(1.0), StreamKey(n), &source("v1")));
     assert!(table.len() <= 500_000, "{}", table.len());
-    assert!(table.origin(StreamKey(1_999_999)).is_some());
+    assert!(table.source(StreamKey(1_999_999)).is_some());
 }
 
 #[test]
@@ -108,13 +113,13 @@
     let mut table = OriginTable::default();
     (0..100).for_each(|n| {
         let version = if n % 3 == 0 { "v1" } else { "v2" };
-        table.record(at(0.0), StreamKey(n), &origin(version));
+        table.record(at(0.0), StreamKey(n), &source(version));
     });
     let mut other = OriginTable::default();
-    let batches = table.batches();
+    let batches = table.batches(at(1.0));
     assert_eq!(batches.len(), 2);
     batches.iter().for_each(|batch| other.record_batch(at(1.0), batch));
-    assert!((0..100).all(|n| other.origin(StreamKey(n)) == table.origin(StreamKey(n))));
+    assert!((0..100).all(|n| other.source(StreamKey(n)) == table.source(StreamKey(n))));
 }
 
 #[test]
@@ -166,3 +171,32 @@
     history.observe(at(40.0), &list(&["v1"]));
     assert_eq!(sole(&history, 40.0), Some(("v1".to_owned(), 0)));
 }
+
+fn run(born: u64) -> TargetRun {
+    TargetRun { name: "i-1".into(), address: ([10, 0, 0, 1], 8_000).into(), born: Some(born) }
+}
+
+#[test]
+fn restart_contradicts_the_writer() {
+    let writer = Writer::from(&run(1));
+    assert!(writer.is_contradicted_by(&run(2)));
+    assert!(!writer.is_contradicted_by(&run(1)));
+    let elsewhere = TargetRun { name: "i-2".into(), ..run(2) };
+    assert!(!writer.is_contradicted_by(&elsewhere));
+}
+
+// An unproved record is as old on each instance, and one that was proved stays so.
+#[test]
+fn unproved_record_keeps_its_age() {
+    let writer = Unproved { writer: Writer::from(&run(1)), opened: at(1.0) };
+    let unproved = StreamSource { unproved: Some(writer), ..source("v1") };
+    let (mut table, mut other) = (OriginTable::default(), OriginTable::default());
+    table.record(at(1.5), StreamKey(1), &unproved);
+    let batches = table.batches(at(2.0));
+    other.record_batch(at(2.25), &batches[0]);
+    let kept = other.source(StreamKey(1)).unwrap().unproved.unwrap();
+    assert_eq!(kept.opened, at(1.25));
+    other.record(at(3.0), StreamKey(1), &source("v1"));
+    other.record(at(3.5), StreamKey(1), &unproved);
+    assert_eq!(other.source(StreamKey(1)), Some(source("v1")));
+}
