--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -55,13 +55,23 @@
 impl Handler for ForwardHandler {
     async fn handle(&self, request: Request) -> Response {
         let disconnected = request.disconnected.clone();
-        let admitted = match self.admit(request).await {
-            Ok(admitted) => Rc::new(admitted),
+        let admitted = match access::admit(&self.context, request) {
+            Ok(admitted) => admitted,
             Err(problem) => return problem_response(problem),
         };
         if let Err(problem) = self.context.stop.admit(&admitted) {
             return problem_response(problem);
         }
+        let origin = monoio::select! {
+            biased;
+            origin = streams::find_origin(&self.context, &admitted) => origin,
+            problem = self.context.stop.given_up(&admitted) => Err(problem),
+            () = disconnected.wait() => Err(Problem::not_run(Code::Internal)),
+        };
+        let admitted = match origin {
+            Ok(origin) => Rc::new(admitted.bound_to(origin)),
+            Err(problem) => return problem_response(problem),
+        };
         self.context.record_request(&admitted.pool.name);
         let work = self.serve(Rc::clone(&admitted), disconnected.clone());
         monoio::select! {
@@ -83,12 +93,6 @@
 }
 
 impl ForwardHandler {
-    /// Admits a request, and binds one that takes up a stream to the software that began it.
-    async fn admit(&self, request: Request) -> Result<IncomingRequest, Problem> {
-        let admitted = access::admit(&self.context, request)?;
-        streams::bind(&self.context, admitted).await
-    }
-
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
         if !self.context.admits_prompt(&request).await {
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -119,6 +119,18 @@
         })
     }
 
+    /// Binds the request to the software that began the stream that it goes on with, if any.
+    pub fn bound_to(mut self, origin: Option<StreamOrigin>) -> Self {
+        let Some(origin) = origin else { return self };
+        if let Some(pool) = self.table.pools.get(&origin.pool) {
+            self.pool = pool.clone();
+        }
+        // The first event came in time or not long ago; what counts now is that its caller waits.
+        self.objective_deadline = self.deadline.min(self.started + self.route.event_patience);
+        self.origin = Some(origin);
+        self
+    }
+
     /// Returns what is known about its having run.
     pub fn run_status(&self) -> RunStatus {
         if self.may_have_run.get() { RunStatus::Unknown } else { RunStatus::NotRun }
--- a/hawthornkeel/src/forward/streams.rs
+++ b/hawthornkeel/src/forward/streams.rs
@@ -101,36 +101,28 @@
     Some(StreamKey::new(request.workspace.as_ref(), attempt))
 }
 
-/// Finds the software that began the stream that a request goes on with, and binds the request to it.
+/// Returns the software that began the stream that a request goes on with, if it goes on with one.
 ///
 /// # Errors
 /// Returns the problem to respond with if the stream can't go on.
-pub(super) async fn bind(
+pub(super) async fn find_origin(
     context: &Context,
-    mut request: IncomingRequest,
-) -> Result<IncomingRequest, Problem> {
-    let Some(last) = taken_up_after(&request) else { return Ok(request) };
+    request: &IncomingRequest,
+) -> Result<Option<StreamOrigin>, Problem> {
+    let Some(last) = taken_up_after(request) else { return Ok(None) };
     let resumes = request.head.header(fields::RESUMES);
-    let found = context.find_origin(&request).await;
-    let bound = found.and_then(|origin| context.check_origin(&request, origin));
+    let found = context.find_origin(request).await;
+    let found = found.and_then(|origin| context.check_origin(request, origin));
     tracing::info!(
         event = "stream-taken-up",
         request = %request.id,
         resumes,
         last,
-        origin = bound.as_ref().ok().map(tracing::field::display),
-        refused = bound.as_ref().err().map(|e| e.as_str()),
+        origin = found.as_ref().ok().map(tracing::field::display),
+        refused = found.as_ref().err().map(|e| e.as_str()),
     );
-    count(bound.as_ref().map_or_else(|e| e.as_str(), |_| "bound"));
-    let origin = bound.map_err(Unresumable::problem)?;
-    if let Some(pool) = request.table.pools.get(&origin.pool) {
-        request.pool = pool.clone();
-    }
-    request.origin = Some(origin);
-    // The first event came in time or not long ago; what counts now is that its caller waits.
-    let patience_end = request.started + request.route.event_patience;
-    request.objective_deadline = request.deadline.min(patience_end);
-    Ok(request)
+    count(found.as_ref().map_or_else(|e| e.as_str(), |_| "bound"));
+    found.map(Some).map_err(Unresumable::problem)
 }
 
 impl Context {
