--- a/hawthornkeel/src/forward/proofs.rs
+++ b/hawthornkeel/src/forward/proofs.rs
@@ -53,9 +53,9 @@
         if self.unproved_writer(run, opened).is_none() {
             return true;
         }
-        match self.reported_start(run).await {
-            Some(born) => run.born == Some(born),
-            None => self.wait_for_list(opened).await && self.balancer.borrow().lists(run),
+        match (run.born, self.reported_start(run).await) {
+            (Some(listed), Some(reported)) => listed == reported,
+            _ => self.wait_for_list(opened).await && self.balancer.borrow().lists(run),
         }
     }
 
