--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -63,6 +63,8 @@
     pub retry_after: Option<&'static str>,
     /// Start of its process, as the list names it.
     pub born: Option<u64>,
+    /// Start of its process, as it reports it itself.
+    pub reported: Option<u64>,
     /// Address that the list names in place of its own.
     pub address: Option<SocketAddr>,
     /// Data centres of further targets that the list names at the same address.
@@ -106,6 +108,9 @@
                             false if is_engine_request(&request) => {
                                 engine_answer(&request, &fakes, at)
                             }
+                            false if request.head.path == "/report" && fake.reported.is_some() => {
+                                report(&fake)
+                            }
                             false if writers::is_written(&request) => {
                                 writers::answer(&request, &fake.writer)
                             }
@@ -150,6 +155,11 @@
     format!(r#"{{"instances":[{}],"next":null}}"#, entries.join(","))
 }
 
+/// Returns what a target reports about its process.
+fn report(fake: &FakeTarget) -> Response {
+    Response::json(format!(r#"{{"born":{}}}"#, fake.reported.unwrap_or_default()))
+}
+
 /// Returns the answer of a target that does not run a request.
 fn refusal(request: &Request, fake: &FakeTarget) -> Response {
     let id = request.head.header("request-id").unwrap_or_default();
--- a/hawthornkeel/tests/joined_streams.rs
+++ b/hawthornkeel/tests/joined_streams.rs
@@ -250,3 +250,34 @@
     assert!(old > 0 && old < begun.len(), "{begun:?}");
     assert!(whole * 10 >= old * 9, "{whole} of {old}:\n{}", harness.logs());
 }
+
+/// Begins streams that break, at targets with the same software that both report their starts; returns
+/// the responses. The list names the starts if `listed` is set.
+fn resumed_streams(net: u8, listed: bool) -> (Harness, Vec<HttpResponse>) {
+    let fakes = FakeTargets::default();
+    for fake in fakes.lock().unwrap().iter_mut() {
+        fake.writer.breaks_after = Some(6);
+        (fake.reported, fake.born) = (Some(7), listed.then_some(7));
+    }
+    let harness = Harness::with_fakes(net, 1, fakes);
+    harness.serve_routes();
+    wait_for_entries(&harness);
+    let client = harness.client();
+    let responses = (0..6).map(|n| ask(&client, n % 2, &format!("resumed-{n}"), None)).collect();
+    (harness, responses)
+}
+
+// Where the list names no start of a process, what the process reports of it contradicted the list.
+#[test]
+fn streams_are_resumed_without_listed_starts() {
+    let (harness, responses) = resumed_streams(227, false);
+    let whole = responses.iter().filter(|r| last_event(r) == EVENTS).count();
+    assert_eq!(whole, responses.len(), "{}", harness.logs());
+}
+
+#[test]
+fn reported_start_proves_a_young_connection() {
+    let (harness, responses) = resumed_streams(228, true);
+    let whole = responses.iter().filter(|r| last_event(r) == EVENTS).count();
+    assert_eq!(whole, responses.len(), "{}", harness.logs());
+}
