--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -39,7 +39,7 @@
     Exhausted,
     /// A stop would end before the response.
     Stopping,
-    /// A part of the prompt ends targets.
+    /// What the request has in common with others ends targets.
     CrashingPrompt,
 }
 
--- a/hawthornkeel/src/forward/proofs.rs
+++ b/hawthornkeel/src/forward/proofs.rs
@@ -4,7 +4,6 @@
 //! A list that was read later than a connection was opened, by more than it may lag, names the process
 //! behind that connection. Until then the process itself tells when it started.
 
-use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -78,10 +77,13 @@
     /// Asks a target when its process started. The answer holds for each connection to it that was
     /// opened before and still goes on.
     async fn reported_start(&self, run: &TargetRun) -> Option<u64> {
-        let address: SocketAddr = run.address;
-        let deadline = Instant::now() + REPORT_TIMEOUT;
-        let request =
-            InternalRequest { address, path: reports::PATH, body: None, fields: &[], deadline };
+        let request = InternalRequest {
+            address: run.address,
+            path: reports::PATH,
+            body: None,
+            fields: &[],
+            deadline: Instant::now() + REPORT_TIMEOUT,
+        };
         let report = self.call_target(run, CallKind::Report, &request).await.ok()?;
         reports::decode_born(&report.body)
     }
--- a/hawthornkeel/src/forward/streams.rs
+++ b/hawthornkeel/src/forward/streams.rs
@@ -243,8 +243,13 @@
         if !is_routed {
             return Err(Unresumable::Moved);
         }
-        let serves = self.balancer.borrow().serves_software(&origin);
-        if serves { Ok(origin) } else { Err(Unresumable::Gone) }
+        let balancer = self.balancer.borrow();
+        match balancer.serves_software(&origin) {
+            true => Ok(origin),
+            // Without a list this entry knows of no target yet.
+            false if !balancer.has_list() => Err(Unresumable::Unanswered),
+            false => Err(Unresumable::Gone),
+        }
     }
 
     /// Returns the problem of a request that found no target, if that is for its software.
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -284,6 +284,11 @@
         Some((target.listed.run(), target.notice.opens_at(now)))
     }
 
+    /// Returns whether a list of targets was received.
+    pub fn has_list(&self) -> bool {
+        self.has_list
+    }
+
     /// Returns whether any target with some software may get work.
     pub fn serves_software(&self, origin: &StreamOrigin) -> bool {
         let is_origin = |t: &&Target| {
--- a/hawthornkeel_core/src/quarantine/board.rs
+++ b/hawthornkeel_core/src/quarantine/board.rs
@@ -57,7 +57,7 @@
 /// Change of the suspicion of a subject.
 #[derive(Clone, Copy, Debug, PartialEq)]
 pub struct SuspicionChange {
-    /// Part.
+    /// Subject.
     pub subject: Subject,
     /// Suspicion from now on.
     pub suspicion: Suspicion,
@@ -76,7 +76,7 @@
     subjects: IndexMap<Subject, KnownSubject>,
     /// Sound runs of each entry, whatever they held.
     all_sound: IndexMap<InstanceName, Weight>,
-    /// Parts to be judged, with the time of their last evidence.
+    /// Subjects to be judged, with the time from which on they are.
     pending: IndexMap<Subject, Instant>,
 }
 
@@ -98,11 +98,11 @@
     ///
     /// Call [`Board::settle`] at [`Board::settles_at`].
     pub fn record(&mut self, now: Instant, evidence: &Evidence) -> Vec<SuspicionChange> {
-        let ending_parts = evidence.endings.iter().flat_map(|e| e.subjects.iter());
+        let ending_runs = evidence.endings.iter().flat_map(|e| e.subjects.iter());
         let all_sound = Weight::from_thousandths(evidence.all_thousandths, now);
         self.all_sound.insert(evidence.reporter.clone(), all_sound);
         let mut cleared = Vec::new();
-        for runs in ending_parts.chain(&evidence.sound) {
+        for runs in ending_runs.chain(&evidence.sound) {
             let before = self.suspicion_of(runs.subject);
             self.record_sound(now, &evidence.reporter, runs);
             if self.suspicion_of(runs.subject) < before {
