--- a/hawthornkeel_core/src/quarantine/evidence.rs
+++ b/hawthornkeel_core/src/quarantine/evidence.rs
@@ -34,7 +34,7 @@
     pub request: u32,
     /// Whether its answer had begun.
     pub begun: bool,
-    /// Parts of the prompt that other requests may hold, with what the entry knows of them.
+    /// What other requests may have in common with it, with what the entry knows of that.
     pub subjects: Vec<SoundRuns>,
     /// Time since then, in milliseconds.
     pub age_ms: u32,
@@ -43,7 +43,7 @@
 /// Sound runs of one subject at one entry.
 #[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct SoundRuns {
-    /// Part.
+    /// Subject.
     pub subject: Subject,
     /// Number of runs in thousandths, older ones counted less.
     pub thousandths: u32,
