--- a/hawthornkeel/src/forward/proofs.rs
+++ b/hawthornkeel/src/forward/proofs.rs
@@ -1,8 +1,10 @@
 //! Proof of the software of a process: the list of targets lags, so that a process may have started
 //! anew under its name and address, with other software than the list still names.
 //!
-//! A list that was read later than a connection was opened, by more than it may lag, names the process
-//! behind that connection. Until then the process itself tells when it started.
+//! A list that names no starts of processes is of a platform on which each start has a name of its
+//! own, so there the name tells all. Otherwise a list that was read later than a connection was
+//! opened, by more than it may lag, names the process behind that connection. Until then the process
+//! itself tells when it started.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -31,7 +33,8 @@
 impl Context {
     /// Returns what the software of a stream rests on, whose connection was opened at a time.
     pub(super) fn unproved_writer(&self, run: &TargetRun, opened: BootInstant) -> Option<Unproved> {
-        let is_proved = self.list_covers(opened) && self.balancer.borrow().lists(run);
+        let is_proved =
+            run.born.is_none() || self.list_covers(opened) && self.balancer.borrow().lists(run);
         (!is_proved).then(|| Unproved { writer: Writer::from(run), opened })
     }
 
@@ -44,7 +47,8 @@
     /// Returns whether no target of a pool has other software than an origin, once the list shows the
     /// targets as they were at a time.
     pub(super) async fn is_sole_origin(&self, origin: &StreamOrigin, at: BootInstant) -> bool {
-        self.wait_for_list(at).await && self.balancer.borrow().lists_only(origin)
+        let names_starts = self.balancer.borrow().names_starts(&origin.pool);
+        (!names_starts || self.wait_for_list(at).await) && self.balancer.borrow().lists_only(origin)
     }
 
     /// Returns whether the process behind a connection that was opened at a time is the listed one.
@@ -52,9 +56,9 @@
         if self.unproved_writer(run, opened).is_none() {
             return true;
         }
-        match (run.born, self.reported_start(run).await) {
-            (Some(listed), Some(reported)) => listed == reported,
-            _ => self.wait_for_list(opened).await && self.balancer.borrow().lists(run),
+        match self.reported_start(run).await {
+            Some(reported) => run.born == Some(reported),
+            None => self.wait_for_list(opened).await && self.balancer.borrow().lists(run),
         }
     }
 
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -264,10 +264,6 @@
         if !self.progress.tried.contains(failed) {
             self.progress.tried.push(failed.clone());
         }
-        if !self.context.proves_source(&self.source).await {
-            tracing::info!(event = "stream-unproved", request = %self.request.id, target = %failed);
-            return None;
-        }
         let last =
             last.or_else(|| self.request.head.header(fields::LAST_EVENT_ID)).map(str::to_owned);
         let mut prepared = prepared;
@@ -297,6 +293,12 @@
             let result = self.context.check_writer(&run, result).await;
             let outcome = match result {
                 Ok(response) if response.status.is_success() => {
+                    // Nothing of it goes out before; by now the list mostly tells.
+                    if !self.context.proves_source(&self.source).await {
+                        let (request, target) = (&self.request.id, failed);
+                        tracing::info!(event = "stream-unproved", %request, %target);
+                        return None;
+                    }
                     tracing::info!(
                         event = "stream-resumed",
                         request = %self.request.id,
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -297,6 +297,11 @@
         self.targets.values().any(|t| is_origin(&t))
     }
 
+    /// Returns whether the list names the start of a process of a pool.
+    pub fn names_starts(&self, pool: &PoolName) -> bool {
+        self.targets.values().any(|t| t.listed.pool == *pool && t.listed.born.is_some())
+    }
+
     /// Returns whether all targets of a pool have the software of an origin.
     pub fn lists_only(&self, origin: &StreamOrigin) -> bool {
         let mut of_pool = self.targets.values().filter(|t| t.listed.pool == origin.pool);
