--- a/hawthornkeel/src/forward/broken_runs.rs
+++ b/hawthornkeel/src/forward/broken_runs.rs
@@ -1,4 +1,4 @@
-//! Runs that their targets broke off, with the subjects of their prompts.
+//! Runs that their targets broke off, with what they have in common with others.
 
 use std::fmt;
 use std::rc::Rc;
--- a/hawthornkeel/src/forward/quarantine.rs
+++ b/hawthornkeel/src/forward/quarantine.rs
@@ -211,7 +211,7 @@
         request.is_probe.get()
     }
 
-    /// Returns the problem of a request that is rejected for a subject of it.
+    /// Returns the problem of a request that is rejected for what it has in common with others.
     pub(super) fn crashing_prompt(&self, request: &IncomingRequest) -> Problem {
         count("rejected");
         let board = self.quarantine.board.borrow();
