--- /dev/null
+++ b/hawthornkeel/tests/forward_harness/links.rs
@@ -0,0 +1,127 @@
+//! Links between processes of a harness and its targets: relays that tell by which process a
+//! connection was opened, and that can cut single processes off.
+
+use std::fs;
+use std::io::Read;
+use std::io::Write;
+use std::net::Shutdown;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::net::TcpStream;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+
+use crate::forward_harness::Harness;
+use crate::forward_harness::TARGETS;
+
+/// Interval at which open connections are compared with what is cut off.
+const POLL_INTERVAL: Duration = Duration::from_millis(2);
+
+/// What happens to the open connections of a process that is cut off; new ones are closed at once.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Cut {
+    /// They carry nothing any more.
+    Silent,
+    /// They are closed.
+    Closed,
+    /// They live on.
+    Kept,
+}
+
+/// Processes that are cut off from the targets of the relays; clones share them.
+#[derive(Clone, Default)]
+pub struct Links {
+    cut: Arc<Mutex<Vec<(u32, Cut)>>>,
+}
+
+impl Links {
+    /// Places a relay in front of each target, and waits until the entries use them.
+    pub fn start(harness: &Harness) -> Self {
+        let links = Self::default();
+        let processes: Vec<u32> =
+            (0..harness.process_count()).filter_map(|at| harness.process_id(at)).collect();
+        for (target, name) in harness.targets().into_iter().zip(TARGETS) {
+            let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+            let address = listener.local_addr().unwrap();
+            let (links, processes) = (links.clone(), processes.clone());
+            thread::spawn(move || links.serve(&listener, target, &processes));
+            harness.set_target(name, |t| t.address = Some(address));
+        }
+        // The list is read every 100 ms.
+        thread::sleep(Duration::from_millis(600));
+        links
+    }
+
+    /// Cuts a process off from all targets.
+    pub fn cut(&self, process: u32, cut: Cut) {
+        self.cut.lock().unwrap().push((process, cut));
+    }
+
+    /// Restores all links.
+    pub fn restore(&self) {
+        self.cut.lock().unwrap().clear();
+    }
+
+    fn cut_of(&self, process: Option<u32>) -> Option<Cut> {
+        let cut = self.cut.lock().unwrap();
+        cut.iter().find(|(p, _)| Some(*p) == process).map(|(_, cut)| *cut)
+    }
+
+    fn serve(&self, listener: &TcpListener, target: SocketAddr, processes: &[u32]) {
+        while let Ok((client, from)) = listener.accept() {
+            let owner = processes.iter().copied().find(|p| owns(*p, from));
+            if self.cut_of(owner).is_some() {
+                continue;
+            }
+            let Ok(server) = TcpStream::connect(target) else { continue };
+            let ends = [(&client, &server), (&server, &client)];
+            for (from, to) in ends {
+                let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+                let links = self.clone();
+                thread::spawn(move || links.forward(owner, from, to));
+            }
+        }
+    }
+
+    /// Forwards bytes in one direction until either end closes or the owner is cut off.
+    fn forward(&self, owner: Option<u32>, mut from: TcpStream, mut to: TcpStream) {
+        let mut data = [0; 16 * 1024];
+        let _ = from.set_read_timeout(Some(POLL_INTERVAL));
+        let _ = to.set_nodelay(true);
+        let mut silent = false;
+        loop {
+            match self.cut_of(owner) {
+                Some(Cut::Closed) => break,
+                Some(Cut::Silent) => silent = true,
+                Some(Cut::Kept) | None => {}
+            }
+            match from.read(&mut data) {
+                Ok(0) => break,
+                Ok(_) if silent => {}
+                Ok(count) if to.write_all(&data[..count]).is_ok() => {}
+                Ok(_) => break,
+                Err(error) if error.kind() == std::io::ErrorKind::WouldBlock => {}
+                Err(_) => break,
+            }
+        }
+        let _ = from.shutdown(Shutdown::Both);
+        let _ = to.shutdown(Shutdown::Both);
+    }
+}
+
+/// Returns whether a process holds the socket whose local address is `address`.
+fn owns(process: u32, address: SocketAddr) -> bool {
+    let local = format!("0100007F:{:04X}", address.port());
+    let table = fs::read_to_string("/proc/net/tcp").unwrap();
+    let inode = table.lines().find_map(|line| {
+        let fields: Vec<&str> = line.split_whitespace().collect();
+        (fields.get(1) == Some(&local.as_str())).then(|| fields.get(9).copied()).flatten()
+    });
+    let Some(socket) = inode.map(|i| format!("socket:[{i}]")) else { return false };
+    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
+    descriptors.flatten().any(|d| {
+        fs::read_link(d.path()).is_ok_and(|link| link.to_string_lossy() == socket.as_str())
+    })
+}
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -4,6 +4,7 @@
 
 pub mod document;
 pub mod engines;
+pub mod links;
 pub mod process;
 pub mod requests;
 pub mod stop_calls;
@@ -102,6 +103,7 @@
 pub struct Harness {
     pub requests: Arc<Mutex<Vec<RecordedRequest>>>,
     fakes: FakeTargets,
+    targets: [SocketAddr; 3],
     processes: Vec<Process>,
     root: TempDir,
     operators: Vec<SocketAddr>,
@@ -140,6 +142,7 @@
         let mut harness = Self {
             requests,
             fakes,
+            targets,
             processes: Vec::new(),
             root: tempfile::tempdir().unwrap(),
             operators: hosts.iter().map(|h| addr(&ip(*h), port + 2)).collect(),
@@ -384,6 +387,11 @@
         &self.fakes
     }
 
+    /// Returns the addresses of the fake targets.
+    pub fn targets(&self) -> [SocketAddr; 3] {
+        self.targets
+    }
+
     /// Returns the number of requests that a target received so far.
     pub fn request_count(&self, target: &str) -> usize {
         self.requests.lock().unwrap().iter().filter(|r| r.target == target).count()
--- /dev/null
+++ b/hawthornkeel/tests/lost_links.rs
@@ -0,0 +1,81 @@
+//! Entries that lose their links to all targets, which other entries still reach.
+
+mod forward_harness;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use crate::forward_harness::EntryClient;
+use crate::forward_harness::Harness;
+use crate::forward_harness::links::Cut;
+use crate::forward_harness::links::Links;
+use crate::forward_harness::requests::PIECES;
+use crate::forward_harness::requests::fields;
+
+/// Time after a cut from which on the callers of the entry are served like others.
+const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+/// Number of requests of each kind that are counted.
+const REQUESTS: usize = 20;
+
+/// Starts two entries whose links to the targets can be cut.
+fn start(net: u8) -> (Harness, Links) {
+    let harness = Harness::start(net);
+    harness.serve_routes();
+    let links = Links::start(&harness);
+    (harness, links)
+}
+
+/// Sends a request of each kind without and with stages; returns how many were answered with 200.
+fn call_each(client: &EntryClient, entry: usize, id: &str) -> usize {
+    let fields = |kind: &str| fields(&format!("{id}-{kind}"));
+    let staged = fields("review") + PIECES;
+    let calls = [
+        client.try_call(entry, "GET", "/lots/1", &fields("lots")),
+        client.try_call(entry, "POST", "/sign/1", &fields("sign")),
+        client.try_call(entry, "GET", "/events/drip-3", &fields("events")),
+        client.try_call(entry, "GET", "/review/1", &staged),
+    ];
+    calls.into_iter().flatten().filter(|r| r.status == 200).count()
+}
+
+/// Sends requests to an entry until the contact window is over.
+fn send_through_window(client: &EntryClient, entry: usize) {
+    let until = Instant::now() + CONTACT_WINDOW;
+    for n in 0.. {
+        if Instant::now() >= until {
+            return;
+        }
+        client.try_call(entry, "GET", "/lots/1", &fields(&format!("w-{entry}-{n}")));
+        thread::sleep(Duration::from_millis(100));
+    }
+}
+
+// An entry without links to targets refused what other entries could have sent for it, and went on
+// as owner of schedulers, so that stages of the other entries' requests failed too.
+#[rstest]
+#[case(200, 0, Cut::Closed)]
+#[case(201, 1, Cut::Closed)]
+#[case(202, 0, Cut::Silent)]
+#[case(203, 1, Cut::Kept)]
+fn callers_of_cut_entry_are_served(#[case] net: u8, #[case] cut: usize, #[case] how: Cut) {
+    let (harness, links) = start(net);
+    let client = harness.client();
+    assert_eq!(call_each(&client, 0, "before-0"), 4, "{}", harness.logs());
+    assert_eq!(call_each(&client, 1, "before-1"), 4, "{}", harness.logs());
+    links.cut(harness.process_id(cut + 1).unwrap(), how);
+    send_through_window(&client, cut);
+    for entry in 0..2 {
+        let served: usize =
+            (0..REQUESTS).map(|n| call_each(&client, entry, &format!("cut-{entry}-{n}"))).sum();
+        assert_eq!(served, 4 * REQUESTS, "entry {entry}, {cut} is cut\n{}", harness.logs());
+    }
+    for request in harness.requests("POST /sign/1") {
+        let id = request.headers.get("request-id").unwrap();
+        let runs = harness.requests("POST /sign/1");
+        let same = runs.iter().filter(|r| r.headers.get("request-id") == Some(id));
+        assert_eq!(same.count(), 1, "{id:?} ran more than once");
+    }
+}
