--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -41,6 +41,8 @@
     Stopping,
     /// What the request has in common with others ends targets.
     CrashingPrompt,
+    /// This entry has lost its links to the targets.
+    LinksLost,
 }
 
 impl ForwardHandler {
@@ -73,6 +75,7 @@
                 Err(NoAttempt::Stopping) if request.run_status() == RunStatus::NotRun => {
                     return ForwardOutcome::Exhausted(stop::not_begun());
                 }
+                Err(NoAttempt::LinksLost) if failed.is_none() => return ForwardOutcome::LinksLost,
                 Err(_) => return self.exhausted(request, failed),
             };
             let outcome;
@@ -114,7 +117,8 @@
         progress: &RequestProgress,
         needs_retry: bool,
     ) -> Result<ChosenTarget, NoAttempt> {
-        if progress.tried.len() >= MAX_TARGETS || request.time_left() < MIN_TIME_LEFT {
+        let is_exhausted = progress.tried.len() >= MAX_TARGETS;
+        if request.time_left() < MIN_TIME_LEFT || is_exhausted && !self.may_be_lost(request) {
             return Err(NoAttempt::Exhausted);
         }
         // A part may have been rejected while the stages ran.
@@ -128,7 +132,26 @@
         if !self.context.stop.allows_send(request) {
             return Err(NoAttempt::Stopping);
         }
-        self.wait_for_target(request, progress).await.map_err(|_| NoAttempt::Exhausted)
+        if is_exhausted || !progress.tried.is_empty() && self.is_lost(request) {
+            return Err(NoAttempt::LinksLost);
+        }
+        let chosen = self.wait_for_target(request, progress).await;
+        chosen.map_err(|_| match self.may_be_lost(request) && !progress.tried.is_empty() {
+            true => NoAttempt::LinksLost,
+            false => NoAttempt::Exhausted,
+        })
+    }
+
+    /// Returns whether another entry may reach the targets of a request though this one does not.
+    fn is_lost(&self, request: &IncomingRequest) -> bool {
+        let links = self.context.http_client.links();
+        !request.stays_here.get() && links.is_lost(&request.pool.name)
+    }
+
+    /// Returns whether that may be so.
+    fn may_be_lost(&self, request: &IncomingRequest) -> bool {
+        let links = self.context.http_client.links();
+        !request.stays_here.get() && links.is_doubtful(&request.pool.name)
     }
 
     /// Sends a request to a target. Returns as well the next target if the attempt was given up for
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -8,6 +8,7 @@
 
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::fleet::ServingEntry;
+use hawthornkeel_core::fleet::helpers::Helpers;
 use hawthornkeel_core::fleet::ownership;
 use hawthornkeel_core::fleet::ownership::OwnerView;
 use hawthornkeel_core::fleet::reachability::Reachability;
@@ -74,6 +75,12 @@
     pub(super) quarantine: Quarantine,
     /// Origins of streams.
     pub(super) streams: Streams,
+    /// Other entries as helpers.
+    pub(super) helpers: RefCell<Helpers>,
+    /// Number of requests in progress, those of other entries included.
+    pub(super) in_progress: Rc<Cell<u32>>,
+    /// Number of requests of other entries in progress.
+    pub(super) helped: Rc<Cell<u32>>,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
@@ -154,6 +161,9 @@
             limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            helpers: RefCell::default(),
+            in_progress: Rc::default(),
+            helped: Rc::default(),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
         }
@@ -169,6 +179,9 @@
     pub fn owners(&self, scheduler: &SchedulerName, refused: &[InstanceName]) -> Vec<InstanceName> {
         let serving = self.serving_entries.borrow();
         let mut entries = Cow::Borrowed(&serving.entries);
+        // An entry without links to the pool says so once, not for each job.
+        let mut refused = refused.to_vec();
+        refused.extend(self.helpers.borrow().declined(boot_now(), &scheduler.pool));
         if !refused.is_empty() {
             entries.to_mut().retain(|e| !refused.contains(&e.name));
         }
@@ -221,9 +234,16 @@
             let centres = cut_off.iter().map(CentreName::as_str).collect::<Vec<_>>().join(",");
             tracing::info!(event = "centres-cut-off", centres);
             balancer.set_cut_off(cut_off);
+            drop(balancer);
+            self.update_links();
         }
     }
 
+    /// Passes the targets to which this entry should have links on to those who watch them.
+    pub(super) fn update_links(&self) {
+        self.http_client.links().set_targets(self.balancer.borrow().linked_targets());
+    }
+
     /// Applies the entries that serve callers and what they have heard of the limits of targets;
     /// `limits` is `None` if that is the same as before.
     pub(super) fn apply_limits(&self, limits: Option<&[LimitReport]>, mark: u64) {
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -144,6 +144,7 @@
         log_dropped(&dropped);
         let is_listed = |a: &std::net::SocketAddr| listing.targets.iter().any(|t| t.address == *a);
         context.http_client.retain(is_listed);
+        context.update_links();
     }
     // Limits hold for targets that the list names.
     context.apply_limits(update.limits.as_deref(), update.limits_mark);
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -13,6 +13,8 @@
 use crate::forward::broken_runs;
 use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::context::Context;
+use crate::forward::helper_client::HandOver;
+use crate::forward::helper_server::InProgress;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::measures;
 use crate::forward::outcome::DEFAULT_RETRY_AFTER;
@@ -62,6 +64,57 @@
         if let Err(problem) = self.context.stop.admit(&admitted) {
             return problem_response(problem);
         }
+        let admitted = match self.hand_over_if_lost(admitted, &disconnected).await {
+            Ok(admitted) => admitted,
+            Err(response) => return response,
+        };
+        self.run(admitted, disconnected, false).await
+    }
+
+    fn max_body(&self, _head: &Head) -> Option<usize> {
+        let table = self.context.table.borrow();
+        table.as_ref().map(|t| t.limits.max_body).filter(|m| *m > 0)
+    }
+}
+
+impl ForwardHandler {
+    /// Hands a request over if this entry has no links to its targets; returns it if no other entry
+    /// takes it.
+    async fn hand_over_if_lost(
+        &self,
+        request: IncomingRequest,
+        disconnected: &Signal,
+    ) -> Result<IncomingRequest, Response> {
+        if !self.context.http_client.links().is_lost(&request.pool.name) {
+            return Ok(request);
+        }
+        let handed = monoio::select! {
+            biased;
+            handed = self.hand_over(&request, false, disconnected) => handed,
+            problem = self.context.stop.given_up(&request) => return Err(problem_response(problem)),
+            () = disconnected.wait() => HandOver::Lost,
+        };
+        match handed {
+            HandOver::Response(response) => Err(response),
+            HandOver::Lost => {
+                Err(problem_response(Problem::new(Code::OutcomeUnknown, RunStatus::Unknown)))
+            }
+            HandOver::Declined => {
+                request.stays_here.set(true);
+                Ok(request)
+            }
+        }
+    }
+
+    /// Has an admitted request run by targets that this entry reaches; `is_counted` tells whether the
+    /// retry budget has counted it.
+    pub(super) async fn run(
+        &self,
+        admitted: IncomingRequest,
+        disconnected: Signal,
+        is_counted: bool,
+    ) -> Response {
+        let _in_progress = InProgress::new(&self.context.in_progress);
         let origin = monoio::select! {
             biased;
             origin = streams::find_origin(&self.context, &admitted) => origin,
@@ -72,7 +125,9 @@
             Ok(origin) => Rc::new(admitted.bound_to(origin)),
             Err(problem) => return problem_response(problem),
         };
-        self.context.record_request(&admitted.pool.name);
+        if !is_counted {
+            self.context.record_request(&admitted.pool.name);
+        }
         let work = self.serve(Rc::clone(&admitted), disconnected.clone());
         monoio::select! {
             // A response that is ready is sent, also when the stop finishes.
@@ -86,13 +141,6 @@
         }
     }
 
-    fn max_body(&self, _head: &Head) -> Option<usize> {
-        let table = self.context.table.borrow();
-        table.as_ref().map(|t| t.limits.max_body).filter(|m| *m > 0)
-    }
-}
-
-impl ForwardHandler {
     async fn serve(&self, request: Rc<IncomingRequest>, disconnected: Signal) -> Response {
         let mut progress = RequestProgress::new(&request);
         if !self.context.admits_request(&request).await {
@@ -120,7 +168,29 @@
                 ForwardOutcome::Exhausted(problem) => {
                     return end_with(&request, &progress, problem);
                 }
+                ForwardOutcome::LinksLost => {
+                    match self.hand_over(&request, true, &disconnected).await {
+                        HandOver::Response(response) => {
+                            let status = response.status.as_u16();
+                            progress.log_end(&request, "handed-over", status);
+                            return response;
+                        }
+                        HandOver::Lost => return self.outcome_unknown(&request, &progress),
+                        HandOver::Declined => return self.not_helped(&request, &progress),
+                    }
+                }
+            }
+        }
+    }
+
+    /// Returns the response to a request whose targets no entry reaches.
+    fn not_helped(&self, request: &IncomingRequest, progress: &RequestProgress) -> Response {
+        match request.run_status() {
+            RunStatus::NotRun => {
+                let problem = Problem::not_run(Code::NoTarget);
+                end_with(request, progress, problem.with_retry_after(DEFAULT_RETRY_AFTER))
             }
+            RunStatus::Unknown | RunStatus::Done => self.outcome_unknown(request, progress),
         }
     }
 
@@ -308,7 +378,9 @@
         // Takes the retry from the budget unless it is granted.
         match self.forward(request, progress, granted).await {
             ForwardOutcome::Response(response, target) => Some((response, target)),
-            ForwardOutcome::ResultsGone | ForwardOutcome::Exhausted(_) => None,
+            ForwardOutcome::ResultsGone
+            | ForwardOutcome::LinksLost
+            | ForwardOutcome::Exhausted(_) => None,
         }
     }
 }
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -11,6 +11,7 @@
 
 use bytes::Buf;
 use bytes::Bytes;
+use hawthornkeel_core::placement::links::LinkEvidence;
 use hawthornkeel_core::time::Instant as BootInstant;
 use http::HeaderMap;
 use http::StatusCode;
@@ -26,6 +27,8 @@
 use crate::clock::boot_now;
 use crate::forward::body_blocks::BodyBlocks;
 use crate::forward::exchange_error::ExchangeError;
+use crate::forward::link_watch::AwaitedAnswer;
+use crate::forward::link_watch::LinkWatch;
 use crate::forward::response_memory::Lease;
 use crate::forward::response_memory::ResponseMemory;
 use crate::http::connection::has_connection_option;
@@ -52,6 +55,8 @@
 const MAX_IDLE_NON_IDEMPOTENT: Duration = Duration::from_millis(1_500);
 /// Maximum number of idle connections to one target.
 const MAX_IDLE_CONNECTIONS: usize = 16;
+/// Time after which a new connection that is still open counts as a working link.
+const PROBE_QUIET_TIME: Duration = Duration::from_millis(200);
 /// Time to wait for an early response after writing the request failed.
 const EARLY_RESPONSE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -79,6 +84,8 @@
     id_field: &'static str,
     /// Memory for the responses.
     memory: ResponseMemory,
+    /// Links to the targets.
+    links: LinkWatch,
 }
 
 /// Idle connection in the pool.
@@ -99,6 +106,8 @@
     started: Instant,
     /// Number of bytes received before the current exchange.
     received_before: usize,
+    /// Answer of the current exchange.
+    awaited: Option<AwaitedAnswer>,
 }
 
 /// Response of a target whose body is read on demand.
@@ -130,7 +139,25 @@
     /// Creates a client without connections; responses echo the request identifier in `id_field`,
     /// and are held in `memory`.
     pub fn new(id_field: &'static str, memory: ResponseMemory) -> Self {
-        Self { idle: Rc::default(), id_field, memory }
+        Self { idle: Rc::default(), id_field, memory, links: LinkWatch::default() }
+    }
+
+    /// Returns what is known of the links to the targets.
+    pub fn links(&self) -> &LinkWatch {
+        &self.links
+    }
+
+    /// Opens a connection to find out whether its target can be reached, and keeps it for reuse.
+    pub async fn probe(&self, address: SocketAddr) {
+        let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT).await else {
+            return self.links.record(address, LinkEvidence::Failed);
+        };
+        // What stands between the two may accept a connection and close it.
+        if timeout(PROBE_QUIET_TIME, connection.reader.fill(0)).await.is_ok() {
+            return self.links.record(address, LinkEvidence::Failed);
+        }
+        self.links.record(address, LinkEvidence::Connected);
+        self.checkin(address, connection, &HeaderMap::new());
     }
 
     /// Sends a request and reads the head of the response.
@@ -175,6 +202,9 @@
             }
         }
         let opened = Connection::open(address, time_left(deadline)).await;
+        if opened.is_err() && time_left(deadline) > Duration::ZERO {
+            self.links.record(address, LinkEvidence::Failed);
+        }
         let connection = opened.map_err(|e| if resent { e.after_sending() } else { e })?;
         let sent = self.send_over(connection, address, request, deadline, observe).await;
         sent.map(|response| TargetResponse { resent, ..response })
@@ -188,13 +218,30 @@
         deadline: Instant,
         observe: HeadObserver<'_>,
     ) -> Result<TargetResponse, ExchangeError> {
+        connection.awaited = Some(self.links.await_answer(address));
         let sent = timeout(time_left(deadline), connection.send(&request.data)).await;
         let sent = sent.map_err(|_| ExchangeError::TimedOut)?;
+        self.record_link(&connection, &sent);
         let (head, written) = sent.inspect_err(|e| connection.record_exceeded(e))?;
         observe(head.status, &head.headers);
         self.response(address, connection, head, request, written)
     }
 
+    /// Records what the first exchange on a new connection tells of its link.
+    fn record_link<T>(&self, connection: &Connection, sent: &Result<T, ExchangeError>) {
+        connection.record_heard();
+        if connection.reused {
+            return;
+        }
+        match sent {
+            Ok(_) => self.links.record(connection.address, LinkEvidence::Connected),
+            Err(error) if error.is_broken_off() && connection.reader.received() == 0 => {
+                self.links.record(connection.address, LinkEvidence::Failed);
+            }
+            Err(_) => {}
+        }
+    }
+
     /// Closes all idle connections to a target after one of them turned out to be broken.
     pub(super) fn discard_idle(&self, address: SocketAddr) {
         self.idle.borrow_mut().swap_remove(&address);
@@ -284,6 +331,7 @@
             return;
         }
         connection.reused = true;
+        connection.awaited = None;
         let since = Instant::now();
         let expires = since + keep_alive_timeout(headers).unwrap_or(IDLE_TIMEOUT);
         let mut all = self.idle.borrow_mut();
@@ -313,6 +361,7 @@
             opened,
             started: Instant::now(),
             received_before: 0,
+            awaited: None,
         })
     }
 
@@ -325,6 +374,13 @@
         std::future::poll_fn(|cx| std::task::Poll::Ready(fill.as_mut().poll(cx).is_pending())).await
     }
 
+    /// Records that something was received.
+    fn record_heard(&self) {
+        if let Some(awaited) = &self.awaited {
+            awaited.record_heard();
+        }
+    }
+
     /// Logs and counts an exchange that is closed because its response exceeds a bound.
     fn record_exceeded(&self, error: &ExchangeError) {
         if let ExchangeError::Exceeded(bound) = error {
@@ -376,6 +432,7 @@
         }
         let chunk = timeout(time_left(deadline), self.next());
         let chunk = chunk.await.map_err(|_| ExchangeError::TimedOut)?;
+        self.connection.record_heard();
         chunk.inspect_err(|e| self.connection.record_exceeded(e))
     }
 
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -13,6 +13,7 @@
 pub mod handler;
 pub mod http_client;
 pub mod internal_request;
+pub mod link_watch;
 pub mod list_reader;
 pub mod operators;
 pub mod outcome;
@@ -29,6 +30,8 @@
 
 mod attempts;
 mod broken_runs;
+mod helper_client;
+mod helper_server;
 mod limit_server;
 mod measures;
 mod plan;
--- a/hawthornkeel/src/forward/outcome.rs
+++ b/hawthornkeel/src/forward/outcome.rs
@@ -32,6 +32,8 @@
     Response(Box<TargetResponse>, ChosenTarget),
     /// Stage results that the request needs are no longer available; it did not run.
     ResultsGone,
+    /// This entry has lost its links to the targets; another one may send the request.
+    LinksLost,
     /// No target is left to try.
     Exhausted(Problem),
 }
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -77,6 +77,8 @@
     pub first_attempt_slack: Duration,
     /// Whether it may have run: it was sent to a target that did not say otherwise.
     pub may_have_run: Cell<bool>,
+    /// Whether another entry has handed it over, or none takes it: it is sent to targets from here.
+    pub stays_here: Cell<bool>,
     /// Whether it runs as the probe of a rejected subject.
     pub is_probe: Cell<bool>,
 }
@@ -114,6 +116,7 @@
             deadline,
             first_attempt_slack,
             may_have_run: Cell::new(false),
+            stays_here: Cell::new(false),
             is_probe: Cell::new(false),
             head,
         })
@@ -131,6 +134,14 @@
         self
     }
 
+    /// Marks the request as handed over by the entry at which it arrived at `started`.
+    pub fn handed_over(mut self, started: Instant) -> Self {
+        self.started = started;
+        self.objective_deadline = self.deadline.min(started + self.route.objective);
+        self.stays_here.set(true);
+        self
+    }
+
     /// Returns what is known about its having run.
     pub fn run_status(&self) -> RunStatus {
         if self.may_have_run.get() { RunStatus::Unknown } else { RunStatus::NotRun }
--- a/hawthornkeel/src/forward/schedulers/owner.rs
+++ b/hawthornkeel/src/forward/schedulers/owner.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use futures_channel::oneshot;
+use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::stages::acceptance::Origin;
 use hawthornkeel_core::stages::acceptance::Standing;
 use hawthornkeel_core::stages::acceptance::accepts_job;
@@ -33,7 +34,9 @@
         origin: Origin,
         book: &Book,
     ) -> Vec<Option<ReservationEstimate>> {
-        if !self.accepts(origin, Standing::New) || !self.ensure_open(&book.scheduler) {
+        if !self.accepts(&book.scheduler, origin, Standing::New)
+            || !self.ensure_open(&book.scheduler)
+        {
             return Vec::new();
         }
         let mut schedulers = self.inner.schedulers.borrow_mut();
@@ -45,7 +48,8 @@
     pub(super) async fn handle_offer(&self, origin: Origin, offer: Offer) -> JobOutcome {
         let Offer { scheduler: name, job, wait_ms } = offer;
         let id = job.id.clone();
-        if !self.accepts(origin, self.standing(&name, &id)) || !self.ensure_open(&name) {
+        let standing = self.standing(&name, &id);
+        if !self.accepts(&name, origin, standing) || !self.ensure_open(&name) {
             return JobOutcome::Elsewhere;
         }
         let (sender, outcome) = oneshot::channel();
@@ -68,9 +72,23 @@
         schedulers.get(name).map_or(Standing::New, |l| l.scheduler.standing(job))
     }
 
-    /// Returns whether this entry accepts a job, which depends on the time left during a stop.
-    fn accepts(&self, origin: Origin, standing: Standing) -> bool {
-        accepts_job(origin, standing, self.inner.context.stop.time_left())
+    /// Returns whether this entry accepts a job, which depends on the time left during a stop and on
+    /// its links to the targets.
+    fn accepts(&self, name: &SchedulerName, origin: Origin, standing: Standing) -> bool {
+        let is_lost = self.inner.context.http_client.links().is_lost(&name.pool);
+        let reaches_targets = !is_lost || origin == Origin::Own;
+        reaches_targets && accepts_job(origin, standing, self.inner.context.stop.time_left())
+    }
+
+    /// Sends all jobs of a pool to other owners.
+    pub fn evict_jobs(&self, pool: &PoolName) {
+        let schedulers = self.inner.schedulers.borrow();
+        let names: Vec<SchedulerName> =
+            schedulers.keys().filter(|n| n.pool == *pool).cloned().collect();
+        drop(schedulers);
+        for name in names {
+            self.handle_input(&name, Input::Evict);
+        }
     }
 
     /// Creates a scheduler if needed; returns whether it exists.
--- a/hawthornkeel/src/forward/schedulers/submitter.rs
+++ b/hawthornkeel/src/forward/schedulers/submitter.rs
@@ -14,6 +14,7 @@
 use hawthornkeel_core::stages::job::ReservationEstimate;
 use hawthornkeel_core::stages::job::SchedulerName;
 
+use crate::clock::boot_now;
 use crate::forward::schedulers::RESPONSE_TIMEOUT;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::schedulers::results::JobError;
@@ -25,7 +26,7 @@
 use crate::peer::frame::Offer;
 
 /// Maximum number of times that a job is offered to owners: those listed, and those that remain.
-const MAX_OWNER_ROUNDS: usize = 2;
+const MAX_OWNER_ROUNDS: usize = 4;
 /// Time for which the owner holds an offer while its job is unfinished, in milliseconds.
 const LONG_POLL_MS: u32 = 250;
 
@@ -78,7 +79,12 @@
                 Some(JobOutcome::Paused { left_ms }) => {
                     JobError::Paused { left: Duration::from_millis(left_ms) }
                 }
-                Some(JobOutcome::Open | JobOutcome::Elsewhere) => {
+                Some(JobOutcome::Open) => {
+                    refused.push(owner);
+                    continue;
+                }
+                Some(JobOutcome::Elsewhere) => {
+                    self.record_declined(name, &owner);
                     refused.push(owner);
                     continue;
                 }
@@ -97,12 +103,23 @@
         refused: &[InstanceName],
     ) -> Vec<InstanceName> {
         let mut owners = self.inner.context.owners(name, refused);
+        let own = self.inner.context.endpoint.name();
         if self.inner.context.stop.is_begun() {
-            sort_for_stop(&mut owners, self.inner.context.endpoint.name(), standing);
+            sort_for_stop(&mut owners, own, standing);
+        }
+        if self.inner.context.http_client.links().is_lost(&name.pool) {
+            owners.sort_by_key(|o| o == own);
         }
         owners
     }
 
+    /// Records that an owner turns jobs away.
+    fn record_declined(&self, name: &SchedulerName, owner: &InstanceName) {
+        if owner != self.inner.context.endpoint.name() {
+            self.inner.context.helpers.borrow_mut().decline(boot_now(), owner, &name.pool);
+        }
+    }
+
     /// Reserves capacity for stages of a request on a scheduler.
     ///
     /// Returns the scheduler's owner and the estimate of each reservation, or `None` if no owner
@@ -115,9 +132,11 @@
         let book = Book { scheduler: name.clone(), reservations };
         for owner in self.owners(name, Standing::New, &[]) {
             let estimates = self.reserve_at(&owner, &book).await;
-            // An entry that is stopping returns no estimates.
-            if let Some(estimates) = estimates.filter(|e| !e.is_empty()) {
-                return Some((owner, estimates));
+            // An entry that is stopping or has no links to the targets returns no estimates.
+            match estimates {
+                Some(estimates) if !estimates.is_empty() => return Some((owner, estimates)),
+                Some(_) => self.record_declined(name, &owner),
+                None => {}
             }
         }
         None
--- a/hawthornkeel/src/forward/schedulers/suspects.rs
+++ b/hawthornkeel/src/forward/schedulers/suspects.rs
@@ -16,7 +16,7 @@
 
 impl Schedulers {
     /// Skips an entry as owner until it responds to a probe.
-    pub(super) fn mark_suspect(&self, owner: &InstanceName) {
+    pub fn mark_suspect(&self, owner: &InstanceName) {
         if !self.inner.context.suspect_entry(owner) {
             return;
         }
--- a/hawthornkeel/src/forward/server.rs
+++ b/hawthornkeel/src/forward/server.rs
@@ -13,6 +13,8 @@
 use crate::forward::context::Context;
 use crate::forward::discovery_client;
 use crate::forward::handler::ForwardHandler;
+use crate::forward::helper_server;
+use crate::forward::link_watch;
 use crate::forward::measures;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::stop::EntryStop;
@@ -60,6 +62,9 @@
         let schedulers = Schedulers::start(&context);
         monoio::spawn(measures::keep_state(Rc::clone(&context)));
         monoio::spawn(discovery_client::run(Rc::clone(&context), schedulers.clone()));
+        monoio::spawn(link_watch::run(Rc::clone(&context), schedulers.clone()));
+        let (helper, own) = (Rc::clone(&context), schedulers.clone());
+        helper_server::register(ForwardHandler { context: helper, schedulers: own });
         if let Some(ready) = settings.forward.ready {
             let readiness = Rc::clone(&context);
             let checks = Server::bind(ready, Limits::default())?;
@@ -94,6 +99,7 @@
         let ending = async {
             serving.await;
             schedulers.end_jobs().await;
+            helper_server::end_helped(&context).await;
         };
         let report = planned_stop(ending, &signals, &open, &stop, &times).await;
         report.log_entry_stopped(None);
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -10,6 +10,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use bytes::Bytes;
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_config::settings::Trust;
@@ -17,6 +18,8 @@
 use indexmap::IndexMap;
 use quinn::Connection;
 use quinn::EndpointConfig;
+use quinn::RecvStream;
+use quinn::SendStream;
 use quinn::VarInt;
 
 use crate::peer::credentials::Credentials;
@@ -27,6 +30,7 @@
 use crate::peer::inbound::Handlers;
 use crate::peer::link::Dialer;
 use crate::peer::link::Link;
+use crate::peer::link::LinkUse;
 use crate::peer::runtime::MonoioRuntime;
 use crate::peer::runtime::Traffic;
 use crate::peer::wire;
@@ -36,6 +40,9 @@
 /// Longer than the keep-alive interval: a peer that is only slow has acknowledged a ping by then.
 const MIN_SILENCE: Duration = Duration::from_millis(600);
 
+/// Maximum size of the parts in which a body is read, in bytes.
+const MAX_CHUNK_BYTES: usize = 64 * 1024;
+
 /// Time for which a closed endpoint still sends, so that peers learn that it was closed.
 const CLOSE_TIMEOUT: Duration = Duration::from_millis(50);
 
@@ -204,6 +211,47 @@
         }
     }
 
+    /// Sets the handler of calls of `kind` whose response has a body; calls run concurrently.
+    ///
+    /// The handler writes the response frame and the body to the stream. Bytes of the body are
+    /// complete only if it finishes the stream.
+    pub fn on_stream<F, R>(&self, kind: FrameKind, handler: F)
+    where
+        F: Fn(InstanceName, Frame, SendStream) -> R + 'static,
+        R: Future<Output = ()> + 'static,
+    {
+        let handler = move |name, frame, send| -> inbound::StreamFuture {
+            Box::pin(handler(name, frame, send))
+        };
+        self.inner.handlers.streams.borrow_mut().insert(kind, Rc::new(handler));
+    }
+
+    /// Calls a peer whose response has a body, and waits for the response frame for at most
+    /// `timeout`. Dropping the body, or the future, tells the peer to end its work.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Endpoint::call`].
+    pub async fn call_stream(
+        &self,
+        to: &InstanceName,
+        frame: &Frame,
+        timeout: Duration,
+    ) -> Result<(Frame, CallBody), PeerError> {
+        let link = self.link(to)?;
+        let request = wire::encode(frame)?;
+        let deadline = monoio::time::Instant::now() + timeout;
+        let connection = monoio::time::timeout_at(deadline, link.connection())
+            .await
+            .map_err(|_| PeerError::TimedOut { sent: false })??;
+        let kept = link.keep_open();
+        let sent = monoio::time::timeout_at(deadline, send_call(&connection, request)).await;
+        match sent.map_err(|_| PeerError::TimedOut { sent: true })?? {
+            (Frame::Refused(refusal), _) => Err(PeerError::Refused(refusal)),
+            (frame, receive) => Ok((frame, CallBody { receive, _kept: kept })),
+        }
+    }
+
     /// Closes all connections and stops serving.
     pub fn close(&self) {
         for link in self.inner.links.borrow().values() {
@@ -239,14 +287,41 @@
     }
 }
 
+/// Body of a response that a peer sends.
+pub struct CallBody {
+    receive: RecvStream,
+    _kept: LinkUse,
+}
+
+impl CallBody {
+    /// Returns the next bytes, or `None` at the end of a complete body.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the peer ends the body before it is complete, or the connection is lost.
+    pub async fn next(&mut self) -> Result<Option<Bytes>, PeerError> {
+        let chunk = self.receive.read_chunk(MAX_CHUNK_BYTES, true).await;
+        let chunk = chunk.map_err(|e| PeerError::ConnectionLost(e.to_string()))?;
+        Ok(chunk.map(|c| c.bytes))
+    }
+}
+
 /// Sends `request` on a new stream and reads the response.
-async fn send_request(connection: &Connection, request: bytes::Bytes) -> Result<Frame, PeerError> {
+async fn send_request(connection: &Connection, request: Bytes) -> Result<Frame, PeerError> {
+    send_call(connection, request).await.map(|(frame, _)| frame)
+}
+
+/// Sends `request` on a new stream and reads the response; returns it with the rest of the stream.
+async fn send_call(
+    connection: &Connection,
+    request: Bytes,
+) -> Result<(Frame, RecvStream), PeerError> {
     let lost = |e: &dyn std::fmt::Display| PeerError::ConnectionLost(e.to_string());
     let (mut send, mut receive) = connection.open_bi().await.map_err(|e| lost(&e))?;
     send.write_chunk(request).await.map_err(|e| lost(&e))?;
     send.finish().map_err(|e| lost(&e))?;
     match wire::read(&mut receive).await {
-        Ok(frame) => Ok(frame),
+        Ok(frame) => Ok((frame, receive)),
         Err(wire::WireError::StreamFailed(error)) => Err(lost(&error)),
         Err(error) => Err(PeerError::Wire(error)),
     }
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 
+use bytes::Bytes;
 use hawthornkeel_core::fleet::ServingEntry;
 use hawthornkeel_core::fleet::TargetList;
 use hawthornkeel_core::fleet::presence::EntryReports;
@@ -110,6 +111,10 @@
     FindStream(FindStream),
     /// Answers [`Frame::FindStream`].
     StreamFound(StreamFound),
+    /// Call: sends a caller's request to a target for an entry without links to the targets.
+    Forward(Box<ForwardedRequest>),
+    /// Answers [`Frame::Forward`]; the body of the response follows on the same stream.
+    ForwardReply(ForwardReply),
 }
 
 /// Kind of a frame, which selects its handler.
@@ -161,6 +166,8 @@
     Streams,
     /// Of [`Frame::FindStream`].
     FindStream,
+    /// Of [`Frame::Forward`].
+    Forward,
 }
 
 impl Frame {
@@ -188,6 +195,7 @@
             Self::Limits(_) => FrameKind::Limits,
             Self::Streams(_) => FrameKind::Streams,
             Self::FindStream(_) => FrameKind::FindStream,
+            Self::Forward(_) => FrameKind::Forward,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
@@ -198,6 +206,7 @@
             | Self::Pong
             | Self::ProbeLent(_)
             | Self::StreamFound(_)
+            | Self::ForwardReply(_)
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
@@ -347,6 +356,58 @@
     pub sole_version: Option<SoleVersion>,
 }
 
+/// Caller's request that one entry hands over to another one.
+///
+/// It is admitted there like any other, by the caller's own header fields.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub struct ForwardedRequest {
+    /// Method.
+    pub method: String,
+    /// Path without the query.
+    pub path: String,
+    /// Query without the question mark.
+    pub query: String,
+    /// Header fields; the deadline is the time left.
+    pub headers: Vec<(String, Bytes)>,
+    /// Body.
+    pub body: Bytes,
+    /// Time since its arrival, in milliseconds.
+    pub waited_ms: u32,
+    /// Whether the retry budget of its pool has counted it already.
+    pub is_counted: bool,
+}
+
+/// Answer to a request that was handed over.
+#[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum ForwardReply {
+    /// The request was not sent to a target, and will not be.
+    Declined(DeclineReason),
+    /// Response; its body follows.
+    Response {
+        /// Status.
+        status: u16,
+        /// Header fields.
+        headers: Vec<(String, Bytes)>,
+        /// Size of the body in bytes, `None` for a stream.
+        length: Option<u64>,
+        /// Requests in progress at the sender.
+        load: u32,
+    },
+}
+
+/// Why an entry does not take a request of another one.
+#[derive(Clone, Copy, Debug, Eq, PartialEq, Serialize, Deserialize)]
+pub enum DeclineReason {
+    /// It has no links to the targets itself.
+    LinksLost,
+    /// It has too many requests in progress.
+    Full,
+    /// It is stopping.
+    Stopping,
+    /// It does not admit the request, as its document differs or is too old.
+    NotAdmitted,
+}
+
 /// State of an entry in its heartbeat.
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub struct Presence {
--- a/hawthornkeel/src/peer/inbound.rs
+++ b/hawthornkeel/src/peer/inbound.rs
@@ -34,6 +34,9 @@
 pub type ResponseFuture = Pin<Box<dyn Future<Output = Frame>>>;
 type FrameHandler = Rc<dyn Fn(&InstanceName, Frame)>;
 type CallHandler = Rc<dyn Fn(InstanceName, Frame) -> ResponseFuture>;
+/// Future that writes the response of a call with a body.
+pub type StreamFuture = Pin<Box<dyn Future<Output = ()>>>;
+type StreamHandler = Rc<dyn Fn(InstanceName, Frame, SendStream) -> StreamFuture>;
 
 /// Handlers of incoming frames, by kind.
 #[derive(Default)]
@@ -46,6 +49,8 @@
     pub frames: RefCell<IndexMap<FrameKind, FrameHandler>>,
     /// Handlers of calls.
     pub calls: RefCell<IndexMap<FrameKind, CallHandler>>,
+    /// Handlers of calls whose response has a body.
+    pub streams: RefCell<IndexMap<FrameKind, StreamHandler>>,
 }
 
 /// Serves incoming connections until the endpoint is closed.
@@ -157,7 +162,14 @@
     handlers: &Handlers,
 ) -> Result<(), String> {
     let response = match wire::read(&mut receive).await {
-        Ok(frame) => dispatch(name, frame, handlers).await,
+        Ok(frame) => {
+            let handler = handlers.streams.borrow().get(&frame.kind()).cloned();
+            if let Some(handler) = handler {
+                handler(name.clone(), frame, send).await;
+                return Ok(());
+            }
+            dispatch(name, frame, handlers).await
+        }
         Err(WireError::UnknownVersion(found)) => {
             tracing::warn!(event = "version-refused", peer = %name, found, known = wire::VERSION);
             Frame::Refused(Refusal::Version { found, known: wire::VERSION })
--- a/hawthornkeel/src/peer/link.rs
+++ b/hawthornkeel/src/peer/link.rs
@@ -70,6 +70,8 @@
     queued: EventCount,
     /// Time at which the connection was last requested.
     last_used: Cell<Instant>,
+    /// Number of response bodies that are being received.
+    bodies: Cell<u32>,
     closed: Cell<bool>,
 }
 
@@ -99,6 +101,7 @@
             queued_bytes: Cell::new(0),
             queued: EventCount::default(),
             last_used: Cell::new(Instant::now()),
+            bodies: Cell::new(0),
             closed: Cell::new(false),
         });
         monoio::spawn(write_queued(Rc::downgrade(&link)));
@@ -142,6 +145,12 @@
         self.changed.notify();
     }
 
+    /// Keeps the connection open until the result is dropped.
+    pub fn keep_open(self: &Rc<Self>) -> LinkUse {
+        self.bodies.set(self.bodies.get().saturating_add(1));
+        LinkUse { link: Rc::clone(self) }
+    }
+
     /// Closes `connection` because no datagram arrived from the peer while a call was waiting.
     pub fn close_silent(&self, connection: &Connection) {
         if connection.close_reason().is_none() {
@@ -282,6 +291,18 @@
     }
 }
 
+/// Keeps the connection of a link open until it is dropped.
+pub struct LinkUse {
+    link: Rc<Link>,
+}
+
+impl Drop for LinkUse {
+    fn drop(&mut self) {
+        self.link.bodies.set(self.link.bodies.get().saturating_sub(1));
+        self.link.last_used.set(Instant::now());
+    }
+}
+
 enum Availability {
     Connected(Connection),
     Dial(Duration),
@@ -293,9 +314,14 @@
 }
 
 /// Closes `connection` once the link has been unused for [`UNUSED_TIMEOUT`].
-async fn close_unused(link: Weak<Link>, connection: Connection) {
+async fn close_unused(weak: Weak<Link>, connection: Connection) {
     loop {
-        let Some(last_used) = link.upgrade().map(|l| l.last_used.get()) else { return };
+        let Some(link) = weak.upgrade() else { return };
+        if link.bodies.get() > 0 {
+            link.last_used.set(Instant::now());
+        }
+        let last_used = link.last_used.get();
+        drop(link);
         let Some(rest) = UNUSED_TIMEOUT.checked_sub(last_used.elapsed()) else { break };
         monoio::time::sleep(rest + Duration::from_millis(1)).await;
         if connection.close_reason().is_some() {
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -70,6 +70,10 @@
 pub const STREAM_RECORDS: &str = "hawthornkeel_stream_records";
 /// Repeats that were asked of the retry budget, by pool and whether it granted them.
 pub const RETRY_GRANTS: &str = "hawthornkeel_retry_grants_total";
+/// Losses and returns of the links to most targets of a pool, by pool and change.
+pub const LINK_CHANGES: &str = "hawthornkeel_link_changes_total";
+/// Requests that were handed over to another entry, by outcome.
+pub const HANDED_OVER: &str = "hawthornkeel_handed_over_total";
 /// Duration of calls that run pieces of stages in seconds, by pool and outcome.
 pub const PIECES_SECONDS: &str = "hawthornkeel_pieces_seconds";
 /// Version of the document in force.
--- a/hawthornkeel/tests/forward_harness/links.rs
+++ b/hawthornkeel/tests/forward_harness/links.rs
@@ -71,17 +71,21 @@
 
     fn serve(&self, listener: &TcpListener, target: SocketAddr, processes: &[u32]) {
         while let Ok((client, from)) = listener.accept() {
-            let owner = processes.iter().copied().find(|p| owns(*p, from));
-            if self.cut_of(owner).is_some() {
+            if self.cut.lock().unwrap().iter().any(|(process, _)| owns(*process, from)) {
                 continue;
             }
-            let Ok(server) = TcpStream::connect(target) else { continue };
-            let ends = [(&client, &server), (&server, &client)];
-            for (from, to) in ends {
-                let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
-                let links = self.clone();
-                thread::spawn(move || links.forward(owner, from, to));
-            }
+            let (links, processes) = (self.clone(), processes.to_vec());
+            thread::spawn(move || links.relay(client, from, target, &processes));
+        }
+    }
+
+    fn relay(&self, client: TcpStream, from: SocketAddr, target: SocketAddr, processes: &[u32]) {
+        let owner = processes.iter().copied().find(|p| owns(*p, from));
+        let Ok(server) = TcpStream::connect(target) else { return };
+        for (from, to) in [(&client, &server), (&server, &client)] {
+            let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
+            let links = self.clone();
+            thread::spawn(move || links.forward(owner, from, to));
         }
     }
 
--- a/hawthornkeel/tests/lost_links.rs
+++ b/hawthornkeel/tests/lost_links.rs
@@ -17,6 +17,8 @@
 
 /// Time after a cut from which on the callers of the entry are served like others.
 const CONTACT_WINDOW: Duration = Duration::from_secs(3);
+/// Number of callers at once while the contact window lasts.
+const CALLERS: usize = 4;
 /// Number of requests of each kind that are counted.
 const REQUESTS: usize = 20;
 
@@ -41,16 +43,23 @@
     calls.into_iter().flatten().filter(|r| r.status == 200).count()
 }
 
-/// Sends requests to an entry until the contact window is over.
+/// Sends requests of several callers to an entry until the contact window is over.
 fn send_through_window(client: &EntryClient, entry: usize) {
     let until = Instant::now() + CONTACT_WINDOW;
-    for n in 0.. {
-        if Instant::now() >= until {
-            return;
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            scope.spawn(move || {
+                for n in 0.. {
+                    if Instant::now() >= until {
+                        return;
+                    }
+                    let id = format!("w-{entry}-{caller}-{n}");
+                    client.try_call(entry, "GET", "/lots/wait-30", &fields(&id));
+                    thread::sleep(Duration::from_millis(100));
+                }
+            });
         }
-        client.try_call(entry, "GET", "/lots/1", &fields(&format!("w-{entry}-{n}")));
-        thread::sleep(Duration::from_millis(100));
-    }
+    });
 }
 
 // An entry without links to targets refused what other entries could have sent for it, and went on
--- a/hawthornkeel_core/src/fleet/mod.rs
+++ b/hawthornkeel_core/src/fleet/mod.rs
@@ -1,5 +1,6 @@
 //! Targets and entries, as reported by the platform's list and by the instances themselves.
 
+pub mod helpers;
 pub mod ownership;
 pub mod presence;
 pub mod reachability;
--- /dev/null
+++ b/hawthornkeel_core/src/placement/links.rs
@@ -0,0 +1,324 @@
+//! Links from one entry to the targets: whether connections to them can be opened.
+//!
+//! Designed for entries that lose the way to all targets of a pool while other entries reach them.
+//! What fails then is the way from here, so the evidence is kept for each target as seen from this
+//! entry, and only most of a pool together counts. Connections that live on prove nothing: they may
+//! be silent, or work while new ones are refused. One failure makes the entry check the other targets
+//! of the pool, a few at a time.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use indexmap::IndexMap;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::names::PoolName;
+use crate::time::Instant;
+
+/// Time after a check of a pool in which further failures start no other one.
+const CHECK_INTERVAL: Duration = Duration::from_secs(1);
+/// Maximum number of probes of a pool at the same time.
+const PROBE_BATCH: usize = 6;
+/// Number of targets that must have failed, with none reached, for a pool to count as lost before
+/// all of its targets were checked.
+const LOST_TARGETS: usize = 6;
+/// Interval of the probes of a lost pool.
+const RETRY_INTERVAL: Duration = Duration::from_millis(200);
+/// Time for which links must work again before they are used, the first time.
+const FIRST_HOLD: Duration = Duration::from_millis(500);
+/// Longest such time; it doubles each time that the links are lost again soon.
+const MAX_HOLD: Duration = Duration::from_secs(8);
+/// Time after which an earlier loss no longer counts for that.
+const CALM_TIME: Duration = Duration::from_secs(30);
+/// Minimum time between two probes of a target whose answers are overdue.
+const SILENCE_INTERVAL: Duration = Duration::from_secs(1);
+
+/// What was seen of the link to a target.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum LinkEvidence {
+    /// A connection was opened.
+    Connected,
+    /// No connection could be opened, or a new one was closed before anything was received.
+    Failed,
+    /// Nothing was received for a while though answers are awaited.
+    Silent,
+}
+
+/// Change of the links to a pool.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub enum LinkChange {
+    /// Most targets of the pool can't be reached from here.
+    Lost(PoolName),
+    /// They can be reached again.
+    Restored(PoolName),
+}
+
+/// Links from one entry to the targets of all pools.
+#[derive(Clone, Debug, Default)]
+pub struct Links {
+    pools: IndexMap<PoolName, PoolLinks>,
+    addresses: IndexMap<SocketAddr, PoolName>,
+}
+
+/// Links to the targets of one pool.
+#[derive(Clone, Debug, Default)]
+struct PoolLinks {
+    links: IndexMap<SocketAddr, Link>,
+    /// Time from which on verdicts count in the current or last check.
+    checked_from: Option<Instant>,
+    /// Whether a check is in progress.
+    checking: bool,
+    lost: Option<Loss>,
+    /// End of the last loss, and its hold.
+    last_loss: Option<(Instant, Duration)>,
+    /// Time of the last probe while the pool is lost.
+    last_retry: Instant,
+    /// Index of the link that is probed next while the pool is lost.
+    next_retry: usize,
+}
+
+/// Loss of the links to a pool.
+#[derive(Clone, Copy, Debug)]
+struct Loss {
+    /// Time for which links must work again.
+    hold: Duration,
+    /// Time from which on links have worked again.
+    working_since: Option<Instant>,
+}
+
+/// Link to one target.
+#[derive(Clone, Copy, Debug, Default)]
+struct Link {
+    /// Whether the last connection was opened, and when that was seen.
+    verdict: Option<(bool, Instant)>,
+    probing: bool,
+    /// Last probe for overdue answers.
+    silence_probe: Option<Instant>,
+    silent: bool,
+}
+
+impl Link {
+    fn verdict_since(&self, from: Instant) -> Option<bool> {
+        self.verdict.filter(|(_, at)| *at >= from).map(|(reached, _)| reached)
+    }
+}
+
+/// Number of links by their verdicts in a check.
+#[derive(Clone, Copy, Debug, Default)]
+struct Verdicts {
+    reached: usize,
+    failed: usize,
+    unknown: usize,
+}
+
+impl Links {
+    /// Replaces the targets that may get work.
+    pub fn set_targets<'a>(
+        &mut self,
+        targets: impl IntoIterator<Item = (&'a PoolName, SocketAddr)>,
+    ) {
+        let mut known = std::mem::take(&mut self.pools);
+        self.addresses.clear();
+        for (pool, address) in targets {
+            let old = known.get(pool);
+            let link = old.and_then(|p| p.links.get(&address)).copied().unwrap_or_default();
+            let entry = self.pools.entry(pool.clone()).or_insert_with(|| {
+                let mut kept = old.cloned().unwrap_or_default();
+                kept.links.clear();
+                kept
+            });
+            entry.links.insert(address, link);
+            self.addresses.insert(address, pool.clone());
+        }
+        known.clear();
+    }
+
+    /// Records what was seen of the link to a target, and returns the change of its pool.
+    pub fn record(
+        &mut self,
+        now: Instant,
+        address: SocketAddr,
+        evidence: LinkEvidence,
+    ) -> Option<LinkChange> {
+        let pool = self.addresses.get(&address)?;
+        let links = self.pools.get_mut(pool)?;
+        let link = links.links.get_mut(&address)?;
+        match evidence {
+            LinkEvidence::Silent => {
+                link.silent = true;
+                return None;
+            }
+            LinkEvidence::Connected => link.verdict = Some((true, now)),
+            LinkEvidence::Failed => link.verdict = Some((false, now)),
+        }
+        let change = links.judge(now, evidence == LinkEvidence::Connected);
+        change.map(|is_lost| match is_lost {
+            true => LinkChange::Lost(pool.clone()),
+            false => LinkChange::Restored(pool.clone()),
+        })
+    }
+
+    /// Returns the targets to which connections are to be opened now; each must be followed by
+    /// [`Links::end_probe`].
+    pub fn due_probes(&mut self, now: Instant) -> Vec<SocketAddr> {
+        self.pools.values_mut().flat_map(|p| p.due_probes(now)).collect()
+    }
+
+    /// Records that a probe is over; what was seen is recorded beside it.
+    pub fn end_probe(&mut self, address: SocketAddr) {
+        let pool = self.addresses.get(&address).and_then(|p| self.pools.get_mut(p));
+        if let Some(link) = pool.and_then(|p| p.links.get_mut(&address)) {
+            link.probing = false;
+        }
+    }
+
+    /// Returns whether most targets of a pool can't be reached from here.
+    pub fn is_lost(&self, pool: &PoolName) -> bool {
+        self.pools.get(pool).is_some_and(|p| p.lost.is_some())
+    }
+
+    /// Returns whether that may be so: a check is in progress that has reached no target yet.
+    pub fn is_doubtful(&self, pool: &PoolName) -> bool {
+        self.pools.get(pool).is_some_and(|p| {
+            let unreached = || p.checked_from.is_some_and(|from| p.verdicts(from).reached == 0);
+            p.lost.is_some() || p.checking && unreached()
+        })
+    }
+
+    /// Returns whether a check is in progress or a pool is lost, so that probes are due soon.
+    pub fn is_watched(&self) -> bool {
+        self.pools.values().any(|p| p.checking || p.lost.is_some())
+    }
+}
+
+impl PoolLinks {
+    fn verdicts(&self, from: Instant) -> Verdicts {
+        let mut verdicts = Verdicts::default();
+        for link in self.links.values() {
+            match link.verdict_since(from) {
+                Some(true) => verdicts.reached += 1,
+                Some(false) => verdicts.failed += 1,
+                None => verdicts.unknown += 1,
+            }
+        }
+        verdicts
+    }
+
+    /// Applies a new verdict; returns whether the pool is lost if that changes.
+    fn judge(&mut self, now: Instant, reached: bool) -> Option<bool> {
+        if let Some(mut loss) = self.lost {
+            let restored = self.judge_loss(now, reached, &mut loss);
+            self.lost = Some(loss);
+            if restored {
+                self.lost = None;
+                self.checking = false;
+                self.checked_from = Some(now);
+                self.last_loss = Some((now, loss.hold));
+                return Some(false);
+            }
+            return None;
+        }
+        let is_recent = self.checked_from.is_some_and(|at| now.since(at) < CHECK_INTERVAL);
+        if !reached && !self.checking && !is_recent {
+            self.checking = true;
+            self.checked_from = Some(now);
+        }
+        if !self.checking {
+            return None;
+        }
+        let verdicts = self.verdicts(self.checked_from?);
+        let Verdicts { reached, failed, unknown } = verdicts;
+        let is_certain = unknown == 0 || reached == 0 && failed >= LOST_TARGETS;
+        if is_certain && failed > reached {
+            self.checking = false;
+            self.lost = Some(Loss { hold: self.next_hold(now), working_since: None });
+            return Some(true);
+        }
+        // A pool of which the first targets are reached is not checked any further.
+        let is_well = reached > failed || reached == failed && unknown == 0;
+        if is_well {
+            self.checking = false;
+        }
+        None
+    }
+
+    /// Returns whether the links to a lost pool have worked long enough.
+    fn judge_loss(&self, now: Instant, reached: bool, loss: &mut Loss) -> bool {
+        let Some(since) = loss.working_since else {
+            loss.working_since = reached.then_some(now);
+            return false;
+        };
+        let Verdicts { reached, failed, unknown } = self.verdicts(since);
+        if failed > 0 && failed >= reached {
+            loss.working_since = None;
+            return false;
+        }
+        let is_checked = unknown == 0 || reached >= LOST_TARGETS.max(failed + unknown);
+        is_checked && reached > failed && now.since(since) >= loss.hold
+    }
+
+    fn next_hold(&self, now: Instant) -> Duration {
+        match self.last_loss {
+            Some((end, hold)) if now.since(end) < CALM_TIME => (hold * 2).min(MAX_HOLD),
+            _ => FIRST_HOLD,
+        }
+    }
+
+    fn due_probes(&mut self, now: Instant) -> Vec<SocketAddr> {
+        let mut due = Vec::new();
+        if let Some(loss) = self.lost {
+            self.retry_lost(now, loss, &mut due);
+        } else if let Some(from) = self.checked_from.filter(|_| self.checking) {
+            self.probe_unknown(from, &mut due);
+        }
+        for (address, link) in &mut self.links {
+            let recent = link.silence_probe.is_some_and(|at| now.since(at) < SILENCE_INTERVAL);
+            if std::mem::take(&mut link.silent) && !recent && !link.probing {
+                link.silence_probe = Some(now);
+                link.probing = true;
+                due.push(*address);
+            }
+        }
+        due
+    }
+
+    /// Adds targets without a verdict in a check, in random order: neighbours in the list may have
+    /// ended together.
+    fn probe_unknown(&mut self, from: Instant, due: &mut Vec<SocketAddr>) {
+        let room = PROBE_BATCH.saturating_sub(self.probing());
+        let is_due = |l: &Link| !l.probing && l.verdict_since(from).is_none();
+        let rank = |a: &SocketAddr| xxh3_64_with_seed(a.to_string().as_bytes(), from.as_micros());
+        let unknown = self.links.iter_mut().filter(|(_, l)| is_due(l));
+        let mut unknown: Vec<_> = unknown.map(|(address, l)| (rank(address), address, l)).collect();
+        unknown.sort_by_key(|(rank, ..)| *rank);
+        for (_, address, link) in unknown.into_iter().take(room) {
+            link.probing = true;
+            due.push(*address);
+        }
+    }
+
+    /// Adds the next target of a lost pool, or more of them once one works again.
+    fn retry_lost(&mut self, now: Instant, loss: Loss, due: &mut Vec<SocketAddr>) {
+        if let Some(since) = loss.working_since
+            && self.verdicts(since).unknown > 0
+        {
+            return self.probe_unknown(since, due);
+        }
+        if now.since(self.last_retry) < RETRY_INTERVAL || self.links.is_empty() {
+            return;
+        }
+        self.last_retry = now;
+        let index = self.next_retry % self.links.len();
+        self.next_retry = index + 1;
+        if let Some((address, link)) = self.links.get_index_mut(index)
+            && !link.probing
+        {
+            link.probing = true;
+            due.push(*address);
+        }
+    }
+
+    fn probing(&self) -> usize {
+        self.links.values().filter(|l| l.probing).count()
+    }
+}
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod health;
 pub mod limit;
+pub mod links;
 pub mod notice;
 pub mod retries;
 
--- a/hawthornkeel_core/src/stages/action.rs
+++ b/hawthornkeel_core/src/stages/action.rs
@@ -76,6 +76,8 @@
     Submit(Job),
     /// Cancels a job that nobody waits for, or its reservation.
     Cancel(JobId),
+    /// The targets can't be reached from here: all jobs go to other owners.
+    Evict,
     /// Results that are no longer needed.
     Release(Vec<Handle>),
     /// A call was answered, with the outcome of each of its pieces.
--- a/hawthornkeel_core/src/stages/scheduler.rs
+++ b/hawthornkeel_core/src/stages/scheduler.rs
@@ -140,6 +140,7 @@
             Input::Workers(workers) => self.set_workers(workers),
             Input::Submit(job) => self.submit(job),
             Input::Cancel(job) => self.cancel(&job),
+            Input::Evict => self.evict(),
             Input::Release(results) => self.release(results),
             Input::Answered(call, outcomes) => self.answered(call, outcomes),
             Input::Failed(call, failure) => self.failed(call, failure),
@@ -252,6 +253,14 @@
         self.release(job.pieces.into_iter().filter_map(|p| p.result).collect());
     }
 
+    /// Sends all jobs to other owners, without the results that are there.
+    fn evict(&mut self) {
+        self.reservations.clear();
+        for (job, _) in std::mem::take(&mut self.jobs) {
+            self.actions.push(Action::Reply { job, outcome: JobOutcome::Elsewhere });
+        }
+    }
+
     fn release(&mut self, handles: Vec<Handle>) {
         let mut by_worker: IndexMap<TargetName, Vec<Handle>> = IndexMap::new();
         for handle in handles {
