--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -7,6 +7,7 @@
 
 use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::placement::limit::RequestRate;
+use hawthornkeel_core::placement::notice::Brittleness;
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
@@ -14,6 +15,7 @@
 use hawthornkeel_core::placement::notice::return_delay;
 use hawthornkeel_platform::notices;
 use hawthornkeel_platform::notices::AnswerNotices;
+use hawthornkeel_platform::notices::BrittleField;
 use hawthornkeel_platform::notices::LimitField;
 use hawthornkeel_platform::notices::PauseField;
 use http::HeaderMap;
@@ -118,7 +120,7 @@
         if status == StatusCode::MISDIRECTED_REQUEST {
             return;
         }
-        let AnswerNotices { leaving, pause, limit } = answer_notices(status, headers);
+        let AnswerNotices { leaving, pause, limit, brittle } = answer_notices(status, headers);
         let pause = match pause {
             Some(PauseField::Time(time)) => Some(time),
             Some(PauseField::Unreadable) => {
@@ -135,7 +137,15 @@
             }
             None => None,
         };
-        let notice = Notice { leaving, pause, limit };
+        let brittle = match brittle {
+            Some(BrittleField::Rejections(rejections)) => Brittleness::Named(rejections),
+            Some(BrittleField::Unreadable) => {
+                count("brittle-unreadable");
+                Brittleness::Unreadable
+            }
+            None => Brittleness::Absent,
+        };
+        let notice = Notice { leaving, pause, limit, brittle };
         let changes = self.balancer.borrow_mut().record_notice(boot_now(), run, sent, notice);
         for change in changes {
             log_change(run, kind, status, change);
@@ -225,6 +235,18 @@
                 status,
             );
         }
+        NoticeChange::Brittle { rejections } => {
+            count(if rejections.is_some() { "brittle" } else { "brittle-withdrawn" });
+            tracing::info!(
+                event = "target-brittle",
+                target = %name,
+                %address,
+                born,
+                rejections,
+                answer = %kind,
+                status,
+            );
+        }
         NoticeChange::Paused { pause, bounded, extended } => {
             count(if bounded { "pause-bounded" } else { "pause" });
             tracing::info!(
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, clippy::indexing_slicing, clippy::unwrap_used)]
 
+pub mod brittle;
 pub mod document;
 pub mod engines;
 pub mod links;
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -25,6 +25,7 @@
 
 use crate::forward_harness::RecordedRequest;
 use crate::forward_harness::TARGETS;
+use crate::forward_harness::brittle::FakeSlots;
 use crate::forward_harness::engines::FakeEngine;
 use crate::forward_harness::engines::engine_answer;
 use crate::forward_harness::engines::is_engine_request;
@@ -73,6 +74,8 @@
     pub engine: FakeEngine,
     /// What it writes in versioned streams.
     pub writer: FakeWriter,
+    /// Requests that it runs at the same time.
+    pub slots: FakeSlots,
 }
 
 /// Settings of the fake targets, in the order of [`TARGETS`].
@@ -103,7 +106,8 @@
                     let fake = fakes.lock().unwrap()[at].clone();
                     let fakes = Arc::clone(&fakes);
                     async move {
-                        let response = match fake.refusing || fake.engine.is_down() {
+                        let has_slot = fakes.lock().unwrap()[at].slots.take();
+                        let response = match fake.refusing || fake.engine.is_down() || !has_slot {
                             true => refusal(&request, &fake),
                             false if is_engine_request(&request) => {
                                 engine_answer(&request, &fakes, at)
@@ -116,6 +120,15 @@
                             }
                             false => respond(target, &request, first).await,
                         };
+                        if has_slot {
+                            fakes.lock().unwrap()[at].slots.release();
+                        }
+                        let response = match fake.slots.brittle {
+                            Some(count) => {
+                                response.with_header("server-brittle", &count.to_string())
+                            }
+                            None => response,
+                        };
                         match fake.leaving {
                             true => response.with_header("server-leaving", "1"),
                             false => response,
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -19,6 +19,7 @@
 use crate::names::PoolName;
 use crate::names::SoftwareVersion;
 use crate::names::TargetName;
+use crate::placement::brittle::SLOT_WAIT;
 use crate::placement::health::Health;
 use crate::placement::health::TargetOutcome;
 use crate::placement::limit::EntryView;
@@ -365,8 +366,14 @@
     fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<usize, NoTarget> {
         let mut best: Option<(f64, usize)> = None;
         let mut reason = NoTarget::Empty;
+        let brittle = self.is_brittle(now, query.pool);
         for index in 0..self.targets.len() {
-            match self.score(now, index, query) {
+            let has_room = !brittle || self.has_slot(index);
+            let score = match self.score(now, index, query) {
+                Ok(_) if !has_room => Err(NoTarget::Paused { until: now + SLOT_WAIT }),
+                score => score,
+            };
+            match score {
                 Ok(score) if best.is_none_or(|(b, _)| score > b) => best = Some((score, index)),
                 Ok(_) => {}
                 Err(why) => reason = reason.and(why),
@@ -375,6 +382,20 @@
         best.map(|(_, index)| index).ok_or(reason)
     }
 
+    /// Returns whether a target of a pool has lately said that rejections end it; the others may not
+    /// have had an answer on which to say so.
+    fn is_brittle(&self, now: Instant, pool: &PoolName) -> bool {
+        let mut of_pool = self.targets.values().filter(|t| t.listed.pool == *pool);
+        self.notices.any_brittle() && of_pool.any(|t| t.notice.is_brittle(now))
+    }
+
+    /// Returns whether this entry's part in the slots of a target leaves room for one more request.
+    fn has_slot(&self, index: usize) -> bool {
+        let Some((_, target)) = self.targets.get_index(index) else { return false };
+        let (listed, in_flight) = (&target.listed, target.in_flight.get());
+        listed.slots == 0 || in_flight < self.notices.slot_share(&listed.run(), listed.slots)
+    }
+
     /// Records the outcome of a call to a target.
     pub fn record_outcome(&mut self, now: Instant, name: &TargetName, outcome: TargetOutcome) {
         let Some(target) = self.targets.get_mut(name) else { return };
--- a/hawthornkeel_core/src/placement/limit.rs
+++ b/hawthornkeel_core/src/placement/limit.rs
@@ -109,11 +109,16 @@
     ) -> LimitShare {
         let count = self.peak.max(self.entries.len()).max(1);
         let senders = count.min(bounds.max_senders(rate));
-        let rank = |name: &InstanceName| xxh3_64_with_seed(name.as_str().as_bytes(), process.0);
-        let own = rank(&self.own);
-        let before = self.entries.iter().filter(|e| **e != self.own && rank(e) < own).count();
+        let own = self.rank(process, &self.own);
+        let is_before = |e: &&InstanceName| **e != self.own && self.rank(process, e) < own;
+        let before = self.entries.iter().filter(is_before).count();
         LimitShare { senders, sends: before < senders }
     }
+
+    /// Returns the rank of an entry at a process, by which entries with the same view agree.
+    pub(super) fn rank(&self, process: ProcessId, name: &InstanceName) -> u64 {
+        xxh3_64_with_seed(name.as_str().as_bytes(), process.0)
+    }
 }
 
 /// Requests that one entry may send to a limited target: a token bucket for one request.
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -12,4 +12,5 @@
 pub mod notice;
 pub mod retries;
 
+mod brittle;
 mod partition;
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -10,6 +10,7 @@
 
 use crate::fleet::ProcessId;
 use crate::fleet::TargetRun;
+use crate::placement::brittle::BRITTLE_TIME;
 use crate::placement::limit::EntryView;
 use crate::placement::limit::LimitBounds;
 use crate::placement::limit::LimitBucket;
@@ -73,6 +74,20 @@
     pub pause: Option<Duration>,
     /// Requests that it takes from all entries together.
     pub limit: Option<RequestRate>,
+    /// Whether rejections for want of room end it.
+    pub brittle: Brittleness,
+}
+
+/// What one answer of a target says about the rejections that it bears.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub enum Brittleness {
+    /// Nothing: it is not brittle.
+    #[default]
+    Absent,
+    /// More rejections a second, for want of room, end it.
+    Named(u32),
+    /// Something that can't be read.
+    Unreadable,
 }
 
 /// Change of what an entry believes about a target.
@@ -94,6 +109,11 @@
         /// Limit.
         limit: Option<RequestRate>,
     },
+    /// It says for the first time, or no longer, that rejections end it.
+    Brittle {
+        /// Rejections a second that it bears, `None` if it no longer says so.
+        rejections: Option<u32>,
+    },
 }
 
 /// Belief that was dropped, as its process is no longer listed.
@@ -126,6 +146,8 @@
     leaving_since: Option<Instant>,
     pause: Option<Pause>,
     limit: Option<NamedLimit>,
+    /// Time of the last answer that called it brittle.
+    brittle: Option<Instant>,
 }
 
 /// Limit as it was named last.
@@ -186,6 +208,11 @@
         paused.max(bucket.and_then(|b| b.opens_at(now)))
     }
 
+    /// Returns whether it is brittle, by its latest answers.
+    pub(super) fn is_brittle(&self, now: Instant) -> bool {
+        self.0.borrow().brittle.is_some_and(|heard| now.since(heard) < BRITTLE_TIME)
+    }
+
     /// Counts a request that is sent at `now`, or pieces that are sent together.
     pub fn record_sent(&self, now: Instant) {
         let mut belief = self.0.borrow_mut();
@@ -200,7 +227,7 @@
     }
 
     /// Applies what an answer says, and returns the changes.
-    fn apply(&self, now: Instant, notice: Notice) -> Vec<NoticeChange> {
+    fn apply(&self, now: Instant, sent: Instant, notice: Notice) -> Vec<NoticeChange> {
         let mut belief = self.0.borrow_mut();
         let mut changes = Vec::new();
         if notice.leaving && belief.leaving_since.is_none() {
@@ -210,11 +237,37 @@
         if let Some(pause) = notice.pause {
             changes.extend(belief.extend_pause(now, pause));
         }
+        changes.extend(belief.set_brittle(now, sent, notice.brittle));
         changes
     }
 }
 
 impl Belief {
+    /// Applies whether an answer to a request that was sent at `sent` calls the target brittle.
+    ///
+    /// An answer that does not withdraws only what was heard before that.
+    fn set_brittle(
+        &mut self,
+        now: Instant,
+        sent: Instant,
+        brittle: Brittleness,
+    ) -> Option<NoticeChange> {
+        let was_brittle = self.brittle.is_some();
+        let rejections = match brittle {
+            Brittleness::Named(rejections) => {
+                self.brittle = Some(now);
+                Some(rejections)
+            }
+            Brittleness::Absent if self.brittle.is_some_and(|heard| sent > heard) => {
+                self.brittle = None;
+                None
+            }
+            Brittleness::Absent | Brittleness::Unreadable => return None,
+        };
+        let changed = was_brittle != self.brittle.is_some();
+        changed.then_some(NoticeChange::Brittle { rejections })
+    }
+
     /// Pauses the target for some time from now, if that is longer than a pause that it has.
     fn extend_pause(&mut self, now: Instant, asked: Duration) -> Option<NoticeChange> {
         let pause = asked.min(MAX_PAUSE);
@@ -282,6 +335,8 @@
     sharing: LimitSharing,
     /// Whether any process may have a limit, which answers without one withdraw.
     any_limited: bool,
+    /// Whether any process may be brittle, which answers that don't say so withdraw.
+    any_brittle: bool,
 }
 
 #[derive(Clone, Debug)]
@@ -301,6 +356,7 @@
         let dropped = gone.filter_map(|k| k.dropped(now)).collect();
         self.known.retain(|k| !is_gone(k));
         self.any_limited = self.known.iter().any(KnownRun::is_limited);
+        self.any_brittle = self.known.iter().any(|k| k.notice.is_brittle(now));
         for known in &mut self.known {
             known.unlisted = known.unlisted.or(Some(now));
         }
@@ -328,17 +384,30 @@
         notice: Notice,
     ) -> Vec<NoticeChange> {
         // Most answers say nothing, and the search for their process would cost more than they do.
-        if notice == Notice::default() && !self.any_limited {
+        if notice == Notice::default() && !self.any_limited && !self.any_brittle {
             return Vec::new();
         }
         self.any_limited |= notice.limit.is_some();
+        self.any_brittle |= matches!(notice.brittle, Brittleness::Named(_));
         let sharing = self.sharing.clone();
         let Some(known) = self.latest(run) else { return Vec::new() };
-        let mut changes = known.notice.apply(now, notice);
+        let mut changes = known.notice.apply(now, sent, notice);
         changes.extend(known.hear_limit(now, sent, notice.limit, &sharing));
         changes
     }
 
+    /// Returns the number of requests that this entry may have in progress at a brittle process with
+    /// `slots`; none until it knows the other entries.
+    pub(super) fn slot_share(&self, run: &TargetRun, slots: u32) -> u32 {
+        let view = self.sharing.view.as_ref();
+        view.map_or(0, |v| v.slot_share(ProcessId::from(run), slots))
+    }
+
+    /// Returns whether any process may be brittle.
+    pub(super) fn any_brittle(&self) -> bool {
+        self.any_brittle
+    }
+
     /// Shares the limits out among other entries than before.
     pub(super) fn set_view(&mut self, now: Instant, view: EntryView) {
         if self.sharing.view.as_ref() == Some(&view) {
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -14,6 +14,7 @@
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::balancer::NoTarget;
 use hawthornkeel_core::placement::balancer::TargetQuery;
+use hawthornkeel_core::placement::notice::Brittleness;
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
@@ -21,7 +22,8 @@
 use hawthornkeel_core::time::Instant;
 
 /// Answer that says that the target leaves.
-pub const LEAVING: Notice = Notice { leaving: true, pause: None, limit: None };
+pub const LEAVING: Notice =
+    Notice { leaving: true, pause: None, limit: None, brittle: Brittleness::Absent };
 const COLD: ColdLimit = ColdLimit { duration: Duration::from_secs(3), rate: 18.0 };
 
 /// Balancer of one of eight entries.
@@ -87,7 +89,7 @@
 
 /// Returns an answer that asks for a pause.
 pub fn pause(ms: u64) -> Notice {
-    Notice { leaving: false, pause: Some(Duration::from_millis(ms)), limit: None }
+    Notice { pause: Some(Duration::from_millis(ms)), ..Notice::default() }
 }
 
 pub fn pool() -> PoolName {
--- a/hawthornkeel_core/tests/paused_targets.rs
+++ b/hawthornkeel_core/tests/paused_targets.rs
@@ -85,7 +85,7 @@
     let run = fleet.choose(0, 7).unwrap().run();
     assert!(fleet.tell(0, &run, pause(0)).is_empty());
     assert!(fleet.choose(0, 7).is_ok());
-    let endless = Notice { leaving: false, pause: Some(Duration::MAX), limit: None };
+    let endless = Notice { pause: Some(Duration::MAX), ..Notice::default() };
     let hour = Duration::from_secs(3_600);
     assert_eq!(
         fleet.tell(0, &run, endless),
@@ -137,7 +137,7 @@
     let until = at(3_000);
     assert_eq!(fleet.choose_other(0, 7, &tried).unwrap_err(), NoTarget::Paused { until });
     // A target that leaves does not open.
-    let leaving = Notice { leaving: true, pause: None, limit: None };
+    let leaving = Notice { leaving: true, ..Notice::default() };
     fleet.tell(0, &listed(1, None).run(), leaving);
     assert_eq!(fleet.balancer.pool_opens_at(at(0), &pool()), Some(at(3_000)));
 }
