--- a/hawthornkeel/tests/forward_harness/links.rs
+++ b/hawthornkeel/tests/forward_harness/links.rs
@@ -10,6 +10,8 @@
 use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::atomic::AtomicU32;
+use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
 
@@ -34,6 +36,8 @@
 #[derive(Clone, Default)]
 pub struct Links {
     cut: Arc<Mutex<Vec<(u32, Cut)>>>,
+    /// Number of times that all open connections were closed.
+    closed: Arc<AtomicU32>,
 }
 
 impl Links {
@@ -59,6 +63,11 @@
         self.cut.lock().unwrap().push((process, cut));
     }
 
+    /// Closes all open connections; new ones are accepted.
+    pub fn close_open(&self) {
+        self.closed.fetch_add(1, Ordering::SeqCst);
+    }
+
     /// Restores all links.
     pub fn restore(&self) {
         self.cut.lock().unwrap().clear();
@@ -95,7 +104,8 @@
         let _ = from.set_read_timeout(Some(POLL_INTERVAL));
         let _ = to.set_nodelay(true);
         let mut silent = false;
-        loop {
+        let opened = self.closed.load(Ordering::SeqCst);
+        while self.closed.load(Ordering::SeqCst) == opened {
             match self.cut_of(owner) {
                 Some(Cut::Closed) => break,
                 Some(Cut::Silent) => silent = true,
--- a/hawthornkeel/tests/paused_targets.rs
+++ b/hawthornkeel/tests/paused_targets.rs
@@ -9,9 +9,14 @@
 use crate::forward_harness::Harness;
 use crate::forward_harness::HttpResponse;
 use crate::forward_harness::RecordedRequest;
+use crate::forward_harness::links::Links;
 use crate::forward_harness::requests::PIECES;
 use crate::forward_harness::requests::fields;
 
+/// Time after a target has asked for a pause from which on the pause binds.
+const REST_BEGINS: Duration = Duration::from_millis(500);
+/// Number of callers at once.
+const CALLERS: usize = 16;
 /// Time within which a condition must hold.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 
@@ -176,3 +181,48 @@
     harness.wait_for_log("event=request-ended request=last ");
     assert!(!harness.logs().contains("target-paused"));
 }
+
+// A request whose kept connection broke was sent again to its target, whatever that had asked for
+// meanwhile.
+#[test]
+fn resent_request_respects_pause() {
+    let mut harness = Harness::start(205);
+    harness.serve_routes();
+    harness.leave_one_entry();
+    let links = Links::start(&harness);
+    call_at_once(&harness, "/lots/wait-200/warm", "warm", || {});
+    call_at_once(&harness, "/lots/dead", "held", || {
+        thread::sleep(Duration::from_millis(100));
+        pause(&harness, "i-plain", "3");
+        let before = harness.request_count("i-plain");
+        for n in 0.. {
+            harness.call("GET", "/lots/1", &fields(&format!("pause-{n}")), "");
+            if harness.request_count("i-plain") > before {
+                break;
+            }
+        }
+        thread::sleep(REST_BEGINS);
+        links.close_open();
+        thread::sleep(Duration::from_millis(300));
+    });
+    let requests = harness.requests.lock().unwrap().clone();
+    let asked = requests.iter().find(|r| r.target == "i-plain" && r.line.contains("/lots/1"));
+    let asked = asked.unwrap().received;
+    let rest = asked + REST_BEGINS..asked + Duration::from_secs(3);
+    let in_rest = |r: &&RecordedRequest| r.target == "i-plain" && rest.contains(&r.received);
+    let reached = requests.iter().filter(in_rest).count();
+    assert!(reached <= 2, "{reached} requests in the pause\n{}", harness.logs());
+}
+
+/// Sends a request of each of several callers at the same time, and does something meanwhile.
+fn call_at_once(harness: &Harness, path: &str, label: &str, meanwhile: impl FnOnce()) {
+    let client = harness.client();
+    thread::scope(|scope| {
+        for caller in 0..CALLERS {
+            let client = &client;
+            let fields = fields(&format!("{label}-{caller}")) + "Deadline-Milliseconds: 2000\r\n";
+            scope.spawn(move || client.try_call(0, "GET", path, &fields));
+        }
+        meanwhile();
+    });
+}
