--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -258,6 +258,9 @@
     ) -> AttemptOutcome {
         let (outcome, target_outcome) = match result {
             Ok(response) => classify_response(response),
+            Err(ExchangeError::Withheld) => {
+                (AttemptOutcome::Unreached, Some(TargetOutcome::Abandoned))
+            }
             Err(error) if error.is_not_run() => {
                 (AttemptOutcome::Unreached, Some(TargetOutcome::Unreached))
             }
--- a/hawthornkeel/src/forward/exchange_error.rs
+++ b/hawthornkeel/src/forward/exchange_error.rs
@@ -11,6 +11,8 @@
 pub enum ExchangeError {
     /// The request was not sent, so it can't have run.
     NotSent(String),
+    /// The request was not sent, as its target has meanwhile said that it leaves or wants a pause.
+    Withheld,
     /// The request was sent on a kept connection that broke, and none could be opened to send it
     /// again; it may have run.
     NotResent(String),
@@ -27,7 +29,7 @@
 impl ExchangeError {
     /// Returns whether the request is known not to have run.
     pub fn is_not_run(&self) -> bool {
-        matches!(self, Self::NotSent(_))
+        matches!(self, Self::NotSent(_) | Self::Withheld)
     }
 
     /// Returns whether no connection could be opened.
@@ -59,6 +61,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not sent: {cause}"),
+            Self::Withheld => f.write_str("target wants no request"),
             Self::NotResent(cause) => write!(f, "not sent again: {cause}"),
             Self::Interrupted(cause) => write!(f, "interrupted: {cause}"),
             Self::TimedOut => f.write_str("silent"),
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -73,8 +73,21 @@
     pub retryable: bool,
 }
 
-/// Function that receives the head of every answer to a request, even of one that is rejected.
-pub type HeadObserver<'a> = &'a dyn Fn(StatusCode, &HeaderMap);
+/// What binds a request to a target beside its bytes.
+#[derive(Clone, Copy)]
+pub struct SendRules<'a> {
+    /// Receives the head of every answer, even of one that is rejected.
+    pub observe: &'a dyn Fn(StatusCode, &HeaderMap),
+    /// Returns whether the target takes requests; asked before each time that one is sent.
+    pub may_send: &'a dyn Fn() -> bool,
+}
+
+impl Default for SendRules<'_> {
+    /// Returns rules that allow all and observe nothing.
+    fn default() -> Self {
+        Self { observe: &|_, _| {}, may_send: &|| true }
+    }
+}
 
 /// HTTP client with a pool of idle connections; clones share the pool.
 #[derive(Clone, Default)]
@@ -172,25 +185,28 @@
         request: &OutgoingRequest,
         deadline: Instant,
     ) -> Result<TargetResponse, ExchangeError> {
-        self.send_observed(address, request, deadline, &|_, _| {}).await
+        self.send_by(address, request, deadline, SendRules::default()).await
     }
 
-    /// Does the same as [`HttpClient::send`], and passes the head of every answer to `observe`.
+    /// Does the same as [`HttpClient::send`] by some rules.
     ///
     /// # Errors
-    /// Returns the errors of [`HttpClient::send`].
-    pub async fn send_observed(
+    /// Returns the errors of [`HttpClient::send`], and `Withheld` if the target takes no requests.
+    pub async fn send_by(
         &self,
         address: SocketAddr,
         request: &OutgoingRequest,
         deadline: Instant,
-        observe: HeadObserver<'_>,
+        rules: SendRules<'_>,
     ) -> Result<TargetResponse, ExchangeError> {
+        if !(rules.may_send)() {
+            return Err(ExchangeError::Withheld);
+        }
         let mut resent = false;
         if let Some(connection) = self.checkout(address, request.retryable).await {
-            match self.send_over(connection, address, request, deadline, observe).await {
+            match self.send_over(connection, address, request, deadline, rules).await {
                 // The target may have closed the idle connection while the request was in transit.
-                Err(ExchangeError::Interrupted(_)) if request.retryable => {
+                Err(ExchangeError::Interrupted(_)) if request.retryable && (rules.may_send)() => {
                     self.discard_idle(address);
                     resent = true;
                 }
@@ -206,7 +222,7 @@
             self.links.record(address, LinkEvidence::Failed);
         }
         let connection = opened.map_err(|e| if resent { e.after_sending() } else { e })?;
-        let sent = self.send_over(connection, address, request, deadline, observe).await;
+        let sent = self.send_over(connection, address, request, deadline, rules).await;
         sent.map(|response| TargetResponse { resent, ..response })
     }
 
@@ -216,14 +232,14 @@
         address: SocketAddr,
         request: &OutgoingRequest,
         deadline: Instant,
-        observe: HeadObserver<'_>,
+        rules: SendRules<'_>,
     ) -> Result<TargetResponse, ExchangeError> {
         connection.awaited = Some(self.links.await_answer(address));
         let sent = timeout(time_left(deadline), connection.send(&request.data)).await;
         let sent = sent.map_err(|_| ExchangeError::TimedOut)?;
         self.record_link(&connection, &sent);
         let (head, written) = sent.inspect_err(|e| connection.record_exceeded(e))?;
-        observe(head.status, &head.headers);
+        (rules.observe)(head.status, &head.headers);
         self.response(address, connection, head, request, written)
     }
 
--- a/hawthornkeel/src/forward/internal_request.rs
+++ b/hawthornkeel/src/forward/internal_request.rs
@@ -7,9 +7,9 @@
 use bytes::BytesMut;
 
 use crate::forward::exchange_error::ExchangeError;
-use crate::forward::http_client::HeadObserver;
 use crate::forward::http_client::HttpClient;
 use crate::forward::http_client::OutgoingRequest;
+use crate::forward::http_client::SendRules;
 
 /// Request that is not sent on behalf of one caller.
 #[derive(Clone, Copy, Debug)]
@@ -47,21 +47,21 @@
     client: &HttpClient,
     request: &InternalRequest<'_>,
 ) -> Result<InternalResponse, ExchangeError> {
-    send_observed(client, request, &|_, _| {}).await
+    send_by(client, request, SendRules::default()).await
 }
 
-/// Does the same as [`send`], and passes the head of every answer to `observe`.
+/// Does the same as [`send`] by some rules.
 ///
 /// # Errors
 /// Returns the errors of [`send`].
-pub async fn send_observed(
+pub async fn send_by(
     client: &HttpClient,
     request: &InternalRequest<'_>,
-    observe: HeadObserver<'_>,
+    rules: SendRules<'_>,
 ) -> Result<InternalResponse, ExchangeError> {
     let outgoing =
         OutgoingRequest { data: encode(request), id: None, bodiless: false, retryable: true };
-    let sent = client.send_observed(request.address, &outgoing, request.deadline, observe);
+    let sent = client.send_by(request.address, &outgoing, request.deadline, rules);
     let mut response = sent.await?;
     let body = response.read_to_end(request.deadline).await?;
     let (status, resent) = (response.status.as_u16(), response.resent);
--- a/hawthornkeel/src/forward/list_reader.rs
+++ b/hawthornkeel/src/forward/list_reader.rs
@@ -63,7 +63,9 @@
     /// Returns the name for metrics.
     pub const fn as_str(&self) -> &'static str {
         match self {
-            Self::Exchange(ExchangeError::NotSent(_) | ExchangeError::NotResent(_)) => "unreached",
+            Self::Exchange(
+                ExchangeError::NotSent(_) | ExchangeError::NotResent(_) | ExchangeError::Withheld,
+            ) => "unreached",
             Self::Exchange(ExchangeError::Interrupted(_) | ExchangeError::Unproved) => "broken",
             Self::Exchange(ExchangeError::TimedOut) | Self::TimedOut => "time",
             Self::Exchange(ExchangeError::Exceeded(_)) | Self::TooLarge => "bytes",
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -324,6 +324,7 @@
     ) -> TargetOutcome {
         let (status, outcome) = match &result {
             Ok(response) => (Some(response.status.as_u16()), refusal_outcome(response)),
+            Err(ExchangeError::Withheld) => (None, TargetOutcome::Abandoned),
             Err(error) if error.is_not_run() => (None, TargetOutcome::Unreached),
             Err(error) if error.is_unreached() => {
                 self.record_broken(target);
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -27,6 +27,7 @@
 use crate::forward::context::Context;
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::OutgoingRequest;
+use crate::forward::http_client::SendRules;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::internal_request;
 use crate::forward::internal_request::InternalRequest;
@@ -89,7 +90,8 @@
         let observe = |status: StatusCode, headers: &HeaderMap| {
             self.record_notices(run, kind, sent, status, headers);
         };
-        self.http_client.send_observed(run.address, request, deadline, &observe).await
+        let rules = SendRules { observe: &observe, may_send: &|| self.may_send(run, kind) };
+        self.http_client.send_by(run.address, request, deadline, rules).await
     }
 
     /// Sends a request of the system itself to a target and returns the complete response.
@@ -106,7 +108,15 @@
         let observe = |status: StatusCode, headers: &HeaderMap| {
             self.record_notices(run, kind, sent, status, headers);
         };
-        internal_request::send_observed(&self.http_client, request, &observe).await
+        let rules = SendRules { observe: &observe, may_send: &|| self.may_send(run, kind) };
+        internal_request::send_by(&self.http_client, request, rules).await
+    }
+
+    /// Returns whether a process has neither said that it leaves nor asked for a pause that goes on.
+    ///
+    /// It may have said so since it was chosen, while a connection was opened or broke.
+    fn may_send(&self, run: &TargetRun, kind: CallKind) -> bool {
+        kind == CallKind::Report || !self.balancer.borrow().wants_nothing(boot_now(), run)
     }
 
     fn record_notices(
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -293,6 +293,12 @@
         Some((target.listed.run(), target.notice.opens_at(now)))
     }
 
+    /// Returns whether a listed process has said that it leaves, or has asked for a pause that goes on.
+    pub fn wants_nothing(&self, now: Instant, run: &TargetRun) -> bool {
+        let target = self.targets.get(&run.name).filter(|t| t.listed.run().is_same(run));
+        target.is_some_and(|t| t.notice.is_leaving() || t.notice.is_paused(now))
+    }
+
     /// Returns whether a list of targets was received.
     pub fn has_list(&self) -> bool {
         self.has_list
--- a/hawthornkeel_core/src/placement/notice.rs
+++ b/hawthornkeel_core/src/placement/notice.rs
@@ -208,6 +208,11 @@
         paused.max(bucket.and_then(|b| b.opens_at(now)))
     }
 
+    /// Returns whether it has asked for a pause that goes on.
+    pub(super) fn is_paused(&self, now: Instant) -> bool {
+        self.0.borrow().pause.is_some_and(|p| p.end > now)
+    }
+
     /// Returns whether it is brittle, by its latest answers.
     pub(super) fn is_brittle(&self, now: Instant) -> bool {
         self.0.borrow().brittle.is_some_and(|heard| now.since(heard) < BRITTLE_TIME)
