--- a/hawthornkeel/src/explain/event.rs
+++ b/hawthornkeel/src/explain/event.rs
@@ -71,8 +71,10 @@
     CentresCutOff, "centres-cut-off";
     EntryStopped, "entry-stopped";
     EntrySuspected, "entry-suspected";
+    HandedOver, "handed-over";
     JobEnded, "job-ended";
     LinesDropped, "log-lines-dropped";
+    LinksLost, "links-lost";
     NotAdmitted, "not-admitted";
     PiecesFailed, "pieces-failed";
     Refused, "refused";
@@ -109,6 +111,7 @@
             | Self::EntryStopped
             | Self::EntrySuspected
             | Self::LinesDropped
+            | Self::LinksLost
             | Self::PiecesFailed
             | Self::RepeatRefused
             | Self::SchedulerState
@@ -119,6 +122,7 @@
             | Self::TargetTried => true,
             Self::Answered
             | Self::Call
+            | Self::HandedOver
             | Self::JobEnded
             | Self::NotAdmitted
             | Self::Other
--- a/hawthornkeel/src/explain/steps.rs
+++ b/hawthornkeel/src/explain/steps.rs
@@ -9,6 +9,9 @@
     match event.kind {
         Kind::RequestDenied => denied(event),
         Kind::TargetTried => tried(event),
+        Kind::HandedOver => {
+            format!("handed over to entry {}: {}", get("helper"), get("outcome"))
+        }
         Kind::RetryWaits => retry_waits(event),
         Kind::JobEnded => job_ended(event),
         Kind::SchedulerSilent => {
@@ -49,6 +52,7 @@
         | Kind::EntryStopped
         | Kind::EntrySuspected
         | Kind::LinesDropped
+        | Kind::LinksLost
         | Kind::Other
         | Kind::PiecesFailed
         | Kind::RepeatRefused
--- a/hawthornkeel/src/forward/helper_server.rs
+++ b/hawthornkeel/src/forward/helper_server.rs
@@ -31,6 +31,8 @@
 
 /// Maximum number of requests of other entries in progress.
 const MAX_HELPED: u32 = 256;
+/// Time in which the last responses are sent to the entries that wait for them.
+const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a stop checks for requests in progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
@@ -65,11 +67,15 @@
     });
 }
 
-/// Waits until all requests of other entries have ended, at most until the stop finishes.
+/// Waits until all requests of other entries have ended, at most until the stop finishes and their
+/// final responses are sent.
 pub(super) async fn end_helped(context: &Context) {
     while context.helped.get() > 0 && context.stop.has_time() {
         monoio::time::sleep(POLL_INTERVAL).await;
     }
+    if context.helped.get() > 0 {
+        monoio::time::sleep(FLUSH_TIME).await;
+    }
 }
 
 impl ForwardHandler {
--- a/hawthornkeel/tests/lost_links.rs
+++ b/hawthornkeel/tests/lost_links.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use rstest::rstest;
+use rustix::process::Signal;
 
 use crate::forward_harness::EntryClient;
 use crate::forward_harness::Harness;
@@ -62,6 +63,27 @@
     });
 }
 
+// The planned stop of either entry of a hop must cut no stream.
+#[rstest]
+#[case(206, 1)]
+#[case(207, 2)]
+fn stop_ends_handed_over_streams(#[case] net: u8, #[case] stopped: usize) {
+    let (harness, links) = start(net);
+    let client = harness.client();
+    links.cut(harness.process_id(1).unwrap(), Cut::Closed);
+    send_through_window(&client, 0);
+    thread::scope(|scope| {
+        let call = || client.try_call(0, "GET", "/events/drip-10", &fields("stream"));
+        let stream = scope.spawn(call);
+        harness.wait_for_request("GET /events/drip-10");
+        harness.signal(stopped, Signal::TERM);
+        let response = stream.join().unwrap().unwrap();
+        assert_eq!(response.body.matches("data: a").count(), 10, "{}", harness.logs());
+        assert!(response.body.ends_with("0\r\n\r\n"), "{response:?}");
+    });
+    assert_eq!(harness.requests("GET /events/drip-10").len(), 1);
+}
+
 // An entry without links to targets refused what other entries could have sent for it, and went on
 // as owner of schedulers, so that stages of the other entries' requests failed too.
 #[rstest]
