--- a/hawthornkeel/src/logging/limit.rs
+++ b/hawthornkeel/src/logging/limit.rs
@@ -29,7 +29,7 @@
 #[derive(Clone, Debug)]
 pub(super) struct LineLimit {
     /// Maximum number of lines of one kind in a window.
-    max: u32,
+    pub(super) max: u32,
     kinds: Arc<Mutex<IndexMap<Identifier, Kind>>>,
 }
 
@@ -49,11 +49,11 @@
         Self { max, kinds: Arc::default() }
     }
 
-    /// Returns the number of lines dropped since the last call, by kind.
-    pub(super) fn take_dropped(&self) -> Vec<(String, u64)> {
+    /// Returns one kind of which lines were dropped, and their number since it was returned last.
+    pub(super) fn take_dropped(&self) -> Option<(String, u64)> {
         let mut kinds = self.kinds.lock().unwrap_or_else(PoisonError::into_inner);
-        let dropped = kinds.values_mut().filter(|k| k.dropped > 0);
-        dropped.map(|k| (k.name.clone(), mem::take(&mut k.dropped))).collect()
+        let kind = kinds.values_mut().find(|k| k.dropped > 0)?;
+        Some((kind.name.clone(), mem::take(&mut kind.dropped)))
     }
 
     fn allows(&self, now: Instant, event: &Event<'_>) -> bool {
--- a/hawthornkeel/src/logging/writer.rs
+++ b/hawthornkeel/src/logging/writer.rs
@@ -27,6 +27,8 @@
 #[derive(Clone, Debug)]
 pub(super) struct LineWriter {
     queue: SyncSender<Vec<u8>>,
+    /// Maximum number of lines in the queue.
+    max: usize,
     counts: Arc<Counts>,
 }
 
@@ -51,7 +53,7 @@
         thread::Builder::new()
             .name("log".to_owned())
             .spawn(move || write(&lines, output, &shared))?;
-        Ok(Self { queue, counts })
+        Ok(Self { queue, max, counts })
     }
 
     /// Returns the number of lines that found no room or could not be written.
@@ -59,6 +61,12 @@
         self.counts.dropped.load(Ordering::Relaxed)
     }
 
+    /// Returns whether the queue has room for a line of a thread that is the only one to write.
+    pub(super) fn has_room(&self) -> bool {
+        let done = self.counts.done.load(Ordering::Acquire);
+        self.counts.queued.load(Ordering::Relaxed).saturating_sub(done) < self.max
+    }
+
     /// Waits until all lines are written, for `limit` at most.
     pub(super) fn wait_written(&self, limit: Duration) {
         let until = Instant::now() + limit;
