--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -26,6 +26,7 @@
 pub mod stages;
 pub mod stop;
 pub mod target_calls;
+pub mod target_response;
 pub mod targeting;
 
 mod attempts;
@@ -43,3 +44,4 @@
 mod stream_server;
 mod streams;
 mod subjects;
+mod target_connection;
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -6,6 +6,7 @@
 //! divided equally among them.
 
 pub mod balancer;
+pub mod choice;
 pub mod health;
 pub mod limit;
 pub mod links;
