--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -81,6 +81,8 @@
     pub(super) in_progress: Rc<Cell<u32>>,
     /// Number of requests of other entries in progress.
     pub(super) helped: Rc<Cell<u32>>,
+    /// Size of the bodies of these requests, in bytes.
+    pub(super) helped_bytes: Rc<Cell<u32>>,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
@@ -164,6 +166,7 @@
             helpers: RefCell::default(),
             in_progress: Rc::default(),
             helped: Rc::default(),
+            helped_bytes: Rc::default(),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
         }
--- a/hawthornkeel/src/forward/helper_client.rs
+++ b/hawthornkeel/src/forward/helper_client.rs
@@ -20,6 +20,7 @@
 use crate::forward::context::Context;
 use crate::forward::handler::ForwardHandler;
 use crate::forward::request::IncomingRequest;
+use crate::forward::response_memory::Lease;
 use crate::http::channel::Sender;
 use crate::http::channel::bounded;
 use crate::http::message::Body;
@@ -172,7 +173,8 @@
             });
             return Asked::Response(Response { status, headers, body: Body::Stream(receiver) });
         };
-        match monoio::time::timeout(request.time_left(), read_whole(body, length)).await {
+        let lease = self.context.http_client.lease();
+        match monoio::time::timeout(request.time_left(), read_whole(body, length, lease)).await {
             Ok(Ok(body)) => Asked::Response(Response { status, headers, body: Body::Full(body) }),
             Ok(Err(error)) => Asked::Lost(error),
             Err(_) => Asked::Lost(PeerError::TimedOut { sent: true }),
@@ -198,10 +200,13 @@
     }
 }
 
-async fn read_whole(mut body: CallBody, length: u64) -> Result<Bytes, PeerError> {
+/// Reads a body of `length` bytes, which holds the memory of `lease`.
+async fn read_whole(mut body: CallBody, length: u64, mut lease: Lease) -> Result<Bytes, PeerError> {
     let incomplete = || PeerError::ConnectionLost("body is incomplete".to_owned());
     let expected = usize::try_from(length).ok().filter(|_| length <= MAX_BODY_BYTES);
     let expected = expected.ok_or_else(incomplete)?;
+    let no_room = |_| PeerError::ConnectionLost("no memory for the body".to_owned());
+    lease.hold(expected).await.map_err(no_room)?;
     let mut whole = BytesMut::with_capacity(expected);
     while let Some(chunk) = body.next().await? {
         whole.extend_from_slice(&chunk);
@@ -209,7 +214,7 @@
             return Err(incomplete());
         }
     }
-    if whole.len() == expected { Ok(whole.freeze()) } else { Err(incomplete()) }
+    if whole.len() == expected { Ok(lease.attach(whole.freeze())) } else { Err(incomplete()) }
 }
 
 fn encode(request: &IncomingRequest, is_counted: bool) -> ForwardedRequest {
--- a/hawthornkeel/src/forward/helper_server.rs
+++ b/hawthornkeel/src/forward/helper_server.rs
@@ -31,25 +31,34 @@
 
 /// Maximum number of requests of other entries in progress.
 const MAX_HELPED: u32 = 256;
+/// Divisor of `memory_mb` that limits the request bodies held for other entries.
+const BODY_MEMORY_DIVISOR: u64 = 8;
 /// Time in which the last responses are sent to the entries that wait for them.
 const FLUSH_TIME: Duration = Duration::from_millis(50);
 /// Interval at which a stop checks for requests in progress.
 const POLL_INTERVAL: Duration = Duration::from_millis(25);
 
-/// Counts a request in progress until it is dropped.
-pub(super) struct InProgress(Rc<Cell<u32>>);
+/// Counts a request in progress, or its bytes, until it is dropped.
+pub(super) struct InProgress {
+    count: Rc<Cell<u32>>,
+    amount: u32,
+}
 
 impl InProgress {
     /// Counts a request in `count`.
     pub(super) fn new(count: &Rc<Cell<u32>>) -> Self {
-        count.set(count.get().saturating_add(1));
-        Self(Rc::clone(count))
+        Self::add(count, 1)
+    }
+
+    fn add(count: &Rc<Cell<u32>>, amount: u32) -> Self {
+        count.set(count.get().saturating_add(amount));
+        Self { count: Rc::clone(count), amount }
     }
 }
 
 impl Drop for InProgress {
     fn drop(&mut self) {
-        self.0.set(self.0.get().saturating_sub(1));
+        self.count.set(self.count.get().saturating_sub(self.amount));
     }
 }
 
@@ -81,6 +90,8 @@
 impl ForwardHandler {
     async fn serve_peer(&self, from: &InstanceName, request: ForwardedRequest, send: SendStream) {
         let helped = InProgress::new(&self.context.helped);
+        let bytes = u32::try_from(request.body.len()).unwrap_or(u32::MAX);
+        let held = InProgress::add(&self.context.helped_bytes, bytes);
         let gone = send.stopped();
         let left = Signal::new();
         let work = self.answer_peer(from, request, send, left.clone());
@@ -90,7 +101,7 @@
             // The other entry has given the request up; dropping the work cancels what runs.
             _ = gone => left.set(),
         }
-        drop(helped);
+        drop((helped, held));
     }
 
     async fn answer_peer(
@@ -131,7 +142,9 @@
         if self.context.stop.is_begun() {
             return Err(DeclineReason::Stopping);
         }
-        if self.context.helped.get() > MAX_HELPED {
+        let max_bytes = (self.context.settings.forward.memory_mb << 20) / BODY_MEMORY_DIVISOR;
+        let is_large = u64::from(self.context.helped_bytes.get()) > max_bytes;
+        if self.context.helped.get() > MAX_HELPED || is_large {
             return Err(DeclineReason::Full);
         }
         let waited = Duration::from_millis(forwarded.waited_ms.into());
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -17,6 +17,7 @@
 
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::link_watch::LinkWatch;
+use crate::forward::response_memory::Lease;
 use crate::forward::response_memory::ResponseMemory;
 use crate::forward::target_connection::CONNECT_TIMEOUT;
 use crate::forward::target_connection::Connection;
@@ -99,6 +100,11 @@
         &self.links
     }
 
+    /// Returns a lease of memory for a complete response that does not come from a target.
+    pub fn lease(&self) -> Lease {
+        self.memory.lease(true)
+    }
+
     /// Opens a connection to find out whether its target can be reached, and keeps it for reuse.
     pub async fn probe(&self, address: SocketAddr) {
         let Ok(mut connection) = Connection::open(address, CONNECT_TIMEOUT).await else {
