--- a/hawthornkeel/src/forward/link_watch.rs
+++ b/hawthornkeel/src/forward/link_watch.rs
@@ -9,6 +9,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::links::LinkChange;
 use hawthornkeel_core::placement::links::LinkEvidence;
@@ -91,7 +92,10 @@
     }
 
     /// Replaces the targets that may get work.
-    pub fn set_targets<'a>(&self, targets: impl IntoIterator<Item = (&'a PoolName, SocketAddr)>) {
+    pub fn set_targets<'a>(
+        &self,
+        targets: impl IntoIterator<Item = (&'a PoolName, &'a CentreName, SocketAddr)>,
+    ) {
         self.inner.links.borrow_mut().set_targets(targets);
     }
 
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -181,12 +181,12 @@
         self.cut_off = cut_off;
     }
 
-    /// Returns the pool and the address of each target that may get work and is not in a data centre
-    /// whose entries don't respond.
-    pub fn linked_targets(&self) -> impl Iterator<Item = (&PoolName, SocketAddr)> {
+    /// Returns pool, data centre and address of each target that may get work and is not in a data
+    /// centre whose entries don't respond.
+    pub fn linked_targets(&self) -> impl Iterator<Item = (&PoolName, &CentreName, SocketAddr)> {
         let is_cut_off = |t: &Target| self.cut_off.contains(&t.listed.centre);
         let linked = self.targets.values().filter(move |t| self.is_usable(t) && !is_cut_off(t));
-        linked.map(|t| (&t.listed.pool, t.listed.address))
+        linked.map(|t| (&t.listed.pool, &t.listed.centre, t.listed.address))
     }
 
     /// Returns the data centre of the target at an address.
--- a/hawthornkeel_core/src/placement/links.rs
+++ b/hawthornkeel_core/src/placement/links.rs
@@ -2,9 +2,10 @@
 //!
 //! Designed for entries that lose the way to all targets of a pool while other entries reach them.
 //! What fails then is the way from here, so the evidence is kept for each target as seen from this
-//! entry, and only most of a pool together counts. Connections that live on prove nothing: they may
-//! be silent, or work while new ones are refused. One failure makes the entry check the other targets
-//! of the pool, a few at a time.
+//! entry, and only most of a pool together counts, in each data centre: one that is cut off leaves the
+//! targets of the others. Connections that live on prove nothing: they may be silent, or work while
+//! new ones are refused. One failure makes the entry check the other targets of the pool, a few at a
+//! time.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -12,6 +13,7 @@
 use indexmap::IndexMap;
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
+use crate::names::CentreName;
 use crate::names::PoolName;
 use crate::time::Instant;
 
@@ -19,9 +21,12 @@
 const CHECK_INTERVAL: Duration = Duration::from_secs(1);
 /// Maximum number of probes of a pool at the same time.
 const PROBE_BATCH: usize = 6;
-/// Number of targets that must have failed, with none reached, for a pool to count as lost before
-/// all of its targets were checked.
+/// Number of targets that must have failed, some in each data centre and with none reached, for a
+/// pool to count as lost before all of its targets were checked.
 const LOST_TARGETS: usize = 6;
+/// Number of targets of a data centre that must be reached, beside few that fail, for it to count as
+/// linked before all of its targets were checked.
+const LINKED_TARGETS: usize = 3;
 /// Interval of the probes of a lost pool.
 const RETRY_INTERVAL: Duration = Duration::from_millis(200);
 /// Time for which links must work again before they are used, the first time.
@@ -87,8 +92,10 @@
 }
 
 /// Link to one target.
-#[derive(Clone, Copy, Debug, Default)]
+#[derive(Clone, Debug, Default)]
 struct Link {
+    /// Data centre of the target.
+    centre: CentreName,
     /// Whether the last connection was opened, and when that was seen.
     verdict: Option<(bool, Instant)>,
     probing: bool,
@@ -103,7 +110,7 @@
     }
 }
 
-/// Number of links by their verdicts in a check.
+/// Number of links of a data centre by their verdicts in a check.
 #[derive(Clone, Copy, Debug, Default)]
 struct Verdicts {
     reached: usize,
@@ -111,17 +118,38 @@
     unknown: usize,
 }
 
+impl Verdicts {
+    /// Returns whether enough targets are reached, whatever the others do.
+    fn is_linked(&self) -> bool {
+        let Self { reached, failed, unknown } = *self;
+        let is_likely = reached >= LINKED_TARGETS && reached > failed * 2;
+        is_likely || reached > failed + unknown || unknown == 0 && reached == failed
+    }
+}
+
+/// What the verdicts of a check tell together.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Judgement {
+    /// Most targets are reached in one data centre at least.
+    Linked,
+    /// Most targets fail in each data centre.
+    Lost,
+    /// Not enough targets were checked.
+    Open,
+}
+
 impl Links {
     /// Replaces the targets that may get work.
     pub fn set_targets<'a>(
         &mut self,
-        targets: impl IntoIterator<Item = (&'a PoolName, SocketAddr)>,
+        targets: impl IntoIterator<Item = (&'a PoolName, &'a CentreName, SocketAddr)>,
     ) {
         let mut known = std::mem::take(&mut self.pools);
         self.addresses.clear();
-        for (pool, address) in targets {
+        for (pool, centre, address) in targets {
             let old = known.get(pool);
-            let link = old.and_then(|p| p.links.get(&address)).copied().unwrap_or_default();
+            let link = old.and_then(|p| p.links.get(&address)).cloned().unwrap_or_default();
+            let link = Link { centre: centre.clone(), ..link };
             let entry = self.pools.entry(pool.clone()).or_insert_with(|| {
                 let mut kept = old.cloned().unwrap_or_default();
                 kept.links.clear();
@@ -143,6 +171,7 @@
         let pool = self.addresses.get(&address)?;
         let links = self.pools.get_mut(pool)?;
         let link = links.links.get_mut(&address)?;
+        let before = link.verdict;
         match evidence {
             LinkEvidence::Silent => {
                 link.silent = true;
@@ -151,7 +180,7 @@
             LinkEvidence::Connected => link.verdict = Some((true, now)),
             LinkEvidence::Failed => link.verdict = Some((false, now)),
         }
-        let change = links.judge(now, evidence == LinkEvidence::Connected);
+        let change = links.judge(now, evidence == LinkEvidence::Connected, before);
         change.map(|is_lost| match is_lost {
             true => LinkChange::Lost(pool.clone()),
             false => LinkChange::Restored(pool.clone()),
@@ -180,8 +209,8 @@
     /// Returns whether that may be so: a check is in progress that has reached no target yet.
     pub fn is_doubtful(&self, pool: &PoolName) -> bool {
         self.pools.get(pool).is_some_and(|p| {
-            let unreached = || p.checked_from.is_some_and(|from| p.verdicts(from).reached == 0);
-            p.lost.is_some() || p.checking && unreached()
+            let reached = |from| p.links.values().any(|l| l.verdict_since(from) == Some(true));
+            p.lost.is_some() || p.checking && !p.checked_from.is_some_and(reached)
         })
     }
 
@@ -192,69 +221,91 @@
 }
 
 impl PoolLinks {
-    fn verdicts(&self, from: Instant) -> Verdicts {
-        let mut verdicts = Verdicts::default();
+    /// Returns the verdicts of each data centre since a time.
+    fn verdicts(&self, from: Instant) -> Vec<Verdicts> {
+        let mut centres: IndexMap<&CentreName, Verdicts> = IndexMap::new();
         for link in self.links.values() {
+            let verdicts = centres.entry(&link.centre).or_default();
             match link.verdict_since(from) {
                 Some(true) => verdicts.reached += 1,
                 Some(false) => verdicts.failed += 1,
                 None => verdicts.unknown += 1,
             }
         }
-        verdicts
+        centres.into_values().collect()
     }
 
-    /// Applies a new verdict; returns whether the pool is lost if that changes.
-    fn judge(&mut self, now: Instant, reached: bool) -> Option<bool> {
-        if let Some(mut loss) = self.lost {
-            let restored = self.judge_loss(now, reached, &mut loss);
-            self.lost = Some(loss);
-            if restored {
-                self.lost = None;
-                self.checking = false;
-                self.checked_from = Some(now);
-                self.last_loss = Some((now, loss.hold));
-                return Some(false);
-            }
-            return None;
+    fn judgement(&self, from: Instant) -> Judgement {
+        let centres = self.verdicts(from);
+        if centres.iter().any(Verdicts::is_linked) {
+            return Judgement::Linked;
+        }
+        let failed: usize = centres.iter().map(|v| v.failed).sum();
+        let none_reached = centres.iter().all(|v| v.reached == 0 && v.failed > 0);
+        let all_known = centres.iter().all(|v| v.unknown == 0);
+        if all_known || none_reached && failed >= LOST_TARGETS {
+            return Judgement::Lost;
+        }
+        Judgement::Open
+    }
+
+    /// Applies a new verdict, and the one `before` it; returns whether the pool is lost if that
+    /// changes.
+    fn judge(
+        &mut self,
+        now: Instant,
+        reached: bool,
+        before: Option<(bool, Instant)>,
+    ) -> Option<bool> {
+        if let Some(loss) = self.lost {
+            return self.judge_loss(now, reached, before, loss);
         }
         let is_recent = self.checked_from.is_some_and(|at| now.since(at) < CHECK_INTERVAL);
         if !reached && !self.checking && !is_recent {
             self.checking = true;
             self.checked_from = Some(now);
         }
-        if !self.checking {
-            return None;
-        }
-        let verdicts = self.verdicts(self.checked_from?);
-        let Verdicts { reached, failed, unknown } = verdicts;
-        let is_certain = unknown == 0 || reached == 0 && failed >= LOST_TARGETS;
-        if is_certain && failed > reached {
-            self.checking = false;
-            self.lost = Some(Loss { hold: self.next_hold(now), working_since: None });
-            return Some(true);
-        }
-        // A pool of which the first targets are reached is not checked any further.
-        let is_well = reached > failed || reached == failed && unknown == 0;
-        if is_well {
-            self.checking = false;
+        let from = self.checked_from.filter(|_| self.checking)?;
+        match self.judgement(from) {
+            Judgement::Open => None,
+            Judgement::Linked => {
+                self.checking = false;
+                None
+            }
+            Judgement::Lost => {
+                self.checking = false;
+                self.lost = Some(Loss { hold: self.next_hold(now), working_since: None });
+                Some(true)
+            }
         }
-        None
     }
 
-    /// Returns whether the links to a lost pool have worked long enough.
-    fn judge_loss(&self, now: Instant, reached: bool, loss: &mut Loss) -> bool {
+    /// Applies a new verdict of a lost pool; returns `false` once its links have worked long enough.
+    fn judge_loss(
+        &mut self,
+        now: Instant,
+        reached: bool,
+        before: Option<(bool, Instant)>,
+        loss: Loss,
+    ) -> Option<bool> {
         let Some(since) = loss.working_since else {
-            loss.working_since = reached.then_some(now);
-            return false;
+            self.lost = Some(Loss { working_since: reached.then_some(now), ..loss });
+            return None;
         };
-        let Verdicts { reached, failed, unknown } = self.verdicts(since);
-        if failed > 0 && failed >= reached {
-            loss.working_since = None;
-            return false;
+        let is_unsteady = !reached && before.is_some_and(|(up, at)| up && at >= since);
+        let judgement = self.judgement(since);
+        if is_unsteady || judgement == Judgement::Lost {
+            self.lost = Some(Loss { working_since: None, ..loss });
+            return None;
         }
-        let is_checked = unknown == 0 || reached >= LOST_TARGETS.max(failed + unknown);
-        is_checked && reached > failed && now.since(since) >= loss.hold
+        if judgement == Judgement::Open || now.since(since) < loss.hold {
+            return None;
+        }
+        self.lost = None;
+        self.checking = false;
+        self.checked_from = Some(now);
+        self.last_loss = Some((now, loss.hold));
+        Some(false)
     }
 
     fn next_hold(&self, now: Instant) -> Duration {
@@ -282,25 +333,35 @@
         due
     }
 
-    /// Adds targets without a verdict in a check, in random order: neighbours in the list may have
-    /// ended together.
+    /// Adds targets without a verdict in a check: those of each data centre by turns, in random order,
+    /// as neighbours in the list may have ended together.
     fn probe_unknown(&mut self, from: Instant, due: &mut Vec<SocketAddr>) {
         let room = PROBE_BATCH.saturating_sub(self.probing());
         let is_due = |l: &Link| !l.probing && l.verdict_since(from).is_none();
         let rank = |a: &SocketAddr| xxh3_64_with_seed(a.to_string().as_bytes(), from.as_micros());
-        let unknown = self.links.iter_mut().filter(|(_, l)| is_due(l));
-        let mut unknown: Vec<_> = unknown.map(|(address, l)| (rank(address), address, l)).collect();
-        unknown.sort_by_key(|(rank, ..)| *rank);
-        for (_, address, link) in unknown.into_iter().take(room) {
-            link.probing = true;
-            due.push(*address);
+        let unknown = self.links.iter().filter(|(_, l)| is_due(l));
+        let mut ranked: Vec<_> = unknown.map(|(a, l)| (rank(a), *a, l.centre.clone())).collect();
+        ranked.sort();
+        let mut turns: IndexMap<CentreName, usize> = IndexMap::new();
+        let mut ordered: Vec<(usize, SocketAddr)> = Vec::new();
+        for (_, address, centre) in ranked {
+            let turn = turns.entry(centre).or_default();
+            *turn += 1;
+            ordered.push((*turn, address));
+        }
+        ordered.sort_by_key(|(turn, _)| *turn);
+        for (_, address) in ordered.into_iter().take(room) {
+            if let Some(link) = self.links.get_mut(&address) {
+                link.probing = true;
+                due.push(address);
+            }
         }
     }
 
     /// Adds the next target of a lost pool, or more of them once one works again.
     fn retry_lost(&mut self, now: Instant, loss: Loss, due: &mut Vec<SocketAddr>) {
         if let Some(since) = loss.working_since
-            && self.verdicts(since).unknown > 0
+            && self.judgement(since) == Judgement::Open
         {
             return self.probe_unknown(since, due);
         }
