--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -194,9 +194,7 @@
         let link = self.link(to)?;
         let request = wire::encode(frame)?;
         let deadline = monoio::time::Instant::now() + timeout;
-        let connection = monoio::time::timeout_at(deadline, link.connection())
-            .await
-            .map_err(|_| PeerError::TimedOut { sent: false })??;
+        let connection = connect(&link, deadline).await?;
         let received = connection.stats().udp_rx.datagrams;
         match monoio::time::timeout_at(deadline, send_request(&connection, request)).await {
             Ok(Ok(Frame::Refused(refusal))) => Err(PeerError::Refused(refusal)),
@@ -241,9 +239,7 @@
         let link = self.link(to)?;
         let request = wire::encode(frame)?;
         let deadline = monoio::time::Instant::now() + timeout;
-        let connection = monoio::time::timeout_at(deadline, link.connection())
-            .await
-            .map_err(|_| PeerError::TimedOut { sent: false })??;
+        let connection = connect(&link, deadline).await?;
         let kept = link.keep_open();
         let sent = monoio::time::timeout_at(deadline, send_call(&connection, request)).await;
         match sent.map_err(|_| PeerError::TimedOut { sent: true })?? {
@@ -306,6 +302,15 @@
     }
 }
 
+/// Returns an open connection of a link, if there is one before `deadline`.
+async fn connect(
+    link: &Rc<Link>,
+    deadline: monoio::time::Instant,
+) -> Result<Connection, PeerError> {
+    let connection = monoio::time::timeout_at(deadline, link.connection());
+    connection.await.map_err(|_| PeerError::TimedOut { sent: false })?
+}
+
 /// Sends `request` on a new stream and reads the response.
 async fn send_request(connection: &Connection, request: Bytes) -> Result<Frame, PeerError> {
     send_call(connection, request).await.map(|(frame, _)| frame)
