--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -7,6 +7,7 @@
 pub mod engines;
 pub mod links;
 pub mod process;
+pub mod repeating;
 pub mod requests;
 pub mod stop_calls;
 pub mod targets;
--- a/hawthornkeel/tests/forward_harness/process.rs
+++ b/hawthornkeel/tests/forward_harness/process.rs
@@ -130,7 +130,7 @@
 }
 
 /// Reads one request; `None` at the end of the connection.
-fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
+pub fn read_request(stream: &mut TcpStream) -> Option<(String, String)> {
     let mut received = Vec::new();
     let mut byte = [0];
     while !received.ends_with(b"\r\n\r\n") {
