--- a/hawthornkeel/tests/joined_streams.rs
+++ b/hawthornkeel/tests/joined_streams.rs
@@ -7,6 +7,7 @@
 use std::time::Instant;
 
 use indexmap::IndexSet;
+use rustix::process::Signal;
 
 use crate::forward_harness::EntryClient;
 use crate::forward_harness::Harness;
@@ -281,3 +282,36 @@
     let whole = responses.iter().filter(|r| last_event(r) == EVENTS).count();
     assert_eq!(whole, responses.len(), "{}", harness.logs());
 }
+
+// An entry that had stood still took streams up at the software that it knew from before.
+#[test]
+fn suspended_entry_joins_nothing() {
+    let fakes = FakeTargets::default();
+    for fake in fakes.lock().unwrap().iter_mut() {
+        fake.writer.version = Some("old");
+        fake.born = Some(1);
+    }
+    let harness = Harness::with_fakes(230, 1, fakes);
+    harness.serve_routes();
+    wait_for_entries(&harness);
+    harness.signal(ENTRIES[1], Signal::STOP);
+    harness.set_target(TARGETS[0], |target| {
+        target.writer.version = Some("new");
+        target.writer.breaks_after = Some(3);
+        target.born = Some(2);
+    });
+    // The list is read every 100 ms.
+    thread::sleep(Duration::from_millis(1_000));
+    let client = harness.client();
+    let begin = |n: usize| (format!("begun-{n}"), ask(&client, 0, &format!("begun-{n}"), None));
+    let mut begun: Vec<_> = (0..12).map(begin).collect();
+    begun.retain(|(_, r)| versions(r).contains("new") && last_event(r) < EVENTS);
+    assert!(!begun.is_empty(), "{}", harness.logs());
+    harness.set_target(TARGETS[0], |target| target.writer.breaks_after = None);
+    harness.signal(ENTRIES[1], Signal::CONT);
+    for (id, first) in &begun {
+        let taken_up = ask(&client, 1, &format!("on-{id}"), Some((id, last_event(first))));
+        let written = versions(&taken_up);
+        assert!(!written.contains("old"), "{first:?} {taken_up:?}\n{}", harness.settled_logs());
+    }
+}
