--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -132,10 +132,10 @@
         apply_document(context, schedulers);
     }
     if context.serving_entries.borrow_mut().merge(update.entries, update.entries_mark) {
-        tracing::info!(
-            event = "entries-known",
-            count = context.serving_entries.borrow().entries.len()
-        );
+        let serving = context.serving_entries.borrow();
+        tracing::info!(event = "entries-known", count = serving.entries.len());
+        let serves = |name: &InstanceName| serving.entries.iter().any(|e| e.name == *name);
+        context.helpers.borrow_mut().retain(serves);
     }
     context.apply_subject_records(update.subject_records.as_deref(), update.records_mark);
     let mark = listing.as_ref().map(|l| l.mark);
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -42,7 +42,7 @@
 use crate::http::signal::Signal;
 
 /// Maximum number of chunks of a stream buffered for the caller.
-const STREAM_BUFFER_CHUNKS: usize = 64;
+pub(super) const STREAM_BUFFER_CHUNKS: usize = 64;
 /// Maximum number of times that the stages of a request are run.
 const MAX_PASSES: u16 = 2;
 
--- a/hawthornkeel/src/forward/helper_client.rs
+++ b/hawthornkeel/src/forward/helper_client.rs
@@ -19,6 +19,7 @@
 use crate::clock::boot_now;
 use crate::forward::context::Context;
 use crate::forward::handler::ForwardHandler;
+use crate::forward::handler::STREAM_BUFFER_CHUNKS;
 use crate::forward::request::IncomingRequest;
 use crate::forward::response_memory::Lease;
 use crate::http::channel::Sender;
@@ -35,8 +36,6 @@
 
 /// Maximum number of entries that are asked for one request.
 const MAX_HELPERS: usize = 4;
-/// Maximum number of chunks of a stream buffered for the caller.
-const STREAM_BUFFER_CHUNKS: usize = 64;
 /// Maximum size of a body that is returned whole, in bytes.
 const MAX_BODY_BYTES: u64 = 8 << 20;
 /// Minimum time left for a request to be handed over.
--- a/hawthornkeel_core/src/placement/links.rs
+++ b/hawthornkeel_core/src/placement/links.rs
@@ -144,7 +144,7 @@
         &mut self,
         targets: impl IntoIterator<Item = (&'a PoolName, &'a CentreName, SocketAddr)>,
     ) {
-        let mut known = std::mem::take(&mut self.pools);
+        let known = std::mem::take(&mut self.pools);
         self.addresses.clear();
         for (pool, centre, address) in targets {
             let old = known.get(pool);
@@ -158,7 +158,6 @@
             entry.links.insert(address, link);
             self.addresses.insert(address, pool.clone());
         }
-        known.clear();
     }
 
     /// Records what was seen of the link to a target, and returns the change of its pool.
