Review, case 3: one unreadable entry freezes the list of targets (DRAIN)

A control character in one entry of the platform's list makes the whole page unreadable, so a runner that drains goes on getting requests.

--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -7,6 +7,7 @@
 mod http;
 mod json;
 mod late_order;
+mod odd_entry;
 mod record;
 mod runners;
 mod stage_answers;
@@ -40,6 +41,7 @@
     record::line(&format!("case {case}, trouble: {trouble}"));
     let verdict = match case.as_str() {
         "stage-answers" => stage_answers::play(trouble),
+        "odd-entry" => odd_entry::play(trouble),
         "late-order" => late_order::play(trouble),
         _ => Verdict::NotRun("there is no such case".to_owned()),
     };
