--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -3,6 +3,7 @@
 //! It exits with 1 if the rule was broken, 0 if it held, and 2 if the case could not run. With
 //! TROUBLE=0 in the environment it does the same without the disruption.
 
+mod first_start;
 mod fleet;
 mod http;
 mod json;
@@ -41,6 +42,7 @@
     record::line(&format!("case {case}, trouble: {trouble}"));
     let verdict = match case.as_str() {
         "stage-answers" => stage_answers::play(trouble),
+        "first-start" => first_start::play(trouble),
         "odd-entry" => odd_entry::play(trouble),
         "late-order" => late_order::play(trouble),
         _ => Verdict::NotRun("there is no such case".to_owned()),
