Review, case 3: streams accepted during a stop are cut at its end (LOST)

A front machine that was asked to stop goes on accepting streams by twice the longest of the route's last 32, whatever a request says of its size, and cuts those that take longer at 0.93 of the grace time.

--- a/review/3/run.sh
+++ b/review/3/run.sh
@@ -1,6 +1,7 @@
 #!/usr/bin/env bash
-# An entry of the platform's list has bytes that can't be read; another runner leaves. Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the
+# A front machine is asked to stop; streams that it accepts afterwards take longer than those before.
+# Exits with 1 if the rule was broken, 0 if it held, 2 if the case could not run. With TROUBLE=0 the
 # disruption is left out.
 cd "$(dirname "$0")/../.." || exit 2
 [ -x target/release/hawthornkeel ] && [ -x target/review/stand ] || exit 2
-exec target/review/stand odd-entry review/3
+exec target/review/stand long-stream review/3
--- a/review/stand/fleet.rs
+++ b/review/stand/fleet.rs
@@ -24,6 +24,7 @@
 }
 
 pub const SIGKILL: i32 = 9;
+pub const SIGTERM: i32 = 15;
 pub const SIGCONT: i32 = 18;
 pub const SIGSTOP: i32 = 19;
 const PR_SET_PDEATHSIG: i32 = 1;
--- a/review/stand/main.rs
+++ b/review/stand/main.rs
@@ -8,10 +8,10 @@
 mod http;
 mod json;
 mod late_order;
+mod long_stream;
 mod odd_entry;
 mod record;
 mod runners;
-mod slow_runner;
 mod stage_answers;
 
 use std::path::Path;
@@ -44,7 +44,7 @@
     let verdict = match case.as_str() {
         "stage-answers" => stage_answers::play(trouble),
         "first-start" => first_start::play(trouble),
-        "slow-runner" => slow_runner::play(trouble),
+        "long-stream" => long_stream::play(trouble),
         "odd-entry" => odd_entry::play(trouble),
         "late-order" => late_order::play(trouble),
         _ => Verdict::NotRun("there is no such case".to_owned()),
