--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -337,7 +337,7 @@
                     response.finish();
                     if status.is_success() {
                         self.context.record_sound_run(request);
-                        self.context.stop.record(request, progress.stages_done);
+                        self.context.stop.record(request, &progress);
                     }
                     progress.log_end(request, "answered", status.as_u16());
                     return Response { status, headers, body: Body::Blocks(body) };
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -146,7 +146,7 @@
                     }
                     response.finish();
                     sender.finish();
-                    self.context.stop.record(&self.request, self.progress.stages_done);
+                    self.context.stop.record(&self.request, &self.progress);
                     return self.progress.log_end(&self.request, "answered", 200);
                 }
                 StreamEnd::Disconnected => {
@@ -188,7 +188,7 @@
     }
 
     fn record_abandoned(&self) {
-        self.context.stop.record_abandoned(&self.request, self.progress.stages_done);
+        self.context.stop.record_abandoned(&self.request, &self.progress);
     }
 
     /// Forwards events until the stream ends.
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -152,6 +152,11 @@
         self.deadline.saturating_duration_since(Instant::now())
     }
 
+    /// Returns the most tokens that the response may have, if the caller states it.
+    pub fn max_tokens(&self) -> Option<u32> {
+        fields::max_tokens(self.head.header(fields::TOKEN_COUNTS)?)
+    }
+
     /// Returns the caller's number of pieces of each stage, or `None` if the field is malformed.
     pub fn piece_counts(&self) -> Option<Vec<u32>> {
         fields::parse_numbers(self.head.header(fields::PIECE_COUNTS).unwrap_or_default())
--- a/hawthornkeel/src/forward/stop.rs
+++ b/hawthornkeel/src/forward/stop.rs
@@ -8,10 +8,12 @@
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::stop::PlannedStop;
 use hawthornkeel_core::stop::RecentDurations;
+use hawthornkeel_core::stop::RequestTimes;
 use hawthornkeel_core::stop::StopTimes;
 use indexmap::IndexMap;
 
 use crate::clock::boot_now;
+use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
 use crate::http::problem::Code;
 use crate::http::problem::Problem;
@@ -75,22 +77,21 @@
         self.finish.wait()
     }
 
-    /// Records a request whose target responded completely and with success; its stages took
-    /// `staged`.
-    pub fn record(&self, request: &IncomingRequest, staged: Duration) {
-        let whole = request.started.elapsed();
+    /// Records a request whose target responded completely and with success.
+    pub fn record(&self, request: &IncomingRequest, progress: &RequestProgress) {
+        let times = request_times(request, progress);
         let mut durations = self.durations.borrow_mut();
         let route = durations.entry(request.route.name.clone()).or_default();
-        route.whole.record(whole);
-        route.unstaged.record(whole.saturating_sub(staged));
+        route.whole.record(times);
+        route.unstaged.record(times.after(progress.stages_done));
     }
 
-    /// Records a request that was abandoned while its target responded; its stages took `staged`.
-    pub fn record_abandoned(&self, request: &IncomingRequest, staged: Duration) {
-        let whole = request.started.elapsed();
+    /// Records a request that was abandoned while its target responded.
+    pub fn record_abandoned(&self, request: &IncomingRequest, progress: &RequestProgress) {
+        let times = request_times(request, progress);
         if let Some(route) = self.durations.borrow_mut().get_mut(&request.route.name) {
-            route.whole.record_abandoned(whole);
-            route.unstaged.record_abandoned(whole.saturating_sub(staged));
+            route.whole.record_abandoned(times);
+            route.unstaged.record_abandoned(times.after(progress.stages_done));
         }
     }
 
@@ -105,12 +106,12 @@
     /// Returns the response to a request that is not begun.
     pub fn admit(&self, request: &IncomingRequest) -> Result<(), Problem> {
         let Some(stop) = self.planned.get() else { return Ok(()) };
-        let (now, left) = (boot_now(), request.time_left());
-        let begins = |route: &RouteDurations| stop.begins(now, left, &route.whole);
+        let (now, left, max_tokens) = (boot_now(), request.time_left(), request.max_tokens());
+        let begins = |route: &RouteDurations| stop.begins(now, left, max_tokens, &route.whole);
         if !self.finish.is_set() && self.with_durations(request, begins) {
             return Ok(());
         }
-        log_given_up(request, RunStatus::NotRun);
+        self.log_given_up(request, RunStatus::NotRun);
         Err(not_begun())
     }
 
@@ -118,7 +119,10 @@
     pub fn allows_send(&self, request: &IncomingRequest) -> bool {
         let Some(stop) = self.planned.get() else { return true };
         let (now, left, objective) = (boot_now(), request.time_left(), request.route.objective);
-        let goes_on = |route: &RouteDurations| stop.goes_on(now, left, &route.unstaged, objective);
+        let goes_on = |route: &RouteDurations| {
+            let predicted = route.unstaged.predict(request.max_tokens());
+            stop.goes_on(now, left, predicted.unwrap_or(objective))
+        };
         !self.finish.is_set() && self.with_durations(request, goes_on)
     }
 
@@ -146,18 +150,43 @@
                 () = monoio::time::sleep(POLL_INTERVAL) => {}
             }
         }
-        give_up(request)
+        self.give_up(request)
+    }
+
+    /// Returns the final response to a request that a stop gives up.
+    fn give_up(&self, request: &IncomingRequest) -> Problem {
+        let problem = match request.run_status() {
+            RunStatus::NotRun => not_begun(),
+            status => Problem::new(Code::OutcomeUnknown, status),
+        };
+        self.log_given_up(request, problem.ran);
+        problem
+    }
+
+    fn log_given_up(&self, request: &IncomingRequest, ran: RunStatus) {
+        let durations = self.durations.borrow();
+        let route = durations.get(&request.route.name);
+        let predicted = route.and_then(|route| route.unstaged.predict(request.max_tokens()));
+        tracing::info!(
+            event = "stop-refused",
+            request = %request.id,
+            route = %request.route.name,
+            %ran,
+            waited_ms = millis(request.started.elapsed()),
+            deadline_ms = millis(request.time_left()),
+            predicted_ms = predicted.map(millis),
+            left_ms = self.time_left().map(millis),
+        );
     }
 }
 
-/// Returns the final response to a request that a stop gives up.
-fn give_up(request: &IncomingRequest) -> Problem {
-    let problem = match request.run_status() {
-        RunStatus::NotRun => not_begun(),
-        status => Problem::new(Code::OutcomeUnknown, status),
-    };
-    log_given_up(request, problem.ran);
-    problem
+/// Returns the times of a request whose response has ended, from its arrival.
+fn request_times(request: &IncomingRequest, progress: &RequestProgress) -> RequestTimes {
+    RequestTimes {
+        response_began: progress.response_began,
+        ended: request.started.elapsed(),
+        max_tokens: request.max_tokens(),
+    }
 }
 
 /// Returns the response to a request that a stop leaves no time for.
@@ -165,14 +194,6 @@
     Problem::not_run(Code::Stopping).with_retry_after(RETRY_AFTER)
 }
 
-fn log_given_up(request: &IncomingRequest, ran: RunStatus) {
-    let ms = |time: Duration| u64::try_from(time.as_millis()).unwrap_or(u64::MAX);
-    tracing::info!(
-        event = "stop-refused",
-        request = %request.id,
-        route = %request.route.name,
-        %ran,
-        waited_ms = ms(request.started.elapsed()),
-        deadline_ms = ms(request.time_left()),
-    );
+fn millis(time: Duration) -> u64 {
+    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
 }
--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -105,24 +105,25 @@
 
     /// Returns whether a new request can be begun and end in the time left.
     ///
-    /// `deadline` is the time until its deadline, and `recent` what others of its kind took.
-    pub fn begins(&self, now: Instant, deadline: Duration, recent: &RecentDurations) -> bool {
-        let predicted = recent.longest().filter(|_| recent.count() >= MIN_SAMPLES);
-        self.has_time(now, deadline, predicted.map(|time| time.mul_f64(NEW_REQUEST_MARGIN)))
-    }
-
-    /// Returns whether a request that was begun can go on to its next step and end in the time left.
-    ///
-    /// `deadline` is the time until its deadline, `recent` what others of its kind took from that
-    /// step on, and `objective` what is assumed before any of them has ended.
-    pub fn goes_on(
+    /// `deadline` is the time until its deadline, `max_tokens` the most tokens of its response if it
+    /// states them, and `recent` what others of its route took.
+    pub fn begins(
         &self,
         now: Instant,
         deadline: Duration,
+        max_tokens: Option<u32>,
         recent: &RecentDurations,
-        objective: Duration,
     ) -> bool {
-        self.has_time(now, deadline, Some(recent.longest().unwrap_or(objective)))
+        let predicted = recent.predict(max_tokens).filter(|_| recent.count() >= MIN_SAMPLES);
+        self.has_time(now, deadline, predicted.map(with_margin))
+    }
+
+    /// Returns whether a request that was begun can go on to its next step and end in the time left.
+    ///
+    /// `predicted` is what others of its route predict from that step on, or what is assumed before
+    /// any of them has ended.
+    pub fn goes_on(&self, now: Instant, deadline: Duration, predicted: Duration) -> bool {
+        self.has_time(now, deadline, Some(predicted))
     }
 
     fn has_time(&self, now: Instant, deadline: Duration, predicted: Option<Duration>) -> bool {
@@ -131,35 +132,87 @@
     }
 }
 
-/// Durations of recent work of one kind, from which the next one is predicted.
+/// Returns the time that a new request may take if others took `time`.
+fn with_margin(time: Duration) -> Duration {
+    scaled(time, NEW_REQUEST_MARGIN)
+}
+
+/// Returns `time` times `factor`, bounded by the longest duration.
+fn scaled(time: Duration, factor: f64) -> Duration {
+    Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(Duration::MAX)
+}
+
+/// Times of a request that ended.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+pub struct RequestTimes {
+    /// Time from the first step until the response began.
+    pub response_began: Duration,
+    /// Time from the first step to the end of the response.
+    pub ended: Duration,
+    /// Maximum number of tokens of the response, if the request stated one.
+    pub max_tokens: Option<u32>,
+}
+
+impl RequestTimes {
+    /// Returns the times of a request that states no number of tokens.
+    pub fn unsized_request(ended: Duration) -> Self {
+        Self { ended, ..Self::default() }
+    }
+
+    /// Returns these times without the first `steps`.
+    pub fn after(self, steps: Duration) -> Self {
+        Self {
+            response_began: self.response_began.saturating_sub(steps),
+            ended: self.ended.saturating_sub(steps),
+            ..self
+        }
+    }
+
+    /// Returns the time that a request with up to `max_tokens` would have taken in its place: the
+    /// response takes longer in proportion.
+    fn predict(&self, max_tokens: Option<u32>) -> Duration {
+        match (max_tokens, self.max_tokens) {
+            (Some(asked), Some(had)) if had > 0 => {
+                let response = self.ended.saturating_sub(self.response_began);
+                let response = scaled(response, f64::from(asked) / f64::from(had));
+                self.response_began.saturating_add(response)
+            }
+            _ => self.ended,
+        }
+    }
+}
+
+/// Times of recent requests of one route, from which those of the next one are predicted.
 #[derive(Clone, Debug, Default)]
 pub struct RecentDurations {
-    samples: VecDeque<Duration>,
+    samples: VecDeque<RequestTimes>,
 }
 
 impl RecentDurations {
-    /// Records the duration of completed work.
-    pub fn record(&mut self, duration: Duration) {
+    /// Records a completed request.
+    pub fn record(&mut self, times: RequestTimes) {
         if self.samples.len() >= MAX_SAMPLES {
             self.samples.pop_front();
         }
-        self.samples.push_back(duration);
+        self.samples.push_back(times);
     }
 
-    /// Records work that was abandoned after `age`; it says nothing unless it is the longest.
-    pub fn record_abandoned(&mut self, age: Duration) {
-        if self.longest().is_some_and(|longest| age > longest) {
-            self.record(age);
+    /// Records a request that was abandoned at its `ended` time; it says nothing unless it took
+    /// longer than the others predict.
+    pub fn record_abandoned(&mut self, times: RequestTimes) {
+        if self.predict(times.max_tokens).is_some_and(|longest| times.ended > longest) {
+            self.record(times);
         }
     }
 
-    /// Returns the number of recorded durations that are kept.
+    /// Returns the number of recorded requests that are kept.
     pub fn count(&self) -> usize {
         self.samples.len()
     }
 
-    /// Returns the longest recent duration, or `None` before any work has ended.
-    pub fn longest(&self) -> Option<Duration> {
-        self.samples.iter().max().copied()
+    /// Returns the longest that a request with up to `max_tokens` would have taken in place of a
+    /// recent one, or `None` before any has ended.
+    pub fn predict(&self, max_tokens: Option<u32>) -> Option<Duration> {
+        self.samples.iter().map(|times| times.predict(max_tokens)).max()
     }
 }
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -5,6 +5,7 @@
 use hawthornkeel_core::stop::ControlStop;
 use hawthornkeel_core::stop::PlannedStop;
 use hawthornkeel_core::stop::RecentDurations;
+use hawthornkeel_core::stop::RequestTimes;
 use hawthornkeel_core::stop::StopTimes;
 use hawthornkeel_core::time::Instant;
 use rstest::rstest;
@@ -58,10 +59,15 @@
 /// Returns the durations of `count` requests, of which the first took `longest`.
 fn recent(count: usize, longest: f64) -> RecentDurations {
     let mut recent = RecentDurations::default();
-    (0..count).for_each(|n| recent.record(seconds(if n == 0 { longest } else { longest / 4.0 })));
+    (0..count).for_each(|n| recent.record(took(if n == 0 { longest } else { longest / 4.0 })));
     recent
 }
 
+/// Returns the times of a request without a number of tokens.
+fn took(time: f64) -> RequestTimes {
+    RequestTimes::unsized_request(seconds(time))
+}
+
 #[rstest]
 #[case::ends_by_its_deadline(1.0, 2.0, recent(0, 0.0), true, true)]
 #[case::ends_soon_enough(1.0, 15.0, recent(10, 3.0), true, true)]
@@ -81,20 +87,39 @@
 ) {
     let stop = PlannedStop::new(START, &StopTimes::within(seconds(8.0)));
     let now = START + seconds(at);
-    assert_eq!(stop.begins(now, seconds(deadline), &recent), begins);
-    assert_eq!(stop.goes_on(now, seconds(deadline), &recent, OBJECTIVE), goes_on);
+    assert_eq!(stop.begins(now, seconds(deadline), None, &recent), begins);
+    assert_eq!(
+        stop.goes_on(now, seconds(deadline), recent.predict(None).unwrap_or(OBJECTIVE)),
+        goes_on
+    );
+}
+
+// Long streams were begun as the recent ones had been short, and cut at the end of the stop.
+#[rstest]
+#[case::as_long_as_others(2.0, Some(60), true)]
+#[case::longer(2.0, Some(500), false)]
+#[case::size_not_stated(2.0, None, true)]
+#[case::shorter(6.5, Some(5), true)]
+fn long_streams_cut(#[case] at: f64, #[case] max_tokens: Option<u32>, #[case] begins: bool) {
+    let stop = PlannedStop::new(START, &StopTimes::within(seconds(16.0)));
+    let mut recent = RecentDurations::default();
+    for _ in 0..10 {
+        let response_began = seconds(0.2);
+        recent.record(RequestTimes { response_began, ended: seconds(2.0), max_tokens: Some(60) });
+    }
+    assert_eq!(stop.begins(START + seconds(at), seconds(60.0), max_tokens, &recent), begins);
 }
 
 #[test]
 fn longest_recent_duration() {
     let mut recent = RecentDurations::default();
-    assert_eq!(recent.longest(), None);
-    recent.record(seconds(4.0));
-    recent.record(seconds(1.0));
-    assert_eq!(recent.longest(), Some(seconds(4.0)));
+    assert_eq!(recent.predict(None), None);
+    recent.record(took(4.0));
+    recent.record(took(1.0));
+    assert_eq!(recent.predict(None), Some(seconds(4.0)));
     // A single long one is forgotten after a while.
-    (0..100).for_each(|_| recent.record(seconds(1.0)));
-    assert_eq!(recent.longest(), Some(seconds(1.0)));
+    (0..100).for_each(|_| recent.record(took(1.0)));
+    assert_eq!(recent.predict(None), Some(seconds(1.0)));
 }
 
 #[test]
@@ -108,12 +133,12 @@
 #[test]
 fn abandoned_work() {
     let mut recent = RecentDurations::default();
-    recent.record_abandoned(seconds(9.0));
-    assert_eq!(recent.longest(), None);
-    recent.record(seconds(2.0));
+    recent.record_abandoned(took(9.0));
+    assert_eq!(recent.predict(None), None);
+    recent.record(took(2.0));
     // What was abandoned early may have taken any time.
-    recent.record_abandoned(seconds(1.0));
-    assert_eq!((recent.count(), recent.longest()), (1, Some(seconds(2.0))));
-    recent.record_abandoned(seconds(9.0));
-    assert_eq!(recent.longest(), Some(seconds(9.0)));
+    recent.record_abandoned(took(1.0));
+    assert_eq!((recent.count(), recent.predict(None)), (1, Some(seconds(2.0))));
+    recent.record_abandoned(took(9.0));
+    assert_eq!(recent.predict(None), Some(seconds(9.0)));
 }
