--- a/hawthornkeel_core/tests/centre_orders.rs
+++ b/hawthornkeel_core/tests/centre_orders.rs
@@ -7,6 +7,7 @@
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::OperatorName;
 use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::state::centres::operation_after;
 use hawthornkeel_core::state::command::CentreOrder;
 use hawthornkeel_core::state::command::CentreOutcome;
 use hawthornkeel_core::state::command::CentreRecord;
@@ -66,6 +67,41 @@
     assert_eq!(driver.state.published().index, LogIndex(2), "a retry changes nothing");
 }
 
+/// Returns an order without a number of its operator, which is to follow the one logged at `last`.
+fn order_after(last: u64, state: CentreState) -> CentreOrder {
+    let operation = operation_after(&CentreName::new(CENTRE), LogIndex(last));
+    CentreOrder { operation, ..order("", 0, state) }
+}
+
+// A copy of an order was committed after the one that had superseded it, and took its place.
+#[test]
+fn late_copy_changes_nothing() {
+    let mut driver = Driver::default();
+    apply(&mut driver, &order_after(0, CentreState::TakenOut));
+    let back = order_after(1, CentreState::InService);
+    apply(&mut driver, &back);
+    let out = order_after(2, CentreState::TakenOut);
+    assert_eq!(apply(&mut driver, &out), CentreOutcome::Recorded(record(&out, 3)));
+    driver.restore();
+    let late = order_after(1, CentreState::InService);
+    assert_eq!(apply(&mut driver, &late), CentreOutcome::Recorded(record(&back, 2)));
+    assert_eq!(current(&driver), record(&out, 3));
+    let late = order_after(1, CentreState::TakenOut);
+    assert_eq!(apply(&mut driver, &late), CentreOutcome::Conflict(record(&back, 2)));
+    assert_eq!(current(&driver), record(&out, 3));
+}
+
+#[test]
+fn one_of_two_orders_follows() {
+    let mut driver = Driver::default();
+    let out = order_after(0, CentreState::TakenOut);
+    let back = order_after(0, CentreState::InService);
+    assert_eq!(apply(&mut driver, &out), CentreOutcome::Recorded(record(&out, 1)));
+    assert_eq!(apply(&mut driver, &back), CentreOutcome::Conflict(record(&out, 1)));
+    let again = order_after(1, CentreState::InService);
+    assert_eq!(apply(&mut driver, &again), CentreOutcome::Recorded(record(&again, 3)));
+}
+
 #[test]
 fn reused_number_conflicts() {
     let mut driver = Driver::default();
