--- a/hawthornkeel/src/forward/helper_server.rs
+++ b/hawthornkeel/src/forward/helper_server.rs
@@ -203,6 +203,7 @@
         head: Head { method, path, query, headers },
         body: forwarded.body,
         peer: (Ipv4Addr::UNSPECIFIED, 0).into(),
+        began: Instant::now(),
         disconnected: left.clone(),
     })
 }
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -66,7 +66,9 @@
     /// What other requests may have in common with it: parts of its prompt, then the identities of the
     /// work, the most exact one last.
     pub subjects: Box<[Subject]>,
-    /// Time of arrival.
+    /// Time at which it began to arrive.
+    pub began: Instant,
+    /// Time at which it had arrived.
     pub started: Instant,
     /// Time by which the response should begin to meet the objective of the route.
     pub objective_deadline: Instant,
@@ -111,6 +113,7 @@
             priority: admitted.priority,
             session,
             subjects: subjects::shared_parts(&parts).chain(works).collect(),
+            began: request.began,
             started,
             objective_deadline,
             deadline,
--- a/hawthornkeel/src/forward/stop.rs
+++ b/hawthornkeel/src/forward/stop.rs
@@ -6,10 +6,12 @@
 
 use hawthornkeel_core::names::RouteName;
 use hawthornkeel_core::request::refusal::RunStatus;
+use hawthornkeel_core::stop::PendingRequest;
 use hawthornkeel_core::stop::PlannedStop;
 use hawthornkeel_core::stop::RecentDurations;
 use hawthornkeel_core::stop::RequestTimes;
 use hawthornkeel_core::stop::StopTimes;
+use hawthornkeel_core::time::Instant;
 use indexmap::IndexMap;
 
 use crate::clock::boot_now;
@@ -106,8 +108,9 @@
     /// Returns the response to a request that is not begun.
     pub fn admit(&self, request: &IncomingRequest) -> Result<(), Problem> {
         let Some(stop) = self.planned.get() else { return Ok(()) };
-        let (now, left, max_tokens) = (boot_now(), request.time_left(), request.max_tokens());
-        let begins = |route: &RouteDurations| stop.begins(now, left, max_tokens, &route.whole);
+        let now = boot_now();
+        let pending = pending(request, now);
+        let begins = |route: &RouteDurations| stop.begins(now, &pending, &route.whole);
         if !self.finish.is_set() && self.with_durations(request, begins) {
             return Ok(());
         }
@@ -118,11 +121,10 @@
     /// Returns whether a request may be sent to a target: no stop would end before its response.
     pub fn allows_send(&self, request: &IncomingRequest) -> bool {
         let Some(stop) = self.planned.get() else { return true };
-        let (now, left, objective) = (boot_now(), request.time_left(), request.route.objective);
-        let goes_on = |route: &RouteDurations| {
-            let predicted = route.unstaged.predict(request.max_tokens());
-            stop.goes_on(now, left, predicted.unwrap_or(objective))
-        };
+        let (now, objective) = (boot_now(), request.route.objective);
+        let pending = pending(request, now);
+        let goes_on =
+            |route: &RouteDurations| stop.goes_on(now, &pending, &route.unstaged, objective);
         !self.finish.is_set() && self.with_durations(request, goes_on)
     }
 
@@ -180,6 +182,16 @@
     }
 }
 
+/// Returns what the stop considers of a request.
+fn pending(request: &IncomingRequest, now: Instant) -> PendingRequest {
+    PendingRequest {
+        kind: request.route.kind,
+        arrived: now.before(request.began.elapsed()),
+        deadline: request.time_left(),
+        max_tokens: request.max_tokens(),
+    }
+}
+
 /// Returns the times of a request whose response has ended, from its arrival.
 fn request_times(request: &IncomingRequest, progress: &RequestProgress) -> RequestTimes {
     RequestTimes {
--- a/hawthornkeel/src/http/connection.rs
+++ b/hawthornkeel/src/http/connection.rs
@@ -3,6 +3,7 @@
 use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -173,6 +174,7 @@
     /// Reads one request, passes it to the handler and writes the response.
     async fn serve_request(&mut self) -> Persistence {
         let shared = self.shared;
+        let began = Instant::now();
         let mut incoming = Incoming::default();
         let reading =
             incoming::read_request(&mut self.reader, &mut self.writer, shared, &mut incoming);
@@ -183,7 +185,7 @@
         let rejection = match received {
             Ok(Ok((parts, body, buffered))) => {
                 self.phase.set(Phase::Handling);
-                let next = self.respond(parts, body).await;
+                let next = self.respond(parts, body, began).await;
                 drop(buffered);
                 return next;
             }
@@ -219,15 +221,15 @@
     }
 
     /// Passes a request to the handler, writes the response and returns the connection's state.
-    async fn respond(&mut self, parts: Parts, body: Bytes) -> Persistence {
+    async fn respond(&mut self, parts: Parts, body: Bytes, began: Instant) -> Persistence {
         let (shared, peer) = (self.shared, self.peer);
         let disconnected = Signal::new();
         let mut guard = DisconnectGuard { disconnected: disconnected.clone(), sent: false };
         let wants_close = requests_close(&parts);
         let chunked = parts.version == Version::HTTP_11;
         let head_only = parts.method == Method::HEAD;
-        let request =
-            Request { head: head_of(&parts), body, peer, disconnected: disconnected.clone() };
+        let (head, left) = (head_of(&parts), disconnected.clone());
+        let request = Request { head, body, peer, began, disconnected: left };
         let response =
             response_sender::watch(&mut self.reader, &disconnected, shared.handler.handle(request))
                 .await;
--- a/hawthornkeel/src/http/message.rs
+++ b/hawthornkeel/src/http/message.rs
@@ -1,6 +1,7 @@
 //! Requests and responses that handlers work with.
 
 use std::net::SocketAddr;
+use std::time::Instant;
 
 use bytes::Bytes;
 use http::HeaderMap;
@@ -41,6 +42,8 @@
     pub body: Bytes,
     /// Remote address of the connection.
     pub peer: SocketAddr,
+    /// Time at which it began to arrive.
+    pub began: Instant,
     /// Set once the caller has disconnected, so that work for it can stop.
     pub disconnected: Signal,
 }
--- a/hawthornkeel/tests/stop_predictions.rs
+++ b/hawthornkeel/tests/stop_predictions.rs
@@ -81,3 +81,19 @@
     assert!(status == "200" && data.ends_with("0\r\n\r\n"), "{data}\n{}", harness.logs());
     assert!(harness.wait_exit(ENTRY, EXIT_TIMEOUT));
 }
+
+// A signature was sent on as those before it had been short, and its outcome was unknown at the end.
+#[test]
+fn long_signature_refused() {
+    let mut harness = start(233, 4);
+    for number in 0..10 {
+        assert_eq!(harness.call("POST", &format!("/sign/{number}"), KEY, "x").status, 200);
+    }
+    let line = "POST /sign/wait-3000/late";
+    let delay = Duration::from_millis(1_500);
+    let (status, data) = call_late(&mut harness, delay, line, "Content-Length: 0\r\n");
+    assert_eq!(status, "503", "{data}\n{}", harness.logs());
+    assert!(data.contains("\"ran\":\"not-run\""), "{data}");
+    assert!(harness.requests(line).is_empty(), "refused and run");
+    assert!(harness.wait_exit(ENTRY, EXIT_TIMEOUT));
+}
--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -3,6 +3,7 @@
 use std::collections::VecDeque;
 use std::time::Duration;
 
+use crate::table::route::RouteKind;
 use crate::time::Instant;
 
 /// Fraction of the grace time in which connections are still accepted.
@@ -86,16 +87,31 @@
     }
 }
 
+/// Request that is to be begun, or to be sent to a target, during a stop.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub struct PendingRequest {
+    /// What may be done with the request again.
+    pub kind: RouteKind,
+    /// Time at which it began to arrive.
+    pub arrived: Instant,
+    /// Time left until its deadline.
+    pub deadline: Duration,
+    /// Maximum number of tokens of its response, if the request states one.
+    pub max_tokens: Option<u32>,
+}
+
 /// Planned stop that has begun.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlannedStop {
+    begun: Instant,
+    drained: Instant,
     finish: Instant,
 }
 
 impl PlannedStop {
     /// Creates the stop that was requested at `now`.
     pub fn new(now: Instant, times: &StopTimes) -> Self {
-        Self { finish: now + times.finish }
+        Self { begun: now, drained: now + times.drain, finish: now + times.finish }
     }
 
     /// Returns the time until requests in progress get their final response.
@@ -105,25 +121,49 @@
 
     /// Returns whether a new request can be begun and end in the time left.
     ///
-    /// `deadline` is the time until its deadline, `max_tokens` the most tokens of its response if it
-    /// states them, and `recent` what others of its route took.
-    pub fn begins(
+    /// `recent` is what others of its route took.
+    pub fn begins(&self, now: Instant, request: &PendingRequest, recent: &RecentDurations) -> bool {
+        let is_known = self.may_predict(now, request) && recent.count() >= MIN_SAMPLES;
+        let predicted = recent.predict(request.max_tokens).filter(|_| is_known);
+        self.has_time(now, request.deadline, predicted.map(with_margin))
+    }
+
+    /// Returns whether a prediction is enough to begin a request.
+    ///
+    /// A wrong one cuts off what only another instance could have completed: the outcome of a
+    /// request that may run once, or the rest of a stream. Those that arrive during the stop are
+    /// rather refused, streams from the time at which no connections are accepted.
+    fn may_predict(&self, now: Instant, request: &PendingRequest) -> bool {
+        !self.arrived_during(request)
+            || match request.kind {
+                RouteKind::Idempotent => true,
+                RouteKind::NonIdempotent => false,
+                RouteKind::Stream { .. } => now < self.drained,
+            }
+    }
+
+    /// Returns whether a request that was begun can go on to its next step and end in the time left.
+    ///
+    /// `recent` is what others of its route took from that step on, and `objective` what is assumed
+    /// before any of them has ended. A request that arrived during the stop keeps the margin with
+    /// which it was begun.
+    pub fn goes_on(
         &self,
         now: Instant,
-        deadline: Duration,
-        max_tokens: Option<u32>,
+        request: &PendingRequest,
         recent: &RecentDurations,
+        objective: Duration,
     ) -> bool {
-        let predicted = recent.predict(max_tokens).filter(|_| recent.count() >= MIN_SAMPLES);
-        self.has_time(now, deadline, predicted.map(with_margin))
+        let predicted = match recent.predict(request.max_tokens) {
+            Some(time) if self.arrived_during(request) => with_margin(time),
+            Some(time) => time,
+            None => objective,
+        };
+        self.has_time(now, request.deadline, Some(predicted))
     }
 
-    /// Returns whether a request that was begun can go on to its next step and end in the time left.
-    ///
-    /// `predicted` is what others of its route predict from that step on, or what is assumed before
-    /// any of them has ended.
-    pub fn goes_on(&self, now: Instant, deadline: Duration, predicted: Duration) -> bool {
-        self.has_time(now, deadline, Some(predicted))
+    fn arrived_during(&self, request: &PendingRequest) -> bool {
+        request.arrived >= self.begun
     }
 
     fn has_time(&self, now: Instant, deadline: Duration, predicted: Option<Duration>) -> bool {
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -3,10 +3,12 @@
 use std::time::Duration;
 
 use hawthornkeel_core::stop::ControlStop;
+use hawthornkeel_core::stop::PendingRequest;
 use hawthornkeel_core::stop::PlannedStop;
 use hawthornkeel_core::stop::RecentDurations;
 use hawthornkeel_core::stop::RequestTimes;
 use hawthornkeel_core::stop::StopTimes;
+use hawthornkeel_core::table::route::RouteKind;
 use hawthornkeel_core::time::Instant;
 use rstest::rstest;
 
@@ -68,6 +70,16 @@
     RequestTimes::unsized_request(seconds(time))
 }
 
+/// Returns an idempotent request that arrived before the stop.
+fn pending(deadline: f64) -> PendingRequest {
+    PendingRequest {
+        kind: RouteKind::Idempotent,
+        arrived: Instant::from_millis(0),
+        deadline: seconds(deadline),
+        max_tokens: None,
+    }
+}
+
 #[rstest]
 #[case::ends_by_its_deadline(1.0, 2.0, recent(0, 0.0), true, true)]
 #[case::ends_soon_enough(1.0, 15.0, recent(10, 3.0), true, true)]
@@ -87,11 +99,8 @@
 ) {
     let stop = PlannedStop::new(START, &StopTimes::within(seconds(8.0)));
     let now = START + seconds(at);
-    assert_eq!(stop.begins(now, seconds(deadline), None, &recent), begins);
-    assert_eq!(
-        stop.goes_on(now, seconds(deadline), recent.predict(None).unwrap_or(OBJECTIVE)),
-        goes_on
-    );
+    assert_eq!(stop.begins(now, &pending(deadline), &recent), begins);
+    assert_eq!(stop.goes_on(now, &pending(deadline), &recent, OBJECTIVE), goes_on);
 }
 
 // Long streams were begun as the recent ones had been short, and cut at the end of the stop.
@@ -107,7 +116,44 @@
         let response_began = seconds(0.2);
         recent.record(RequestTimes { response_began, ended: seconds(2.0), max_tokens: Some(60) });
     }
-    assert_eq!(stop.begins(START + seconds(at), seconds(60.0), max_tokens, &recent), begins);
+    let stream = RouteKind::Stream { resumable: false };
+    let request = PendingRequest { kind: stream, max_tokens, arrived: START, ..pending(60.0) };
+    assert_eq!(stop.begins(START + seconds(at), &request, &recent), begins);
+}
+
+// Requests that came during a stop were begun on a prediction, and cut when it was wrong.
+#[rstest]
+#[case::idempotent(RouteKind::Idempotent, 4.0, 15.0, true)]
+#[case::signature(RouteKind::NonIdempotent, 1.0, 15.0, false)]
+#[case::signature_ends_by_deadline(RouteKind::NonIdempotent, 4.0, 3.0, true)]
+#[case::stream_while_accepting(RouteKind::Stream { resumable: false }, 3.5, 15.0, true)]
+#[case::stream(RouteKind::Stream { resumable: false }, 4.0, 15.0, false)]
+#[case::resumable_stream(RouteKind::Stream { resumable: true }, 4.0, 15.0, false)]
+#[case::stream_ends_by_deadline(RouteKind::Stream { resumable: true }, 4.0, 3.0, true)]
+fn late_requests_cut(
+    #[case] kind: RouteKind,
+    #[case] at: f64,
+    #[case] deadline: f64,
+    #[case] begins: bool,
+) {
+    let stop = PlannedStop::new(START, &StopTimes::within(seconds(8.0)));
+    let before = PendingRequest { kind, ..pending(deadline) };
+    let during = PendingRequest { arrived: START, ..before };
+    assert_eq!(stop.begins(START + seconds(at), &during, &recent(10, 0.1)), begins);
+    // What was arriving when the stop began is in progress, such as an upload.
+    assert!(stop.begins(START + seconds(at), &before, &recent(10, 0.1)));
+}
+
+// A request that had arrived during the stop was sent late without the margin of its admission.
+#[rstest]
+#[case::before(-1.0, true)]
+#[case::during(1.0, false)]
+fn queued_requests_cut(#[case] arrived: f64, #[case] goes_on: bool) {
+    let stop = PlannedStop::new(START, &StopTimes::within(seconds(8.0)));
+    let arrived = Instant::from_millis((5_000.0 + arrived * 1_000.0) as u64);
+    let request = PendingRequest { arrived, ..pending(15.0) };
+    let now = START + seconds(5.0);
+    assert_eq!(stop.goes_on(now, &request, &recent(10, 2.0), OBJECTIVE), goes_on);
 }
 
 #[test]
