--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -41,6 +41,7 @@
 mod quarantine_server;
 mod reservation;
 mod silence;
+mod stream_form;
 mod stream_server;
 mod streams;
 mod subjects;
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -32,6 +32,7 @@
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::stages::StageOutputs;
+use crate::forward::stream_form::StreamForm;
 use crate::forward::target_calls::CallKind;
 use crate::http::channel::Sender;
 use crate::http::signal::Signal;
@@ -62,6 +63,8 @@
     pub schedulers: Schedulers,
     /// Software that writes the stream, and what that rests on.
     pub source: StreamSource,
+    /// Form of the stream, which each answer that goes on with it must have.
+    pub form: StreamForm,
     /// Last time at which the origin was recorded.
     pub recorded: Cell<Option<Instant>>,
 }
@@ -292,7 +295,7 @@
             };
             let result = self.context.check_writer(&run, result).await;
             let outcome = match result {
-                Ok(response) if response.status.is_success() => {
+                Ok(response) if StreamForm::of(&response) == self.form => {
                     // Nothing of it goes out before; by now the list mostly tells.
                     if !self.context.proves_source(&self.source).await {
                         let (request, target) = (&self.request.id, failed);
@@ -323,6 +326,9 @@
         result: Result<TargetResponse, ExchangeError>,
     ) -> TargetOutcome {
         let (status, outcome) = match &result {
+            Ok(response) if response.status.is_success() => {
+                (Some(response.status.as_u16()), TargetOutcome::Failed)
+            }
             Ok(response) => (Some(response.status.as_u16()), refusal_outcome(response)),
             Err(ExchangeError::Withheld) => (None, TargetOutcome::Abandoned),
             Err(error) if error.is_not_run() => (None, TargetOutcome::Unreached),
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -245,6 +245,8 @@
         }
         "/staged/1" => event_stream(first),
         "/pausing/1" => pausing_stream(),
+        path if path.starts_with("/events/next-") && first => event_stream(true),
+        path if path.starts_with("/events/next-") => next_answer(path),
         "/events/drip" if first => dripping_event(),
         "/events/drip" => event_stream(false),
         "/events/silent" => silent_body(EVENT_HALVES),
@@ -287,6 +289,27 @@
     response
 }
 
+/// Returns what a target answers that is asked to go on with a stream, by the end of the path.
+fn next_answer(path: &str) -> Response {
+    let text = "HTTP/1.1 500 Oops\r\n\r\nerror: no\n\n";
+    let status = match path.rsplit('-').next().unwrap_or_default() {
+        "500" => StatusCode::INTERNAL_SERVER_ERROR,
+        "503" => StatusCode::SERVICE_UNAVAILABLE,
+        "404" => StatusCode::NOT_FOUND,
+        "302" => StatusCode::FOUND,
+        "204" => return Response::full(StatusCode::NO_CONTENT, "text/event-stream", ""),
+        "206" => return Response::full(StatusCode::PARTIAL_CONTENT, "text/event-stream", text),
+        "json" => return Response::json("{\"error\":\"no\"}\n\n"),
+        "plain" => return Response::full(StatusCode::OK, "text/plain", text),
+        "encoded" => {
+            let encoded = Response::full(StatusCode::OK, "text/event-stream", text);
+            return encoded.with_header("content-encoding", "gzip");
+        }
+        _ => return lines_stream(false, "\n"),
+    };
+    Response::full(status, "text/event-stream", text)
+}
+
 /// Returns an event stream with a pause that its caller still waits for.
 fn pausing_stream() -> Response {
     let (sender, receiver) = bounded(4);
