--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -20,6 +20,7 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::Path;
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::ChildStdout;
@@ -45,6 +46,8 @@
 
 /// Time within which a condition must hold in a test.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
+/// Program of this build.
+const PROGRAM: &str = env!("CARGO_BIN_EXE_hawthornkeel");
 /// Names of the targets, each of which has its own address.
 pub const TARGETS: [&str; 3] = ["i-plain", "i-other", "i-stage"];
 
@@ -98,6 +101,8 @@
 /// Instance of the harness, running or not.
 struct Process {
     ip: String,
+    /// Program of another build, or `None` for the one of this build.
+    program: Option<PathBuf>,
     child: Option<Child>,
 }
 
@@ -133,6 +138,11 @@
 
     /// Starts a harness whose fake targets have some settings from the start.
     pub fn with_fakes(net: u8, controls: u8, fakes: FakeTargets) -> Self {
+        Self::with_program(net, controls, fakes, None)
+    }
+
+    /// Starts a harness whose processes run the program of another build, if one is given.
+    pub fn with_program(net: u8, controls: u8, fakes: FakeTargets, program: Option<&Path>) -> Self {
         let ip = |host: u8| format!("127.{net}.0.{host}");
         let port = free_port(&ip(1));
         let list = addr(&ip(9), port + 1);
@@ -167,7 +177,7 @@
                 "[control]\nenabled = true\ndata = {data:?}\noperators = \"{operators}\"\n\
                  lost_disks = {lost}\n[platform]\naddress = \"{list}\"\npoll_ms = 100\n"
             );
-            harness.add(&ip(host), &(common + &role));
+            harness.add(&ip(host), &(common + &role), program);
         }
         for host in entries {
             let (listen, ready) = (addr(&ip(host), port + 3), addr(&ip(host), port + 4));
@@ -175,14 +185,15 @@
                 "[forward]\nlisten = \"{listen}\"\nready = \"{ready}\"\ngrace_s = 2\n\
                  retry_slack = 100\n"
             );
-            harness.add(&ip(host), &(common(host) + &role));
+            harness.add(&ip(host), &(common(host) + &role), program);
         }
         harness
     }
 
-    fn add(&mut self, ip: &str, settings: &str) {
+    fn add(&mut self, ip: &str, settings: &str, program: Option<&Path>) {
         fs::write(self.root.path().join(format!("{ip}.toml")), settings).unwrap();
-        self.processes.push(Process { ip: ip.to_owned(), child: None });
+        let program = program.map(Path::to_owned);
+        self.processes.push(Process { ip: ip.to_owned(), program, child: None });
         self.spawn(self.processes.len() - 1);
     }
 
@@ -204,7 +215,8 @@
         let errors = self.open_log(at);
         let process = &mut self.processes[at];
         let file: PathBuf = self.root.path().join(format!("{}.toml", process.ip));
-        let child = Command::new(env!("CARGO_BIN_EXE_hawthornkeel"))
+        let program = process.program.as_deref().unwrap_or(Path::new(PROGRAM));
+        let child = Command::new(program)
             .args(["run", "--settings"])
             .arg(&file)
             .stdin(Stdio::null())
@@ -215,6 +227,11 @@
         process.child = Some(child);
     }
 
+    /// Chooses the program of a process from its next start on, or the one of this build.
+    pub fn choose_program(&mut self, at: usize, program: Option<&Path>) {
+        self.processes[at].program = program.map(Path::to_owned);
+    }
+
     fn open_log(&self, at: usize) -> fs::File {
         let log = self.root.path().join(format!("{}.log", self.processes[at].ip));
         fs::OpenOptions::new().create(true).append(true).open(log).unwrap()
--- /dev/null
+++ b/hawthornkeel/tests/upgrades.rs
@@ -0,0 +1,261 @@
+//! Processes of an earlier build and of this one side by side, while they are replaced one after the
+//! other under load, and back again.
+//!
+//! `scripts/upgrade.sh` builds the earlier commit and runs this; `UPGRADE_FROM` names its program.
+
+mod forward_harness;
+
+use std::env;
+use std::net::SocketAddr;
+use std::path::Path;
+use std::path::PathBuf;
+use std::sync::Arc;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::thread;
+use std::thread::JoinHandle;
+use std::time::Duration;
+
+use hawthornkeel_fakes::raw_client::RawClient;
+use rand::Rng;
+use rand::SeedableRng;
+use rand::seq::SliceRandom;
+use rand_chacha::ChaCha8Rng;
+use rstest::rstest;
+use rustix::process::Signal;
+use serde_json::Value;
+
+use crate::forward_harness::EntryClient;
+use crate::forward_harness::Harness;
+use crate::forward_harness::document::document;
+use crate::forward_harness::targets::FakeTargets;
+use crate::forward_harness::waits::eventually;
+use crate::forward_harness::waits::leader;
+use crate::forward_harness::waits::stop_seeds;
+
+/// Number of control instances, the first processes of the harness.
+const CONTROLS: usize = 3;
+/// Number of entries, the processes behind them.
+const ENTRIES: usize = 2;
+/// Data centre that is taken out and brought back.
+const CENTRE: &str = "z1";
+/// Time after which a process that should have ended fails the test.
+const EXIT_TIMEOUT: Duration = Duration::from_secs(12);
+/// Time for which a control instance stands still.
+const FREEZE: Duration = Duration::from_millis(1_500);
+
+/// Order in which the processes are replaced.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Sequence {
+    ControlFirst,
+    EntriesFirst,
+    Mixed,
+}
+
+impl Sequence {
+    fn processes(self, rng: &mut ChaCha8Rng) -> Vec<usize> {
+        let mut all: Vec<_> = (0..CONTROLS + ENTRIES).collect();
+        match self {
+            Self::ControlFirst => {}
+            Self::EntriesFirst => all.reverse(),
+            Self::Mixed => all.shuffle(rng),
+        }
+        all
+    }
+}
+
+/// What callers saw.
+#[derive(Clone, Debug, Default)]
+struct Seen {
+    served: usize,
+    refused: usize,
+    unknown: usize,
+    unreached: usize,
+    broken: Vec<String>,
+    /// Paths of signatures that were refused as not run.
+    not_run: Vec<String>,
+}
+
+/// Calls one entry until told to stop.
+fn keep_calling(client: EntryClient, entry: usize, stop: Arc<AtomicBool>) -> JoinHandle<Seen> {
+    thread::spawn(move || {
+        let mut seen = Seen::default();
+        let mut number = 0;
+        while !stop.load(Ordering::Relaxed) {
+            number += 1;
+            let (method, path) = match number % 3 {
+                0 => ("GET", format!("/events/drip-3/{entry}-{number}")),
+                1 => ("POST", format!("/sign/{entry}-{number}")),
+                _ => ("GET", format!("/lots/{entry}-{number}")),
+            };
+            let fields = format!("Authorization: Token k1\r\nRequest-Id: {entry}-{number}\r\n");
+            match client.try_call(entry, method, &path, &fields) {
+                None => seen.unreached += 1,
+                Some(response) if response.status == 200 => {
+                    seen.served += 1;
+                    if path.starts_with("/events/") && !response.body.ends_with("0\r\n\r\n") {
+                        seen.broken.push(format!("stream cut: {path}"));
+                    }
+                }
+                Some(response) if response.status == 503 => {
+                    seen.refused += 1;
+                    seen.not_run.push(path);
+                }
+                Some(response) if response.status == 502 => seen.unknown += 1,
+                Some(response) => seen.broken.push(format!("{} for {path}", response.status)),
+            }
+            thread::sleep(Duration::from_millis(5));
+        }
+        seen
+    })
+}
+
+/// Sends a request on a new connection and returns the status and body of its response.
+fn call(to: SocketAddr, method: &str, path: &str) -> Option<(u16, String)> {
+    let mut caller = RawClient::connect(to).ok()?;
+    let head = format!("{method} {path} HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n");
+    caller.send(head).ok()?;
+    caller.read_response().ok().map(|r| (r.status, r.body))
+}
+
+/// Returns whether the data centre is out of service, as a control instance reports it itself.
+fn is_taken_out(harness: &Harness, at: usize) -> Option<bool> {
+    let (_, body) = call(harness.admin(at), "GET", "/admin/status")?;
+    let status: Value = serde_json::from_str(&body).ok()?;
+    let name = harness.admin(at).ip().to_string();
+    let own = status["instances"].as_array()?.iter().find(|i| i["name"] == name.as_str())?;
+    Some(own["taken_out"].as_array()?.iter().any(|c| c == CENTRE))
+}
+
+/// What the operator has had acknowledged last.
+struct InForce {
+    version: u32,
+    taken_out: bool,
+}
+
+impl InForce {
+    /// Has an order and a document acknowledged by each control instance, and waits until they are
+    /// in force.
+    fn change(&mut self, harness: &Harness) {
+        for at in 0..CONTROLS {
+            self.taken_out = !self.taken_out;
+            let path = match self.taken_out {
+                true => format!("/Evacuation.Begin/{CENTRE}"),
+                false => format!("/Evacuation.Finish/{CENTRE}"),
+            };
+            eventually(harness, "order not acknowledged", || {
+                let (status, _) = call(harness.operators(at), "POST", &path)?;
+                (status == 200).then_some(())
+            });
+            self.version += 1;
+            let text = document(self.version, "/lots/");
+            eventually(harness, "document not acknowledged", || {
+                let response = harness.try_replace_document(at, &text)?;
+                (response.status == 200).then_some(())
+            });
+            self.wait(harness);
+        }
+    }
+
+    /// Waits until all control instances have what was acknowledged in force.
+    fn wait(&self, harness: &Harness) {
+        let version = format!("\"version\":{},", self.version);
+        eventually(harness, "not in force", || {
+            let holds = |at| {
+                let read = harness.try_read_document(at);
+                is_taken_out(harness, at) == Some(self.taken_out)
+                    && read.is_some_and(|r| r.status == 200 && r.body.contains(&version))
+            };
+            (0..CONTROLS).all(holds).then_some(())
+        });
+    }
+}
+
+/// Replaces a process by one of another build, which goes on with its disk.
+fn replace(harness: &mut Harness, at: usize, program: Option<&Path>, rng: &mut ChaCha8Rng) {
+    harness.choose_program(at, program);
+    // A kill cuts what an entry has in progress, so only control instances are killed.
+    if at < CONTROLS && rng.random_bool(0.3) {
+        harness.kill(at);
+    } else {
+        harness.signal(at, Signal::TERM);
+        assert!(harness.wait_exit(at, EXIT_TIMEOUT), "{}", harness.logs());
+    }
+    harness.spawn(at);
+}
+
+/// Has a control instance stand still for a while.
+fn freeze(harness: &Harness, at: usize) {
+    harness.signal(at, Signal::STOP);
+    thread::sleep(FREEZE);
+    harness.signal(at, Signal::CONT);
+}
+
+/// Returns the runs of signatures that break a promise.
+fn wrong_runs(harness: &Harness, seen: &[Seen]) -> Vec<String> {
+    let runs = harness.requests("POST /sign/");
+    let count = |path: &str| {
+        let line = format!("POST {path}?");
+        let exact = format!("POST {path}");
+        runs.iter().filter(|r| r.line.starts_with(&line) || r.line.trim() == exact).count()
+    };
+    let refused = seen.iter().flat_map(|s| &s.not_run).filter(|path| path.starts_with("/sign/"));
+    let mut wrong: Vec<_> = refused
+        .filter(|path| count(path) > 0)
+        .map(|path| format!("refused, ran: {path}"))
+        .collect();
+    let mut lines: Vec<_> = runs.iter().map(|r| r.line.clone()).collect();
+    lines.sort();
+    wrong.extend(lines.windows(2).filter(|w| w[0] == w[1]).map(|w| format!("twice: {}", w[0])));
+    wrong
+}
+
+#[rstest]
+#[case::control_first(251, Sequence::ControlFirst)]
+#[case::entries_first(252, Sequence::EntriesFirst)]
+#[case::mixed(253, Sequence::Mixed)]
+#[ignore = "needs the program of an earlier build: scripts/upgrade.sh"]
+fn builds_side_by_side(#[case] net: u8, #[case] sequence: Sequence) {
+    let earlier = PathBuf::from(env::var_os("UPGRADE_FROM").expect("UPGRADE_FROM is not set"));
+    for seed in 0..stop_seeds(1) {
+        let mut rng = ChaCha8Rng::seed_from_u64(seed);
+        let fakes = FakeTargets::default();
+        let mut harness = Harness::with_program(net, CONTROLS as u8, fakes, Some(&earlier));
+        assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
+        let fields = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
+        harness.call_until(200, "/lots/1", fields);
+        let mut in_force = InForce { version: 1, taken_out: false };
+        let stop = Arc::new(AtomicBool::new(false));
+        let callers: Vec<_> = (0..ENTRIES)
+            .map(|entry| keep_calling(harness.client(), entry, Arc::clone(&stop)))
+            .collect();
+        for program in [None, Some(earlier.as_path())] {
+            for at in sequence.processes(&mut rng) {
+                replace(&mut harness, at, program, &mut rng);
+                let leads = leader(&harness);
+                if rng.random_bool(0.3) {
+                    freeze(
+                        &harness,
+                        if rng.random_bool(0.5) { leads } else { (leads + 1) % CONTROLS },
+                    );
+                }
+                in_force.wait(&harness);
+                in_force.change(&harness);
+            }
+        }
+        stop.store(true, Ordering::Relaxed);
+        let seen: Vec<_> = callers.into_iter().map(|c| c.join().unwrap()).collect();
+        let sum = |count: fn(&Seen) -> usize| seen.iter().map(count).sum::<usize>();
+        let mut broken: Vec<_> = seen.iter().flat_map(|s| s.broken.clone()).collect();
+        broken.extend(wrong_runs(&harness, &seen));
+        println!(
+            "{sequence:?} seed {seed}: served {}, refused {}, unknown {}, unreached {}, broken {}",
+            sum(|s| s.served),
+            sum(|s| s.refused),
+            sum(|s| s.unknown),
+            sum(|s| s.unreached),
+            broken.len()
+        );
+        assert!(broken.is_empty(), "seed {seed}: {broken:#?}\n{}", harness.logs());
+    }
+}
