--- a/hawthornkeel/tests/late_orders.rs
+++ b/hawthornkeel/tests/late_orders.rs
@@ -55,7 +55,7 @@
     caller.read_response().ok().map(|r| (r.status, r.body))
 }
 
-/// Gives an order to one of two instances until it is acknowledged.
+/// Gives an order to one instance after the other until it is acknowledged.
 fn must_order(harness: &Harness, at: &[usize], order: Order) {
     eventually(harness, "no acknowledgement", || {
         let acknowledges = |at: &&usize| {
--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -90,7 +90,7 @@
 /// Request that is to be begun, or to be sent to a target, during a stop.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PendingRequest {
-    /// What may be done with the request again.
+    /// Type of its route, which tells whether it may be sent again.
     pub kind: RouteKind,
     /// Time at which it began to arrive.
     pub arrived: Instant,
@@ -130,9 +130,9 @@
 
     /// Returns whether a prediction is enough to begin a request.
     ///
-    /// A wrong one cuts off what only another instance could have completed: the outcome of a
-    /// request that may run once, or the rest of a stream. Those that arrive during the stop are
-    /// rather refused, streams from the time at which no connections are accepted.
+    /// A wrong prediction loses the outcome of a request that may run once, or the rest of a stream.
+    /// If they arrive during the stop they are refused, as another instance can serve them; streams
+    /// only once no connections are accepted.
     fn may_predict(&self, now: Instant, request: &PendingRequest) -> bool {
         !self.arrived_during(request)
             || match request.kind {
@@ -182,28 +182,28 @@
     Duration::try_from_secs_f64(time.as_secs_f64() * factor).unwrap_or(Duration::MAX)
 }
 
-/// Times of a request that ended.
+/// Times of a request that ended, from its arrival or from a later step on.
 #[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
 pub struct RequestTimes {
-    /// Time from the first step until the response began.
+    /// Time until the response began.
     pub response_began: Duration,
-    /// Time from the first step to the end of the response.
+    /// Time until the end of the response.
     pub ended: Duration,
     /// Maximum number of tokens of the response, if the request stated one.
     pub max_tokens: Option<u32>,
 }
 
 impl RequestTimes {
-    /// Returns the times of a request that states no number of tokens.
-    pub fn unsized_request(ended: Duration) -> Self {
+    /// Returns the times of a request that stated no number of tokens and `ended` then.
+    pub fn without_size(ended: Duration) -> Self {
         Self { ended, ..Self::default() }
     }
 
-    /// Returns these times without the first `steps`.
-    pub fn after(self, steps: Duration) -> Self {
+    /// Returns the times from the step on that began `elapsed` after the arrival.
+    pub fn after(self, elapsed: Duration) -> Self {
         Self {
-            response_began: self.response_began.saturating_sub(steps),
-            ended: self.ended.saturating_sub(steps),
+            response_began: self.response_began.saturating_sub(elapsed),
+            ended: self.ended.saturating_sub(elapsed),
             ..self
         }
     }
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -67,7 +67,7 @@
 
 /// Returns the times of a request without a number of tokens.
 fn took(time: f64) -> RequestTimes {
-    RequestTimes::unsized_request(seconds(time))
+    RequestTimes::without_size(seconds(time))
 }
 
 /// Returns an idempotent request that arrived before the stop.
