--- a/scripts/upgrade.sh
+++ b/scripts/upgrade.sh
@@ -20,4 +20,4 @@
         exit 2
     cp "$folder/build/release/hawthornkeel" "$program"
 fi
-UPGRADE_FROM=$program cargo test -p hawthornkeel --locked --test upgrades -- --ignored --nocapture
+UPGRADE_FROM=$program cargo test -p hawthornkeel --locked --test upgrades
