--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -10,6 +10,10 @@
 ///
 /// The load balancer goes on sending them until its readiness checks have failed.
 const DRAIN_FRACTION: f64 = 0.45;
+/// Longest time from the request to stop in which streams are begun on a prediction.
+///
+/// Load balancers send no new connections by then; callers with kept ones can use another instance.
+const MAX_PREDICT_TIME: Duration = Duration::from_secs(3);
 /// Fraction of the grace time reserved for writing final responses.
 const RESERVE_FRACTION: f64 = 0.07;
 /// Minimum of that reserve, unless the grace time is too short for it.
@@ -104,14 +108,16 @@
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub struct PlannedStop {
     begun: Instant,
-    drained: Instant,
+    /// Time from which streams are begun only if their deadline fits.
+    certain: Instant,
     finish: Instant,
 }
 
 impl PlannedStop {
     /// Creates the stop that was requested at `now`.
     pub fn new(now: Instant, times: &StopTimes) -> Self {
-        Self { begun: now, drained: now + times.drain, finish: now + times.finish }
+        let certain = now + times.drain.min(MAX_PREDICT_TIME);
+        Self { begun: now, certain, finish: now + times.finish }
     }
 
     /// Returns the time until requests in progress get their final response.
@@ -132,13 +138,13 @@
     ///
     /// A wrong prediction loses the outcome of a request that may run once, or the rest of a stream.
     /// If they arrive during the stop they are refused, as another instance can serve them; streams
-    /// only once no connections are accepted.
+    /// only after a first part of it.
     fn may_predict(&self, now: Instant, request: &PendingRequest) -> bool {
         !self.arrived_during(request)
             || match request.kind {
                 RouteKind::Idempotent => true,
                 RouteKind::NonIdempotent => false,
-                RouteKind::Stream { .. } => now < self.drained,
+                RouteKind::Stream { .. } => now < self.certain,
             }
     }
 
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -105,12 +105,13 @@
 
 // Long streams were begun as the recent ones had been short, and cut at the end of the stop.
 #[rstest]
-#[case::as_long_as_others(2.0, Some(60), true)]
-#[case::longer(2.0, Some(500), false)]
-#[case::size_not_stated(2.0, None, true)]
-#[case::shorter(6.5, Some(5), true)]
+#[case::as_long_as_others(1.0, Some(60), true)]
+#[case::longer(1.0, Some(500), false)]
+#[case::size_not_stated(1.0, None, true)]
+#[case::too_late_for_others(2.5, Some(60), false)]
+#[case::shorter(2.5, Some(5), true)]
 fn long_streams_cut(#[case] at: f64, #[case] max_tokens: Option<u32>, #[case] begins: bool) {
-    let stop = PlannedStop::new(START, &StopTimes::within(seconds(16.0)));
+    let stop = PlannedStop::new(START, &StopTimes::within(seconds(6.0)));
     let mut recent = RecentDurations::default();
     for _ in 0..10 {
         let response_began = seconds(0.2);
@@ -126,7 +127,8 @@
 #[case::idempotent(RouteKind::Idempotent, 4.0, 15.0, true)]
 #[case::signature(RouteKind::NonIdempotent, 1.0, 15.0, false)]
 #[case::signature_ends_by_deadline(RouteKind::NonIdempotent, 4.0, 3.0, true)]
-#[case::stream_while_accepting(RouteKind::Stream { resumable: false }, 3.5, 15.0, true)]
+#[case::early_stream(RouteKind::Stream { resumable: false }, 2.9, 15.0, true)]
+#[case::stream_after_balancer_left(RouteKind::Stream { resumable: false }, 3.2, 15.0, false)]
 #[case::stream(RouteKind::Stream { resumable: false }, 4.0, 15.0, false)]
 #[case::resumable_stream(RouteKind::Stream { resumable: true }, 4.0, 15.0, false)]
 #[case::stream_ends_by_deadline(RouteKind::Stream { resumable: true }, 4.0, 3.0, true)]
