Relay, clock: the form of a stream is read where it breaks off; one function for milliseconds

The form of a stream was kept from its first response on, with two strings for each stream, though it is needed only when one breaks off: the answer that goes on is now compared with the response that broke off, which had the same form by then.

forward/stop.rs wrote anew what four modules had already: a duration in whole milliseconds. It stands once, in the clock module.

--- a/hawthornkeel/src/clock.rs
+++ b/hawthornkeel/src/clock.rs
@@ -38,3 +38,8 @@
     let elapsed = SystemTime::now().duration_since(UNIX_EPOCH).unwrap_or_default();
     WallTime::from_millis(u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX))
 }
+
+/// Returns the whole milliseconds of a duration, as log lines and messages tell them.
+pub fn millis(duration: Duration) -> u64 {
+    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
+}
--- a/hawthornkeel/src/control/watch.rs
+++ b/hawthornkeel/src/control/watch.rs
@@ -16,6 +16,7 @@
 use hawthornkeel_core::time::Instant;
 
 use crate::clock::boot_now;
+use crate::clock::millis;
 use crate::peer::frame::Followed;
 use crate::peer::frame::InstanceStatus;
 use crate::peer::wakeup::EventCount;
@@ -153,7 +154,3 @@
         }
     }
 }
-
-fn millis(duration: Duration) -> u64 {
-    u64::try_from(duration.as_millis()).unwrap_or(u64::MAX)
-}
--- a/hawthornkeel/src/entry/call_record.rs
+++ b/hawthornkeel/src/entry/call_record.rs
@@ -7,6 +7,7 @@
 use hawthornkeel_core::names::StageName;
 use hawthornkeel_core::time::Instant;
 
+use crate::clock::millis;
 use crate::entry::call::CallPlan;
 use crate::entry::context::Context;
 use crate::telemetry;
@@ -81,7 +82,3 @@
         }
     }
 }
-
-fn millis(elapsed: Duration) -> u64 {
-    u64::try_from(elapsed.as_millis()).unwrap_or(u64::MAX)
-}
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -28,7 +28,6 @@
 use crate::forward::schedulers::Schedulers;
 use crate::forward::silence;
 use crate::forward::stages::StagesError;
-use crate::forward::stream_form::StreamForm;
 use crate::forward::streams;
 use crate::forward::target_calls::asks_for_pause;
 use crate::forward::target_calls::caller_delay;
@@ -269,7 +268,6 @@
             let context = Rc::clone(&self.context);
             let schedulers = self.schedulers.clone();
             let source = self.source(&request, &response, &target);
-            let form = StreamForm::of(&response);
             let recorded = Cell::default();
             let relay = StreamRelay {
                 context,
@@ -278,7 +276,6 @@
                 progress,
                 schedulers,
                 source,
-                form,
                 recorded,
             };
             let finish = self.context.stop.finish();
--- a/hawthornkeel/src/forward/plan.rs
+++ b/hawthornkeel/src/forward/plan.rs
@@ -20,6 +20,7 @@
 use hawthornkeel_platform::fields;
 use hawthornkeel_platform::pieces;
 
+use crate::clock::millis;
 use crate::forward::context::Context;
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::StageResults;
@@ -293,7 +294,3 @@
         }
     }
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -63,8 +63,6 @@
     pub schedulers: Schedulers,
     /// Software that writes the stream, and what that rests on.
     pub source: StreamSource,
-    /// Form of the stream, which each answer that goes on with it must have.
-    pub form: StreamForm,
     /// Last time at which the origin was recorded.
     pub recorded: Cell<Option<Instant>>,
 }
@@ -171,10 +169,11 @@
                 last = events.last_id(),
                 failure = %cause,
             );
+            let form = StreamForm::of(&response);
             // Cancels the old run before the stream is resumed elsewhere.
             drop(response);
             events.restart();
-            match self.resume(&target.name, events.last_id(), prepared).await {
+            match self.resume(&target.name, &form, events.last_id(), prepared).await {
                 Some((next, next_target)) => (response, target) = (next, next_target),
                 None => return self.progress.log_end(&self.request, "stream-cut", 200),
             }
@@ -254,10 +253,12 @@
         self.request.route.kind == RouteKind::Stream { resumable: true }
     }
 
-    /// Resumes the stream at another target than `failed`, after the event `last`.
+    /// Resumes the stream at another target than `failed`, after the event `last`, with an answer of
+    /// the same `form`.
     async fn resume(
         &mut self,
         failed: &TargetName,
+        form: &StreamForm,
         last: Option<&str>,
         prepared: Option<Resumption>,
     ) -> Option<(TargetResponse, ChosenTarget)> {
@@ -295,7 +296,7 @@
             };
             let result = self.context.check_writer(&run, result).await;
             let outcome = match result {
-                Ok(response) if StreamForm::of(&response) == self.form => {
+                Ok(response) if StreamForm::of(&response) == *form => {
                     // Nothing of it goes out before; by now the list mostly tells.
                     if !self.context.proves_source(&self.source).await {
                         let (request, target) = (&self.request.id, failed);
--- a/hawthornkeel/src/forward/stop.rs
+++ b/hawthornkeel/src/forward/stop.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexMap;
 
 use crate::clock::boot_now;
+use crate::clock::millis;
 use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
 use crate::http::problem::Code;
@@ -205,7 +206,3 @@
 pub fn not_begun() -> Problem {
     Problem::not_run(Code::Stopping).with_retry_after(RETRY_AFTER)
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -24,6 +24,7 @@
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::clock::boot_now;
+use crate::clock::millis;
 use crate::forward::context::Context;
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::OutgoingRequest;
@@ -277,7 +278,3 @@
 fn count(notice: &'static str) {
     metrics::counter!(telemetry::TARGET_NOTICES, "notice" => notice).increment(1);
 }
-
-fn millis(time: Duration) -> u64 {
-    u64::try_from(time.as_millis()).unwrap_or(u64::MAX)
-}
