--- a/hawthornkeel/tests/control_stop.rs
+++ b/hawthornkeel/tests/control_stop.rs
@@ -16,14 +16,13 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::waits::CONTROLS;
 use crate::forward_harness::waits::eventually;
 use crate::forward_harness::waits::leader;
 use crate::forward_harness::waits::stop_seeds;
 
 /// Default number of seeds, as run in CI.
 const DEFAULT_SEEDS: u64 = 4;
-/// Number of control instances of the harness.
-const CONTROLS: usize = 3;
 /// Time within which a process with nothing open must end.
 const PROMPT_EXIT: Duration = Duration::from_millis(1_500);
 /// Time after which a process that should have ended fails the test.
--- a/hawthornkeel/tests/endless_bytes.rs
+++ b/hawthornkeel/tests/endless_bytes.rs
@@ -33,6 +33,7 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::requests::unchunked;
 use crate::raw_target::Pace;
 use crate::raw_target::RawTarget;
 
@@ -274,9 +275,7 @@
 
 /// Checks that each event of the stream arrived once, followed by the last chunk of the body.
 fn assert_whole_stream(body: &str) {
-    let events: String =
-        body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect();
-    assert_eq!(events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(unchunked(body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert!(body.ends_with("0\r\n\r\n"), "{body:?}");
 }
 
--- a/hawthornkeel/tests/forward_harness/requests.rs
+++ b/hawthornkeel/tests/forward_harness/requests.rs
@@ -1,4 +1,4 @@
-//! Header fields of the harness's requests.
+//! Header fields of the harness's requests, and bodies of their responses.
 
 /// Fields of a request with two pieces of its stage.
 pub const PIECES: &str = "Pieces: 2\r\nPiece-Key: a\r\n";
@@ -7,3 +7,8 @@
 pub fn fields(id: &str) -> String {
     format!("Authorization: Token k1\r\nRequest-Id: {id}\r\n")
 }
+
+/// Returns the data of a chunked body without its framing, if no line of it looks like a chunk size.
+pub fn unchunked(body: &str) -> String {
+    body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect()
+}
--- a/hawthornkeel/tests/forward_harness/waits.rs
+++ b/hawthornkeel/tests/forward_harness/waits.rs
@@ -9,7 +9,7 @@
 /// Time within which a condition must hold.
 const TEST_TIMEOUT: Duration = Duration::from_secs(20);
 /// Number of control instances of a harness that replicates.
-const CONTROLS: usize = 3;
+pub const CONTROLS: usize = 3;
 
 /// Returns the number of seeds of a test with planned stops: the variable `STOP_SEEDS`, or `default`.
 pub fn stop_seeds(default: u64) -> u64 {
--- a/hawthornkeel/tests/forward_routes.rs
+++ b/hawthornkeel/tests/forward_routes.rs
@@ -6,6 +6,7 @@
 use crate::forward_harness::HttpResponse;
 use crate::forward_harness::RecordedRequest;
 use crate::forward_harness::document::document;
+use crate::forward_harness::requests::unchunked;
 
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 
@@ -108,9 +109,7 @@
 
 /// Checks that each event arrived complete and once, followed by the last chunk of the body.
 fn assert_whole_stream(got: &HttpResponse) {
-    let events: String =
-        got.body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect();
-    assert_eq!(events, "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_eq!(unchunked(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
     assert!(got.body.ends_with("0\r\n\r\n"), "{got:?}");
 }
 
--- a/hawthornkeel/tests/recorded_messages.rs
+++ b/hawthornkeel/tests/recorded_messages.rs
@@ -7,7 +7,6 @@
 use std::fs;
 use std::path::PathBuf;
 
-use bytes::Bytes;
 use hawthornkeel::control::codec;
 use hawthornkeel::peer::Frame;
 use hawthornkeel::peer::compression::BodyEncoding;
@@ -77,6 +76,15 @@
     encoded.collect()
 }
 
+/// Returns the encoded samples of a type.
+fn seeds<T: for<'de> serde::Deserialize<'de>>(
+    encode: impl Fn(T) -> Vec<u8>,
+) -> Vec<(String, Vec<u8>)> {
+    let encoded =
+        (0..SEEDS * 4).filter_map(|seed| Some((seed.to_string(), encode(sample(seed, None)?))));
+    encoded.collect()
+}
+
 // A field was added to a message without a new version, so that older instances misread it.
 #[test]
 fn frames_as_recorded() {
@@ -108,25 +116,14 @@
 #[test]
 fn states_as_recorded() {
     let encode = |state: State| codec::encode_state(&state).unwrap().to_vec();
-    let samples = (0..SEEDS * 4).filter_map(|seed| {
-        let state = sample::<State>(seed, None)?;
-        Some((seed.to_string(), encode(state)))
-    });
     let again = |data: &[u8]| encode(codec::decode_state(data).unwrap());
-    check("states", codec::FORMAT_VERSION.into(), &samples.collect::<Vec<_>>(), again);
+    check("states", codec::FORMAT_VERSION.into(), &seeds(encode), again);
 }
 
 // A log entry or the list of members was changed without a new version.
 #[test]
 fn entries_as_recorded() {
     let encode = |value: (Entry, Members)| postcard::to_extend(&value, Vec::new()).unwrap();
-    let samples = (0..SEEDS * 4).filter_map(|seed| {
-        let value = sample::<(Entry, Members)>(seed, None)?;
-        Some((seed.to_string(), encode(value)))
-    });
-    let again = |data: &[u8]| {
-        let data = Bytes::copy_from_slice(data);
-        encode(postcard::from_bytes(&data).unwrap())
-    };
-    check("entries", codec::FORMAT_VERSION.into(), &samples.collect::<Vec<_>>(), again);
+    let again = |data: &[u8]| encode(postcard::from_bytes(data).unwrap());
+    check("entries", codec::FORMAT_VERSION.into(), &seeds(encode), again);
 }
--- a/hawthornkeel/tests/resumed_streams.rs
+++ b/hawthornkeel/tests/resumed_streams.rs
@@ -6,15 +6,11 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::requests::unchunked;
 
 /// Header fields of all requests.
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 
-/// Returns the bytes of a chunked body without their framing.
-fn unchunked(body: &str) -> String {
-    body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect()
-}
-
 // The answer of a target that was to go on with a stream was passed on as a part of it.
 #[rstest]
 #[case::server_error(235, "500")]
--- a/hawthornkeel/tests/silent_second.rs
+++ b/hawthornkeel/tests/silent_second.rs
@@ -7,6 +7,7 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::requests::unchunked;
 
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 /// Requests sent to see which targets are still chosen.
@@ -30,7 +31,7 @@
 /// Returns the data of a chunked body, which must be complete.
 fn whole_body(body: &str) -> String {
     assert!(body.ends_with("0\r\n\r\n"), "{body:?}");
-    body.split("\r\n").filter(|l| !l.chars().all(|c| c.is_ascii_hexdigit())).collect()
+    unchunked(body)
 }
 
 /// Checks that both targets of the pool are still chosen.
--- a/hawthornkeel/tests/stop_orders.rs
+++ b/hawthornkeel/tests/stop_orders.rs
@@ -2,7 +2,6 @@
 
 mod forward_harness;
 
-use std::net::SocketAddr;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -15,19 +14,20 @@
 use rand_chacha::ChaCha8Rng;
 use rstest::rstest;
 use rustix::process::Signal;
-use serde_json::Value;
 use serde_json::json;
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::operators::call;
+use crate::forward_harness::operators::must_order;
+use crate::forward_harness::operators::status;
+use crate::forward_harness::waits::CONTROLS;
 use crate::forward_harness::waits::eventually;
 use crate::forward_harness::waits::leader;
 use crate::forward_harness::waits::stop_seeds;
 
 /// Default number of seeds, as run in CI.
 const DEFAULT_SEEDS: u64 = 2;
-/// Number of control instances of the harness.
-const CONTROLS: usize = 3;
 /// Number of orders during a stop.
 const ORDERS: u32 = 24;
 /// Time after the signal in which orders on idle connections must get a response.
@@ -140,33 +140,9 @@
     }
 }
 
-/// Sends a request on a new connection and returns its response.
-fn call(to: SocketAddr, request: &str) -> Option<RawResponse> {
-    let mut caller = RawClient::connect(to).ok()?;
-    caller.send(request).ok()?;
-    caller.read_response().ok()
-}
-
-/// Gives an order until it is acknowledged.
-fn must_order(harness: &Harness, at: usize, order: &Order) {
-    eventually(harness, "no acknowledgement", || {
-        let response = call(harness.operators(at), &order.request(0))?;
-        (response.status == 200).then_some(())
-    });
-}
-
-/// Returns the status of one instance as it reports it itself.
-fn status(harness: &Harness, at: usize) -> Option<Value> {
-    let request = "GET /admin/status HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n";
-    let response = call(harness.admin(at), request)?;
-    let status: Value = serde_json::from_str(&response.body).ok()?;
-    let name = harness.admin(at).ip().to_string();
-    status["instances"].as_array()?.iter().find(|i| i["name"] == name.as_str()).cloned()
-}
-
 /// Returns the state in force at an instance once the document of `version` is.
 fn state(harness: &Harness, at: usize, version: u32) -> State {
-    must_order(harness, at, &Order::Replace(version));
+    must_order(harness, &[at], &Order::Replace(version).request(0));
     eventually(harness, "not in force", || {
         let status = status(harness, at).filter(|s| s["version"] == version)?;
         let taken_out = status["taken_out"].as_array()?.iter();
@@ -208,7 +184,7 @@
     *number += ORDERS;
     let orders: Vec<_> = (first..=*number).map(Order::new).collect();
     for zone in orders.iter().filter_map(Order::taken_out_before) {
-        must_order(harness, at, &Order::Begin(zone.to_owned()));
+        must_order(harness, &[at], &Order::Begin(zone.to_owned()).request(0));
     }
     let signalled = Instant::now() + Duration::from_millis(200);
     let senders = orders.into_iter().map(|order| {
--- a/hawthornkeel/tests/upgrades.rs
+++ b/hawthornkeel/tests/upgrades.rs
@@ -6,7 +6,6 @@
 mod forward_harness;
 
 use std::env;
-use std::net::SocketAddr;
 use std::path::Path;
 use std::path::PathBuf;
 use std::sync::Arc;
@@ -16,25 +15,25 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
-use hawthornkeel_fakes::raw_client::RawClient;
 use rand::Rng;
 use rand::SeedableRng;
 use rand::seq::SliceRandom;
 use rand_chacha::ChaCha8Rng;
 use rustix::process::Signal;
-use serde_json::Value;
 
 use crate::forward_harness::EntryClient;
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::operators::centre_order;
+use crate::forward_harness::operators::is_taken_out;
+use crate::forward_harness::operators::must_order;
 use crate::forward_harness::targets::FakeTargets;
+use crate::forward_harness::waits::CONTROLS;
 use crate::forward_harness::waits::eventually;
 use crate::forward_harness::waits::leader;
 use crate::forward_harness::waits::stop_seeds;
 
-/// Number of control instances, the first processes of the harness.
-const CONTROLS: usize = 3;
-/// Number of entries, the processes behind them.
+/// Number of entries, the processes behind the control instances.
 const ENTRIES: usize = 2;
 /// Data centre that is taken out and brought back.
 const CENTRE: &str = "z1";
@@ -109,23 +108,6 @@
     })
 }
 
-/// Sends a request on a new connection and returns the status and body of its response.
-fn call(to: SocketAddr, method: &str, path: &str) -> Option<(u16, String)> {
-    let mut caller = RawClient::connect(to).ok()?;
-    let head = format!("{method} {path} HTTP/1.1\r\nHost: a.example\r\nContent-Length: 0\r\n\r\n");
-    caller.send(head).ok()?;
-    caller.read_response().ok().map(|r| (r.status, r.body))
-}
-
-/// Returns whether the data centre is out of service, as a control instance reports it itself.
-fn is_taken_out(harness: &Harness, at: usize) -> Option<bool> {
-    let (_, body) = call(harness.admin(at), "GET", "/admin/status")?;
-    let status: Value = serde_json::from_str(&body).ok()?;
-    let name = harness.admin(at).ip().to_string();
-    let own = status["instances"].as_array()?.iter().find(|i| i["name"] == name.as_str())?;
-    Some(own["taken_out"].as_array()?.iter().any(|c| c == CENTRE))
-}
-
 /// What the operator has had acknowledged last.
 struct InForce {
     version: u32,
@@ -138,14 +120,7 @@
     fn change(&mut self, harness: &Harness) {
         for at in 0..CONTROLS {
             self.taken_out = !self.taken_out;
-            let path = match self.taken_out {
-                true => format!("/Evacuation.Begin/{CENTRE}"),
-                false => format!("/Evacuation.Finish/{CENTRE}"),
-            };
-            eventually(harness, "order not acknowledged", || {
-                let (status, _) = call(harness.operators(at), "POST", &path)?;
-                (status == 200).then_some(())
-            });
+            must_order(harness, &[at], &centre_order(CENTRE, self.taken_out));
             self.version += 1;
             let text = document(self.version, "/lots/");
             eventually(harness, "document not acknowledged", || {
@@ -162,7 +137,7 @@
         eventually(harness, "not in force", || {
             let holds = |at| {
                 let read = harness.try_read_document(at);
-                is_taken_out(harness, at) == Some(self.taken_out)
+                is_taken_out(harness, at, CENTRE) == Some(self.taken_out)
                     && read.is_some_and(|r| r.status == 200 && r.body.contains(&version))
             };
             (0..CONTROLS).all(holds).then_some(())
