--- a/hawthornkeel/tests/forward_harness/links.rs
+++ b/hawthornkeel/tests/forward_harness/links.rs
@@ -8,12 +8,16 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
+use std::path::PathBuf;
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::atomic::AtomicU32;
 use std::sync::atomic::Ordering;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
+
+use indexmap::IndexMap;
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::TARGETS;
@@ -32,11 +36,38 @@
     Kept,
 }
 
-/// Both ends of a connection: the one that opened it, and the relay's.
-#[derive(Clone, Copy, Debug)]
-struct Endpoints {
-    from: SocketAddr,
-    to: SocketAddr,
+/// Sockets of the machine as read at one time, and the processes that hold them.
+#[derive(Default)]
+struct Sockets {
+    /// Time at which reading began; `None` before the first time.
+    read_at: Option<Instant>,
+    /// The kernel's table of TCP sockets.
+    table: String,
+    /// Processes by the inodes of their sockets.
+    holders: IndexMap<String, u32>,
+}
+
+impl Sockets {
+    fn read(processes: &[u32]) -> Self {
+        let read_at = Some(Instant::now());
+        let table = fs::read_to_string("/proc/net/tcp").unwrap();
+        let held = |process: &u32| {
+            let process = *process;
+            socket_inodes(process).into_iter().map(move |inode| (inode, process))
+        };
+        let holders = processes.iter().flat_map(held).collect();
+        Self { read_at, table, holders }
+    }
+
+    /// Returns the process that opened a connection.
+    ///
+    /// Both ends are compared: other connections, closed ones too, may have the same local port.
+    fn owner(&self, from: SocketAddr, to: SocketAddr) -> Option<u32> {
+        let ends = format!(" 0100007F:{:04X} 0100007F:{:04X} ", from.port(), to.port());
+        let line = &self.table[self.table.find(&ends)?..];
+        // The inode follows both ends and six other columns.
+        self.holders.get(line.split_whitespace().nth(8)?).copied()
+    }
 }
 
 /// Processes that are cut off from the targets of the relays; clones share them.
@@ -45,6 +76,7 @@
     cut: Arc<Mutex<Vec<(u32, Cut)>>>,
     /// Number of times that all open connections were closed.
     closed: Arc<AtomicU32>,
+    sockets: Arc<Mutex<Sockets>>,
 }
 
 impl Links {
@@ -87,18 +119,30 @@
 
     fn serve(&self, listener: &TcpListener, target: SocketAddr, processes: &[u32]) {
         while let Ok((client, from)) = listener.accept() {
-            let Ok(to) = client.local_addr() else { continue };
-            let end = Endpoints { from, to };
-            if self.cut.lock().unwrap().iter().any(|(process, _)| owns(*process, end)) {
-                continue;
-            }
             let (links, processes) = (self.clone(), processes.to_vec());
-            thread::spawn(move || links.relay(client, end, target, &processes));
+            thread::spawn(move || links.relay(client, from, target, &processes));
         }
     }
 
-    fn relay(&self, client: TcpStream, end: Endpoints, target: SocketAddr, processes: &[u32]) {
-        let owner = processes.iter().copied().find(|p| owns(*p, end));
+    /// Returns the process that opened a connection, which the relay has accepted at `to`.
+    ///
+    /// Connections that were accepted while the sockets were read share the next reading, so that
+    /// none is closed much later than it was opened.
+    fn owner(&self, from: SocketAddr, to: SocketAddr, processes: &[u32]) -> Option<u32> {
+        let accepted = Instant::now();
+        let mut sockets = self.sockets.lock().unwrap();
+        if sockets.read_at.is_none_or(|at| at < accepted) {
+            *sockets = Sockets::read(processes);
+        }
+        sockets.owner(from, to)
+    }
+
+    fn relay(&self, client: TcpStream, from: SocketAddr, target: SocketAddr, processes: &[u32]) {
+        let Ok(to) = client.local_addr() else { return };
+        let owner = self.owner(from, to, processes);
+        if self.cut_of(owner).is_some() {
+            return;
+        }
         let Ok(server) = TcpStream::connect(target) else { return };
         for (from, to) in [(&client, &server), (&server, &client)] {
             let (from, to) = (from.try_clone().unwrap(), to.try_clone().unwrap());
@@ -134,26 +178,13 @@
     }
 }
 
-/// Returns whether a process holds the socket at the `from` end of a connection.
-///
-/// Both ends are compared: other connections, closed ones too, may have the same local port.
-fn owns(process: u32, connection: Endpoints) -> bool {
-    let table = fs::read_to_string("/proc/net/tcp").unwrap();
-    let (local, remote) = (table_address(connection.from), table_address(connection.to));
-    let inode = table.lines().find_map(|line| {
-        let fields: Vec<&str> = line.split_whitespace().collect();
-        let is_meant =
-            fields.get(1) == Some(&local.as_str()) && fields.get(2) == Some(&remote.as_str());
-        is_meant.then(|| fields.get(9).copied()).flatten()
-    });
-    let Some(socket) = inode.map(|i| format!("socket:[{i}]")) else { return false };
-    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else { return false };
-    descriptors.flatten().any(|d| {
-        fs::read_link(d.path()).is_ok_and(|link| link.to_string_lossy() == socket.as_str())
-    })
-}
-
-/// Returns a loopback address as the kernel's table of sockets shows it.
-fn table_address(address: SocketAddr) -> String {
-    format!("0100007F:{:04X}", address.port())
+/// Returns the inodes of the sockets that a process holds; none if it has ended.
+fn socket_inodes(process: u32) -> Vec<String> {
+    let Ok(descriptors) = fs::read_dir(format!("/proc/{process}/fd")) else { return Vec::new() };
+    let links = descriptors.flatten().filter_map(|d| fs::read_link(d.path()).ok());
+    let inode = |link: PathBuf| {
+        let link = link.to_string_lossy();
+        Some(link.strip_prefix("socket:[")?.strip_suffix(']')?.to_owned())
+    };
+    links.filter_map(inode).collect()
 }
