Tests: whole streams, served routes and control instances that serve stand once

A last reading of the change: resumed_streams, stop_predictions and upgrades put routes in force by hand, though Harness::serve_routes does so; late_orders started its control instances three times in the same words; the check of a stream's two events stood in five places, three of them with a reading of chunks that guesses by the look of a line.

They call serve_routes, start and requests::assert_whole_stream. That one reads the body by the decoder of event_lines, which panics without the last chunk, so what was asserted is asserted still, and sizes of chunks as well. unchunked is left for bodies that are cut.

--- a/hawthornkeel/tests/endless_bytes.rs
+++ b/hawthornkeel/tests/endless_bytes.rs
@@ -33,7 +33,7 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
-use crate::forward_harness::requests::unchunked;
+use crate::forward_harness::requests::assert_whole_stream;
 use crate::raw_target::Pace;
 use crate::raw_target::RawTarget;
 
@@ -273,12 +273,6 @@
     harness
 }
 
-/// Checks that each event of the stream arrived once, followed by the last chunk of the body.
-fn assert_whole_stream(body: &str) {
-    assert_eq!(unchunked(body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    assert!(body.ends_with("0\r\n\r\n"), "{body:?}");
-}
-
 #[test]
 fn forwarded_responses_without_end() {
     let harness = start(NET);
--- a/hawthornkeel/tests/event_lines.rs
+++ b/hawthornkeel/tests/event_lines.rs
@@ -9,6 +9,7 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
+use crate::forward_harness::requests::whole_body;
 
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 /// Second byte of the loopback addresses of the harness.
@@ -125,19 +126,3 @@
     assert_eq!(attempts.len(), 2);
     assert_eq!(attempts[1].headers.get("last-event-id").unwrap(), "1");
 }
-
-/// Returns a body without the framing of its chunks, and panics if the last chunk is missing.
-fn whole_body(framed: &str) -> String {
-    let (mut body, mut rest) = (String::new(), framed);
-    loop {
-        let (size, data) = rest.split_once("\r\n").unwrap();
-        let size = usize::from_str_radix(size, 16).unwrap();
-        let (data, after) = data.split_at(size);
-        if size == 0 {
-            assert_eq!(after, "\r\n");
-            return body;
-        }
-        body.push_str(data);
-        rest = after.strip_prefix("\r\n").unwrap();
-    }
-}
--- a/hawthornkeel/tests/forward_routes.rs
+++ b/hawthornkeel/tests/forward_routes.rs
@@ -3,10 +3,9 @@
 mod forward_harness;
 
 use crate::forward_harness::Harness;
-use crate::forward_harness::HttpResponse;
 use crate::forward_harness::RecordedRequest;
 use crate::forward_harness::document::document;
-use crate::forward_harness::requests::unchunked;
+use crate::forward_harness::requests::assert_whole_stream;
 
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 
@@ -107,12 +106,6 @@
     assert_eq!(&freed.body[..], br#"{"handles":["10.0.0.1:1/aa","10.0.0.1:1/bb"]}"#);
 }
 
-/// Checks that each event arrived complete and once, followed by the last chunk of the body.
-fn assert_whole_stream(got: &HttpResponse) {
-    assert_eq!(unchunked(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
-    assert!(got.body.ends_with("0\r\n\r\n"), "{got:?}");
-}
-
 #[test]
 fn stream_resumes() {
     let harness = Harness::start(76);
@@ -120,7 +113,7 @@
     harness.call_until(200, "/lots/1", KEY);
     let got = harness.call("GET", "/events/1", KEY, "");
     assert_eq!(got.status, 200);
-    assert_whole_stream(&got);
+    assert_whole_stream(&got.body);
     let attempts = harness.requests("GET /events/1");
     assert_eq!(attempts[1].headers.get("last-event-id").unwrap(), "1");
     assert_ne!(attempts[0].target, attempts[1].target);
@@ -134,7 +127,7 @@
     let fields = format!("{KEY}Pieces: 2\r\nPiece-Key: 7c1e\r\n");
     let got = harness.call("GET", "/staged/1", &fields, "");
     assert_eq!(got.status, 200, "{got:?}");
-    assert_whole_stream(&got);
+    assert_whole_stream(&got.body);
     // The results of the stages were released when the first response began, so they run again.
     let inputs = |r: &RecordedRequest| r.headers.get("inputs").is_some();
     let attempts = harness.requests("GET /staged/1");
@@ -149,6 +142,6 @@
     harness.call_until(200, "/lots/1", KEY);
     let got = harness.call("GET", "/pausing/1", KEY, "");
     assert_eq!(got.status, 200, "{got:?}");
-    assert_whole_stream(&got);
+    assert_whole_stream(&got.body);
     assert_eq!(harness.requests("GET /pausing/1").len(), 1);
 }
--- a/hawthornkeel/tests/late_orders.rs
+++ b/hawthornkeel/tests/late_orders.rs
@@ -25,6 +25,14 @@
 /// Time in which an order that was read late would have been committed.
 const SETTLE_TIME: Duration = Duration::from_secs(3);
 
+/// Starts control instances that serve; returns as well the one that leads.
+fn start(net: u8) -> (Harness, usize) {
+    let harness = Harness::with_control_instances(net, 3);
+    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
+    let leader = leader(&harness);
+    (harness, leader)
+}
+
 /// Returns the request of an order about the data centre.
 fn order(take_out: bool) -> String {
     centre_order(CENTRE, take_out)
@@ -58,9 +66,7 @@
 #[case::leader_wakes_with_finish(243, true, false)]
 #[case::leader_wakes_with_begin(244, true, true)]
 fn superseded_order_obeyed(#[case] net: u8, #[case] leads: bool, #[case] take_out: bool) {
-    let harness = Harness::with_control_instances(net, 3);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    let leader = leader(&harness);
+    let (harness, leader) = start(net);
     let frozen = if leads { leader } else { (leader + 1) % CONTROLS };
     let others: Vec<_> = (0..CONTROLS).filter(|at| *at != frozen).collect();
     must_order(&harness, &others, &order(!take_out));
@@ -84,9 +90,7 @@
 
 #[test]
 fn orders_follow_one_another() {
-    let harness = Harness::with_control_instances(245, 3);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    leader(&harness);
+    let (harness, _) = start(245);
     for round in 0..6 {
         let take_out = round % 2 == 0;
         // Each instance gets a copy, as from an operator whose acknowledgements are lost.
@@ -98,9 +102,7 @@
 
 #[test]
 fn opposite_orders_at_once() {
-    let harness = Harness::with_control_instances(246, 3);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    leader(&harness);
+    let (harness, _) = start(246);
     for round in 0..4 {
         let statuses = order_at_once(&harness, [true, false, true]);
         assert!(statuses.iter().all(|s| *s == Some(200)), "{round}: {statuses:?}");
--- a/hawthornkeel/tests/resumed_streams.rs
+++ b/hawthornkeel/tests/resumed_streams.rs
@@ -5,7 +5,7 @@
 use rstest::rstest;
 
 use crate::forward_harness::Harness;
-use crate::forward_harness::document::document;
+use crate::forward_harness::requests::assert_whole_stream;
 use crate::forward_harness::requests::unchunked;
 
 /// Header fields of all requests.
@@ -24,8 +24,7 @@
 #[case::encoded(249, "encoded")]
 fn error_within_stream(#[case] net: u8, #[case] answer: &str) {
     let harness = Harness::start(net);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    harness.call_until(200, "/lots/1", KEY);
+    harness.serve_routes();
     let path = format!("/events/next-{answer}");
     let got = harness.call("GET", &path, KEY, "");
     let attempts = harness.requests(&format!("GET {path}"));
@@ -37,9 +36,7 @@
 #[test]
 fn events_go_on() {
     let harness = Harness::start(250);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    harness.call_until(200, "/lots/1", KEY);
+    harness.serve_routes();
     let got = harness.call("GET", "/events/next-events", KEY, "");
-    assert_eq!(unchunked(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n", "{got:?}");
-    assert!(got.body.ends_with("0\r\n\r\n"), "{got:?}");
+    assert_whole_stream(&got.body);
 }
--- a/hawthornkeel/tests/silent_second.rs
+++ b/hawthornkeel/tests/silent_second.rs
@@ -7,7 +7,7 @@
 
 use crate::forward_harness::Harness;
 use crate::forward_harness::document::document;
-use crate::forward_harness::requests::unchunked;
+use crate::forward_harness::requests::assert_whole_stream;
 
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
 /// Requests sent to see which targets are still chosen.
@@ -28,12 +28,6 @@
     harness
 }
 
-/// Returns the data of a chunked body, which must be complete.
-fn whole_body(body: &str) -> String {
-    assert!(body.ends_with("0\r\n\r\n"), "{body:?}");
-    unchunked(body)
-}
-
 /// Checks that both targets of the pool are still chosen.
 fn assert_none_ejected(harness: &Harness) {
     for number in 0..PROBES {
@@ -52,7 +46,7 @@
     for path in ["/events/silent", "/events/silent-middle"] {
         let got = harness.call("GET", path, KEY, "");
         assert_eq!(got.status, 200, "{got:?}");
-        assert_eq!(whole_body(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+        assert_whole_stream(&got.body);
         assert_eq!(harness.requests(&format!("GET {path}?")).len(), 1, "{}", harness.logs());
     }
     assert_none_ejected(&harness);
@@ -134,7 +128,7 @@
     let started = Instant::now();
     let got = harness.call("GET", "/events/drip", KEY, "");
     assert_eq!(got.status, 200, "{got:?}");
-    assert_eq!(whole_body(&got.body), "id: 1\ndata: a\n\nid: 2\ndata: b\n\n");
+    assert_whole_stream(&got.body);
     // The deadline of the route is 5 s.
     assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
     assert_eq!(harness.requests("GET /events/drip").len(), 2);
--- a/hawthornkeel/tests/stop_predictions.rs
+++ b/hawthornkeel/tests/stop_predictions.rs
@@ -9,7 +9,6 @@
 use rustix::process::Signal;
 
 use crate::forward_harness::Harness;
-use crate::forward_harness::document::document;
 
 /// Header fields of all requests.
 const KEY: &str = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
@@ -21,8 +20,7 @@
 /// Starts a harness whose first entry serves and has `grace` seconds for a stop.
 fn start(net: u8, grace: u32) -> Harness {
     let mut harness = Harness::start(net);
-    assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-    harness.call_until(200, "/lots/1", KEY);
+    harness.serve_routes();
     harness.restart_with_grace(ENTRY, grace);
     harness.call_until(200, "/lots/1", KEY);
     harness
--- a/hawthornkeel/tests/upgrades.rs
+++ b/hawthornkeel/tests/upgrades.rs
@@ -200,9 +200,7 @@
         let mut rng = ChaCha8Rng::seed_from_u64(seed);
         let fakes = FakeTargets::default();
         let mut harness = Harness::with_program(net, CONTROLS as u8, fakes, Some(earlier));
-        assert_eq!(harness.replace_document(&document(1, "/lots/")), 200);
-        let fields = "Authorization: Token k1\r\nRequest-Id: r1\r\n";
-        harness.call_until(200, "/lots/1", fields);
+        harness.serve_routes();
         let mut in_force = InForce { version: 1, taken_out: false };
         let stop = Arc::new(AtomicBool::new(false));
         let callers: Vec<_> = (0..ENTRIES)
