--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -12,6 +12,7 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::state::published::PublishedState;
 
+use crate::clock::millis;
 use crate::control::fan_out::call_all;
 use crate::control::node::ControlNode;
 use crate::control::sources::Source;
@@ -136,6 +137,8 @@
         self.load_initial_state().await;
         let mut position = 0;
         let mut switched_at = Instant::now();
+        // Position of the source that replied last with a recent state.
+        let mut followed = None;
         loop {
             let Some(source) = self.sources.get(position) else {
                 position = 0;
@@ -144,6 +147,9 @@
             };
             // The first call isn't held, so that an isolated source is detected without delay.
             if self.poll(source, 0).await.is_fresh() {
+                if followed.replace(position) != Some(position) {
+                    self.log_source(source);
+                }
                 while self.poll(source, POLL_WAIT_MS).await.is_fresh() {
                     if position > 0 && switched_at.elapsed() > FAILBACK_INTERVAL {
                         break;
@@ -157,6 +163,18 @@
         }
     }
 
+    /// Logs that this instance follows another source than before.
+    fn log_source(&self, source: &Source) {
+        let state = self.watch.current().unwrap_or_default();
+        let (index, version) = (state.index, state.version);
+        let source = match source {
+            Source::Own => "own",
+            Source::Peer(name) => name.as_str(),
+        };
+        let age_ms = self.watch.age().map(millis);
+        tracing::info!(event = "state-followed", source, %index, %version, age_ms);
+    }
+
     /// Adopts an initial state: that of a leader, else the newest state of any peer.
     async fn load_initial_state(&self) {
         let start = Instant::now();
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -15,6 +15,7 @@
 use indexmap::IndexSet;
 
 use crate::clock::boot_now;
+use crate::clock::millis;
 use crate::forward::context::Context;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::target_calls::log_dropped;
@@ -59,6 +60,7 @@
                     context.list_read.set(Some(sent_at.before(age)));
                 }
                 if answering.replace(control.clone()).as_ref() != Some(control) {
+                    log_followed(&context, control);
                     context.repeat_evidence();
                     context.repeat_streams();
                 }
@@ -81,6 +83,14 @@
     }
 }
 
+/// Logs that this entry follows the state of another control instance than before.
+fn log_followed(context: &Context, control: &InstanceName) {
+    let state = context.watch.current().unwrap_or_default();
+    let (index, version) = (state.index, state.version);
+    let age_ms = context.watch.age().map(millis);
+    tracing::info!(event = "state-followed", source = %control, %index, %version, age_ms);
+}
+
 /// Returns the index of the first control instance to poll, hashed to spread the entries.
 fn start_index(context: &Context) -> usize {
     let hash = xxhash_rust::xxh3::xxh3_64(context.endpoint.name().as_str().as_bytes());
