--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -12,6 +12,7 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::state::published::PublishedState;
 
+use crate::clock::boot_now;
 use crate::clock::millis;
 use crate::control::fan_out::call_all;
 use crate::control::node::ControlNode;
@@ -182,7 +183,8 @@
         while self.watch.index().is_none() {
             match self.known_leader() {
                 Some(leader) if leader == *self.endpoint.name() => {
-                    self.watch.merge(self.latest().await);
+                    let sent = boot_now();
+                    self.watch.merge(self.latest().await, sent);
                 }
                 Some(leader) => {
                     self.merge_from_all(&[leader], &Frame::Follow(Follow::Latest)).await;
@@ -229,6 +231,7 @@
         let latest = matches!(frame, Frame::Follow(Follow::Latest));
         let is_enough =
             |f: &Frame| latest && matches!(f, Frame::Followed(f) if f.published.is_some());
+        let sent = boot_now();
         let replies = call_all(&self.endpoint, peers, frame, REPLY_TIMEOUT, is_enough).await;
         let mut replies: Vec<_> = replies
             .into_iter()
@@ -240,19 +243,22 @@
         // Merges the newest state first, so that no older one is put in force before it.
         replies.sort_by_key(|f| std::cmp::Reverse(f.published.as_ref().map(|p| p.index)));
         for followed in replies {
-            self.watch.merge(followed);
+            self.watch.merge(followed, sent);
         }
     }
 
     async fn poll(&self, source: &Source, wait_ms: u32) -> Freshness {
         let after = self.watch.index();
-        let followed = match source {
-            Source::Own => self.poll_control(after, wait_ms).await,
-            Source::Peer(name) => self.poll_peer(name, Follow::Newer { after, wait_ms }).await,
+        let sent = boot_now();
+        let (followed, asked) = match source {
+            Source::Own => (self.poll_control(after, wait_ms).await, boot_now()),
+            Source::Peer(name) => {
+                (self.poll_peer(name, Follow::Newer { after, wait_ms }).await, sent)
+            }
         };
         let Some(followed) = followed else { return Freshness::Stale };
         let age = followed.age_ms.map(Duration::from_millis);
-        self.watch.merge(followed);
+        self.watch.merge(followed, asked);
         match age {
             Some(age) if age <= MAX_STATE_AGE => Freshness::Fresh,
             _ => Freshness::Stale,
--- a/hawthornkeel/src/control/watch.rs
+++ b/hawthornkeel/src/control/watch.rs
@@ -31,7 +31,7 @@
 struct Inner {
     published: RefCell<Option<Rc<PublishedState>>>,
     take_outs: RefCell<TakeOuts>,
-    /// Time at which the state was last confirmed by a group with a leader.
+    /// Time until which the state includes all acknowledged changes, as a leader confirmed.
     ///
     /// On the boot clock, which advances while the machine is suspended.
     confirmed_at: Cell<Option<Instant>>,
@@ -102,16 +102,14 @@
         self.inner.take_outs.borrow().unlogged().cloned().collect()
     }
 
-    /// Records that the state was confirmed by a group with a leader `age` ago.
+    /// Records that the state includes all changes acknowledged until `at`, on the boot clock.
     ///
-    /// A confirmation older than the latest one is ignored.
-    pub fn record_confirmation(&self, age: Duration) {
-        let age = u64::try_from(age.as_micros()).unwrap_or(u64::MAX);
-        let at = boot_now().as_micros().checked_sub(age).map(Instant::from_micros);
-        self.inner.confirmed_at.set(self.inner.confirmed_at.get().max(at));
+    /// A time before that of the latest confirmation is ignored.
+    pub fn record_confirmation(&self, at: Instant) {
+        self.inner.confirmed_at.set(self.inner.confirmed_at.get().max(Some(at)));
     }
 
-    /// Returns the time since the state was last confirmed by a group with a leader.
+    /// Returns the time since the state was last confirmed by a leader.
     pub fn age(&self) -> Option<Duration> {
         self.inner.confirmed_at.get().map(|at| boot_now().since(at))
     }
@@ -126,8 +124,10 @@
         }
     }
 
-    /// Merges the reply of another instance.
-    pub fn merge(&self, followed: Followed) {
+    /// Merges the reply to a call that was made at `sent`, on the boot clock.
+    ///
+    /// The reply may have been in transit, or unread, since then, so its age counts from the call.
+    pub fn merge(&self, followed: Followed, sent: Instant) {
         for take_out in &followed.take_outs {
             self.merge_take_out(take_out);
         }
@@ -135,7 +135,7 @@
             self.update(published);
         }
         if let Some(age) = followed.age_ms {
-            self.record_confirmation(Duration::from_millis(age));
+            self.record_confirmation(sent.before(Duration::from_millis(age)));
         }
     }
 
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -4,13 +4,13 @@
 
 use std::rc::Rc;
 use std::time::Duration;
-use std::time::Instant;
 
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::names::RouteName;
 use hawthornkeel_core::table::pool::StageWorkload;
 use hawthornkeel_core::table::pool::Workload;
+use hawthornkeel_core::time::Instant;
 use hawthornkeel_platform::document;
 use indexmap::IndexSet;
 
@@ -49,15 +49,15 @@
             continue;
         };
         context.polled_control.replace(Some(control.clone()));
-        let sent = Instant::now();
-        let sent_at = boot_now();
+        let sent = boot_now();
+        let elapsed = || boot_now().since(sent);
         match poll(&context, control, mark).await {
             Some(update) => {
                 let age = update.followed.age_ms.map(Duration::from_millis);
                 let list_age = update.list_age_ms.map(Duration::from_millis);
                 mark = apply(&context, &schedulers, update, sent).or(mark);
                 if let Some(age) = list_age {
-                    context.list_read.set(Some(sent_at.before(age)));
+                    context.list_read.set(Some(sent.before(age)));
                 }
                 if answering.replace(control.clone()).as_ref() != Some(control) {
                     log_followed(&context, control);
@@ -67,12 +67,12 @@
                 // Without a state yet, the instance may just be waiting for a leader.
                 let is_stale = match age {
                     Some(age) => age > MAX_STATE_AGE,
-                    None => sent.elapsed() > Duration::from_millis(LONG_POLL_MS.into()) / 2,
+                    None => elapsed() > Duration::from_millis(LONG_POLL_MS.into()) / 2,
                 };
                 if is_stale {
                     index = index.wrapping_add(1);
                 }
-                monoio::time::sleep(MIN_POLL_INTERVAL.saturating_sub(sent.elapsed())).await;
+                monoio::time::sleep(MIN_POLL_INTERVAL.saturating_sub(elapsed())).await;
             }
             None => {
                 answering = None;
@@ -132,11 +132,7 @@
     let now = boot_now();
     context.directory.update(controls);
     let old_index = context.watch.index();
-    let elapsed_ms = u64::try_from(sent.elapsed().as_millis()).unwrap_or(u64::MAX);
-    let mut followed = followed;
-    // The response may have been in transit for all of that time.
-    followed.age_ms = followed.age_ms.map(|a| a.saturating_add(elapsed_ms));
-    context.watch.merge(followed);
+    context.watch.merge(followed, sent);
     let changed = context.watch.index() != old_index;
     if changed {
         apply_document(context, schedulers);
--- a/hawthornkeel/tests/control_watch.rs
+++ b/hawthornkeel/tests/control_watch.rs
@@ -2,6 +2,7 @@
 
 use std::time::Duration;
 
+use hawthornkeel::clock::boot_now;
 use hawthornkeel::control::watch::Watch;
 use hawthornkeel::peer::frame::Followed;
 use hawthornkeel_core::ids::LogIndex;
@@ -22,7 +23,7 @@
     assert!(watch.update(published(5)));
     let seen = watch.changes().count();
     let reply = Followed { published: Some(published(index)), ..Followed::default() };
-    watch.merge(reply);
+    watch.merge(reply, boot_now());
     assert_eq!(watch.index(), Some(LogIndex(5.max(index))));
     assert_eq!(watch.changes().count() != seen, applied);
 }
@@ -49,10 +50,20 @@
 fn older_confirmation_is_ignored() {
     let watch = Watch::default();
     assert_eq!(watch.age(), None);
-    watch.record_confirmation(Duration::from_millis(100));
+    watch.record_confirmation(boot_now().before(Duration::from_millis(100)));
     let age = watch.age().unwrap();
     assert!(age >= Duration::from_millis(100));
     // An older confirmation that arrives later is ignored.
-    watch.record_confirmation(Duration::from_secs(1));
+    watch.record_confirmation(boot_now().before(Duration::from_secs(1)));
     assert!(watch.age().unwrap() < Duration::from_secs(1));
 }
+
+// A reply that was read late counted as confirmed when it was read.
+#[test]
+fn late_reply_is_old() {
+    let watch = Watch::default();
+    let reply = Followed { age_ms: Some(100), ..Followed::default() };
+    let sent = boot_now().before(Duration::from_secs(3));
+    watch.merge(reply, sent);
+    assert!(watch.age().unwrap() >= Duration::from_millis(3_100));
+}
