--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -3,6 +3,10 @@
 //! After a start, an instance adopts a state that a leader confirms to include all acknowledged
 //! changes, so that it never serves a lower version than before the restart. If no leader replies,
 //! it adopts the newest state of any peer.
+//!
+//! A state is confirmed to include all changes acknowledged until a point in time only by a leader,
+//! on request. An instance that hears heartbeats may lack committed entries for as long as its disk
+//! hangs, so neither they nor a known leader confirm anything.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -129,6 +133,7 @@
             if followed.published.is_some()
                 || monoio::time::timeout_at(deadline, changed).await.is_err()
             {
+                self.confirm_as_leader();
                 return self.watch.reply_after(after);
             }
         }
@@ -136,6 +141,9 @@
 
     async fn run(self) {
         self.load_initial_state().await;
+        if let Some(control) = self.control.clone() {
+            monoio::spawn(self.clone().apply_own_log(control));
+        }
         let mut position = 0;
         let mut switched_at = Instant::now();
         // Position of the source that replied last with a recent state.
@@ -152,7 +160,8 @@
                     self.log_source(source);
                 }
                 while self.poll(source, POLL_WAIT_MS).await.is_fresh() {
-                    if position > 0 && switched_at.elapsed() > FAILBACK_INTERVAL {
+                    let failback = switched_at.elapsed() > FAILBACK_INTERVAL;
+                    if position > 0 && (failback || self.known_leader().is_some()) {
                         break;
                     }
                 }
@@ -164,6 +173,31 @@
         }
     }
 
+    /// Puts the state that the control role of this instance applies in force, without end.
+    ///
+    /// This confirms nothing: the log may lack committed entries.
+    async fn apply_own_log(self, control: ControlNode) {
+        loop {
+            let seen = control.changes().count();
+            self.watch.update(control.published());
+            control.changes().wait_after(seen).await;
+        }
+    }
+
+    /// Confirms the state of this instance if it leads; returns whether it does.
+    fn confirm_as_leader(&self) -> bool {
+        let Some(control) = &self.control else { return false };
+        // A leader that was suspended steps down at a tick.
+        control.tick();
+        let now = boot_now();
+        let is_current = control.lead().is_leader;
+        if is_current {
+            self.watch.update(control.published());
+            self.watch.record_confirmation(now);
+        }
+        is_current
+    }
+
     /// Logs that this instance follows another source than before.
     fn log_source(&self, source: &Source) {
         let state = self.watch.current().unwrap_or_default();
@@ -248,31 +282,27 @@
     }
 
     async fn poll(&self, source: &Source, wait_ms: u32) -> Freshness {
-        let after = self.watch.index();
-        let sent = boot_now();
-        let (followed, asked) = match source {
-            Source::Own => (self.poll_control(after, wait_ms).await, boot_now()),
-            Source::Peer(name) => {
-                (self.poll_peer(name, Follow::Newer { after, wait_ms }).await, sent)
-            }
+        let age = match source {
+            Source::Own => self.poll_control(wait_ms).await,
+            Source::Peer(name) => self.poll_peer(name, wait_ms).await,
         };
-        let Some(followed) = followed else { return Freshness::Stale };
-        let age = followed.age_ms.map(Duration::from_millis);
-        self.watch.merge(followed, asked);
         match age {
             Some(age) if age <= MAX_STATE_AGE => Freshness::Fresh,
             _ => Freshness::Stale,
         }
     }
 
-    async fn poll_peer(&self, name: &InstanceName, follow: Follow) -> Option<Followed> {
-        let poll_wait = match follow {
-            Follow::Newer { wait_ms, .. } => Duration::from_millis(wait_ms.into()),
-            Follow::Latest => Duration::ZERO,
-        };
-        let timeout = REPLY_TIMEOUT + poll_wait;
+    /// Polls a peer and merges its reply; returns the age that the peer's state had there.
+    async fn poll_peer(&self, name: &InstanceName, wait_ms: u32) -> Option<Duration> {
+        let follow = Follow::Newer { after: self.watch.index(), wait_ms };
+        let timeout = REPLY_TIMEOUT + Duration::from_millis(wait_ms.into());
+        let sent = boot_now();
         match self.endpoint.call(name, &Frame::Follow(follow), timeout).await {
-            Ok(Frame::Followed(followed)) => Some(followed),
+            Ok(Frame::Followed(followed)) => {
+                let age = followed.age_ms.map(Duration::from_millis);
+                self.watch.merge(followed, sent);
+                age
+            }
             Ok(_) => None,
             Err(error) => {
                 tracing::debug!(event = "follow-failed", peer = %name, %error);
@@ -281,27 +311,19 @@
         }
     }
 
-    /// Polls the control role of this instance, which replies like a peer.
-    async fn poll_control(&self, after: Option<LogIndex>, wait_ms: u32) -> Option<Followed> {
+    /// Waits for a change of the own log, and has the state confirmed: by this instance if it leads,
+    /// else by the leader that its control role knows.
+    ///
+    /// Returns the age of the state, or `None` if no leader confirms it.
+    async fn poll_control(&self, wait_ms: u32) -> Option<Duration> {
         let control = self.control.as_ref()?;
-        let seen = control.changes().count();
-        // After a suspension of the process, the known leader may be outdated until a tick.
-        control.tick();
-        let mut published = control.published();
-        if after.is_some_and(|a| published.index <= a) {
-            let wait = Duration::from_millis(wait_ms.into());
-            let _ = monoio::time::timeout(wait, control.changes().wait_after(seen)).await;
-            control.tick();
-            published = control.published();
+        let changed = control.changes().wait_after(control.changes().count());
+        let _ = monoio::time::timeout(Duration::from_millis(wait_ms.into()), changed).await;
+        if self.confirm_as_leader() {
+            return Some(Duration::ZERO);
         }
-        let lead = control.lead();
-        let confirmed = match lead.leader {
-            Some(leader) if leader == *self.endpoint.name() => lead.is_leader,
-            Some(_) => true,
-            None => false,
-        };
-        let age_ms = confirmed.then_some(0);
-        Some(Followed { published: Some(published), take_outs: Vec::new(), age_ms })
+        let leader = self.known_leader().filter(|l| l != self.endpoint.name())?;
+        self.poll_peer(&leader, 0).await
     }
 }
 
--- a/hawthornkeel/tests/stale_confirmations.rs
+++ b/hawthornkeel/tests/stale_confirmations.rs
@@ -17,7 +17,6 @@
 use hawthornkeel::peer::Endpoint;
 use hawthornkeel::peer::Frame;
 use hawthornkeel::peer::frame::Follow;
-use hawthornkeel::peer::frame::Followed;
 use hawthornkeel_config::settings;
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::ids::ReplicaId;
@@ -45,15 +44,23 @@
 /// Timeout of a call that is answered at once.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
-/// Storage whose saves are never finished while it hangs.
+/// Saves that a disk never finishes.
+#[derive(Clone, Copy, Debug, Default, Eq, PartialEq)]
+enum Hang {
+    #[default]
+    Nothing,
+    Everything,
+}
+
+/// Storage that hangs.
 struct HangingStorage {
     control: Rc<RefCell<Option<ControlNode>>>,
-    hangs: Rc<Cell<bool>>,
+    hang: Rc<Cell<Hang>>,
 }
 
 impl LogStorage for HangingStorage {
     fn save(&self, seq: SaveSeq, _: Save) {
-        if self.hangs.get() {
+        if self.hang.get() == Hang::Everything {
             return;
         }
         let control = self.control.clone();
@@ -67,14 +74,14 @@
 /// Control instance whose disk can hang.
 struct Control {
     plane: ControlPlane,
-    hangs: Rc<Cell<bool>>,
+    hang: Rc<Cell<Hang>>,
 }
 
 impl Control {
     fn start(settings: &Settings, socket: std::net::UdpSocket, id: u64) -> Self {
         let endpoint = Endpoint::with_socket(socket, settings).unwrap();
-        let (started, hangs) = (Rc::default(), Rc::new(Cell::new(false)));
-        let storage = HangingStorage { control: Rc::clone(&started), hangs: hangs.clone() };
+        let (started, hang) = (Rc::default(), Rc::new(Cell::default()));
+        let storage = HangingStorage { control: Rc::clone(&started), hang: Rc::clone(&hang) };
         let options = ControlOptions {
             node: Node { id: ReplicaId(id), name: endpoint.name().clone() },
             settings: start::replica_settings(settings),
@@ -84,7 +91,7 @@
         };
         let control = ControlNode::start(options, endpoint.clone(), Box::new(storage)).unwrap();
         started.replace(Some(control.clone()));
-        Self { plane: start::start(settings, &endpoint, Some(control)), hangs }
+        Self { plane: start::start(settings, &endpoint, Some(control)), hang }
     }
 
     fn name(&self) -> &InstanceName {
@@ -119,21 +126,45 @@
     (controls, start::start(&own, &endpoint, None))
 }
 
-/// Asks an instance for its published state; returns the reply and the time since the call.
-async fn follow(plane: &ControlPlane, name: &InstanceName) -> Option<(Followed, Duration)> {
+/// Asks an instance for its published state, and checks that a confirmed one includes the versions
+/// acknowledged before, the first of which is 1.
+///
+/// Returns the time until which the state is confirmed, if it is.
+async fn check_confirmation(
+    plane: &ControlPlane,
+    name: &InstanceName,
+    acknowledged: &RefCell<Vec<Instant>>,
+) -> Option<Instant> {
     let sent = Instant::now();
     let frame = Frame::Follow(Follow::Newer { after: None, wait_ms: 0 });
-    match plane.admin.endpoint.call(name, &frame, CALL_TIMEOUT).await {
-        Ok(Frame::Followed(followed)) => Some((followed, sent.elapsed())),
-        _ => None,
+    let reply = plane.admin.endpoint.call(name, &frame, CALL_TIMEOUT).await;
+    let Ok(Frame::Followed(followed)) = reply else { return None };
+    let confirmed_at = sent - Duration::from_millis(followed.age_ms?);
+    let required = acknowledged.borrow().iter().filter(|at| **at < confirmed_at).count();
+    let version = followed.published.unwrap_or_default().version;
+    assert!(version >= Version(required as u64), "{name}: {version}, {required} acknowledged");
+    Some(confirmed_at)
+}
+
+/// Starts the instances, and has a first version acknowledged and applied everywhere.
+async fn start_with_version(folder: &TempDir) -> (Vec<Control>, ControlPlane) {
+    let (controls, plane) = start_all(folder);
+    assert_eq!(submit(&plane, request(1, 0, "first")).await, accepted(1));
+    for control in &controls {
+        wait_for("the first version", async || {
+            control.plane.control.as_ref().unwrap().published().version == Version(1)
+        })
+        .await;
     }
+    (controls, plane)
 }
 
 /// Submits documents one after the other, and records when each was acknowledged.
 async fn submit_documents(plane: ControlPlane, acknowledged: Rc<RefCell<Vec<Instant>>>) {
-    for number in 1..=DOCUMENTS {
-        let text = number.to_string().repeat(DOCUMENT_BYTES);
-        assert_eq!(submit(&plane, request(number + 1, number, &text)).await, accepted(number + 1));
+    for version in 1..=DOCUMENTS {
+        let text = version.to_string().repeat(DOCUMENT_BYTES);
+        let response = submit(&plane, request(version + 1, version, &text)).await;
+        assert_eq!(response, accepted(version + 1));
         acknowledged.borrow_mut().push(Instant::now());
     }
 }
@@ -142,36 +173,22 @@
 fn hung_disk_confirms_old_state() {
     let folder = TempDir::new().unwrap();
     run(async {
-        let (controls, plane) = start_all(&folder);
-        assert_eq!(submit(&plane, request(1, 0, "first")).await, accepted(1));
+        let (controls, plane) = start_with_version(&folder).await;
+        let acknowledged = Rc::new(RefCell::new(vec![Instant::now()]));
         let hung = controls.iter().find(|c| !c.is_leader()).unwrap();
-        wait_for("the first version", async || {
-            let reply = follow(&plane, hung.name()).await;
-            let first = |f: Followed| f.published.is_some_and(|p| p.version == Version(1));
-            reply.is_some_and(|(f, _)| first(f))
-        })
-        .await;
-        hung.hangs.set(true);
-
-        let acknowledged = Rc::new(RefCell::new(Vec::new()));
-        monoio::spawn(submit_documents(plane.clone(), acknowledged.clone()));
-        let mut confirmed_at = Instant::now();
-        let mut all_since: Option<Instant> = None;
-        // A state that is confirmed later must include all that was acknowledged before.
-        while all_since.is_none_or(|all| confirmed_at <= all) {
-            assert!(confirmed_at.elapsed() < support::TEST_TIMEOUT, "confirmed nothing for long");
-            let reply = follow(&plane, hung.name()).await;
-            let now = Instant::now();
-            if let Some((Followed { published, age_ms: Some(age), .. }, elapsed)) = reply {
-                let confirmed = now.checked_sub(elapsed + Duration::from_millis(age)).unwrap();
-                let required = acknowledged.borrow().iter().filter(|at| **at < confirmed).count();
-                let version = published.unwrap().version;
-                assert!(version > Version(required as u64), "{version}, {required} acknowledged");
-                confirmed_at = confirmed_at.max(confirmed);
-            }
-            if acknowledged.borrow().len() as u64 == DOCUMENTS {
-                all_since.get_or_insert(now);
-            }
+        hung.hang.set(Hang::Everything);
+        monoio::spawn(submit_documents(plane.clone(), Rc::clone(&acknowledged)));
+
+        let start = Instant::now();
+        let mut confirmed_at = start;
+        let is_last = |at: Instant| {
+            let acknowledged = acknowledged.borrow();
+            acknowledged.len() as u64 > DOCUMENTS && acknowledged.last().is_some_and(|l| *l < at)
+        };
+        while !is_last(confirmed_at) {
+            assert!(start.elapsed() < support::TEST_TIMEOUT, "the last version isn't confirmed");
+            let at = check_confirmation(&plane, hung.name(), &acknowledged).await;
+            confirmed_at = confirmed_at.max(at.unwrap_or(confirmed_at));
             monoio::time::sleep(Duration::from_millis(20)).await;
         }
     });
