--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -190,7 +190,7 @@
         // A leader that was suspended steps down at a tick.
         control.tick();
         let now = boot_now();
-        let is_current = control.lead().is_leader;
+        let is_current = control.is_current(now);
         if is_current {
             self.watch.update(control.published());
             self.watch.record_confirmation(now);
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -190,6 +190,12 @@
         Leadership { is_leader: !self.has_ended() && replica.has_lease(boot_now()), leader }
     }
 
+    /// Returns whether the state applied at this instance is certain to include all changes
+    /// acknowledged until `now`, which is the current time of the boot clock.
+    pub fn is_current(&self, now: Instant) -> bool {
+        !self.has_ended() && self.inner.replica.borrow().is_current(now)
+    }
+
     /// Returns the status of this instance's replica.
     pub fn status(&self) -> ControlStatus {
         let lead = self.lead();
--- a/hawthornkeel/tests/stale_confirmations.rs
+++ b/hawthornkeel/tests/stale_confirmations.rs
@@ -23,6 +23,7 @@
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::replica::Node;
+use hawthornkeel_core::replica::Payload;
 use hawthornkeel_core::replica::PersistedState;
 use hawthornkeel_core::replica::Save;
 use hawthornkeel_core::replica::SaveSeq;
@@ -41,6 +42,8 @@
 const DOCUMENT_BYTES: usize = 300_000;
 /// Number of documents submitted while the disk hangs.
 const DOCUMENTS: u64 = 10;
+/// Time in which another instance becomes leader and would confirm its state.
+const LEADERSHIP_TIME: Duration = Duration::from_secs(4);
 /// Timeout of a call that is answered at once.
 const CALL_TIMEOUT: Duration = Duration::from_secs(1);
 
@@ -49,6 +52,8 @@
 enum Hang {
     #[default]
     Nothing,
+    /// The first entry of a new leader, and what is saved after it.
+    NewLeader,
     Everything,
 }
 
@@ -59,7 +64,10 @@
 }
 
 impl LogStorage for HangingStorage {
-    fn save(&self, seq: SaveSeq, _: Save) {
+    fn save(&self, seq: SaveSeq, save: Save) {
+        if self.hang.get() == Hang::NewLeader && has_noop(&save) {
+            self.hang.set(Hang::Everything);
+        }
         if self.hang.get() == Hang::Everything {
             return;
         }
@@ -71,6 +79,14 @@
     }
 }
 
+/// Returns whether a save has the first entry of a leader.
+fn has_noop(save: &Save) -> bool {
+    match save {
+        Save::Log { entries, .. } => entries.iter().any(|e| e.payload == Payload::Noop),
+        Save::Snapshot { .. } => false,
+    }
+}
+
 /// Control instance whose disk can hang.
 struct Control {
     plane: ControlPlane,
@@ -101,6 +117,12 @@
     fn is_leader(&self) -> bool {
         self.plane.control.as_ref().is_some_and(|c| c.lead().is_leader)
     }
+
+    /// Stops the instance at once.
+    fn kill(&self) {
+        self.plane.admin.endpoint.close();
+        self.plane.control.as_ref().unwrap().stop();
+    }
 }
 
 /// Starts the control instances, and an instance without the control role.
@@ -193,3 +215,29 @@
         }
     });
 }
+
+// A leader without a committed entry of its term doesn't know what the one before it committed.
+#[test]
+fn new_leader_confirms_old_state() {
+    let folder = TempDir::new().unwrap();
+    run(async {
+        let (controls, plane) = start_with_version(&folder).await;
+        let (old, others): (Vec<_>, Vec<_>) = controls.iter().partition(|c| c.is_leader());
+        let first = Instant::now();
+        others.iter().for_each(|c| c.hang.set(Hang::NewLeader));
+        assert_eq!(submit(&plane, request(2, 1, "second")).await, accepted(2));
+        old[0].kill();
+        let acknowledged = RefCell::new(vec![first, Instant::now()]);
+
+        let start = Instant::now();
+        let mut led = 0;
+        while start.elapsed() < LEADERSHIP_TIME {
+            for control in &others {
+                led += usize::from(control.is_leader());
+                check_confirmation(&plane, control.name(), &acknowledged).await;
+            }
+            monoio::time::sleep(Duration::from_millis(20)).await;
+        }
+        assert!(led > 0, "no instance became leader");
+    });
+}
--- a/hawthornkeel_core/src/replica/leadership.rs
+++ b/hawthornkeel_core/src/replica/leadership.rs
@@ -182,12 +182,17 @@
         }
     }
 
-    /// Completes the pending reads if the lease is valid and an entry of this term is committed.
+    /// Returns whether the lease of `leader` is valid at `now` and an entry of its term is committed.
     ///
     /// The replicated state then contains all entries that earlier leaders committed.
+    pub(super) fn includes_commits(&self, leader: &LeaderState, now: Instant) -> bool {
+        self.commit >= leader.term_start && self.is_lease_valid(leader, now)
+    }
+
+    /// Completes the pending reads if the replicated state contains all committed entries.
     fn complete_reads(&mut self) {
         let RoleState::Leader(leader) = &self.role_state else { return };
-        if self.commit < leader.term_start || !self.is_lease_valid(leader, self.now) {
+        if !self.includes_commits(leader, self.now) {
             return;
         }
         let RoleState::Leader(leader) = &mut self.role_state else { return };
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -239,6 +239,16 @@
         }
     }
 
+    /// Returns whether the state applied here is certain to include all entries committed until `now`.
+    ///
+    /// Only a leader can know: it needs a valid lease, and an entry of its own term that is committed.
+    pub fn is_current(&self, now: Instant) -> bool {
+        match &self.role_state {
+            RoleState::Leader(leader) => self.includes_commits(leader, now),
+            _ => false,
+        }
+    }
+
     /// Runs the timers that are due.
     fn advance(&mut self) {
         match &self.role_state {
--- a/hawthornkeel_core/tests/leader_rules.rs
+++ b/hawthornkeel_core/tests/leader_rules.rs
@@ -124,6 +124,20 @@
     assert_eq!(harness.replica.status().commit, LogIndex(3));
 }
 
+// A lease alone doesn't tell what earlier leaders committed.
+#[test]
+fn current_with_own_term() {
+    let mut harness = Harness::new();
+    let round = round(&harness.elect());
+    harness.receive(Body::HeartbeatReply(HeartbeatReply { round }));
+    assert!(harness.replica.has_lease(harness.now));
+    assert!(!harness.replica.is_current(harness.now));
+    harness.receive(Body::AppendReply(AppendReply::Stored(LogIndex(3))));
+    assert!(harness.replica.is_current(harness.now));
+    let end = harness.now + ReplicaSettings::default().election_timeout;
+    assert!(!harness.replica.is_current(end));
+}
+
 #[test]
 fn lease_starts_at_sending() {
     let mut harness = Harness::new();
--- a/hawthornkeel_core/tests/simulation/actions.rs
+++ b/hawthornkeel_core/tests/simulation/actions.rs
@@ -35,6 +35,7 @@
                         self.checker.record_accepted(proposal.0, item.entry.index);
                     }
                 }
+                self.check_current();
             }
             Action::Restore(snapshot) => self.machines[i].applied = snapshot.index,
             Action::TakeSnapshot => {
@@ -57,6 +58,7 @@
                     self.checker
                         .record_fault(format!("{id} leads while the lease of {old} is valid"));
                 }
+                self.check_current();
             }
             Action::StatusChanged(_) => {}
         }
@@ -87,6 +89,19 @@
         }
     }
 
+    /// Checks that a state that counts as current includes all entries visible to clients.
+    fn check_current(&mut self) {
+        for i in 0..self.machines.len() {
+            let (machine, known) = (&self.machines[i], self.checker.known);
+            let is_current = machine.replica.as_ref().is_some_and(|r| r.is_current(self.clock(i)));
+            if is_current && machine.applied < known {
+                let fault =
+                    format!("the state of {} counts as current without {known}", machine.name);
+                self.checker.record_fault(fault);
+            }
+        }
+    }
+
     /// Returns a machine whose lease is valid although another one leads a later term.
     fn stale_lease(&self) -> Option<usize> {
         let leads = |i: &usize| {
