--- a/hawthornkeel/src/forward/access.rs
+++ b/hawthornkeel/src/forward/access.rs
@@ -3,6 +3,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthornkeel_core::table::RouteTable;
 use hawthornkeel_core::table::access;
 use hawthornkeel_core::table::access::AccessRequest;
 use hawthornkeel_core::table::access::Denied;
@@ -21,8 +22,8 @@
 
 /// Fraction of `confirm_ms` for which keys are accepted after the document's last confirmation.
 ///
-/// The rest covers the control instances, which may confirm a replaced document for up to an
-/// election timeout. Together they bound the time until a key change takes effect.
+/// The rest covers clocks that run at different rates, and control instances of older builds, which
+/// may confirm a replaced document. Together they bound the time until a key change takes effect.
 const KEY_AGE_FRACTION: f64 = 0.6;
 /// Maximum age of the last confirmation at which requests are denied; older documents may be stale.
 const MAX_DENIAL_AGE: Duration = Duration::from_millis(1_500);
@@ -36,7 +37,7 @@
 pub fn admit(context: &Context, request: Request) -> Result<IncomingRequest, Problem> {
     let not_ready = || Problem::not_run(Code::NotReady).with_retry_after(NOT_READY_RETRY_AFTER);
     let table = context.table.borrow().clone().ok_or_else(not_ready)?;
-    let age = context.watch.age().ok_or_else(not_ready)?;
+    let age = document_age(context, &table).ok_or_else(not_ready)?;
     let key_age =
         Duration::from_millis(context.settings.forward.confirm_ms).mul_f64(KEY_AGE_FRACTION);
     let freshness = Freshness { age, max_key_age: key_age, max_denial_age: MAX_DENIAL_AGE };
@@ -60,6 +61,14 @@
     IncomingRequest::new(request, admitted, Rc::clone(&table)).ok_or_else(not_ready)
 }
 
+/// Returns the time since the document of `table` was last confirmed to be in force.
+///
+/// What confirms a newer document that this entry can't decode doesn't confirm the one before it.
+fn document_age(context: &Context, table: &RouteTable) -> Option<Duration> {
+    let (published, age) = (context.watch.current()?, context.watch.age()?);
+    Some(if published.version == table.version { age } else { Duration::MAX })
+}
+
 fn access_request(head: &Head) -> AccessRequest<'_> {
     AccessRequest {
         host: head.header(HOST.as_str()).unwrap_or_default(),
