--- a/hawthornkeel/src/control/actions.rs
+++ b/hawthornkeel/src/control/actions.rs
@@ -120,6 +120,7 @@
     }
 
     fn update_status(&self, status: &Status) {
+        self.inner.status_changed.notify();
         let leader = status.leader.as_ref().map_or("", |n| n.name.as_str());
         let (role, term) = (status.role, status.term);
         let voters = status.members.voters().map(|n| n.name.as_str()).collect::<Vec<_>>().join(",");
--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -8,6 +8,7 @@
 //! on request. An instance that hears heartbeats may lack committed entries for as long as its disk
 //! hangs, so neither they nor a known leader confirm anything.
 
+use std::future::pending;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -133,7 +134,9 @@
             if followed.published.is_some()
                 || monoio::time::timeout_at(deadline, changed).await.is_err()
             {
-                self.confirm_as_leader();
+                if let Some(control) = &self.control {
+                    self.watch.confirm_as_leader(control);
+                }
                 return self.watch.reply_after(after);
             }
         }
@@ -145,32 +148,64 @@
             monoio::spawn(self.clone().apply_own_log(control));
         }
         let mut position = 0;
-        let mut switched_at = Instant::now();
-        // Position of the source that replied last with a recent state.
-        let mut followed = None;
+        // Leader that was known when the first source failed.
+        let mut failed = None;
         loop {
             let Some(source) = self.sources.get(position) else {
                 position = 0;
                 monoio::time::sleep(RETRY_DELAY).await;
                 continue;
             };
-            // The first call isn't held, so that an isolated source is detected without delay.
-            if self.poll(source, 0).await.is_fresh() {
-                if followed.replace(position) != Some(position) {
-                    self.log_source(source);
-                }
-                while self.poll(source, POLL_WAIT_MS).await.is_fresh() {
-                    let failback = switched_at.elapsed() > FAILBACK_INTERVAL;
-                    if position > 0 && (failback || self.known_leader().is_some()) {
-                        break;
-                    }
+            let is_first = position == 0;
+            let limit = (!is_first).then_some(FAILBACK_INTERVAL);
+            let preferred = async {
+                match is_first {
+                    true => pending().await,
+                    false => self.learn_other_leader(&failed).await,
                 }
-                switched_at = Instant::now();
-                position = if position > 0 { 0 } else { 1 };
-            } else {
-                position += 1;
+            };
+            position = monoio::select! {
+                was_fresh = self.follow_source(source, limit) => match was_fresh {
+                    true => usize::from(is_first),
+                    false => position + 1,
+                },
+                () = preferred => 0,
+            };
+            if is_first {
+                failed = self.known_leader();
+            }
+        }
+    }
+
+    /// Follows a source as long as it is fresh, for `limit` at most; returns whether it was.
+    async fn follow_source(&self, source: &Source, limit: Option<Duration>) -> bool {
+        // The first call isn't held, so that an isolated source is detected without delay.
+        if !self.poll(source, 0).await.is_fresh() {
+            return false;
+        }
+        self.log_source(source);
+        let start = Instant::now();
+        while self.poll(source, POLL_WAIT_MS).await.is_fresh() {
+            if limit.is_some_and(|l| start.elapsed() > l) {
+                break;
             }
         }
+        true
+    }
+
+    /// Waits until the control role of this instance knows a leader other than `failed`.
+    ///
+    /// Doesn't end if there is no such role.
+    async fn learn_other_leader(&self, failed: &Option<InstanceName>) {
+        let Some(control) = &self.control else { return pending().await };
+        loop {
+            let seen = control.status_changes().count();
+            let leader = self.known_leader();
+            if leader.is_some() && leader != *failed {
+                return;
+            }
+            control.status_changes().wait_after(seen).await;
+        }
     }
 
     /// Puts the state that the control role of this instance applies in force, without end.
@@ -184,20 +219,6 @@
         }
     }
 
-    /// Confirms the state of this instance if it leads; returns whether it does.
-    fn confirm_as_leader(&self) -> bool {
-        let Some(control) = &self.control else { return false };
-        // A leader that was suspended steps down at a tick.
-        control.tick();
-        let now = boot_now();
-        let is_current = control.is_current(now);
-        if is_current {
-            self.watch.update(control.published());
-            self.watch.record_confirmation(now);
-        }
-        is_current
-    }
-
     /// Logs that this instance follows another source than before.
     fn log_source(&self, source: &Source) {
         let state = self.watch.current().unwrap_or_default();
@@ -317,13 +338,24 @@
     /// Returns the age of the state, or `None` if no leader confirms it.
     async fn poll_control(&self, wait_ms: u32) -> Option<Duration> {
         let control = self.control.as_ref()?;
-        let changed = control.changes().wait_after(control.changes().count());
-        let _ = monoio::time::timeout(Duration::from_millis(wait_ms.into()), changed).await;
-        if self.confirm_as_leader() {
-            return Some(Duration::ZERO);
+        let (log, status) = (control.changes(), control.status_changes());
+        let (log_seen, status_seen) = (log.count(), status.count());
+        monoio::select! {
+            () = monoio::time::sleep(Duration::from_millis(wait_ms.into())) => {}
+            () = log.wait_after(log_seen) => {}
+            () = status.wait_after(status_seen) => {}
+        }
+        loop {
+            let seen = status.count();
+            if self.watch.confirm_as_leader(control) {
+                return Some(Duration::ZERO);
+            }
+            let leader = self.known_leader().filter(|l| l != self.endpoint.name())?;
+            monoio::select! {
+                age = self.poll_peer(&leader, 0) => return age,
+                () = status.wait_after(seen) => {}
+            }
         }
-        let leader = self.known_leader().filter(|l| l != self.endpoint.name())?;
-        self.poll_peer(&leader, 0).await
     }
 }
 
--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -83,6 +83,8 @@
     pub(super) timer_deadline: Cell<Instant>,
     pub(super) timer_changed: EventCount,
     pub(super) published: EventCount,
+    /// Changes of the replica's role, term, leader and members.
+    pub(super) status_changed: EventCount,
     pub(super) failure: RefCell<Option<ControlFailure>>,
     pub(super) ended: EventCount,
 }
@@ -114,6 +116,7 @@
                 timer_deadline: Cell::new(Instant::ZERO),
                 timer_changed: EventCount::default(),
                 published: EventCount::default(),
+                status_changed: EventCount::default(),
                 failure: RefCell::default(),
                 ended: EventCount::default(),
             }),
@@ -214,6 +217,11 @@
         &self.inner.published
     }
 
+    /// Returns the signal for changes of the role, the term, the leader and the members.
+    pub fn status_changes(&self) -> &EventCount {
+        &self.inner.status_changed
+    }
+
     /// Lets the replica handle expired timers.
     pub fn tick(&self) {
         self.handle(Input::Tick);
--- a/hawthornkeel/src/control/watch.rs
+++ b/hawthornkeel/src/control/watch.rs
@@ -16,7 +16,7 @@
 use hawthornkeel_core::time::Instant;
 
 use crate::clock::boot_now;
-use crate::clock::millis;
+use crate::control::node::ControlNode;
 use crate::peer::frame::Followed;
 use crate::peer::frame::InstanceStatus;
 use crate::peer::wakeup::EventCount;
@@ -109,6 +109,19 @@
         self.inner.confirmed_at.set(self.inner.confirmed_at.get().max(Some(at)));
     }
 
+    /// Puts the state of a control role in force and confirms it, if that role leads.
+    ///
+    /// Returns whether it does.
+    pub fn confirm_as_leader(&self, control: &ControlNode) -> bool {
+        let now = boot_now();
+        let is_current = control.is_current(now);
+        if is_current {
+            self.update(control.published());
+            self.record_confirmation(now);
+        }
+        is_current
+    }
+
     /// Returns the time since the state was last confirmed by a leader.
     pub fn age(&self) -> Option<Duration> {
         self.inner.confirmed_at.get().map(|at| boot_now().since(at))
@@ -120,7 +133,7 @@
         Followed {
             published: published.map(|p| PublishedState::clone(&p)),
             take_outs: self.inner.take_outs.borrow().all().to_vec(),
-            age_ms: self.age().map(millis),
+            age_ms: self.age().map(age_millis),
         }
     }
 
@@ -154,3 +167,8 @@
         }
     }
 }
+
+/// Returns an age in milliseconds, rounded up: a state must not look younger than it is.
+fn age_millis(age: Duration) -> u64 {
+    u64::try_from(age.as_micros().div_ceil(1_000)).unwrap_or(u64::MAX)
+}
--- a/hawthornkeel/src/forward/access.rs
+++ b/hawthornkeel/src/forward/access.rs
@@ -22,8 +22,7 @@
 
 /// Fraction of `confirm_ms` for which keys are accepted after the document's last confirmation.
 ///
-/// The rest covers clocks that run at different rates, and control instances of older builds, which
-/// may confirm a replaced document. Together they bound the time until a key change takes effect.
+/// The rest covers the way to the target and clocks that run at different rates.
 const KEY_AGE_FRACTION: f64 = 0.6;
 /// Maximum age of the last confirmation at which requests are denied; older documents may be stale.
 const MAX_DENIAL_AGE: Duration = Duration::from_millis(1_500);
--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -269,6 +269,7 @@
     }
 
     fn update_for(&self, poll: &Discover) -> Discovered {
+        self.inner.watch.confirm_as_leader(&self.inner.control);
         let target_list = self.inner.target_list.borrow().clone();
         let list_time = self.inner.list_time.get();
         let entries = self.serving();
--- a/hawthornkeel/tests/stale_confirmations.rs
+++ b/hawthornkeel/tests/stale_confirmations.rs
@@ -181,6 +181,14 @@
     (controls, plane)
 }
 
+/// Waits for a leader, and returns it and the others.
+async fn split_by_role(controls: &[Control]) -> (&Control, Vec<&Control>) {
+    wait_for("a leader", async || controls.iter().any(Control::is_leader)).await;
+    let leader = controls.iter().position(Control::is_leader).unwrap();
+    let others = controls.iter().enumerate().filter(|(at, _)| *at != leader);
+    (&controls[leader], others.map(|(_, control)| control).collect())
+}
+
 /// Submits documents one after the other, and records when each was acknowledged.
 async fn submit_documents(plane: ControlPlane, acknowledged: Rc<RefCell<Vec<Instant>>>) {
     for version in 1..=DOCUMENTS {
@@ -197,7 +205,8 @@
     run(async {
         let (controls, plane) = start_with_version(&folder).await;
         let acknowledged = Rc::new(RefCell::new(vec![Instant::now()]));
-        let hung = controls.iter().find(|c| !c.is_leader()).unwrap();
+        let (_, followers) = split_by_role(&controls).await;
+        let hung = followers[0];
         hung.hang.set(Hang::Everything);
         monoio::spawn(submit_documents(plane.clone(), Rc::clone(&acknowledged)));
 
@@ -222,11 +231,11 @@
     let folder = TempDir::new().unwrap();
     run(async {
         let (controls, plane) = start_with_version(&folder).await;
-        let (old, others): (Vec<_>, Vec<_>) = controls.iter().partition(|c| c.is_leader());
+        let (old, others) = split_by_role(&controls).await;
         let first = Instant::now();
         others.iter().for_each(|c| c.hang.set(Hang::NewLeader));
         assert_eq!(submit(&plane, request(2, 1, "second")).await, accepted(2));
-        old[0].kill();
+        old.kill();
         let acknowledged = RefCell::new(vec![first, Instant::now()]);
 
         let start = Instant::now();
