--- a/hawthornkeel/src/entry/call.rs
+++ b/hawthornkeel/src/entry/call.rs
@@ -1,7 +1,9 @@
 //! Runs one call to a target and reports its outcome to the router.
 
 use std::cell::RefCell;
+use std::future::Future;
 use std::net::SocketAddr;
+use std::pin::pin;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
@@ -16,6 +18,7 @@
 use hawthornkeel_core::routing::types::CallOutcome;
 use hawthornkeel_core::time::Instant;
 
+use crate::clock::millis;
 use crate::entry::call_record::CallRecord;
 use crate::entry::context::Context;
 use crate::entry::encoding;
@@ -27,6 +30,7 @@
 use crate::target::completion::COMPLETIONS;
 use crate::target::error::CallError;
 use crate::target::process::ReportedIncarnation;
+use crate::target::resend::Resend;
 use crate::target::stream::Event;
 use crate::target::stream::TokenStream;
 use crate::telemetry;
@@ -71,6 +75,8 @@
 struct TargetAnswer {
     body: Bytes,
     tokens: u32,
+    /// Time spent on a reused connection that failed, which says nothing about the target.
+    lost_time: Duration,
 }
 
 /// Makes the call and releases its permit.
@@ -86,7 +92,7 @@
     match result {
         Ok(answer) => {
             let tokens = answer.tokens;
-            let latency = record.answered(tokens);
+            let latency = record.answered(tokens).saturating_sub(answer.lost_time);
             permit.finish(CallOutcome::Answered { latency, tokens, incarnation: reported.get() });
             Input::Answered { call: plan.id, answer: answer.body }
         }
@@ -128,13 +134,49 @@
     };
     let expected_process = permit.expected_process();
     let call = Call { expected_process, reported: reported.clone(), ..encode(plan, timeout) };
+    let work = send(context, address, &call, plan, permit);
+    resend_if_silent(context, permit, &call.resend, work).await
+}
+
+/// Sends the call and reads its whole answer.
+async fn send(
+    context: &Context,
+    address: SocketAddr,
+    call: &Call,
+    plan: &CallPlan,
+    permit: &PermitGuard,
+) -> Result<TargetAnswer, CallError> {
     match plan.pool.kind {
         PoolKind::Service => {
-            let answer = context.client.call(address, &call).await?;
-            Ok(TargetAnswer { body: answer.body, tokens: 0 })
+            let answer = context.client.call(address, call).await?;
+            Ok(TargetAnswer { body: answer.body, tokens: 0, lost_time: answer.lost_time })
         }
-        PoolKind::Engine => generate(&context.client, address, &call, plan, permit).await,
+        PoolKind::Engine => generate(&context.client, address, call, plan, permit).await,
+    }
+}
+
+/// Runs a call, and has it sent again on a new connection if a reused one is silent for much longer
+/// than its pool takes and the retry budget allows it.
+async fn resend_if_silent<T>(
+    context: &Context,
+    permit: &PermitGuard,
+    resend: &Resend,
+    work: impl Future<Output = T>,
+) -> T {
+    let Some(call) = permit.permit().map(|p| p.call) else { return work.await };
+    let limit = permit.permit().and_then(|p| context.router.borrow().silence_limit(p));
+    let Some(limit) = limit else { return work.await };
+    let mut work = pin!(work);
+    monoio::select! {
+        result = &mut work => return result,
+        () = monoio::time::sleep(limit) => {}
+    }
+    if resend.is_possible() && permit.take_resend() {
+        let (address, after_ms) = (&permit.address, millis(limit));
+        tracing::info!(event = "call-resent", %call, %address, after_ms);
+        resend.request();
     }
+    work.await
 }
 
 /// Returns the timeout of a call that isn't idempotent.
@@ -203,7 +245,7 @@
         }
     }
     let body = encoding::engine_answer(&plan.received_text.borrow());
-    Ok(TargetAnswer { body, tokens })
+    Ok(TargetAnswer { body, tokens, lost_time: stream.lost_time() })
 }
 
 /// Adds tokens that are already buffered, up to the size of one chunk, and returns their number.
--- a/hawthornkeel/src/entry/permit.rs
+++ b/hawthornkeel/src/entry/permit.rs
@@ -52,6 +52,13 @@
         }
     }
 
+    /// Takes a retry from the budget to send the call again to the same target. Returns whether there
+    /// was one.
+    pub fn take_resend(&self) -> bool {
+        let Some(permit) = &self.permit else { return false };
+        self.context.router.borrow_mut().take_resend(permit)
+    }
+
     /// Releases the permit of a call that was not sent because the target has restarted.
     pub fn finish_restarted(mut self, incarnation: Option<Incarnation>) {
         if let (Some(permit), None) = (&self.permit, incarnation) {
--- a/hawthornkeel/src/target/call.rs
+++ b/hawthornkeel/src/target/call.rs
@@ -10,6 +10,7 @@
 use crate::target::error::CallError;
 use crate::target::process::ExpectedProcess;
 use crate::target::process::ReportedIncarnation;
+use crate::target::resend::Resend;
 
 /// Header with the call's ID, which the response echoes.
 pub const REQUEST_ID: &str = "x-request-id";
@@ -48,6 +49,8 @@
     pub expected_process: ExpectedProcess,
     /// Incarnation that the target reports in its response; clones of the call share it.
     pub reported: ReportedIncarnation,
+    /// Resend on a new connection; clones of the call share it.
+    pub resend: Resend,
 }
 
 impl Default for Call {
@@ -64,6 +67,7 @@
             resume_offset: 0,
             expected_process: ExpectedProcess::Any,
             reported: ReportedIncarnation::default(),
+            resend: Resend::default(),
         }
     }
 }
--- a/hawthornkeel/src/target/client.rs
+++ b/hawthornkeel/src/target/client.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -57,6 +58,8 @@
     pub headers: HeaderMap,
     /// JSON body.
     pub body: Bytes,
+    /// Time spent on a reused connection that failed before the call was sent on a new one.
+    pub lost_time: Duration,
 }
 
 /// Client for targets; clones share its connections.
@@ -75,6 +78,8 @@
     pub(crate) connection: Connection,
     pub(crate) head: ReceivedHead,
     pub(crate) timeouts: CallTimeouts,
+    /// Time spent on a reused connection that failed before.
+    pub(crate) lost_time: Duration,
 }
 
 impl Client {
@@ -143,8 +148,9 @@
         let body = read_to_end(&mut open).await?;
         let status = open.head.status;
         let headers = open.head.headers.clone();
+        let lost_time = open.lost_time;
         self.release(address, open);
-        Ok(CallResponse { status, headers, body })
+        Ok(CallResponse { status, headers, body, lost_time })
     }
 
     /// Sends the call and reads the head of its response; fails unless the status is a success.
@@ -161,6 +167,7 @@
         let pooled =
             if call.idempotent { self.take(address, call).await? } else { PoolLookup::default() };
         let mut first = None;
+        let begun = Instant::now();
         if let Some(connection) = pooled.connection {
             match self.reuse(address, connection, call, request.clone(), timeouts).await {
                 Err(error) if is_connection_error(&error) => {
@@ -179,7 +186,9 @@
                 other => return self.check_status(address, call, other?).await,
             }
         }
+        let lost_time = first.as_ref().map_or(Duration::ZERO, |_| begun.elapsed());
         let result = self.open_fresh(address, call, request, timeouts).await;
+        let result = result.map(|open| PendingResponse { lost_time, ..open });
         match first.filter(|error| !error.is_not_run()) {
             Some(sent) => result.map_err(|error| error_after(sent, error)),
             None => result,
@@ -212,7 +221,7 @@
         }
     }
 
-    /// Sends the call on a pooled connection.
+    /// Sends the call on a pooled connection until a resend is requested.
     async fn reuse(
         &self,
         address: SocketAddr,
@@ -220,6 +229,22 @@
         call: &Call,
         request: Bytes,
         timeouts: CallTimeouts,
+    ) -> Result<PendingResponse, CallError> {
+        let _waiting = call.resend.begin_wait();
+        monoio::select! {
+            result = self.send_pooled(address, connection, call, request, timeouts) => result,
+            () = call.resend.requested() => Err(CallError::TimedOut),
+        }
+    }
+
+    /// Sends the call on a pooled connection that leads to the expected process.
+    async fn send_pooled(
+        &self,
+        address: SocketAddr,
+        connection: Connection,
+        call: &Call,
+        request: Bytes,
+        timeouts: CallTimeouts,
     ) -> Result<PendingResponse, CallError> {
         match self.verify_process(address, connection, call, timeouts).await? {
             Some(connection) => self.send(connection, call, request, timeouts).await,
@@ -254,7 +279,7 @@
         let max = self.inner.limits.max_response;
         let head = connection.read_head(call.id, max, &timeouts).await?;
         call.reported.set(connection.incarnation);
-        Ok(PendingResponse { connection, head, timeouts })
+        Ok(PendingResponse { connection, head, timeouts, lost_time: Duration::ZERO })
     }
 
     /// Returns an error for a non-success status; reads the body so that the connection is reusable.
@@ -280,7 +305,7 @@
 
 /// Reads the body of a response to its end.
 pub(crate) async fn read_to_end(open: &mut PendingResponse) -> Result<Bytes, CallError> {
-    let PendingResponse { connection, head, timeouts } = open;
+    let PendingResponse { connection, head, timeouts, .. } = open;
     let body = &mut head.body;
     let Some(first) = connection.next_chunk(body, timeouts).await? else { return Ok(Bytes::new()) };
     if body.is_done() {
--- a/hawthornkeel/src/target/mod.rs
+++ b/hawthornkeel/src/target/mod.rs
@@ -11,5 +11,6 @@
 pub mod pool;
 pub mod process;
 mod refusal;
+pub mod resend;
 mod sse;
 pub mod stream;
--- a/hawthornkeel/src/target/stream.rs
+++ b/hawthornkeel/src/target/stream.rs
@@ -1,6 +1,7 @@
 //! Stream of tokens from an engine.
 
 use std::net::SocketAddr;
+use std::time::Duration;
 
 use bytes::Bytes;
 
@@ -32,6 +33,7 @@
     response: Option<PendingResponse>,
     parser: Parser,
     offset: u64,
+    lost_time: Duration,
     done: bool,
     /// Error found by [`TokenStream::try_next`], returned by the next call of
     /// [`TokenStream::next`].
@@ -46,12 +48,14 @@
         offset: u64,
     ) -> Self {
         let parser = Parser::default();
+        let lost_time = open.lost_time;
         Self {
             client,
             address,
             response: Some(open),
             parser,
             offset,
+            lost_time,
             done: false,
             pending_error: None,
         }
@@ -62,6 +66,12 @@
         self.offset
     }
 
+    /// Returns the time spent on a reused connection that failed before the call was sent on a new
+    /// one.
+    pub fn lost_time(&self) -> Duration {
+        self.lost_time
+    }
+
     /// Returns the next event.
     ///
     /// This method is cancel safe: dropping the future loses no event.
@@ -105,7 +115,7 @@
             let Some(open) = &mut self.response else {
                 return if self.done { Ok(Event::End) } else { Err(CallError::Truncated) };
             };
-            let PendingResponse { connection, head, timeouts } = open;
+            let PendingResponse { connection, head, timeouts, .. } = open;
             match connection.next_chunk(&mut head.body, timeouts).await? {
                 Some(chunk) => self.feed(&chunk)?,
                 None => self.finish()?,
--- a/hawthornkeel/tests/silent_targets.rs
+++ b/hawthornkeel/tests/silent_targets.rs
@@ -1,8 +1,9 @@
 //! Established connections to targets that silently stop working while new ones succeed, with real
 //! processes.
 //!
-//! Guards against blaming the target for a lost connection, and against non-idempotent calls that
-//! run twice after one.
+//! Guards against blaming the target for a lost connection, against calls that wait for one for
+//! much longer than the target usually takes, and against non-idempotent calls that run twice after
+//! one.
 
 mod fleet;
 
@@ -20,9 +21,22 @@
 const TARGETS: [&str; 3] = ["readers-dc-0", "writers-dc-0", "registry-dc-0"];
 /// Deadline of the pipelines.
 const DEADLINE: Duration = Duration::from_secs(8);
+/// Shortest time after which any call gives up a connection without progress.
+const PROGRESS_TIMEOUT: Duration = Duration::from_secs(3);
+
+/// Usual time of calls in milliseconds, so long that waits for a core don't make a target slow.
+const STEADY_MS: u64 = 100;
 
 fn start() -> Fleet {
+    start_with("{}")
+}
+
+/// Starts a fleet whose targets behave as configured.
+fn start_with(behaviour: &str) -> Fleet {
     let mut fleet = Fleet::prepare_with_network(3, 1);
+    for target in &fleet.targets {
+        target.thread.configure(behaviour).unwrap();
+    }
     fleet.start_all();
     fleet.warm_up();
     fleet
@@ -46,6 +60,35 @@
     }
 }
 
+/// Time lost on a silent connection counted as its target's: the next call waited for a grant.
+#[test]
+fn lost_time_blames_no_target() {
+    let fleet = start_with(&format!("{{\"floor_ms\":{STEADY_MS}}}"));
+    let known = fleet.settled_log(0).len();
+    for target in TARGETS {
+        fleet.network().target_relay(CENTRE, target).blackhole_connections();
+    }
+    for _ in 0..3 {
+        let answer = fleet.call(0, "warm", "", "{\"text\":\"lot\"}").unwrap();
+        assert_eq!(answer.status, 200, "{answer:?}\n{}", fleet.log(0));
+    }
+    let log = fleet.log(0).split_off(known);
+    let mut routes = log.lines().filter(|l| l.contains("event=route "));
+    let is_blamed = |l: &str| l.contains("reason=cold_grant") || l.contains("reason=probe");
+    assert!(!routes.any(is_blamed), "{log}");
+}
+
+/// A call to a target that answers in milliseconds waited 4.8 s for a silent connection.
+#[test]
+fn silence_is_noticed_early() {
+    let fleet = start_with(&format!("{{\"floor_ms\":{STEADY_MS}}}"));
+    fleet.network().target_relay(CENTRE, TARGETS[0]).blackhole_connections();
+    let sent_at = Instant::now();
+    let answer = fleet.call(0, "warm", "", "{\"text\":\"lot\"}").unwrap();
+    assert_eq!(answer.status, 200, "{answer:?}\n{}", fleet.log(0));
+    assert!(sent_at.elapsed() < PROGRESS_TIMEOUT, "{:?}\n{}", sent_at.elapsed(), fleet.log(0));
+}
+
 #[test]
 fn silent_call_has_unknown_outcome() {
     let fleet = start();
--- a/hawthornkeel/tests/target_connections.rs
+++ b/hawthornkeel/tests/target_connections.rs
@@ -102,6 +102,53 @@
     assert_eq!((report.connections, report.runs.len()), (2, 4));
 }
 
+/// A call on a silent connection waited for its progress timeout.
+#[test]
+fn requested_resend_is_answered() {
+    let (target, client) = start(Behaviour::default());
+    thread::block_on(async {
+        call_all(&client, target, 1, true).await;
+        target.hang_connections().unwrap();
+        let call = Call { progress_timeout: LIMIT, ..call(2) };
+        let resend = call.resend.clone();
+        assert!(!resend.is_possible());
+        let begun = Instant::now();
+        let asking = monoio::spawn(async move {
+            monoio::time::sleep(POLL_TIMEOUT).await;
+            assert!(resend.is_possible());
+            resend.request();
+        });
+        // The target is judged by the second exchange alone.
+        let lost = client.call(target.address, &call).await.unwrap().lost_time;
+        assert!(lost >= POLL_TIMEOUT && lost <= begun.elapsed(), "{lost:?}");
+        asking.await;
+        assert!(!call.resend.is_possible());
+    })
+    .unwrap();
+    assert_eq!(target.report().unwrap().connections, 2);
+}
+
+/// A call on a new connection that is only slow ran twice.
+#[test]
+fn new_connection_is_kept() {
+    let (target, client) = start(Behaviour { floor_ms: 100, ..Behaviour::default() });
+    thread::block_on(async {
+        let call = call(1);
+        let resend = call.resend.clone();
+        let asking = monoio::spawn(async move {
+            monoio::time::sleep(Duration::from_millis(20)).await;
+            assert!(!resend.is_possible());
+            resend.request();
+        });
+        let response = client.call(target.address, &call).await.unwrap();
+        assert_eq!(response.lost_time, Duration::ZERO);
+        asking.await;
+    })
+    .unwrap();
+    let report = target.report().unwrap();
+    assert_eq!((report.connections, report.runs.len()), (1, 1));
+}
+
 #[test]
 fn poll_timeout_closes_idle_connections() {
     let (target, client) = start(Behaviour { floor_ms: 20, ..Behaviour::default() });
--- a/hawthornkeel_core/src/routing/selection.rs
+++ b/hawthornkeel_core/src/routing/selection.rs
@@ -23,6 +23,12 @@
 const RETRY_AFTER_MIN: Duration = Duration::from_secs(1);
 /// Multiple of the pool's 95th percentile after which a call is hedged.
 const HEDGE_FACTOR: u32 = 2;
+/// Multiple of the pool's 95th percentile after which a reused connection without a byte is replaced.
+///
+/// Five times the delay of a hedge, which comes first where another target can take the call.
+const SILENCE_FACTOR: u32 = 10;
+/// Shortest time after which such a connection is replaced; a process may wait for a core as long.
+const MIN_SILENCE: Duration = Duration::from_millis(250);
 /// Maximum time between two checks of the waiting calls.
 const MAX_WAKE_INTERVAL: Duration = Duration::from_millis(50);
 
@@ -104,6 +110,20 @@
         pool.latencies.p95().map(|t| t * HEDGE_FACTOR)
     }
 
+    /// Returns the time after which a call under `permit` that has received no byte on a reused
+    /// connection is sent again on a new one, or `None` before the pool's first measurement.
+    pub fn silence_limit(&self, permit: &Permit) -> Option<Duration> {
+        let pool = self.pools.get(&permit.pool).filter(|_| permit.grant.is_none())?;
+        pool.latencies.p95().map(|t| (t * SILENCE_FACTOR).max(MIN_SILENCE))
+    }
+
+    /// Takes a retry from the pool's budget to send a call again to the same target, which may run it
+    /// twice. Returns whether there was one.
+    pub fn take_resend(&mut self, permit: &Permit) -> bool {
+        let pool = self.pools.get_mut(&permit.pool);
+        pool.is_some_and(|pool| pool.retry_budget.withdraw())
+    }
+
     /// Sends and refuses waiting calls of one pool. Retries come first, as they are older.
     fn serve_pool(&mut self, now: Instant, index: usize, ready: &mut Vec<QueuedDecision>) {
         let Some((_, pool)) = self.pools.get_index_mut(index) else {
