--- a/hawthornkeel/src/explain/steps.rs
+++ b/hawthornkeel/src/explain/steps.rs
@@ -93,6 +93,7 @@
             "denied: document version {version} was last confirmed {} ms ago, too long to tell",
             event.text("age_ms")
         ),
+        "Pieces" => "denied: its number of pieces can't be read or is too large".to_owned(),
         other => format!("denied: {other}"),
     }
 }
--- a/hawthornkeel/src/forward/access.rs
+++ b/hawthornkeel/src/forward/access.rs
@@ -57,7 +57,14 @@
                 Denied::Unsure => not_ready(),
             }
         })?;
-    IncomingRequest::new(request, admitted, Rc::clone(&table)).ok_or_else(not_ready)
+    let request =
+        IncomingRequest::new(request, admitted, Rc::clone(&table)).ok_or_else(not_ready)?;
+    if !request.route.stages.is_empty() && request.piece_counts().is_none() {
+        tracing::info!(event = "request-denied", request = %request.id, denied = "Pieces");
+        let detail = format!("{} is malformed or too large", fields::PIECE_COUNTS);
+        return Err(Problem::not_run(Code::BadRequest).with_detail(detail));
+    }
+    Ok(request)
 }
 
 fn access_request(head: &Head) -> AccessRequest<'_> {
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -31,6 +31,8 @@
 
 /// Time for which an idle connection is kept if the target announces no timeout.
 const IDLE_TIMEOUT: Duration = Duration::from_secs(4);
+/// Longest time for which an idle connection is kept, whatever the target announces.
+const MAX_KEEP_ALIVE: Duration = Duration::from_secs(3_600);
 /// Time before the announced keep-alive timeout at which a connection is no longer reused.
 const KEEP_ALIVE_MARGIN: Duration = Duration::from_millis(700);
 /// Maximum idle time of a connection that is reused for a non-idempotent request.
@@ -313,7 +315,7 @@
     let text = headers.get("keep-alive")?.to_str().ok()?;
     let timeout = text.split(',').find_map(|p| p.trim().strip_prefix("timeout="))?;
     let timeout = Duration::from_secs(timeout.trim().parse().ok()?);
-    Some(timeout.saturating_sub(KEEP_ALIVE_MARGIN))
+    Some(timeout.min(MAX_KEEP_ALIVE).saturating_sub(KEEP_ALIVE_MARGIN))
 }
 
 /// Returns the time until `deadline`.
--- a/hawthornkeel/src/forward/request.rs
+++ b/hawthornkeel/src/forward/request.rs
@@ -160,9 +160,10 @@
         fields::max_tokens(self.head.header(fields::TOKEN_COUNTS)?)
     }
 
-    /// Returns the caller's number of pieces of each stage, or `None` if the field is malformed.
+    /// Returns the caller's number of pieces of each stage, or `None` if the field is malformed or
+    /// names too many.
     pub fn piece_counts(&self) -> Option<Vec<u32>> {
-        fields::parse_numbers(self.head.header(fields::PIECE_COUNTS).unwrap_or_default())
+        fields::piece_counts(self.head.header(fields::PIECE_COUNTS).unwrap_or_default())
     }
 
     /// Encodes the request for `target`; a stream resumes after the event `last_event`, if given.
--- a/hawthornkeel_core/src/stages/job.rs
+++ b/hawthornkeel_core/src/stages/job.rs
@@ -9,6 +9,16 @@
 use crate::names::CentreName;
 use crate::names::PoolName;
 
+/// Most pieces of a job, and of all stages of a request together.
+///
+/// A scheduler keeps a state for each piece. Requests of the size that the design is made for have
+/// fewer than a hundred.
+pub const MAX_PIECES: u32 = 16_384;
+/// Largest size of a result that is counted with, in bytes; larger ones count as this.
+///
+/// The sizes of all results of a request can be added up and multiplied by its pieces.
+pub const MAX_RESULT_BYTES: u64 = 1 << 35;
+
 /// Identifies the scheduler of a pool, or of one partition of a large pool.
 #[derive(Clone, Debug, Eq, Hash, PartialEq, Serialize, Deserialize)]
 pub struct SchedulerName {
--- a/hawthornkeel_core/src/stages/reservations.rs
+++ b/hawthornkeel_core/src/stages/reservations.rs
@@ -5,6 +5,7 @@
 use crate::stages::estimate::Capacity;
 use crate::stages::estimate::Queued;
 use crate::stages::estimate::full_rate;
+use crate::stages::job::MAX_PIECES;
 use crate::stages::job::Reservation;
 use crate::stages::job::ReservationEstimate;
 use crate::stages::scheduler::JobState;
@@ -16,13 +17,17 @@
 impl Scheduler {
     /// Reserves capacity for a job that will be submitted later, and returns its estimate.
     ///
-    /// Returns `None` and reserves nothing if no target is available.
+    /// Returns `None` and reserves nothing if no target is available or the job may not have as many
+    /// pieces.
     pub fn reserve(
         &mut self,
         now: Instant,
         reservation: &Reservation,
     ) -> Option<ReservationEstimate> {
         self.now = self.now.max(now);
+        if reservation.pieces > MAX_PIECES {
+            return None;
+        }
         let due = self.now + Duration::from_millis(reservation.due_ms);
         let new = Queued::new(due, reservation.priority, reservation.pieces);
         let (capacity, queued) = (self.capacity(), self.queued());
--- a/hawthornkeel_core/src/stages/scheduler.rs
+++ b/hawthornkeel_core/src/stages/scheduler.rs
@@ -29,6 +29,8 @@
 use crate::stages::job::Job;
 use crate::stages::job::JobId;
 use crate::stages::job::JobOutcome;
+use crate::stages::job::MAX_PIECES;
+use crate::stages::job::MAX_RESULT_BYTES;
 use crate::stages::throughput::Throughput;
 use crate::stages::worker::Worker;
 use crate::table::pool::StageWorkload;
@@ -230,6 +232,11 @@
             return;
         }
         self.reservations.swap_remove(&job.id);
+        if job.pieces > MAX_PIECES {
+            self.actions.push(Action::Reply { job: job.id, outcome: JobOutcome::Failed });
+            return;
+        }
+        let job = Job { bytes: job.bytes.min(MAX_RESULT_BYTES), ..job };
         if job.priority < LATE_PRIORITY {
             self.arrivals.add(self.now, job.priority, job.pieces);
         }
