--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -17,6 +17,7 @@
 use hawthornkeel_core::fleet::presence::PresenceTable;
 use hawthornkeel_core::fleet::presence::entries_mark;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_platform::target_list;
 
 use crate::clock::boot_now;
 use crate::control::directory::ControlDirectory;
@@ -305,6 +306,7 @@
     async fn follow_list(self) {
         loop {
             self.inner.directory.update(self.controls());
+            self.record_age();
             let lead = self.inner.control.lead();
             match lead.leader.filter(|l| l != self.inner.endpoint.name()) {
                 Some(leader) => {
@@ -356,14 +358,33 @@
     async fn poll_platform(&self) {
         let (client, address) = (&self.inner.http_client, self.inner.list_address);
         match list_reader::read_list(client, address, &ListLimits::default()).await {
-            Ok(list) => {
-                self.set_target_list(list);
+            Ok(reading) if reading.is_complete => {
+                self.set_target_list(reading.list);
                 self.inner.list_time.set(Some(Instant::now()));
             }
+            Ok(reading) => self.use_incomplete_list(&reading.list),
             Err(error) => self.log_unread(&error),
         }
     }
 
+    /// Uses what was read of a list, and what was known of the targets that are missing in it.
+    fn use_incomplete_list(&self, list: &TargetList) {
+        let time = self.inner.list_time.get();
+        let age = time.map(|l| l.elapsed().as_millis());
+        metrics::counter!(telemetry::LIST_ERRORS, "cause" => "incomplete").increment(1);
+        tracing::warn!(event = "list-incomplete", targets = list.targets.len(), age_ms = age);
+        let completed = target_list::complete_list(list, &self.inner.target_list.borrow());
+        self.set_target_list(completed);
+        // The missing targets are as of the last complete list.
+        self.inner.list_time.set(time.or(self.inner.list_time.get()));
+    }
+
+    fn record_age(&self) {
+        if let Some(time) = self.inner.list_time.get() {
+            metrics::gauge!(telemetry::LIST_AGE).set(time.elapsed().as_secs_f64());
+        }
+    }
+
     fn log_unread(&self, cause: &ListError) {
         metrics::counter!(telemetry::LIST_ERRORS, "cause" => cause.as_str()).increment(1);
         let age = self.inner.list_time.get().map(|l| l.elapsed().as_millis());
--- a/hawthornkeel/src/forward/list_reader.rs
+++ b/hawthornkeel/src/forward/list_reader.rs
@@ -6,8 +6,10 @@
 use std::time::Instant;
 
 use bytes::Bytes;
+use hawthornkeel_core::fleet::ListedTarget;
 use hawthornkeel_core::fleet::TargetList;
 use hawthornkeel_platform::target_list;
+use hawthornkeel_platform::target_list::Page;
 use indexmap::IndexSet;
 
 use crate::forward::exchange_error::ExchangeError;
@@ -40,6 +42,15 @@
     }
 }
 
+/// What was read of the list.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct ListReading {
+    /// Targets that were read.
+    pub list: TargetList,
+    /// Whether these are all; else a page can't be decoded completely, or a later one not be reached.
+    pub is_complete: bool,
+}
+
 /// Why the list can't be read.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub enum ListError {
@@ -47,7 +58,7 @@
     Exchange(ExchangeError),
     /// The response to the request for a page has another status than 200.
     Status(u16),
-    /// A page can't be decoded.
+    /// The first page, or all of them, can't be decoded.
     Undecodable(String),
     /// A page names itself or an earlier one as the next.
     RepeatedPage,
@@ -92,17 +103,18 @@
 
 impl std::error::Error for ListError {}
 
-/// Reads the whole list from `address`.
+/// Reads the list from `address`, as far as its pages can be decoded.
 ///
 /// # Errors
-/// Returns the reason if the list can't be read completely; a part of it is no list.
+/// Returns the reason if a page is not received, or nothing of the list can be decoded.
 pub async fn read_list(
     client: &HttpClient,
     address: SocketAddr,
     limits: &ListLimits,
-) -> Result<TargetList, ListError> {
+) -> Result<ListReading, ListError> {
     let deadline = Instant::now() + limits.timeout;
     let mut targets = Vec::new();
+    let mut is_complete = true;
     let mut bytes = 0_usize;
     let mut paths: IndexSet<String> = IndexSet::new();
     let mut path = target_list::PATH.to_owned();
@@ -116,13 +128,19 @@
         if bytes > limits.max_bytes {
             return Err(ListError::TooLarge);
         }
-        let page = target_list::decode_page(&body);
-        let page = page.map_err(|e| ListError::Undecodable(e.to_string()))?;
+        let page = match target_list::decode_page(&body) {
+            Ok(page) => page,
+            Err(error) if paths.is_empty() => {
+                return Err(ListError::Undecodable(error.to_string()));
+            }
+            Err(_) => Page::default(),
+        };
+        is_complete &= page.complete;
         if page.skipped > 0 {
             tracing::debug!(event = "list-entries-skipped", count = page.skipped);
         }
         targets.extend(page.targets);
-        let Some(next) = page.next else { return Ok(target_list::merge_pages(targets)) };
+        let Some(next) = page.next else { return reading(targets, is_complete) };
         paths.insert(path);
         if paths.contains(&next) {
             return Err(ListError::RepeatedPage);
@@ -132,6 +150,13 @@
     Err(ListError::TooManyPages)
 }
 
+fn reading(targets: Vec<ListedTarget>, is_complete: bool) -> Result<ListReading, ListError> {
+    if targets.is_empty() && !is_complete {
+        return Err(ListError::Undecodable("no entry can be decoded".to_owned()));
+    }
+    Ok(ListReading { list: target_list::merge_pages(targets), is_complete })
+}
+
 /// Reads one page.
 async fn read_page(
     client: &HttpClient,
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -38,6 +38,8 @@
 pub const EXCEEDED_RESPONSES: &str = "hawthornkeel_exceeded_responses_total";
 /// Failed reads of the platform's list, by cause.
 pub const LIST_ERRORS: &str = "hawthornkeel_list_errors_total";
+/// Time since the platform's list was last read completely in seconds.
+pub const LIST_AGE: &str = "hawthornkeel_list_age_seconds";
 /// What targets have said about themselves that changed how an entry uses them, by notice.
 pub const TARGET_NOTICES: &str = "hawthornkeel_target_notices_total";
 /// Requests refused because all targets of their pool had asked for a pause.
--- a/hawthornkeel/tests/endless_lists.rs
+++ b/hawthornkeel/tests/endless_lists.rs
@@ -13,8 +13,8 @@
 use hawthornkeel::forward::http_client::HttpClient;
 use hawthornkeel::forward::list_reader::ListError;
 use hawthornkeel::forward::list_reader::ListLimits;
+use hawthornkeel::forward::list_reader::ListReading;
 use hawthornkeel::forward::list_reader::read_list;
-use hawthornkeel_core::fleet::TargetList;
 use hawthornkeel_fakes::thread;
 use rstest::rstest;
 
@@ -61,7 +61,7 @@
     (address, served)
 }
 
-fn read(address: SocketAddr) -> (Result<TargetList, ListError>, Duration) {
+fn read(address: SocketAddr) -> (Result<ListReading, ListError>, Duration) {
     thread::block_on(async move {
         let started = Instant::now();
         let list = read_list(&HttpClient::default(), address, &LIMITS).await;
@@ -75,7 +75,7 @@
     let next = ["a", "b", "c"];
     let content = move |number| page(number, next.get(number).copied(), 0);
     let (address, _) = serve(Duration::ZERO, content);
-    assert_eq!(read(address).0.unwrap().targets.len(), 4);
+    assert_eq!(read(address).0.unwrap().list.targets.len(), 4);
 }
 
 #[rstest]
