--- a/hawthornkeel/src/disk/folder.rs
+++ b/hawthornkeel/src/disk/folder.rs
@@ -77,7 +77,7 @@
 /// Renames the temporary file for `path` to `path`.
 pub(super) fn commit_temporary(path: &Path) -> Result<(), DiskError> {
     fs::rename(path.with_extension(TEMPORARY_EXTENSION), path)
-        .map_err(|e| DiskError::io(path, e))?;
+        .map_err(|e| DiskError::write(path, e))?;
     path.parent().map_or(Ok(()), sync_folder)
 }
 
--- a/hawthornkeel/src/disk/mod.rs
+++ b/hawthornkeel/src/disk/mod.rs
@@ -11,8 +11,8 @@
 //! - A snapshot is written to a temporary file, synced and renamed. It names the first segment that
 //!   is still needed.
 //! - After a failed write or sync nothing more is written, because it is unknown which data the
-//!   kernel dropped. A frame rejected by a full disk is the exception: everything before it was
-//!   synced, so it is rolled back and written again.
+//!   kernel dropped. A frame or snapshot rejected by a full disk is the exception: everything before
+//!   it was synced, so it is rolled back and written again.
 
 mod error;
 mod file_io;
@@ -165,7 +165,8 @@
 
     /// Removes the frame that [`Disk::write`] failed to write with [`DiskError::Full`].
     ///
-    /// The failed call must have contained only log saves, which must be written again.
+    /// The failed call must have contained either only log saves or one snapshot, which must be
+    /// written again.
     ///
     /// # Errors
     ///
@@ -180,12 +181,19 @@
         Ok(())
     }
 
-    /// Writes and syncs records as one frame, and starts a new segment if the current one is full.
+    /// Writes and syncs records as one frame, after starting a new segment if the current one is
+    /// full.
+    ///
+    /// The frame is the last file operation, so that it isn't on the disk if an error is returned
+    /// because the disk is full.
     fn write_records(&mut self, records: &mut Vec<Record<'_>>) -> Result<(), DiskError> {
         if records.is_empty() {
             return Ok(());
         }
         let frame = frame::encode(&*records)?;
+        if self.segments.last().is_some_and(|s| s.bytes >= self.settings.segment_bytes) {
+            self.start_segment()?;
+        }
         let Some(segment) = self.segments.last_mut() else { return Err(DiskError::Poisoned) };
         let path = segment::path(&self.path, segment.number);
         self.io.write(&mut self.file, &frame).map_err(|e| DiskError::write(&path, e))?;
@@ -199,9 +207,6 @@
             self.last_index = record.entries.last().map_or(self.last_index, |e| e.index);
             segment.last_index = segment.last_index.max(self.last_index);
         }
-        if segment.bytes >= self.settings.segment_bytes {
-            self.start_segment()?;
-        }
         Ok(())
     }
 
@@ -221,20 +226,22 @@
         snapshot: &Snapshot,
         retention: LogRetention,
     ) -> Result<(), DiskError> {
+        let first = self.first_retained(retention);
+        snapshot::write_temporary(&self.path, snapshot, first, &mut self.io)?;
         if retention == LogRetention::Nothing {
             self.start_segment()?;
             self.last_index = snapshot.index;
         }
-        let first = self.first_retained(retention);
-        snapshot::write_temporary(&self.path, snapshot, first, &mut self.io)?;
         self.commit_snapshot(snapshot.index, first)
     }
 
     /// Returns the number of the first segment that is retained with a snapshot.
+    ///
+    /// It is the next one if nothing is retained.
     fn first_retained(&self, retention: LogRetention) -> u64 {
         let current = self.segments.last().map_or(1, |s| s.number);
         match retention {
-            LogRetention::Nothing => current,
+            LogRetention::Nothing => current + 1,
             LogRetention::From(index) => {
                 let retained = self.segments.iter().find(|s| s.last_index >= index);
                 retained.map_or(current, |s| s.number)
--- a/hawthornkeel/src/disk/writer.rs
+++ b/hawthornkeel/src/disk/writer.rs
@@ -149,11 +149,19 @@
 
     /// Writes saves, and retries while the disk is full.
     fn write(&mut self, saves: &[Save]) -> Result<(), DiskError> {
-        let is_log_only = saves.iter().all(|s| matches!(s, Save::Log { .. }));
+        // A retry writes all of its saves again, so those before a snapshot are written first.
+        for group in saves.chunk_by(|a, b| is_log(a) && is_log(b)) {
+            self.write_group(group)?;
+        }
+        Ok(())
+    }
+
+    /// Writes log saves or one snapshot, and retries while the disk is full.
+    fn write_group(&mut self, group: &[Save]) -> Result<(), DiskError> {
         let mut full_since = None;
         loop {
-            let error = match self.disk.write(saves) {
-                Err(DiskError::Full(file)) if is_log_only => DiskError::Full(file),
+            let error = match self.disk.write(group) {
+                Err(DiskError::Full(file)) => DiskError::Full(file),
                 result => {
                     if let (Some(since), Ok(())) = (full_since, &result) {
                         let ms = Instant::elapsed(&since).as_millis();
@@ -238,12 +246,18 @@
     fn finish_job(&mut self) -> Result<(), DiskError> {
         let Some(job) = self.job.take() else { return Ok(()) };
         // A panic of the thread leaves no committed snapshot.
-        let result = job.thread.join().unwrap_or(Err(DiskError::Poisoned));
-        if let Err(error @ DiskError::Full(_)) = result {
-            // The log still contains all entries that the snapshot would have replaced.
-            tracing::warn!(event = "snapshot-left-out", %error);
-            return folder::remove_temporary_files(&self.disk.path);
+        let written = job.thread.join().unwrap_or(Err(DiskError::Poisoned));
+        match written.and_then(|()| self.disk.commit_snapshot(job.index, job.first)) {
+            Err(error @ DiskError::Full(_)) => {
+                // The log still contains all entries that the snapshot would have replaced.
+                tracing::warn!(event = "snapshot-left-out", %error);
+                folder::remove_temporary_files(&self.disk.path)
+            }
+            result => result,
         }
-        result.and_then(|()| self.disk.commit_snapshot(job.index, job.first))
     }
 }
+
+fn is_log(save: &Save) -> bool {
+    matches!(save, Save::Log { .. })
+}
