--- a/hawthornkeel/src/control/open.rs
+++ b/hawthornkeel/src/control/open.rs
@@ -22,6 +22,8 @@
 use crate::disk::DiskError;
 use crate::disk::DiskSettings;
 use crate::disk::DiskWriter;
+use crate::disk::FileIo;
+use crate::disk::SystemIo;
 use crate::disk::WriterEvent;
 use crate::peer::Endpoint;
 
@@ -92,20 +94,21 @@
 ///
 /// Returns an error if the data folder is in use or damaged, or can't be read or written.
 pub fn open_control(settings: &Settings, endpoint: &Endpoint) -> Result<ControlNode, OpenError> {
-    open_with(settings, endpoint, Tuning::default())
+    open_with(settings, endpoint, Tuning::default(), SystemIo)
 }
 
-/// Starts the control role like [`open_control`], with custom limits.
+/// Starts the control role like [`open_control`], with custom limits and file I/O.
 ///
 /// # Errors
 ///
 /// Returns an error if the data folder is in use or damaged, or can't be read or written.
-pub fn open_with(
+pub fn open_with<F: FileIo>(
     settings: &Settings,
     endpoint: &Endpoint,
     tuning: Tuning,
+    io: F,
 ) -> Result<ControlNode, OpenError> {
-    let (disk, recovered) = Disk::open(&settings.control.data, tuning.disk)?;
+    let (disk, recovered) = Disk::open_with(&settings.control.data, tuning.disk, io)?;
     let replica = recovered.id;
     tracing::info!(event = "data-folder-opened", %replica, cut_bytes = recovered.truncated_bytes);
     let (sender, receiver) = mpsc::unbounded();
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -25,6 +25,9 @@
 use rustix::time::clock_gettime;
 use tempfile::TempDir;
 
+use crate::support::full_disk::FolderLimit;
+use crate::support::full_disk::FullDiskIo;
+
 /// Interval at which an instance checks whether it has to stop.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -55,6 +58,8 @@
     spec: InstanceSpec,
     /// Kept while the instance is down, so that no other test takes its port.
     socket: UdpSocket,
+    /// Disk, which keeps its room while the instance is down.
+    disk: FullDiskIo,
     running: Option<Running>,
 }
 
@@ -93,7 +98,12 @@
 
     /// Creates a cluster without starting its instances.
     pub fn new(specs: Vec<InstanceSpec>) -> Self {
-        let create = |spec| ClusterInstance { spec, socket: super::socket(), running: None };
+        let create = |spec| ClusterInstance {
+            spec,
+            socket: super::socket(),
+            disk: FullDiskIo::default(),
+            running: None,
+        };
         Self {
             folder: TempDir::new().unwrap(),
             tuning: Tuning::default(),
@@ -187,15 +197,28 @@
         let settings = self.settings(name, instance.spec.centre, instance.spec.control);
         let socket = instance.socket.try_clone().unwrap();
         let stop = Arc::new(AtomicBool::new(false));
-        let (stopped, tuning) = (stop.clone(), self.tuning);
+        let (stopped, tuning, disk) = (stop.clone(), self.tuning, instance.disk.clone());
         let usage = Arc::new(Usage::default());
         let recorded = usage.clone();
         let thread =
-            std::thread::spawn(move || serve(&settings, socket, tuning, &stopped, &recorded));
+            std::thread::spawn(move || serve(&settings, socket, tuning, disk, &stopped, &recorded));
         let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
         self.instances[at].running = Some(Running { stop, usage, thread });
     }
 
+    /// Sets whether the disk of an instance is full.
+    pub fn set_full(&self, name: &str, full: bool) {
+        self.instance(name).disk.set_full(full);
+    }
+
+    /// Limits the data folder of each instance that is started from now on, in bytes.
+    pub fn set_disk_bytes(&mut self, bytes: u64) {
+        for instance in &mut self.instances {
+            let path = self.folder.path().join(format!("{}-data", instance.spec.name));
+            instance.disk.set_limit(FolderLimit { path, bytes });
+        }
+    }
+
     /// Stops an instance at once; its outstanding work is lost.
     pub fn kill(&mut self, name: &str) {
         let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
@@ -245,10 +268,17 @@
     }
 }
 
-fn serve(settings: &Settings, socket: UdpSocket, tuning: Tuning, stop: &AtomicBool, usage: &Usage) {
+fn serve(
+    settings: &Settings,
+    socket: UdpSocket,
+    tuning: Tuning,
+    disk: FullDiskIo,
+    stop: &AtomicBool,
+    usage: &Usage,
+) {
     super::run(async {
         let endpoint = Endpoint::with_socket(socket, settings).unwrap();
-        let open = || open_with(settings, &endpoint, tuning).unwrap();
+        let open = || open_with(settings, &endpoint, tuning, disk).unwrap();
         let parts = start::start(settings, &endpoint, settings.control.enabled.then(open));
         while !stop.load(Ordering::Relaxed) {
             monoio::time::sleep(POLL_INTERVAL).await;
--- a/hawthornkeel/tests/support/mod.rs
+++ b/hawthornkeel/tests/support/mod.rs
@@ -2,6 +2,7 @@
 #![allow(dead_code)]
 
 pub mod cluster;
+pub mod full_disk;
 pub mod operator;
 
 use std::future::Future;
--- a/hawthornkeel_core/src/replica/leadership.rs
+++ b/hawthornkeel_core/src/replica/leadership.rs
@@ -208,16 +208,16 @@
         }
     }
 
-    /// Requests a snapshot if enough entries were applied since the last one.
+    /// Requests a snapshot if enough entries, or entries of enough size, were applied since the last
+    /// one.
     pub(super) fn request_snapshot(&mut self) {
         let (since, bytes) =
             self.snapshot.as_ref().map_or((LogIndex(0), 0), |s| (s.index, s.data.len()));
         let entries = self.commit.0 - since.0;
+        let is_due = entries >= self.settings.snapshot_entries
+            || self.applied_bytes >= self.settings.snapshot_bytes;
         // A large state is only written again once the applied entries reach its size.
-        if !self.snapshot_requested
-            && entries >= self.settings.snapshot_entries
-            && self.applied_bytes >= bytes
-        {
+        if !self.snapshot_requested && is_due && self.applied_bytes >= bytes {
             self.snapshot_requested = true;
             self.actions.push(Action::TakeSnapshot);
         }
@@ -233,7 +233,7 @@
         }
         let members = self.log.members_at(index);
         let snapshot = Snapshot { index, term, members, data };
-        let compacted = LogIndex(index.0.saturating_sub(self.settings.retain_entries));
+        let compacted = self.compaction_index(index);
         self.save_log();
         self.log.compact(compacted);
         self.log.drop_old_configs(index);
@@ -243,4 +243,20 @@
         let save = Save::Snapshot { snapshot, retention: LogRetention::From(log::next(compacted)) };
         self.actions.push(Action::Save { seq, save });
     }
+
+    /// Returns the last entry that is dropped from the log with a snapshot at `index`.
+    fn compaction_index(&self, index: LogIndex) -> LogIndex {
+        let oldest = LogIndex(index.0.saturating_sub(self.settings.retain_entries));
+        let mut compacted = index;
+        let mut retained_bytes = 0;
+        while compacted > oldest {
+            let Some(entry) = self.log.get(compacted) else { break };
+            retained_bytes += entry.size();
+            if retained_bytes > self.settings.retain_bytes {
+                break;
+            }
+            compacted = log::previous(compacted);
+        }
+        compacted
+    }
 }
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -49,8 +49,15 @@
     /// Number of entries applied since the last snapshot after which the next one is taken,
     /// provided that they are at least as large as the last one.
     pub snapshot_entries: u64,
+    /// Size of the entries applied since the last snapshot after which the next one is taken even
+    /// if they are fewer than `snapshot_entries`, in bytes.
+    ///
+    /// Bounds the log on the disk and in memory, which entries with large documents fill first.
+    pub snapshot_bytes: usize,
     /// Number of entries before a snapshot that are retained in the log for slow followers.
     pub retain_entries: u64,
+    /// Maximum size of the entries that are retained, in bytes.
+    pub retain_bytes: usize,
     /// Maximum number of entries that a learner may lack to be promoted to a voter.
     pub catchup_entries: u64,
     /// Maximum size of the entries in one message, in bytes. A single entry may be larger.
@@ -78,7 +85,9 @@
             hello_interval: Duration::from_millis(500),
             read_timeout: Duration::from_millis(1_000),
             snapshot_entries: 20_000,
+            snapshot_bytes: 16 * 1024 * 1024,
             retain_entries: 2_000,
+            retain_bytes: 4 * 1024 * 1024,
             catchup_entries: 64,
             append_bytes: 256 * 1024,
             inflight_messages: 16,
