--- a/hawthornkeel/src/control/follow.rs
+++ b/hawthornkeel/src/control/follow.rs
@@ -3,6 +3,10 @@
 //! After a start, an instance adopts a state that a leader confirms to include all acknowledged
 //! changes, so that it never serves a lower version than before the restart. If no leader replies,
 //! it adopts the newest state of any peer.
+//!
+//! A state is confirmed to include all changes acknowledged until a point in time only by a leader,
+//! on request. An instance that hears heartbeats may lack committed entries for as long as its disk
+//! hangs, so neither they nor a known leader confirm anything.
 
 use std::time::Duration;
 use std::time::Instant;
@@ -12,6 +16,8 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::state::published::PublishedState;
 
+use crate::clock::boot_now;
+use crate::clock::millis;
 use crate::control::fan_out::call_all;
 use crate::control::node::ControlNode;
 use crate::control::sources::Source;
@@ -127,6 +133,7 @@
             if followed.published.is_some()
                 || monoio::time::timeout_at(deadline, changed).await.is_err()
             {
+                self.confirm_as_leader();
                 return self.watch.reply_after(after);
             }
         }
@@ -134,8 +141,13 @@
 
     async fn run(self) {
         self.load_initial_state().await;
+        if let Some(control) = self.control.clone() {
+            monoio::spawn(self.clone().apply_own_log(control));
+        }
         let mut position = 0;
         let mut switched_at = Instant::now();
+        // Position of the source that replied last with a recent state.
+        let mut followed = None;
         loop {
             let Some(source) = self.sources.get(position) else {
                 position = 0;
@@ -144,8 +156,12 @@
             };
             // The first call isn't held, so that an isolated source is detected without delay.
             if self.poll(source, 0).await.is_fresh() {
+                if followed.replace(position) != Some(position) {
+                    self.log_source(source);
+                }
                 while self.poll(source, POLL_WAIT_MS).await.is_fresh() {
-                    if position > 0 && switched_at.elapsed() > FAILBACK_INTERVAL {
+                    let failback = switched_at.elapsed() > FAILBACK_INTERVAL;
+                    if position > 0 && (failback || self.known_leader().is_some()) {
                         break;
                     }
                 }
@@ -157,6 +173,43 @@
         }
     }
 
+    /// Puts the state that the control role of this instance applies in force, without end.
+    ///
+    /// This confirms nothing: the log may lack committed entries.
+    async fn apply_own_log(self, control: ControlNode) {
+        loop {
+            let seen = control.changes().count();
+            self.watch.update(control.published());
+            control.changes().wait_after(seen).await;
+        }
+    }
+
+    /// Confirms the state of this instance if it leads; returns whether it does.
+    fn confirm_as_leader(&self) -> bool {
+        let Some(control) = &self.control else { return false };
+        // A leader that was suspended steps down at a tick.
+        control.tick();
+        let now = boot_now();
+        let is_current = control.is_current(now);
+        if is_current {
+            self.watch.update(control.published());
+            self.watch.record_confirmation(now);
+        }
+        is_current
+    }
+
+    /// Logs that this instance follows another source than before.
+    fn log_source(&self, source: &Source) {
+        let state = self.watch.current().unwrap_or_default();
+        let (index, version) = (state.index, state.version);
+        let source = match source {
+            Source::Own => "own",
+            Source::Peer(name) => name.as_str(),
+        };
+        let age_ms = self.watch.age().map(millis);
+        tracing::info!(event = "state-followed", source, %index, %version, age_ms);
+    }
+
     /// Adopts an initial state: that of a leader, else the newest state of any peer.
     async fn load_initial_state(&self) {
         let start = Instant::now();
@@ -164,7 +217,8 @@
         while self.watch.index().is_none() {
             match self.known_leader() {
                 Some(leader) if leader == *self.endpoint.name() => {
-                    self.watch.merge(self.latest().await);
+                    let sent = boot_now();
+                    self.watch.merge(self.latest().await, sent);
                 }
                 Some(leader) => {
                     self.merge_from_all(&[leader], &Frame::Follow(Follow::Latest)).await;
@@ -211,6 +265,7 @@
         let latest = matches!(frame, Frame::Follow(Follow::Latest));
         let is_enough =
             |f: &Frame| latest && matches!(f, Frame::Followed(f) if f.published.is_some());
+        let sent = boot_now();
         let replies = call_all(&self.endpoint, peers, frame, REPLY_TIMEOUT, is_enough).await;
         let mut replies: Vec<_> = replies
             .into_iter()
@@ -222,33 +277,32 @@
         // Merges the newest state first, so that no older one is put in force before it.
         replies.sort_by_key(|f| std::cmp::Reverse(f.published.as_ref().map(|p| p.index)));
         for followed in replies {
-            self.watch.merge(followed);
+            self.watch.merge(followed, sent);
         }
     }
 
     async fn poll(&self, source: &Source, wait_ms: u32) -> Freshness {
-        let after = self.watch.index();
-        let followed = match source {
-            Source::Own => self.poll_control(after, wait_ms).await,
-            Source::Peer(name) => self.poll_peer(name, Follow::Newer { after, wait_ms }).await,
+        let age = match source {
+            Source::Own => self.poll_control(wait_ms).await,
+            Source::Peer(name) => self.poll_peer(name, wait_ms).await,
         };
-        let Some(followed) = followed else { return Freshness::Stale };
-        let age = followed.age_ms.map(Duration::from_millis);
-        self.watch.merge(followed);
         match age {
             Some(age) if age <= MAX_STATE_AGE => Freshness::Fresh,
             _ => Freshness::Stale,
         }
     }
 
-    async fn poll_peer(&self, name: &InstanceName, follow: Follow) -> Option<Followed> {
-        let poll_wait = match follow {
-            Follow::Newer { wait_ms, .. } => Duration::from_millis(wait_ms.into()),
-            Follow::Latest => Duration::ZERO,
-        };
-        let timeout = REPLY_TIMEOUT + poll_wait;
+    /// Polls a peer and merges its reply; returns the age that the peer's state had there.
+    async fn poll_peer(&self, name: &InstanceName, wait_ms: u32) -> Option<Duration> {
+        let follow = Follow::Newer { after: self.watch.index(), wait_ms };
+        let timeout = REPLY_TIMEOUT + Duration::from_millis(wait_ms.into());
+        let sent = boot_now();
         match self.endpoint.call(name, &Frame::Follow(follow), timeout).await {
-            Ok(Frame::Followed(followed)) => Some(followed),
+            Ok(Frame::Followed(followed)) => {
+                let age = followed.age_ms.map(Duration::from_millis);
+                self.watch.merge(followed, sent);
+                age
+            }
             Ok(_) => None,
             Err(error) => {
                 tracing::debug!(event = "follow-failed", peer = %name, %error);
@@ -257,27 +311,19 @@
         }
     }
 
-    /// Polls the control role of this instance, which replies like a peer.
-    async fn poll_control(&self, after: Option<LogIndex>, wait_ms: u32) -> Option<Followed> {
+    /// Waits for a change of the own log, and has the state confirmed: by this instance if it leads,
+    /// else by the leader that its control role knows.
+    ///
+    /// Returns the age of the state, or `None` if no leader confirms it.
+    async fn poll_control(&self, wait_ms: u32) -> Option<Duration> {
         let control = self.control.as_ref()?;
-        let seen = control.changes().count();
-        // After a suspension of the process, the known leader may be outdated until a tick.
-        control.tick();
-        let mut published = control.published();
-        if after.is_some_and(|a| published.index <= a) {
-            let wait = Duration::from_millis(wait_ms.into());
-            let _ = monoio::time::timeout(wait, control.changes().wait_after(seen)).await;
-            control.tick();
-            published = control.published();
+        let changed = control.changes().wait_after(control.changes().count());
+        let _ = monoio::time::timeout(Duration::from_millis(wait_ms.into()), changed).await;
+        if self.confirm_as_leader() {
+            return Some(Duration::ZERO);
         }
-        let lead = control.lead();
-        let confirmed = match lead.leader {
-            Some(leader) if leader == *self.endpoint.name() => lead.is_leader,
-            Some(_) => true,
-            None => false,
-        };
-        let age_ms = confirmed.then_some(0);
-        Some(Followed { published: Some(published), take_outs: Vec::new(), age_ms })
+        let leader = self.known_leader().filter(|l| l != self.endpoint.name())?;
+        self.poll_peer(&leader, 0).await
     }
 }
 
