--- a/hawthornkeel_core/tests/simulation/disk.rs
+++ b/hawthornkeel_core/tests/simulation/disk.rs
@@ -20,12 +20,31 @@
     pending: VecDeque<(SaveSeq, Save)>,
     /// Completion time of the last scheduled sync, in microseconds.
     busy_until: u64,
+    /// Time until which no write completes, in microseconds.
+    blocked_until: u64,
+    block: Block,
+}
+
+/// Why a disk completes no write for a while.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Block {
+    /// It has no room: saves are retried, and snapshots of the replica's own state are skipped.
+    Full,
+    /// Its syncs hang.
+    Hanging,
 }
 
 impl Disk {
     pub fn empty(id: impl Into<u64>) -> Self {
         let id = ReplicaId(id.into());
-        Self { id, synced: PersistedState::default(), pending: VecDeque::new(), busy_until: 0 }
+        Self {
+            id,
+            synced: PersistedState::default(),
+            pending: VecDeque::new(),
+            busy_until: 0,
+            blocked_until: 0,
+            block: Block::Full,
+        }
     }
 
     /// Returns the state that a process recovers at startup.
@@ -43,10 +62,19 @@
         set.collect()
     }
 
+    /// Completes no write until a time in microseconds.
+    pub fn block(&mut self, block: Block, until: u64) {
+        self.block = block;
+        self.blocked_until = until;
+    }
+
     /// Queues a write, and returns the time until it is synced. Syncs complete in order.
     pub fn write(&mut self, seq: SaveSeq, save: Save, now: u64, delay: u64) -> u64 {
+        let is_full = self.block == Block::Full && now < self.blocked_until;
+        let save = if is_full { without_own_snapshot(save) } else { save };
         self.pending.push_back((seq, save));
-        self.busy_until = self.busy_until.max(now + delay);
+        let start = now.max(self.blocked_until);
+        self.busy_until = self.busy_until.max(start + delay);
         self.busy_until - now
     }
 
@@ -89,3 +117,13 @@
         }
     }
 }
+
+/// Returns a save as a full disk takes it: without a snapshot whose entries the log still has.
+fn without_own_snapshot(save: Save) -> Save {
+    match save {
+        Save::Snapshot { retention: LogRetention::From(_), .. } => {
+            Save::Log { hard: None, truncate: None, entries: Vec::new() }
+        }
+        save => save,
+    }
+}
