--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -6,6 +6,7 @@
 pub mod document;
 pub mod engines;
 pub mod links;
+pub mod metrics;
 pub mod operators;
 pub mod process;
 pub mod repeating;
--- a/hawthornkeel/tests/list_errors.rs
+++ b/hawthornkeel/tests/list_errors.rs
@@ -3,16 +3,13 @@
 mod forward_harness;
 mod raw_target;
 
-use std::io::Read;
-use std::io::Write;
-use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::time::Duration;
 
 use hawthornkeel_fakes::thread::eventually;
 use rstest::rstest;
 
 use crate::forward_harness::Harness;
+use crate::forward_harness::metrics::metrics;
 use crate::raw_target::Pace;
 use crate::raw_target::RawTarget;
 
@@ -20,17 +17,6 @@
 const NET: u8 = 108;
 const LIMIT: Duration = Duration::from_secs(20);
 
-/// Returns the metrics of an instance, or what was received of them.
-fn metrics(admin: SocketAddr) -> String {
-    let mut page = String::new();
-    if let Ok(mut stream) = TcpStream::connect(admin) {
-        let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        let _ = stream.write_all(request.as_bytes());
-        let _ = stream.read_to_string(&mut page);
-    }
-    page
-}
-
 #[rstest]
 #[case::bytes("HTTP/1.1 200 OK\r\n\r\n", Pace::Flood, "bytes", NET)]
 #[case::time("HTTP/1.1 200 OK\r\n\r\n", Pace::Drip, "time", NET + 1)]
--- a/hawthornkeel/tests/odd_pages.rs
+++ b/hawthornkeel/tests/odd_pages.rs
@@ -4,10 +4,6 @@
 mod cut_target;
 mod forward_harness;
 
-use std::io::Read;
-use std::io::Write;
-use std::net::SocketAddr;
-use std::net::TcpStream;
 use std::sync::Arc;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
@@ -25,6 +21,7 @@
 use crate::cut_target::Answer;
 use crate::cut_target::CutTarget;
 use crate::forward_harness::Harness;
+use crate::forward_harness::metrics::metrics;
 use crate::forward_harness::requests::fields;
 
 const LIMIT: Duration = Duration::from_secs(20);
@@ -80,17 +77,6 @@
     assert_eq!((&read[..], reading.is_complete), (names, is_complete));
 }
 
-/// Returns the metrics of an instance, or what was received of them.
-fn metrics(admin: SocketAddr) -> String {
-    let mut page = String::new();
-    if let Ok(mut stream) = TcpStream::connect(admin) {
-        let request = "GET /metrics HTTP/1.1\r\nHost: a\r\nConnection: close\r\n\r\n";
-        let _ = stream.write_all(request.as_bytes());
-        let _ = stream.read_to_string(&mut page);
-    }
-    page
-}
-
 /// Returns whether one target gets all of some requests.
 fn serves_all(harness: &Harness, target: &str) -> bool {
     let before = harness.request_count(target);
