Rollouts: records, messages and their encoding beside the released formats

Cause: rollouts need a log command, a part of the state and messages that builds of the last releases can't read, and no field may be added to a message that exists.

Change: replicated records of rollouts (one a pool, idempotent orders) in the core.

Messages about rollouts have a version of their own in the frame header and go only over connections whose peer has offered the protocol name hawthornkeel/rollouts in the TLS handshake.

Nothing proposes a rollout yet.

--- a/hawthornkeel/src/control/proposal_queue.rs
+++ b/hawthornkeel/src/control/proposal_queue.rs
@@ -133,7 +133,7 @@
             Settlement::Done(answer) => answer.len(),
             Settlement::Released | Settlement::Unknown => 0,
         },
-        Command::Claim(_) | Command::Centre(_) | Command::Fence(_) => 0,
+        Command::Claim(_) | Command::Centre(_) | Command::Fence(_) | Command::Rollout(_) => 0,
     };
     COMMAND_BYTES + text
 }
--- a/hawthornkeel/src/peer/credentials.rs
+++ b/hawthornkeel/src/peer/credentials.rs
@@ -16,6 +16,7 @@
 use quinn::ServerConfig;
 use quinn::TransportConfig;
 use quinn::VarInt;
+use quinn::crypto::rustls::HandshakeData;
 use quinn::crypto::rustls::QuicClientConfig;
 use quinn::crypto::rustls::QuicServerConfig;
 use rustls::DigitallySignedStruct;
@@ -41,8 +42,41 @@
 
 use crate::peer::certificate::self_signed;
 
-/// Protocol name negotiated in the TLS handshake.
-const ALPN: &[u8] = b"hawthornkeel";
+/// Protocol that two peers agree on in the TLS handshake, by the names that both offer.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+pub enum Protocol {
+    /// Frames of [`wire::VERSION`](crate::peer::wire::VERSION) only.
+    Base,
+    /// These frames, messages about rollouts, and log entries and snapshots that hold rollouts.
+    Rollouts,
+}
+
+impl Protocol {
+    /// Protocols that this build speaks, in order of preference.
+    const ALL: [Self; 2] = [Self::Rollouts, Self::Base];
+
+    /// Returns the name in the TLS handshake.
+    fn name(self) -> &'static [u8] {
+        match self {
+            Self::Base => b"hawthornkeel",
+            Self::Rollouts => b"hawthornkeel/rollouts",
+        }
+    }
+
+    fn names() -> Vec<Vec<u8>> {
+        Self::ALL.iter().map(|p| p.name().to_vec()).collect()
+    }
+
+    /// Returns the protocol of an established connection.
+    pub fn of(connection: &Connection) -> Self {
+        let data = connection.handshake_data();
+        let data = data.and_then(|d| d.downcast::<HandshakeData>().ok());
+        match data.and_then(|d| d.protocol) {
+            Some(name) if name == Self::Rollouts.name() => Self::Rollouts,
+            _ => Self::Base,
+        }
+    }
+}
 /// Idle timeout of a connection: time without a datagram from the peer, in milliseconds.
 pub const IDLE_TIMEOUT_MS: u32 = 2_000;
 /// Interval between keep-alive pings.
@@ -115,13 +149,13 @@
             .dangerous()
             .with_custom_certificate_verifier(Arc::new(AcceptAnyCertificate(provider.clone())))
             .with_no_client_auth();
-        client.alpn_protocols = vec![ALPN.to_vec()];
+        client.alpn_protocols = Protocol::names();
         client.resumption = Resumption::disabled();
         let mut server = rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&TLS13])?
             .with_no_client_auth()
             .with_single_cert(chain, key)?;
-        server.alpn_protocols = vec![ALPN.to_vec()];
+        server.alpn_protocols = Protocol::names();
         server.send_tls13_tickets = 0;
         Self::with_quic(client, server)
     }
@@ -210,7 +244,7 @@
         .with_protocol_versions(&[&TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
-    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.alpn_protocols = Protocol::names();
     config.resumption = Resumption::disabled();
     Ok(config)
 }
@@ -228,7 +262,7 @@
         .with_protocol_versions(&[&TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
-    config.alpn_protocols = vec![ALPN.to_vec()];
+    config.alpn_protocols = Protocol::names();
     config.send_tls13_tickets = 0;
     Ok(config)
 }
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -23,9 +23,11 @@
 use quinn::VarInt;
 
 use crate::peer::credentials::Credentials;
+use crate::peer::credentials::Protocol;
 use crate::peer::error::PeerError;
 use crate::peer::frame::Frame;
 use crate::peer::frame::FrameKind;
+use crate::peer::frame::Refusal;
 use crate::peer::inbound;
 use crate::peer::inbound::Handlers;
 use crate::peer::link::Dialer;
@@ -195,6 +197,9 @@
         let request = wire::encode(frame)?;
         let deadline = monoio::time::Instant::now() + timeout;
         let connection = connect(&link, deadline).await?;
+        if matches!(frame, Frame::Rollout(_)) && Protocol::of(&connection) != Protocol::Rollouts {
+            return Err(PeerError::Refused(Refusal::Unsupported));
+        }
         let received = connection.stats().udp_rx.datagrams;
         match monoio::time::timeout_at(deadline, send_request(&connection, request)).await {
             Ok(Ok(Frame::Refused(refusal))) => Err(PeerError::Refused(refusal)),
@@ -209,6 +214,12 @@
         }
     }
 
+    /// Returns the protocol of the last connection that this instance established with a peer, `None`
+    /// before the first.
+    pub fn protocol(&self, peer: &InstanceName) -> Option<Protocol> {
+        self.inner.links.borrow().get(peer)?.protocol()
+    }
+
     /// Sets the handler of calls of `kind` whose response has a body; calls run concurrently.
     ///
     /// The handler writes the response frame and the body to the stream. Bytes of the body are
--- a/hawthornkeel/src/peer/frame.rs
+++ b/hawthornkeel/src/peer/frame.rs
@@ -37,6 +37,7 @@
 use serde::Serialize;
 
 use crate::entry::messaging::EntryMessage;
+use crate::peer::rollout_frame::RolloutFrame;
 
 /// Message between instances.
 ///
@@ -115,6 +116,9 @@
     Forward(Box<ForwardedRequest>),
     /// Answers [`Frame::Forward`]; the body of the response follows on the same stream.
     ForwardReply(ForwardReply),
+    /// Message about rollouts, in a format of its own that is not part of this enum's encoding.
+    #[serde(skip)]
+    Rollout(RolloutFrame),
 }
 
 /// Kind of a frame, which selects its handler.
@@ -168,6 +172,12 @@
     FindStream,
     /// Of [`Frame::Forward`].
     Forward,
+    /// Of [`RolloutFrame::Query`].
+    RolloutQuery,
+    /// Of [`RolloutFrame::Report`].
+    RolloutReport,
+    /// Of [`RolloutFrame::Order`].
+    RolloutOrder,
 }
 
 impl Frame {
@@ -196,6 +206,9 @@
             Self::Streams(_) => FrameKind::Streams,
             Self::FindStream(_) => FrameKind::FindStream,
             Self::Forward(_) => FrameKind::Forward,
+            Self::Rollout(RolloutFrame::Query(_)) => FrameKind::RolloutQuery,
+            Self::Rollout(RolloutFrame::Report(_)) => FrameKind::RolloutReport,
+            Self::Rollout(RolloutFrame::Order(_)) => FrameKind::RolloutOrder,
             Self::Refused(_)
             | Self::Proposed(_)
             | Self::Followed(_)
@@ -207,6 +220,7 @@
             | Self::ProbeLent(_)
             | Self::StreamFound(_)
             | Self::ForwardReply(_)
+            | Self::Rollout(_)
             | Self::StatusReply(_) => FrameKind::Answer,
         }
     }
--- a/hawthornkeel/src/peer/link.rs
+++ b/hawthornkeel/src/peer/link.rs
@@ -21,6 +21,7 @@
 use quinn::SendStream;
 use quinn::VarInt;
 
+use crate::peer::credentials::Protocol;
 use crate::peer::error::PeerError;
 use crate::peer::frame::Frame;
 use crate::peer::inbound::HELLO_TIMEOUT;
@@ -72,6 +73,8 @@
     last_used: Cell<Instant>,
     /// Number of response bodies that are being received.
     bodies: Cell<u32>,
+    /// Protocol of the last connection, `None` before the first.
+    protocol: Cell<Option<Protocol>>,
     closed: Cell<bool>,
 }
 
@@ -102,6 +105,7 @@
             queued: EventCount::default(),
             last_used: Cell::new(Instant::now()),
             bodies: Cell::new(0),
+            protocol: Cell::default(),
             closed: Cell::new(false),
         });
         monoio::spawn(write_queued(Rc::downgrade(&link)));
@@ -145,6 +149,11 @@
         self.changed.notify();
     }
 
+    /// Returns the protocol of the last connection, `None` before the first.
+    pub fn protocol(&self) -> Option<Protocol> {
+        self.protocol.get()
+    }
+
     /// Keeps the connection open until the result is dropped.
     pub fn keep_open(self: &Rc<Self>) -> LinkUse {
         self.bodies.set(self.bodies.get().saturating_add(1));
@@ -211,6 +220,7 @@
         monoio::spawn(async move {
             let state = match link.dial().await {
                 Ok((connection, stream)) => {
+                    link.protocol.set(Some(Protocol::of(&connection)));
                     tracing::info!(event = "peer-connected", peer = %link.peer, address = %link.address);
                     monoio::spawn(close_unused(Rc::downgrade(&link), connection.clone()));
                     State::Connected { connection, stream: Some(stream) }
--- a/hawthornkeel/src/peer/mod.rs
+++ b/hawthornkeel/src/peer/mod.rs
@@ -10,6 +10,7 @@
 pub mod frame;
 mod inbound;
 mod link;
+pub mod rollout_frame;
 pub mod runtime;
 pub mod wakeup;
 pub mod wire;
--- a/hawthornkeel/src/peer/wire.rs
+++ b/hawthornkeel/src/peer/wire.rs
@@ -8,13 +8,19 @@
 use monoio::time::timeout;
 use quinn::ReadExactError;
 use quinn::RecvStream;
+use serde::de::DeserializeOwned;
 
 use crate::peer::compression;
 use crate::peer::compression::BodyEncoding;
 use crate::peer::frame::Frame;
+use crate::peer::rollout_frame::RolloutFrame;
 
 /// Protocol version of this build.
 pub const VERSION: u16 = 8;
+/// Version in the header of messages about rollouts, which older builds don't read.
+///
+/// Far from [`VERSION`], so that either may rise without meeting the other.
+pub const ROLLOUT_VERSION: u16 = 0x0101;
 /// Maximum size of a frame's body before compression, in bytes.
 pub const MAX_BODY_BYTES: usize = 8 * 1024 * 1024;
 /// Time from the first byte of a frame within which the rest of it must arrive.
@@ -87,7 +93,11 @@
 ///
 /// Fails where the body is longer than [`MAX_BODY_BYTES`].
 pub fn encode(frame: &Frame) -> Result<Bytes, WireError> {
-    let body = postcard::to_extend(frame, vec![0; HEADER_BYTES])?;
+    let reserved = vec![0; HEADER_BYTES];
+    let (version, body) = match frame {
+        Frame::Rollout(rollout) => (ROLLOUT_VERSION, postcard::to_extend(rollout, reserved)?),
+        other => (VERSION, postcard::to_extend(other, reserved)?),
+    };
     let size = body.len() - HEADER_BYTES;
     if size > MAX_BODY_BYTES {
         return Err(WireError::TooLong(size));
@@ -97,17 +107,21 @@
         Some(compressed) => {
             let mut data = vec![0; HEADER_BYTES];
             data.extend_from_slice(&compressed);
-            write_header(data, BodyEncoding::Deflate)
+            write_header(data, version, BodyEncoding::Deflate)
         }
-        None => write_header(body, BodyEncoding::Identity),
+        None => write_header(body, version, BodyEncoding::Identity),
     }
 }
 
 /// Writes the header into the space reserved for it.
-fn write_header(mut data: Vec<u8>, encoding: BodyEncoding) -> Result<Bytes, WireError> {
+fn write_header(
+    mut data: Vec<u8>,
+    version: u16,
+    encoding: BodyEncoding,
+) -> Result<Bytes, WireError> {
     let size = data.len() - HEADER_BYTES;
     let length = u32::try_from(size).map_err(|_| WireError::TooLong(size))?;
-    let [v0, v1] = VERSION.to_le_bytes();
+    let [v0, v1] = version.to_le_bytes();
     let [l0, l1, l2, l3] = length.to_le_bytes();
     let header = [v0, v1, encoding.code(), l0, l1, l2, l3];
     data.iter_mut().zip(header).for_each(|(to, from)| *to = from);
@@ -132,24 +146,39 @@
     let mut rest = [0; HEADER_BYTES - 1];
     stream.read_exact(&mut rest).await?;
     let ([v0], [v1, encoding, l0, l1, l2, l3]) = (first, rest);
-    let (encoding, length) = parse_header([v0, v1, encoding, l0, l1, l2, l3])?;
+    let (format, encoding, length) = parse_header([v0, v1, encoding, l0, l1, l2, l3])?;
     let mut body = vec![0; length];
     stream.read_exact(&mut body).await?;
-    decode(encoding, &body)
+    match format {
+        BodyFormat::Frame => decode(encoding, &body),
+        BodyFormat::Rollout => Ok(Frame::Rollout(decode_rollout(encoding, &body)?)),
+    }
+}
+
+/// What the body of a frame holds, by the version in its header.
+enum BodyFormat {
+    /// A [`Frame`] of [`VERSION`].
+    Frame,
+    /// A [`RolloutFrame`] of [`ROLLOUT_VERSION`].
+    Rollout,
 }
 
-fn parse_header(header: [u8; HEADER_BYTES]) -> Result<(BodyEncoding, usize), WireError> {
+fn parse_header(
+    header: [u8; HEADER_BYTES],
+) -> Result<(BodyFormat, BodyEncoding, usize), WireError> {
     let [v0, v1, encoding, l0, l1, l2, l3] = header;
     let version = u16::from_le_bytes([v0, v1]);
-    if version != VERSION {
-        return Err(WireError::UnknownVersion(version));
-    }
+    let format = match version {
+        VERSION => BodyFormat::Frame,
+        ROLLOUT_VERSION => BodyFormat::Rollout,
+        unknown => return Err(WireError::UnknownVersion(unknown)),
+    };
     let encoding = BodyEncoding::from_code(encoding).ok_or(WireError::UnknownEncoding(encoding))?;
     let length = u32::from_le_bytes([l0, l1, l2, l3]) as usize;
     if length > MAX_BODY_BYTES {
         return Err(WireError::TooLong(length));
     }
-    Ok((encoding, length))
+    Ok((format, encoding, length))
 }
 
 /// Decodes the body of a frame.
@@ -158,6 +187,19 @@
 ///
 /// Fails where the body can't be decompressed within [`MAX_BODY_BYTES`] or deserialised.
 pub fn decode(encoding: BodyEncoding, body: &[u8]) -> Result<Frame, WireError> {
+    decode_body(encoding, body)
+}
+
+/// Decodes the body of a message about rollouts.
+///
+/// # Errors
+///
+/// Returns the errors of [`decode`].
+pub fn decode_rollout(encoding: BodyEncoding, body: &[u8]) -> Result<RolloutFrame, WireError> {
+    decode_body(encoding, body)
+}
+
+fn decode_body<T: DeserializeOwned>(encoding: BodyEncoding, body: &[u8]) -> Result<T, WireError> {
     match encoding {
         BodyEncoding::Identity => Ok(postcard::from_bytes(body)?),
         BodyEncoding::Deflate => {
--- a/hawthornkeel_core/src/lib.rs
+++ b/hawthornkeel_core/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod replica;
 pub mod request;
 pub mod response_memory;
+pub mod rollout;
 pub mod routing;
 pub mod stages;
 pub mod state;
--- /dev/null
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -0,0 +1,5 @@
+//! Rollouts: the traffic of a pool moves to one version of its targets' software while that version
+//! is judged, and moves back if the version is bad.
+
+pub mod message;
+pub mod record;
--- a/hawthornkeel_core/src/state/command.rs
+++ b/hawthornkeel_core/src/state/command.rs
@@ -17,6 +17,8 @@
 use crate::names::OperatorName;
 use crate::names::TargetName;
 use crate::names::WorkspaceName;
+use crate::rollout::record::RolloutCommand;
+use crate::rollout::record::RolloutOutcome;
 use crate::time::WallTime;
 
 /// Change to the replicated state, stored in a log entry alone or in a batch.
@@ -34,6 +36,9 @@
     Centre(CentreOrder),
     /// Allocates a fencing number for an order to a target.
     Fence(TargetName),
+    /// Begins or advances a rollout. It has an encoding of its own, which older builds don't read.
+    #[serde(skip)]
+    Rollout(RolloutCommand),
 }
 
 /// Command as stored in the log.
@@ -167,6 +172,9 @@
     Centre(CentreOutcome),
     /// Fencing number that was allocated.
     Fence(FencingNumber),
+    /// Outcome of a command about a rollout; not part of this enum's encoding.
+    #[serde(skip)]
+    Rollout(RolloutOutcome),
 }
 
 /// Outcome of a claim.
--- a/hawthornkeel_core/src/state/mod.rs
+++ b/hawthornkeel_core/src/state/mod.rs
@@ -1,4 +1,5 @@
-//! Replicated state machine: claims, the environment document, data centres and fencing numbers.
+//! Replicated state machine: claims, the environment document, data centres, fencing numbers and
+//! rollouts.
 //!
 //! Replicas that apply the same commands in log order reach the same state: time is taken only from
 //! the commands' timestamps, and there is no randomness.
@@ -17,6 +18,7 @@
 use serde::Serialize;
 
 use crate::ids::LogIndex;
+use crate::rollout::record::Rollouts;
 use crate::state::centres::Centres;
 use crate::state::claims::Claims;
 use crate::state::clock::Clock;
@@ -41,9 +43,17 @@
     fencing: FencingCounter,
     #[serde(rename = "published")]
     published_index: LogIndex,
+    /// Encoded beside the other fields once there has been a rollout; see [`State::with_rollouts`].
+    #[serde(skip)]
+    rollouts: Rollouts,
 }
 
 impl State {
+    /// Adds the rollouts of a snapshot to the rest of its state.
+    pub fn with_rollouts(self, rollouts: Rollouts) -> Self {
+        Self { rollouts, ..self }
+    }
+
     /// Applies the command at log position `index` and returns its outcome.
     ///
     /// The commands of a batch are applied in order, all with the position of the batch.
@@ -75,6 +85,13 @@
                 Outcome::Centre(outcome)
             }
             Command::Fence(_) => Outcome::Fence(self.fencing.next_number()),
+            Command::Rollout(command) => {
+                let (outcome, changed) = self.rollouts.apply(index, now, command);
+                if changed {
+                    self.published_index = index;
+                }
+                Outcome::Rollout(outcome)
+            }
         }
     }
 
@@ -92,6 +109,11 @@
         }
     }
 
+    /// Returns the rollouts.
+    pub fn rollouts(&self) -> &Rollouts {
+        &self.rollouts
+    }
+
     /// Returns the claims.
     pub fn claims(&self) -> &Claims {
         &self.claims
