Rollouts: interface of the leader's controller

Cause: the control role and the decisions behind it are written side by side. Change: inputs, actions and settings of the controller, which decides nothing yet.

--- a/hawthornkeel_core/src/rollout/mod.rs
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -1,5 +1,6 @@
 //! Rollouts: the traffic of a pool moves to one version of its targets' software while that version
 //! is judged, and moves back if the version is bad.
 
+pub mod controller;
 pub mod message;
 pub mod record;
