Stages: work of low priority isn't expected to wait where every call has room for it

Cause: the estimate of a reservation let all work of higher priority go first, and divided by the share of the capacity that its arrivals leave, whatever the load.

Change: below 0.6 of the capacity of full calls, and without a backlog, work goes in order of arrival, so only what is due earlier counts as ahead; from 0.9 on by priority as before, between the two in proportion. Late work is estimated as before.

--- a/hawthornkeel_core/src/stages/estimate.rs
+++ b/hawthornkeel_core/src/stages/estimate.rs
@@ -22,6 +22,10 @@
 const SCALE_BOUNDS: RangeInclusive<f64> = 0.2..=4.0;
 /// Time constant of the moving averages of arrival rates.
 const ARRIVAL_WINDOW: Duration = Duration::from_millis(1_500);
+/// Share of the capacity up to which timely arrivals fit into the next calls, in whatever order.
+const CALM_SHARE: f64 = 0.6;
+/// Share of the capacity from which on work goes by priority alone.
+const CROWDED_SHARE: f64 = 0.9;
 /// Minimum share of the capacity that lower priorities are assumed to get.
 const MIN_RESIDUAL_SHARE: f64 = 0.1;
 /// Number of route priorities that are distinguished.
@@ -85,6 +89,11 @@
         self.rates.iter().take(levels).sum::<f64>() * self.decay(now)
     }
 
+    /// Returns the pieces per second of all timely work.
+    fn total(&self, now: Instant) -> f64 {
+        self.rates.iter().sum::<f64>() * self.decay(now)
+    }
+
     fn decay(&self, now: Instant) -> f64 {
         (-now.since(self.updated).as_secs_f64() / ARRIVAL_WINDOW.as_secs_f64()).exp()
     }
@@ -142,6 +151,8 @@
     pub(super) slot_wait: Duration,
     /// Arrival rates of timely work.
     pub(super) arrivals: ArrivalRates,
+    /// Whether more work waits than the next calls have room for.
+    pub(super) backlogged: bool,
 }
 
 /// Expected times of new work and its effect on other work.
@@ -172,17 +183,44 @@
         }
         let first = queued.partition_point(|q| q.virtual_deadline <= new.virtual_deadline);
         let (before, after) = queued.split_at_checked(first)?;
-        let ahead: u32 = before.iter().map(|q| q.pieces).sum();
+        let urgent: u32 = before.iter().map(|q| q.pieces).sum();
+        let ahead = self.ahead(pool, queued, new, urgent);
         let harm = self.harm(pool, after, ahead, new);
         let run = run_time(pool, ahead, new.pieces);
         let drain = self.drain(pool, ahead).div_f64(self.residual_share(pool, new.priority));
         Some(Estimate { drain, run, harm, slot_wait: self.slot_wait })
     }
 
+    /// Returns the number of pieces that go before `new` work, of which `urgent` would do so by
+    /// priority.
+    ///
+    /// While the next calls have room for all that waits, timely work goes in order of arrival, and
+    /// only what is due earlier is likely to be there before it.
+    fn ahead(&self, pool: &StageWorkload, queued: &[Queued], new: &Queued, urgent: u32) -> u32 {
+        if new.priority >= LATE_PRIORITY {
+            return urgent;
+        }
+        let is_earlier = |q: &&Queued| q.priority < LATE_PRIORITY && q.due <= new.due;
+        let earlier: u32 = queued.iter().filter(is_earlier).map(|q| q.pieces).sum();
+        let crowding = self.crowding(pool);
+        (f64::from(earlier) * (1.0 - crowding) + f64::from(urgent) * crowding) as u32
+    }
+
+    /// Returns how far work goes by priority in place of arrival, from 0 to 1.
+    fn crowding(&self, pool: &StageWorkload) -> f64 {
+        if self.backlogged {
+            return 1.0;
+        }
+        let load = self.arrivals.total(self.now) / full_rate(pool, self.workers);
+        ((load - CALM_SHARE) / (CROWDED_SHARE - CALM_SHARE)).clamp(0.0, 1.0)
+    }
+
     /// Returns the share of the capacity that higher priorities leave to work of a priority.
     fn residual_share(&self, pool: &StageWorkload, priority: u16) -> f64 {
-        let max_rate = full_rate(pool, self.workers);
-        (1.0 - self.arrivals.above(self.now, priority) / max_rate).clamp(MIN_RESIDUAL_SHARE, 1.0)
+        let taken = self.arrivals.above(self.now, priority) / full_rate(pool, self.workers);
+        // Late work goes behind all other work, however little that is.
+        let crowding = if priority >= LATE_PRIORITY { 1.0 } else { self.crowding(pool) };
+        (1.0 - taken * crowding).clamp(MIN_RESIDUAL_SHARE, 1.0)
     }
 
     /// Returns the largest lateness of work in `after` of the same or a higher priority.
--- a/hawthornkeel_core/src/stages/reservations.rs
+++ b/hawthornkeel_core/src/stages/reservations.rs
@@ -61,6 +61,7 @@
             // Calls start at independent times, so their ends are spread evenly over a call's time.
             slot_wait: running / count.max(1) / count.saturating_add(1),
             arrivals: self.arrivals,
+            backlogged: self.is_backlogged(),
         }
     }
 
