Forwarding: hedge slow requests of idempotent routes

Cause: a few slow responses worsen tail latency, and the forwarded path has no second attempt before the first is given up. Change: the core decides when a hedge is due (quantile of a decaying histogram by route) and whether it is sent (share of the pool's requests, retry budget, deadline, stop, quarantine, links, choice of the target). The edge reads the responses of both attempts whole, returns the first complete success and drops the other attempt. Settings hedge_share (default 0, off) and hedge_quantile in [forward].

--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -14,6 +14,7 @@
 use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::handler::ForwardHandler;
+use crate::forward::hedging;
 use crate::forward::http_client::OutgoingRequest;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::outcome::AttemptOutcome;
@@ -45,6 +46,14 @@
     LinksLost,
 }
 
+/// Attempt that ended.
+pub(super) struct EndedAttempt {
+    /// Outcome.
+    pub(super) outcome: AttemptOutcome,
+    /// Target.
+    pub(super) target: ChosenTarget,
+}
+
 impl ForwardHandler {
     /// Sends a request to one target after the other until one responds or retries are exhausted.
     ///
@@ -78,32 +87,28 @@
                 Err(NoAttempt::LinksLost) if failed.is_none() => return ForwardOutcome::LinksLost,
                 Err(_) => return self.exhausted(request, failed),
             };
-            let outcome;
-            (outcome, granted) = self.attempt(request, progress, &target).await;
-            if !matches!(outcome, AttemptOutcome::Unreached) {
+            let ended;
+            (ended, granted) = self.attempt(request, progress, target).await;
+            if ended.iter().any(|e| !matches!(e.outcome, AttemptOutcome::Unreached)) {
                 has_retry = granted.is_some();
+                reached = true;
             }
-            match outcome {
-                AttemptOutcome::Responded(response) => {
-                    return ForwardOutcome::Response(response, target);
-                }
-                AttemptOutcome::ResultsGone => return ForwardOutcome::ResultsGone,
-                AttemptOutcome::Unreached => {}
-                AttemptOutcome::NotRun => reached = true,
-                AttemptOutcome::Failed(response) => {
-                    reached = true;
-                    progress.possible_runs += 1;
-                    if !request.route.kind.is_retryable() {
+            for EndedAttempt { outcome, target } in ended {
+                progress.possible_runs += u32::from(outcome.is_failure());
+                match outcome {
+                    AttemptOutcome::Responded(response) => {
                         return ForwardOutcome::Response(response, target);
                     }
-                    failed = Some((response, target));
-                }
-                AttemptOutcome::Lost => {
-                    reached = true;
-                    progress.possible_runs += 1;
-                    if !request.route.kind.is_retryable() {
+                    AttemptOutcome::ResultsGone => return ForwardOutcome::ResultsGone,
+                    AttemptOutcome::Unreached | AttemptOutcome::NotRun => {}
+                    AttemptOutcome::Failed(response) if !request.route.kind.is_retryable() => {
+                        return ForwardOutcome::Response(response, target);
+                    }
+                    AttemptOutcome::Failed(response) => failed = Some((response, target)),
+                    AttemptOutcome::Lost if !request.route.kind.is_retryable() => {
                         return self.exhausted(request, None);
                     }
+                    AttemptOutcome::Lost => {}
                 }
             }
         }
@@ -154,20 +159,20 @@
         !request.stays_here.get() && links.is_doubtful(&request.pool.name)
     }
 
-    /// Sends a request to a target. Returns as well the next target if the attempt was given up for
-    /// a retry.
+    /// Sends a request to a target, or to two if it is hedged. Returns the attempts that ended, and
+    /// the next target if they were given up for a retry.
     async fn attempt(
         &self,
         request: &IncomingRequest,
         progress: &mut RequestProgress,
-        target: &ChosenTarget,
-    ) -> (AttemptOutcome, Option<ChosenTarget>) {
+        target: ChosenTarget,
+    ) -> (Vec<EndedAttempt>, Option<ChosenTarget>) {
         progress.tried.push(target.name.clone());
         let context = &self.context;
-        let outgoing = request.encode_for(target, &progress.results(), None);
-        // Sending it again on another connection is a repeat as well.
-        let retryable = outgoing.retryable && context.may_be_repeated(request);
-        let outgoing = OutgoingRequest { retryable, ..outgoing };
+        if hedging::applies(context, request) {
+            return self.hedged(request, progress, target).await;
+        }
+        let outgoing = self.outgoing(request, progress, &target);
         let retry_time = silence::retry_time(context, request, progress);
         request.may_have_run.set(true);
         let run = target.run();
@@ -178,21 +183,24 @@
             context.http_client.discard_idle(target.address);
         }
         let was_patient = retry_time < request.deadline;
-        let failure = result.as_ref().err().cloned();
-        let outcome = self.record_attempt(request, target, result, was_patient);
-        if !matches!(outcome, AttemptOutcome::Responded(_)) {
-            tracing::info!(
-                event = "target-tried",
-                request = %request.id,
-                target = %target.name,
-                outcome = %outcome,
-                failure = failure.map(tracing::field::display),
-            );
-        }
+        let outcome = self.record_attempt(request, &target, result, was_patient);
         if outcome.is_not_run() {
             request.may_have_run.set(progress.possible_runs > 0);
         }
-        (outcome, next)
+        (vec![EndedAttempt { outcome, target }], next)
+    }
+
+    /// Encodes a request for a target.
+    pub(super) fn outgoing(
+        &self,
+        request: &IncomingRequest,
+        progress: &RequestProgress,
+        target: &ChosenTarget,
+    ) -> OutgoingRequest {
+        let outgoing = request.encode_for(target, &progress.results(), None);
+        // Sending it again on another connection is a repeat as well.
+        let retryable = outgoing.retryable && self.context.may_be_repeated(request);
+        OutgoingRequest { retryable, ..outgoing }
     }
 
     /// Returns the outcome of a request for which no target is left to try.
@@ -246,16 +254,18 @@
         }
     }
 
-    /// Classifies an attempt and records its outcome for the target.
+    /// Classifies an attempt, logs it unless it is a response to return, and records its outcome for
+    /// the target.
     ///
     /// `was_patient` tells whether the request's deadline left the target the usual time.
-    fn record_attempt(
+    pub(super) fn record_attempt(
         &self,
         request: &IncomingRequest,
         target: &ChosenTarget,
         result: Result<TargetResponse, ExchangeError>,
         was_patient: bool,
     ) -> AttemptOutcome {
+        let failure = result.as_ref().err().cloned();
         let (outcome, target_outcome) = match result {
             Ok(response) => classify_response(response),
             Err(ExchangeError::Withheld) => {
@@ -281,6 +291,15 @@
         if let Some(target_outcome) = target_outcome {
             self.context.record_outcome(&request.pool.name, target, target_outcome);
         }
+        if !matches!(outcome, AttemptOutcome::Responded(_)) {
+            tracing::info!(
+                event = "target-tried",
+                request = %request.id,
+                target = %target.name,
+                outcome = %outcome,
+                failure = failure.map(tracing::field::display),
+            );
+        }
         outcome
     }
 }
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -6,6 +6,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use hawthornkeel_config::settings::Forward;
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::fleet::ServingEntry;
 use hawthornkeel_core::fleet::helpers::Helpers;
@@ -16,6 +17,8 @@
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::balancer::Balancer;
+use hawthornkeel_core::placement::hedging::HedgeLimits;
+use hawthornkeel_core::placement::hedging::Hedging;
 use hawthornkeel_core::placement::limit::EntryView;
 use hawthornkeel_core::placement::limit::LimitReport;
 use hawthornkeel_core::placement::retries::RetryBucket;
@@ -83,6 +86,8 @@
     pub(super) helped: Rc<Cell<u32>>,
     /// Size of the bodies of these requests, in bytes.
     pub(super) helped_bytes: Rc<Cell<u32>>,
+    /// Hedging: latencies of routes and the share of hedges.
+    pub(super) hedging: RefCell<Hedging>,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
@@ -147,6 +152,7 @@
         stop: EntryStop,
     ) -> Self {
         let memory = ResponseMemory::new(settings.forward.response_memory());
+        let hedging = Hedging::new(hedge_limits(&settings.forward));
         Self {
             settings,
             endpoint,
@@ -167,6 +173,7 @@
             in_progress: Rc::default(),
             helped: Rc::default(),
             helped_bytes: Rc::default(),
+            hedging: RefCell::new(hedging),
             retry_buckets: RefCell::default(),
             latencies: RefCell::default(),
         }
@@ -264,8 +271,9 @@
         self.limits_mark.set(mark);
     }
 
-    /// Records a request, which adds to the retry budget of its pool.
+    /// Records a request, which adds to the retry budget of its pool and to its share of hedges.
     pub fn record_request(&self, pool: &PoolName) {
+        self.hedging.borrow_mut().record_request(boot_now(), pool);
         let (budget, entry_count) =
             (self.retry_budget(), self.serving_entries.borrow().peak_count());
         self.retry_buckets
@@ -302,7 +310,7 @@
         RetryBudget {
             ratio: forward.retry_ratio,
             slack: forward.retry_slack,
-            window: Duration::from_secs_f64(forward.retry_window_s.max(0.001)),
+            window: window(forward),
         }
     }
 
@@ -320,3 +328,16 @@
         mean.map_or(default, Duration::from_secs_f64)
     }
 }
+
+/// Returns the window in which retries and hedges are counted.
+fn window(forward: &Forward) -> Duration {
+    Duration::from_secs_f64(forward.retry_window_s.max(0.001))
+}
+
+fn hedge_limits(forward: &Forward) -> HedgeLimits {
+    HedgeLimits {
+        share: forward.hedge_share,
+        quantile: forward.hedge_quantile,
+        window: window(forward),
+    }
+}
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -183,6 +183,7 @@
             let pools: Vec<(PoolName, StageWorkload)> = pools.collect();
             let in_force: IndexSet<&RouteName> = table.routes().map(|r| &r.name).collect();
             context.stop.retain(|name| in_force.contains(name));
+            context.hedging.borrow_mut().retain(|name| in_force.contains(name));
             *context.table.borrow_mut() = Some(Rc::new(table));
             schedulers.set_pools(pools);
         }
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -10,8 +10,6 @@
 use hawthornkeel_core::streams::origin::StreamSource;
 
 use crate::forward::access;
-use crate::forward::broken_runs;
-use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::context::Context;
 use crate::forward::helper_client::HandOver;
 use crate::forward::helper_server::InProgress;
@@ -253,7 +251,8 @@
     ) -> Response {
         let status = response.status;
         progress.software = Some(target.version.clone());
-        progress.response_began = request.started.elapsed();
+        let began = response.received.saturating_duration_since(request.started);
+        progress.response_began = began;
         measures::response_began(&request, progress.response_began);
         self.context.record_latency(
             &request.pool.name,
@@ -321,18 +320,14 @@
             let read = response.read_blocks(request.deadline);
             let (body, next) =
                 silence::wait(&self.context, request, &progress, retry_time, read).await;
-            let target_outcome = match &body {
-                Ok(_) if !status.is_server_error() => TargetOutcome::Succeeded,
-                Ok(_) if asks_for_pause(&response) => TargetOutcome::Paused,
-                Err(error) if error.is_for_memory() => TargetOutcome::Abandoned,
-                Err(error) if error.is_broken_off() => {
-                    broken_runs::record(&self.context, request, &target, AnswerPhase::Begun)
-                }
-                _ => TargetOutcome::Failed,
-            };
-            self.context.record_outcome(&request.pool.name, &target, target_outcome);
             match body {
                 Ok(body) => {
+                    let outcome = match status.is_server_error() {
+                        false => TargetOutcome::Succeeded,
+                        true if asks_for_pause(&response) => TargetOutcome::Paused,
+                        true => TargetOutcome::Failed,
+                    };
+                    self.context.record_outcome(&request.pool.name, &target, outcome);
                     let headers = forwarded_headers(&response.headers);
                     response.finish();
                     if status.is_success() {
@@ -342,14 +337,7 @@
                     progress.log_end(request, "answered", status.as_u16());
                     return Response { status, headers, body: Body::Blocks(body) };
                 }
-                Err(error) => {
-                    tracing::info!(
-                        event = "answer-broken",
-                        request = %request.id,
-                        target = %target.name,
-                        failure = %error,
-                    );
-                }
+                Err(error) => self.record_broken(request, &target, &error),
             }
             drop(response);
             match self.retry(request, &mut progress, next).await {
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -285,6 +285,8 @@
             reusable: written && persistent && identified,
             client: self.clone(),
             lease: self.memory.lease(declared),
+            received: Instant::now(),
+            whole: None,
         })
     }
 
--- a/hawthornkeel/src/forward/measures.rs
+++ b/hawthornkeel/src/forward/measures.rs
@@ -7,6 +7,7 @@
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::placement::hedging::HedgeDenial;
 use hawthornkeel_core::table::access::Denied;
 
 use crate::clock::boot_now;
@@ -53,6 +54,22 @@
     metrics::counter!(telemetry::RETRY_GRANTS, "pool" => pool, "granted" => granted).increment(1);
 }
 
+/// Records a hedge that was sent.
+pub(super) fn hedge_sent(pool: &PoolName) {
+    metrics::counter!(telemetry::FORWARD_HEDGES, "pool" => pool.to_string()).increment(1);
+}
+
+/// Records a hedge whose response was the first complete one.
+pub(super) fn hedge_won(pool: &PoolName) {
+    metrics::counter!(telemetry::HEDGES_WON, "pool" => pool.to_string()).increment(1);
+}
+
+/// Records a hedge that was due and not sent.
+pub(super) fn hedge_denied(pool: &PoolName, denial: HedgeDenial) {
+    let (pool, reason) = (pool.to_string(), denial.as_str());
+    metrics::counter!(telemetry::HEDGES_DENIED, "pool" => pool, "reason" => reason).increment(1);
+}
+
 /// Records a call that ran pieces of a pool.
 pub(super) fn pieces_called(pool: &PoolName, succeeded: bool, time: Duration) {
     let outcome = if succeeded { "succeeded" } else { "failed" };
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -31,6 +31,7 @@
 
 mod attempts;
 mod broken_runs;
+mod hedging;
 mod helper_client;
 mod helper_server;
 mod limit_server;
--- a/hawthornkeel/src/forward/outcome.rs
+++ b/hawthornkeel/src/forward/outcome.rs
@@ -55,6 +55,11 @@
 }
 
 impl AttemptOutcome {
+    /// Returns whether the target may have run the request, and there is nothing to return yet.
+    pub(super) fn is_failure(&self) -> bool {
+        matches!(self, Self::Failed(_) | Self::Lost)
+    }
+
     /// Returns whether the target is known not to have run the request.
     pub(super) fn is_not_run(&self) -> bool {
         match self {
@@ -97,6 +102,15 @@
     (if lost { AttemptOutcome::Lost } else { outcome }, target_outcome)
 }
 
+/// Returns whether the head of a response makes it one to return to the caller: neither a refusal nor
+/// an error of the target.
+pub(super) fn is_answer(response: &TargetResponse) -> bool {
+    let status = response.status;
+    status != StatusCode::MISDIRECTED_REQUEST
+        && !response.headers.contains_key(fields::NOT_RUN)
+        && !status.is_server_error()
+}
+
 /// Returns the outcome for a target of its refusal, which is no failure if it asks for a pause.
 pub(super) fn refusal_outcome(response: &TargetResponse) -> TargetOutcome {
     if asks_for_pause(response) { TargetOutcome::Paused } else { TargetOutcome::Refused }
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -34,6 +34,8 @@
     pub tried: Vec<TargetName>,
     /// Number of attempts in which the request may have run.
     pub possible_runs: u32,
+    /// Whether a hedge was due.
+    pub hedged: bool,
     /// Number of passes: times that the stages, if any, were run.
     passes: Cell<u16>,
     outputs: RefCell<StageOutputs>,
@@ -67,6 +69,7 @@
         Self {
             tried: Vec::new(),
             possible_runs: 0,
+            hedged: false,
             passes: Cell::new(0),
             outputs: RefCell::default(),
             request: Arc::clone(&request.id),
--- a/hawthornkeel/src/forward/silence.rs
+++ b/hawthornkeel/src/forward/silence.rs
@@ -28,83 +28,123 @@
     request: &IncomingRequest,
     progress: &RequestProgress,
 ) -> Instant {
-    let runs = progress.possible_runs + 1;
-    if !request.route.kind.is_retryable() || runs >= request.route.max_attempts {
-        return request.deadline;
-    }
-    let latency = context.expected_latency(&request.pool.name, DEFAULT_LATENCY);
-    let patience = retries::response_patience(latency, request.route.objective);
-    request.deadline.min(Instant::now() + patience)
+    Waiting { context, request, progress, running: 1 }.retry_time(Instant::now())
 }
 
-/// Waits for an exchange with the target tried last. If a retry is granted after `retry_time`, gives
-/// the exchange up, and returns the next target besides the error.
-pub(super) async fn wait<T>(
-    context: &Context,
-    request: &IncomingRequest,
-    progress: &RequestProgress,
-    retry_time: Instant,
-    exchange: impl Future<Output = Result<T, ExchangeError>>,
-) -> (Result<T, ExchangeError>, Option<ChosenTarget>) {
-    if retry_time >= request.deadline {
-        return (exchange.await, None);
+/// Request that waits for its targets.
+#[derive(Clone, Copy)]
+pub(super) struct Waiting<'a> {
+    /// State of the entry.
+    pub context: &'a Context,
+    /// Request.
+    pub request: &'a IncomingRequest,
+    /// Progress, of which the targets tried last are those that are waited for.
+    pub progress: &'a RequestProgress,
+    /// Number of attempts in progress.
+    pub running: u32,
+}
+
+impl Waiting<'_> {
+    /// Returns the time from which on the request is retried if no target has responded since
+    /// `since`; its deadline if it can't be retried.
+    pub(super) fn retry_time(&self, since: Instant) -> Instant {
+        let Self { context, request, .. } = self;
+        if !request.route.kind.is_retryable() || self.runs() >= request.route.max_attempts {
+            return request.deadline;
+        }
+        let latency = context.expected_latency(&request.pool.name, DEFAULT_LATENCY);
+        let patience = retries::response_patience(latency, request.route.objective);
+        request.deadline.min(since + patience)
     }
-    let mut exchange = pin!(exchange);
-    monoio::select! {
-        result = &mut exchange => return (result, None),
-        () = monoio::time::sleep(retry_time.saturating_duration_since(Instant::now())) => {}
+
+    /// Waits for `work`, or returns the target of a retry that is granted after the time that
+    /// `retry_time` returns, which may be later each time.
+    pub(super) async fn finish<T>(
+        &self,
+        retry_time: &dyn Fn() -> Instant,
+        work: impl Future<Output = T>,
+    ) -> Result<T, ChosenTarget> {
+        let mut work = pin!(work);
+        monoio::select! {
+            biased;
+            done = &mut work => Ok(done),
+            next = self.granted_retry(retry_time) => Err(next),
+        }
     }
-    monoio::select! {
-        biased;
-        result = &mut exchange => (result, None),
-        next = granted_retry(context, request, progress) => {
-            (Err(ExchangeError::TimedOut), Some(next))
+
+    /// Waits until a retry is granted, and returns its target.
+    async fn granted_retry(&self, retry_time: &dyn Fn() -> Instant) -> ChosenTarget {
+        let mut is_logged = false;
+        loop {
+            let (due, now) = (retry_time(), Instant::now());
+            if due >= self.request.deadline {
+                return std::future::pending().await;
+            }
+            if due > now {
+                monoio::time::sleep(due.duration_since(now)).await;
+                continue;
+            }
+            if let Some(next) = self.try_retry() {
+                return next;
+            }
+            if !is_logged {
+                is_logged = true;
+                self.log_waiting();
+            }
+            monoio::time::sleep(RETRY_POLL_INTERVAL).await;
         }
     }
-}
 
-/// Waits until a retry is granted, and returns its target.
-async fn granted_retry(
-    context: &Context,
-    request: &IncomingRequest,
-    progress: &RequestProgress,
-) -> ChosenTarget {
-    if let Some(next) = try_retry(context, request, progress) {
-        return next;
+    fn log_waiting(&self) {
+        tracing::info!(
+            event = "retry-waits",
+            request = %self.request.id,
+            target = self.progress.tried.last().map(|t| t.as_str()),
+        );
     }
-    tracing::info!(
-        event = "retry-waits",
-        request = %request.id,
-        target = progress.tried.last().map(|t| t.as_str()),
-    );
-    loop {
-        monoio::time::sleep(RETRY_POLL_INTERVAL).await;
-        if let Some(next) = try_retry(context, request, progress) {
-            return next;
+
+    /// Takes a retry from the budget and chooses its target, or does neither.
+    fn try_retry(&self) -> Option<ChosenTarget> {
+        let Self { context, request, progress, .. } = self;
+        let attempt = RunningAttempt {
+            runs: self.runs(),
+            max_runs: request.route.max_attempts,
+            targets: progress.tried.len(),
+            time_left: request.time_left(),
+            latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
+        };
+        let allowed = attempt.may_be_given_up()
+            && context.may_be_repeated(request)
+            && context.stop.allows_send(request)
+            && context.has_retry(&request.pool.name);
+        if !allowed {
+            return None;
         }
+        let next = progress.choose_target(context, request).ok()?;
+        context.try_retry(&request.pool.name).then_some(next)
+    }
+
+    /// Returns the number of attempts in which the request may have run, those in progress included.
+    fn runs(&self) -> u32 {
+        self.progress.possible_runs + self.running
     }
 }
 
-/// Takes a retry from the budget and chooses its target, or does neither.
-fn try_retry(
+/// Waits for an exchange with the target tried last. If a retry is granted after `retry_time`, gives
+/// the exchange up, and returns the next target besides the error.
+pub(super) async fn wait<T>(
     context: &Context,
     request: &IncomingRequest,
     progress: &RequestProgress,
-) -> Option<ChosenTarget> {
-    let attempt = RunningAttempt {
-        runs: progress.possible_runs + 1,
-        max_runs: request.route.max_attempts,
-        targets: progress.tried.len(),
-        time_left: request.time_left(),
-        latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
-    };
-    let allowed = attempt.may_be_given_up()
-        && context.may_be_repeated(request)
-        && context.stop.allows_send(request)
-        && context.has_retry(&request.pool.name);
-    if !allowed {
-        return None;
+    retry_time: Instant,
+    exchange: impl Future<Output = Result<T, ExchangeError>>,
+) -> (Result<T, ExchangeError>, Option<ChosenTarget>) {
+    if retry_time >= request.deadline {
+        return (exchange.await, None);
+    }
+    let waiting = Waiting { context, request, progress, running: 1 };
+    match waiting.finish(&|| retry_time, exchange).await {
+        Ok(result) => (result, None),
+        Err(next) => (Err(ExchangeError::TimedOut), Some(next)),
     }
-    let next = progress.choose_target(context, request).ok()?;
-    context.try_retry(&request.pool.name).then_some(next)
 }
--- a/hawthornkeel/src/forward/target_response.rs
+++ b/hawthornkeel/src/forward/target_response.rs
@@ -39,6 +39,10 @@
     pub(super) client: HttpClient,
     /// Memory held by what was received and not passed on.
     pub(super) lease: Lease,
+    /// Time at which the head was received.
+    pub received: Instant,
+    /// Body, or why there is none, if it was read before the response was chosen.
+    pub(super) whole: Option<Result<Vec<Bytes>, ExchangeError>>,
 }
 
 /// Body of a response, and how its end is told.
@@ -92,6 +96,9 @@
     /// # Errors
     /// Returns the errors of [`TargetResponse::read_to_end`].
     pub async fn read_blocks(&mut self, deadline: Instant) -> Result<Vec<Bytes>, ExchangeError> {
+        if let Some(whole) = self.whole.take() {
+            return whole;
+        }
         let mut blocks = self.read_held(deadline).await?.into_blocks();
         if let Some(last) = blocks.pop() {
             blocks.push(self.take_lease().attach(last));
@@ -99,6 +106,17 @@
         Ok(blocks)
     }
 
+    /// Reads the body to its end, for [`TargetResponse::read_blocks`] to return.
+    pub(super) async fn read_ahead(&mut self, deadline: Instant) {
+        let whole = self.read_blocks(deadline).await;
+        self.whole = Some(whole);
+    }
+
+    /// Returns whether the whole body was read ahead.
+    pub(super) fn is_whole(&self) -> bool {
+        matches!(self.whole, Some(Ok(_)))
+    }
+
     async fn read_held(&mut self, deadline: Instant) -> Result<BodyBlocks, ExchangeError> {
         let mut body = BodyBlocks::default();
         while let Some(chunk) = self.held_chunk(deadline).await? {
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -72,6 +72,12 @@
 pub const STREAM_RECORDS: &str = "hawthornkeel_stream_records";
 /// Repeats that were asked of the retry budget, by pool and whether it granted them.
 pub const RETRY_GRANTS: &str = "hawthornkeel_retry_grants_total";
+/// Hedges of forwarded requests that were sent, by pool.
+pub const FORWARD_HEDGES: &str = "hawthornkeel_forward_hedges_total";
+/// Hedges of forwarded requests whose response was the first complete one, by pool.
+pub const HEDGES_WON: &str = "hawthornkeel_forward_hedges_won_total";
+/// Hedges of forwarded requests that were due and not sent, by pool and reason.
+pub const HEDGES_DENIED: &str = "hawthornkeel_forward_hedges_denied_total";
 /// Losses and returns of the links to most targets of a pool, by pool and change.
 pub const LINK_CHANGES: &str = "hawthornkeel_link_changes_total";
 /// Requests that were handed over to another entry, by outcome.
--- a/hawthornkeel_config/src/checks/settings.rs
+++ b/hawthornkeel_config/src/checks/settings.rs
@@ -8,6 +8,7 @@
 
 use crate::checks::report_duplicates;
 use crate::reader::Reader;
+use crate::settings::Forward;
 use crate::settings::Settings;
 use crate::settings::Trust;
 
@@ -24,6 +25,13 @@
 /// Maximum of settings that are durations, in seconds.
 const MAX_DURATION_S: f64 = 600.0;
 
+/// Maximum of the share of hedges: each request is sent to one more target at most.
+const MAX_HEDGE_SHARE: f64 = 1.0;
+
+/// Bounds of the quantile after which a hedge is sent. Below the median most requests would be sent
+/// twice, and above the other bound too few samples are kept to tell the quantile.
+const HEDGE_QUANTILES: [f64; 2] = [0.5, 0.999];
+
 /// Divisor of the memory of the process that responses may take.
 ///
 /// Another quarter is for callers' bodies.
@@ -126,7 +134,25 @@
     }
 }
 
+/// Checks the share and the quantile of hedges.
+fn check_hedging(reader: &mut Reader<'_>, settings: &Settings) {
+    let Forward { hedge_share, hedge_quantile, .. } = settings.forward;
+    let values = [
+        ("forward.hedge_share", hedge_share, [0.0, MAX_HEDGE_SHARE]),
+        ("forward.hedge_quantile", hedge_quantile, HEDGE_QUANTILES),
+    ];
+    for (key, value, [min, max]) in values {
+        let message = match value {
+            value if value < min => format!("{value} is below {min}"),
+            value if value > max => format!("{value} is above {max}"),
+            _ => continue,
+        };
+        reader.report(key, message, &format!("{min} to {max}"));
+    }
+}
+
 fn check_forward(reader: &mut Reader<'_>, settings: &Settings) {
+    check_hedging(reader, settings);
     let forward = &settings.forward;
     let Some(responses) = forward.response_memory_mb else { return };
     let max = forward.memory_mb / MAX_RESPONSE_SHARE_DIVISOR;
--- a/hawthornkeel_config/src/schema/settings.rs
+++ b/hawthornkeel_config/src/schema/settings.rs
@@ -84,6 +84,8 @@
     Key::new("retry_ratio", ValueKind::Float, "0.2"),
     Key::new("retry_slack", ValueKind::Float, "10.0"),
     Key::new("retry_window_s", ValueKind::Float, "10.0"),
+    Key::new("hedge_share", ValueKind::Float, "0.0"),
+    Key::new("hedge_quantile", ValueKind::Float, "0.95"),
     Key::new("memory_mb", ValueKind::integer(16, 1_000_000, "megabytes"), "256"),
     Key::new(
         "response_memory_mb",
--- a/hawthornkeel_config/src/settings.rs
+++ b/hawthornkeel_config/src/settings.rs
@@ -216,6 +216,10 @@
     pub retry_slack: f64,
     /// Window in which retries are counted, in seconds.
     pub retry_window_s: f64,
+    /// Hedges that may be sent to a pool, as a share of its requests; zero if none are sent.
+    pub hedge_share: f64,
+    /// Quantile of the recent latencies of a route after which a hedge is sent.
+    pub hedge_quantile: f64,
     /// Memory available to the process, in megabytes.
     pub memory_mb: u64,
     /// Memory for responses that are read whole and for events held back, in megabytes; `None` for
@@ -249,6 +253,8 @@
             retry_ratio: 0.2,
             retry_slack: 10.0,
             retry_window_s: 10.0,
+            hedge_share: 0.0,
+            hedge_quantile: 0.95,
             memory_mb: 256,
             response_memory_mb: None,
         }
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -1,5 +1,5 @@
 //! Placement of forwarded requests: the choice of a target, and the limits on cold targets and on
-//! retries.
+//! retries and hedges.
 //!
 //! An entry knows the targets from the platform's list, which lags, and from the outcomes of its
 //! own calls. Limits that hold for all entries together, such as the load of a cold target, are
@@ -8,6 +8,7 @@
 pub mod balancer;
 pub mod choice;
 pub mod health;
+pub mod hedging;
 pub mod limit;
 pub mod links;
 pub mod notice;
