Hedging: keep the lower half of the share for the slowest, and test it

Cause: with a share of 0.05 and a quantile of 0.95, first-come hedges used up the share on attempts that ended soon after the delay. Change: a hedge that is denied is asked for again; the lower half of the bucket serves attempts that take 1.5 times the delay. Samples of quiet routes are halved in 60 s, so that routes with a request in 3 s are known.

--- a/hawthornkeel/src/explain/event.rs
+++ b/hawthornkeel/src/explain/event.rs
@@ -72,6 +72,8 @@
     EntryStopped, "entry-stopped";
     EntrySuspected, "entry-suspected";
     HandedOver, "handed-over";
+    HedgeEnded, "hedge-ended";
+    HedgeSent, "hedge-sent";
     JobEnded, "job-ended";
     LinesDropped, "log-lines-dropped";
     LinksLost, "links-lost";
@@ -123,6 +125,8 @@
             Self::Answered
             | Self::Call
             | Self::HandedOver
+            | Self::HedgeEnded
+            | Self::HedgeSent
             | Self::JobEnded
             | Self::NotAdmitted
             | Self::Other
--- a/hawthornkeel/src/explain/steps.rs
+++ b/hawthornkeel/src/explain/steps.rs
@@ -12,6 +12,12 @@
         Kind::HandedOver => {
             format!("handed over to entry {}: {}", get("helper"), get("outcome"))
         }
+        Kind::HedgeSent => format!(
+            "slow for {} ms, so it was sent to target {} as well (hedge)",
+            get("delay_ms"),
+            get("target")
+        ),
+        Kind::HedgeEnded => hedge_ended(event),
         Kind::RetryWaits => retry_waits(event),
         Kind::JobEnded => job_ended(event),
         Kind::SchedulerSilent => {
@@ -112,6 +118,16 @@
     }
 }
 
+fn hedge_ended(event: &Event) -> String {
+    let which = if event.text("hedge") == "true" { "the hedge" } else { "the first attempt" };
+    let other = match event.text("cancelled") {
+        "true" => "was cancelled",
+        _ => "had failed",
+    };
+    let (target, loser) = (event.text("target"), event.text("other"));
+    format!("{which} at target {target} was whole first; that at target {loser} {other}")
+}
+
 fn retry_waits(event: &Event) -> String {
     format!(
         "target {} is silent and no retry is granted yet (by budget, targets or time); goes on \
--- a/hawthornkeel/src/forward/hedging.rs
+++ b/hawthornkeel/src/forward/hedging.rs
@@ -13,6 +13,7 @@
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::placement::hedging::HedgeDenial;
 use hawthornkeel_core::placement::hedging::SlowAttempt;
+use hawthornkeel_core::placement::hedging::ask_interval;
 use hawthornkeel_core::placement::hedging::leaves_attempt;
 
 use crate::clock::boot_now;
@@ -107,23 +108,23 @@
         let was_patient = retry_time < request.deadline;
         let delay = self.hedge_delay(request, progress, retry_time);
         let mut first = self.begin(request, progress, target, &heard);
-        if let Some(delay) = delay {
-            let is_ended = monoio::select! {
+        let time = || waiting.retry_time(heard.get());
+        let last_denial = Cell::new(None);
+        let work = async {
+            monoio::select! {
                 biased;
-                _ = first.finish() => true,
-                () = monoio::time::sleep(delay) => false,
-            };
-            if is_ended {
-                return (self.settle(request, progress, vec![first], was_patient), None);
+                _ = first.finish() => None,
+                hedge = self.granted_hedge(request, progress, delay, &last_denial) => Some(hedge),
             }
-        }
-        let hedge = delay.and_then(|delay| self.hedge_target(request, progress, delay));
-        let Some(hedge) = hedge else {
-            let waiting = Waiting { context: &self.context, request, progress, running: 1 };
-            let time = || waiting.retry_time(heard.get());
-            let next = waiting.finish(&time, first.finish()).await.err();
-            return (self.settle(request, progress, vec![first], was_patient), next);
         };
+        let waited = waiting.finish(&time, work).await;
+        let Ok(Some(hedge)) = waited else {
+            if let Some(denial) = last_denial.get() {
+                measures::hedge_denied(&request.pool.name, denial);
+            }
+            return (self.settle(request, progress, vec![first], was_patient), waited.err());
+        };
+        progress.hedged = true;
         progress.tried.push(hedge.name.clone());
         heard.set(Instant::now());
         let mut second = self.begin(request, progress, hedge, &heard);
@@ -167,41 +168,47 @@
         Attempt { target, future, started: Instant::now(), ended: None }
     }
 
-    /// Takes a hedge that is due from the budgets and chooses its target, or counts why it is not sent.
-    fn hedge_target(
+    /// Waits until a hedge is due and granted, and returns its target; sets the reason each time that
+    /// it is denied. Without a `delay` it is never due.
+    async fn granted_hedge(
         &self,
         request: &IncomingRequest,
-        progress: &mut RequestProgress,
-        delay: Duration,
-    ) -> Option<ChosenTarget> {
-        progress.hedged = true;
-        let pool = &request.pool.name;
-        match self.try_hedge(request, progress) {
-            Ok(target) => {
-                measures::hedge_sent(pool);
-                tracing::info!(
-                    event = "hedge-sent",
-                    request = %request.id,
-                    target = %target.name,
-                    delay_ms = millis(delay),
-                );
-                Some(target)
-            }
-            Err(denial) => {
-                measures::hedge_denied(pool, denial);
-                None
+        progress: &RequestProgress,
+        delay: Option<Duration>,
+        last_denial: &Cell<Option<HedgeDenial>>,
+    ) -> ChosenTarget {
+        let Some(delay) = delay else { return std::future::pending().await };
+        let began = Instant::now();
+        monoio::time::sleep(delay).await;
+        loop {
+            match self.try_hedge(request, progress, began.elapsed()) {
+                Ok(target) => {
+                    measures::hedge_sent(&request.pool.name);
+                    tracing::info!(
+                        event = "hedge-sent",
+                        request = %request.id,
+                        target = %target.name,
+                        delay_ms = millis(began.elapsed()),
+                    );
+                    return target;
+                }
+                Err(denial) => last_denial.set(Some(denial)),
             }
+            monoio::time::sleep(ask_interval(delay)).await;
         }
     }
 
+    /// Takes a hedge that is due from the budgets and chooses its target, or does neither.
     fn try_hedge(
         &self,
         request: &IncomingRequest,
         progress: &RequestProgress,
+        elapsed: Duration,
     ) -> Result<ChosenTarget, HedgeDenial> {
         let context = &self.context;
         let names = (&request.route.name, &request.pool.name);
         let attempt = SlowAttempt {
+            elapsed,
             time_left: request.time_left(),
             stop_allows: context.stop.allows_send(request),
             may_repeat: !context.is_rejected(request) && context.may_be_repeated(request),
@@ -236,8 +243,8 @@
             request = %request.id,
             target = %winner.target.name,
             hedge = hedge.is_won(),
-            other = %other.target.name,
             cancelled = other.ended.is_none(),
+            other = %other.target.name,
         );
     }
 
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -34,7 +34,7 @@
     pub tried: Vec<TargetName>,
     /// Number of attempts in which the request may have run.
     pub possible_runs: u32,
-    /// Whether a hedge was due.
+    /// Whether a hedge was sent.
     pub hedged: bool,
     /// Number of passes: times that the stages, if any, were run.
     passes: Cell<u16>,
--- a/hawthornkeel/tests/explain_story.rs
+++ b/hawthornkeel/tests/explain_story.rs
@@ -74,6 +74,24 @@
     assert!(!story.contains("late/0") && !story.contains("waiting 40"), "{story}");
 }
 
+/// Guards against a story in which a request seems to be sent to two targets for no reason.
+#[test]
+fn hedged() {
+    let story = tell(&[
+        (10.2, "entry-1", "hedge-sent request=r-1 target=i-2 delay_ms=180"),
+        (10.3, "entry-1", "hedge-ended request=r-1 target=i-2 hedge=true other=i-1 cancelled=true"),
+        (10.3, "entry-1", &ended("answered", 200, 300, "tries=2 target=i-2")),
+    ]);
+    assert_parts(
+        &story,
+        &[
+            "+200 ms  entry-1  slow for 180 ms, so it was sent to target i-2 as well (hedge)",
+            "the hedge at target i-2 was whole first; that at target i-1 was cancelled",
+            "End: answered",
+        ],
+    );
+}
+
 #[test]
 fn answer_lost() {
     let story = tell(&[
--- a/hawthornkeel/tests/forward_harness/document.rs
+++ b/hawthornkeel/tests/forward_harness/document.rs
@@ -13,6 +13,7 @@
         {"service":"portal","after":[0],"byte_count":1000}]"#;
     let routes = [
         route("lots", prefix, "idempotent", ""),
+        route("hedged", "/hedged/", "idempotent", ""),
         route("sign", "/sign/", "non_idempotent", ""),
         route("events", "/events/", "streaming", r#","stream_resumption":true"#),
         route("chain", "/chain/", "idempotent", chained),
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -403,6 +403,19 @@
         change(&mut self.fakes.lock().unwrap()[at]);
     }
 
+    /// Waits until as many requests as `count` were cut off while targets ran them.
+    pub fn wait_for_disconnects(&self, count: usize) {
+        let until = Instant::now() + TEST_TIMEOUT;
+        loop {
+            let cut: usize = self.fakes.lock().unwrap().iter().map(|f| f.disconnects).sum();
+            if cut == count {
+                return;
+            }
+            assert!(Instant::now() < until, "{cut} of {count}:\n{}", self.logs());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Returns the settings of the fake targets.
     pub fn fakes(&self) -> &FakeTargets {
         &self.fakes
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -46,6 +46,10 @@
 const ANSWER_HALVES: [&str; 2] = ["first half, ", "second half"];
 /// Time for which a target falls silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time that a slow attempt of a hedged request takes.
+const HEDGED_WAIT: Duration = Duration::from_millis(400);
+/// Time that another one takes.
+const QUICK_WAIT: Duration = Duration::from_millis(20);
 /// Time for which a dead target falls silent, longer than any deadline.
 const FOREVER: Duration = Duration::from_secs(60);
 /// Size of the pieces of a body without end, in bytes.
@@ -74,6 +78,8 @@
     pub engine: FakeEngine,
     /// What it writes in versioned streams.
     pub writer: FakeWriter,
+    /// Number of its requests whose connection was closed while they ran.
+    pub disconnects: usize,
     /// Requests that it runs at the same time.
     pub slots: FakeSlots,
 }
@@ -120,6 +126,9 @@
                             }
                             false => respond(target, &request, first).await,
                         };
+                        if request.disconnected.is_set() {
+                            fakes.lock().unwrap()[at].disconnects += 1;
+                        }
                         if has_slot {
                             fakes.lock().unwrap()[at].slots.release();
                         }
@@ -252,6 +261,7 @@
         "/events/silent" => silent_body(EVENT_HALVES),
         "/events/silent-middle" => silent_body(EVENT_MIDDLES),
         "/lots/silent" | "/sign/silent" => silent_body(ANSWER_HALVES),
+        path if path.starts_with("/hedged/") => hedged_answer(target, request, first).await,
         "/lots/cut" if first => half_body(std::future::ready(())),
         "/lots/dead" => std::future::pending().await,
         "/lots/dead-once" if first => std::future::pending().await,
@@ -335,6 +345,29 @@
     Response::events(receiver)
 }
 
+/// Returns what one of two targets answers to a request that is slow at the `first` of them.
+async fn hedged_answer(target: &str, request: &Request, first: bool) -> Response {
+    let path = request.head.path.as_str();
+    let kind = path.rsplit('/').next().unwrap_or_default();
+    let error = || Response::full(StatusCode::INTERNAL_SERVER_ERROR, "text/plain", "no");
+    match (kind, first) {
+        ("left", true) | ("late-first", false) => request.disconnected.wait().await,
+        ("late-cut", true) => return half_body(monoio::time::sleep(HEDGED_WAIT)),
+        ("cut-second", false) => return half_body(std::future::ready(())),
+        ("second-fails" | "late-failure", false) => return error(),
+        // The other attempt ends in the meantime.
+        ("late-cut", false) | ("cut-second", true) => monoio::time::sleep(2 * HEDGED_WAIT).await,
+        ("late-first" | "second-fails" | "late-failure", true) => {
+            monoio::time::sleep(HEDGED_WAIT).await;
+        }
+        _ => monoio::time::sleep(QUICK_WAIT).await,
+    }
+    match kind {
+        "late-failure" => error(),
+        _ => Response::full(StatusCode::OK, "text/plain", format!("{target} {path}")),
+    }
+}
+
 /// Returns a body that is truncated after its first half, once `end` is over.
 fn half_body(end: impl Future<Output = ()> + 'static) -> Response {
     let (sender, receiver) = bounded(4);
--- a/hawthornkeel_core/src/placement/hedging.rs
+++ b/hawthornkeel_core/src/placement/hedging.rs
@@ -23,12 +23,24 @@
 /// Count of a new sample. It is above one so that a sample can be halved a few times before it is
 /// dropped: the samples above a high quantile are few.
 const SAMPLE_COUNT: u32 = 16;
-/// Time in which the count of a sample is halved.
+/// Time in which the count of a sample is halved if there are many.
 const HALF_LIFE: Duration = Duration::from_secs(10);
+/// Time in which it is halved if there are few, as on a quiet route.
+const QUIET_HALF_LIFE: Duration = Duration::from_secs(60);
+/// Number of samples from which there are many.
+const MANY_SAMPLES: f64 = 200.0;
 /// Number of half-lives after which no sample is left.
 const MAX_HALVINGS: u32 = 5;
 /// Minimum number of samples from which a quantile is taken.
 const MIN_SAMPLES: f64 = 20.0;
+/// Factor of the delay of a hedge after which it may use all tokens. The upper half of the bucket serves
+/// the others: with a high quantile, most attempts that reach the delay end soon after it.
+const LATE_FACTOR: f64 = 1.5;
+/// Divisor of the delay of a hedge: the part after which one that was denied is asked for again. What
+/// frees a token meanwhile goes to the requests that still wait, so to the slowest.
+const ASK_DIVISOR: u32 = 4;
+/// Minimum time after which a denied hedge is asked for again.
+const MIN_ASK_INTERVAL: Duration = Duration::from_millis(10);
 /// Part of the share that requests add as tokens.
 const EARNED_PART: f64 = 0.8;
 /// Part of the share of one window that may be kept for the next. Together the two make up the share,
@@ -105,6 +117,8 @@
 /// Attempt for which a hedge is due.
 #[derive(Clone, Copy, Debug)]
 pub struct SlowAttempt {
+    /// Time since the attempt began.
+    pub elapsed: Duration,
     /// Time left until the deadline of the request.
     pub time_left: Duration,
     /// Whether a planned stop leaves time for one more attempt.
@@ -121,6 +135,12 @@
     runs < max_runs && targets < MAX_TARGETS
 }
 
+/// Returns the time after which a hedge that was denied is asked for again, for one that was first due
+/// after `delay`.
+pub fn ask_interval(delay: Duration) -> Duration {
+    (delay / ASK_DIVISOR).max(MIN_ASK_INTERVAL)
+}
+
 /// State of hedging at one entry.
 #[derive(Debug, Default)]
 pub struct Hedging {
@@ -182,9 +202,12 @@
         has_retry: impl FnOnce() -> bool,
         choose: impl FnOnce() -> Result<T, NoTarget>,
     ) -> Result<T, HedgeDenial> {
-        // Half of the attempts take less than the median.
-        let median = self.routes.get_mut(route).and_then(|r| r.quantile(now, 0.5));
         let limits = self.limits;
+        let latencies = self.routes.entry(route.clone()).or_default();
+        // Half of the attempts take less than the median.
+        let median = latencies.quantile(now, 0.5);
+        let delay = latencies.quantile(now, limits.quantile).unwrap_or_default();
+        let is_late = attempt.elapsed >= delay.mul_f64(LATE_FACTOR);
         let bucket = self.buckets.entry(pool.clone()).or_default();
         if attempt.time_left <= median.unwrap_or_default() {
             Err(HedgeDenial::Deadline)
@@ -194,7 +217,7 @@
             Err(HedgeDenial::Quarantined)
         } else if !attempt.has_links {
             Err(HedgeDenial::LinksLost)
-        } else if !bucket.has_token(now, &limits) {
+        } else if !bucket.has_token(now, &limits, is_late) {
             Err(HedgeDenial::HedgeBudget)
         } else if !has_retry() {
             Err(HedgeDenial::RetryBudget)
@@ -241,7 +264,9 @@
 
     fn decay(&mut self, now: Instant) {
         let Some(histogram) = &self.histogram else { return };
-        let halvings = now.since(self.halved).as_millis() / HALF_LIFE.as_millis().max(1);
+        let samples = histogram.len() as f64 / f64::from(SAMPLE_COUNT);
+        let half_life = if samples < MANY_SAMPLES { QUIET_HALF_LIFE } else { HALF_LIFE };
+        let halvings = now.since(self.halved).as_millis() / half_life.as_millis().max(1);
         let Some(halvings) = u32::try_from(halvings).ok().filter(|h| *h < MAX_HALVINGS) else {
             self.histogram = None;
             return;
@@ -257,7 +282,7 @@
             }
         }
         self.histogram = kept;
-        self.halved = self.halved + HALF_LIFE * halvings;
+        self.halved = self.halved + half_life * halvings;
     }
 }
 
@@ -295,10 +320,12 @@
         self.tokens = (self.tokens + EARNED_PART * limits.share).min(self.capacity(limits));
     }
 
-    /// Returns whether there is a token for one hedge.
-    pub fn has_token(&mut self, now: Instant, limits: &HedgeLimits) -> bool {
+    /// Returns whether there is a token for one hedge, in the upper half of the bucket unless the
+    /// hedge `is_late`.
+    pub fn has_token(&mut self, now: Instant, limits: &HedgeLimits, is_late: bool) -> bool {
         self.advance(now, limits);
-        self.tokens >= 1.0
+        let kept = if is_late { 0.0 } else { (self.capacity(limits) - 1.0) / 2.0 };
+        self.tokens >= 1.0 + kept
     }
 
     /// Takes a token.
