--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -403,6 +403,24 @@
         change(&mut self.fakes.lock().unwrap()[at]);
     }
 
+    /// Returns how many requests were cut off while targets ran them.
+    pub fn disconnects(&self) -> usize {
+        self.fakes.lock().unwrap().iter().map(|f| f.disconnects).sum()
+    }
+
+    /// Waits until as many requests as `count` were cut off while targets ran them.
+    pub fn wait_for_disconnects(&self, count: usize) {
+        let until = Instant::now() + TEST_TIMEOUT;
+        loop {
+            let cut = self.disconnects();
+            if cut >= count {
+                return;
+            }
+            assert!(Instant::now() < until, "{cut} of {count}:\n{}", self.logs());
+            thread::sleep(Duration::from_millis(20));
+        }
+    }
+
     /// Returns the settings of the fake targets.
     pub fn fakes(&self) -> &FakeTargets {
         &self.fakes
