Rollouts: what an entry knows of them, and the choice of targets by version

Cause: entries had no notion of a rollout; the balancer chose among all versions of a pool. Change: rollout/entry.rs holds an entry's records, grants, counts and reports without I/O; rollout/versions.rs the rule on versions, which TargetQuery now carries. The balancer chooses the first rank that the rule leaves, and the highest score within it; requests without a rollout have the rule Any, whose rank is the same for all targets.

--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -33,6 +33,8 @@
 use crate::placement::notice::Notices;
 use crate::placement::notice::TargetNotice;
 use crate::placement::partition::Partitions;
+use crate::placement::versions::Departed;
+use crate::placement::versions::Rank;
 use crate::streams::origin::StreamOrigin;
 use crate::streams::origin::Writer;
 use crate::table::pool::ColdLimit;
@@ -61,7 +63,7 @@
 #[derive(Clone, Debug, Default)]
 pub struct Balancer {
     pub(super) targets: IndexMap<TargetName, Target>,
-    taken_out: Vec<CentreName>,
+    pub(super) taken_out: Vec<CentreName>,
     /// Data centres whose entries don't respond to this one.
     pub(super) cut_off: Vec<CentreName>,
     /// Distribution of each pool's targets over schedulers.
@@ -69,7 +71,9 @@
     /// Targets that were recently unreachable, with the last time.
     unreached: IndexMap<TargetName, (Instant, CentreName)>,
     /// What targets have said about themselves.
-    notices: Notices,
+    pub(super) notices: Notices,
+    /// Requests that run at targets which the list no longer names.
+    pub(super) departed: Departed,
     /// Whether a list was received: the targets of the first one don't count as new.
     has_list: bool,
 }
@@ -78,13 +82,13 @@
 #[derive(Clone, Debug)]
 pub(super) struct Target {
     pub(super) listed: ListedTarget,
-    health: Health,
+    pub(super) health: Health,
     /// What its process has said about itself.
     pub(super) notice: TargetNotice,
     /// Time of the last answer.
     last_answer: Instant,
     /// Number of this entry's requests in progress.
-    in_flight: Rc<Cell<u32>>,
+    pub(super) in_flight: Rc<Cell<u32>>,
     cold_until: Instant,
     /// Time from which it counts as cold for as long as its pool's targets do after a start.
     warming_since: Option<Instant>,
@@ -111,6 +115,7 @@
             }
             self.targets.insert(listed.name.clone(), target);
         }
+        self.departed.add(known.into_values());
         self.has_list = true;
         self.update_partitions();
         dropped
@@ -244,7 +249,7 @@
 
     /// Returns the data centre of the target that would be chosen.
     pub fn likely_centre(&mut self, now: Instant, query: &TargetQuery<'_>) -> Option<CentreName> {
-        let index = self.best(now, query).ok()?;
+        let (index, _) = self.best(now, query).ok()?;
         self.targets.get_index(index).map(|(_, t)| t.listed.centre.clone())
     }
 
@@ -257,7 +262,7 @@
         now: Instant,
         query: &TargetQuery<'_>,
     ) -> Result<ChosenTarget, NoTarget> {
-        let index = self.best(now, query)?;
+        let (index, rank) = self.best(now, query)?;
         let (name, target) = self.targets.get_index_mut(index).ok_or(NoTarget::Empty)?;
         let in_flight = InFlight::new(&target.in_flight);
         let cold = target.is_cold(now, query.cold);
@@ -273,42 +278,34 @@
             born: *born,
             version: version.clone(),
             cold,
+            fall_back: rank.is_fall_back(query.rule),
             _in_flight: in_flight,
         })
     }
 
-    /// Returns the index of the target with the highest score.
-    fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<usize, NoTarget> {
-        let mut best: Option<(f64, usize)> = None;
+    /// Returns the index and the rank of the target with the highest score among those of the first
+    /// rank.
+    fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<(usize, Rank), NoTarget> {
+        let mut best: Option<(Rank, f64, usize)> = None;
         let mut reason = NoTarget::Empty;
         let brittle = self.is_brittle(now, query.pool);
+        let last_resort = self.opens_last_resort(now, query.pool, query.rule);
         for index in 0..self.targets.len() {
+            let Some(rank) = self.rank(now, index, query, last_resort) else { continue };
             let has_room = !brittle || self.has_slot(index);
             let score = match self.score(now, index, query) {
                 Ok(_) if !has_room => Err(NoTarget::Paused { until: now + SLOT_WAIT }),
                 score => score,
             };
             match score {
-                Ok(score) if best.is_none_or(|(b, _)| score > b) => best = Some((score, index)),
+                Ok(score) if best.is_none_or(|(r, b, _)| rank < r || rank == r && score > b) => {
+                    best = Some((rank, score, index));
+                }
                 Ok(_) => {}
                 Err(why) => reason = reason.and(why),
             }
         }
-        best.map(|(_, index)| index).ok_or(reason)
-    }
-
-    /// Returns whether a target of a pool has lately said that rejections end it; the others may not
-    /// have had an answer on which to say so.
-    fn is_brittle(&self, now: Instant, pool: &PoolName) -> bool {
-        let mut of_pool = self.targets.values().filter(|t| t.listed.pool == *pool);
-        self.notices.any_brittle() && of_pool.any(|t| t.notice.is_brittle(now))
-    }
-
-    /// Returns whether this entry's part in the slots of a target leaves room for one more request.
-    fn has_slot(&self, index: usize) -> bool {
-        let Some((_, target)) = self.targets.get_index(index) else { return false };
-        let (listed, in_flight) = (&target.listed, target.in_flight.get());
-        listed.slots == 0 || in_flight < self.notices.slot_share(&listed.run(), listed.slots)
+        best.map(|(rank, _, index)| (index, rank)).ok_or(reason)
     }
 
     /// Records the outcome of a call to a target.
--- a/hawthornkeel_core/src/placement/brittle.rs
+++ b/hawthornkeel_core/src/placement/brittle.rs
@@ -8,7 +8,10 @@
 
 use crate::fleet::ProcessId;
 use crate::names::InstanceName;
+use crate::names::PoolName;
+use crate::placement::balancer::Balancer;
 use crate::placement::limit::EntryView;
+use crate::time::Instant;
 
 /// Time for which a target counts as brittle after the last answer that said so.
 pub(super) const BRITTLE_TIME: Duration = Duration::from_secs(10);
@@ -32,3 +35,19 @@
         used / count + u32::from(before < rest)
     }
 }
+
+impl Balancer {
+    /// Returns whether a target of a pool has lately said that rejections end it; the others may not
+    /// have had an answer on which to say so.
+    pub(super) fn is_brittle(&self, now: Instant, pool: &PoolName) -> bool {
+        let mut of_pool = self.targets.values().filter(|t| t.listed.pool == *pool);
+        self.notices.any_brittle() && of_pool.any(|t| t.notice.is_brittle(now))
+    }
+
+    /// Returns whether this entry's part in the slots of a target leaves room for one more request.
+    pub(super) fn has_slot(&self, index: usize) -> bool {
+        let Some((_, target)) = self.targets.get_index(index) else { return false };
+        let (listed, in_flight) = (&target.listed, target.in_flight.get());
+        listed.slots == 0 || in_flight < self.notices.slot_share(&listed.run(), listed.slots)
+    }
+}
--- a/hawthornkeel_core/src/placement/choice.rs
+++ b/hawthornkeel_core/src/placement/choice.rs
@@ -9,6 +9,7 @@
 use crate::names::PoolName;
 use crate::names::SoftwareVersion;
 use crate::names::TargetName;
+use crate::rollout::versions::VersionRule;
 use crate::table::pool::ColdLimit;
 use crate::time::Instant;
 
@@ -29,6 +30,8 @@
     pub entries: usize,
     /// Only software that may run the request, if it goes on with a stream.
     pub version: Option<&'a SoftwareVersion>,
+    /// Versions that may get the request while its pool is in a rollout or has had one.
+    pub rule: &'a VersionRule,
 }
 
 /// Chosen target. Its request counts as in progress until this is dropped.
@@ -46,6 +49,8 @@
     pub version: SoftwareVersion,
     /// Whether it counted as cold.
     pub cold: bool,
+    /// Whether it was chosen as no target of the version that the rule asks for could get the request.
+    pub fall_back: bool,
     pub(super) _in_flight: InFlight,
 }
 
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -15,3 +15,4 @@
 
 mod brittle;
 mod partition;
+mod versions;
--- a/hawthornkeel_core/src/rollout/mod.rs
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -2,5 +2,11 @@
 //! is judged, and moves back if the version is bad.
 
 pub mod controller;
+pub mod counts;
+pub mod entry;
 pub mod message;
 pub mod record;
+pub mod versions;
+
+mod pool;
+mod sessions;
--- a/hawthornkeel_core/tests/notice_harness/mod.rs
+++ b/hawthornkeel_core/tests/notice_harness/mod.rs
@@ -18,6 +18,7 @@
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
+use hawthornkeel_core::rollout::versions::VersionRule;
 use hawthornkeel_core::table::pool::ColdLimit;
 use hawthornkeel_core::time::Instant;
 
@@ -82,6 +83,7 @@
             cold,
             entries: 8,
             version: None,
+            rule: &VersionRule::Any,
         };
         self.balancer.choose(at(ms), &query)
     }
--- a/hawthornkeel_core/tests/target_choice.rs
+++ b/hawthornkeel_core/tests/target_choice.rs
@@ -11,6 +11,7 @@
 use hawthornkeel_core::placement::balancer::NoTarget;
 use hawthornkeel_core::placement::balancer::TargetQuery;
 use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::rollout::versions::VersionRule;
 use hawthornkeel_core::table::pool::ColdLimit;
 use hawthornkeel_core::time::Instant;
 
@@ -50,6 +51,7 @@
         cold: Some(COLD),
         entries: 8,
         version: None,
+        rule: &VersionRule::Any,
     }
 }
 
