Rollouts: entries ask for them, report to the leader and keep to the rule on versions

Cause: entries sent requests to targets of any version, and nothing asked control instances for rollouts. The rule is asked when a target is chosen, before a connection is opened, and right before the first byte goes out, where the request is counted; the last two were one check before the connection was opened. Streams of a version that was replaced or rolled back end as if its software were gone.

--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -27,6 +27,7 @@
 use crate::forward::silence;
 use crate::forward::stop;
 use crate::forward::target_calls::CallKind;
+use crate::forward::target_calls::TargetCall;
 
 /// Interval at which the choice of a target is repeated while all of them are cold.
 const COLD_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -170,8 +171,8 @@
         let outgoing = OutgoingRequest { retryable, ..outgoing };
         let retry_time = silence::retry_time(context, request, progress);
         request.may_have_run.set(true);
-        let run = target.run();
-        let sent = context.send_to_target(&run, CallKind::Request, &outgoing, request.deadline);
+        let call = TargetCall { request, target, kind: CallKind::Request };
+        let sent = context.send_to_target(&call, &outgoing, request.deadline);
         let (result, next) = silence::wait(context, request, progress, retry_time, sent).await;
         if next.is_some() {
             // The target's other idle connections may be as silent as this one.
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -32,6 +32,7 @@
 use crate::forward::measures;
 use crate::forward::quarantine::Quarantine;
 use crate::forward::response_memory::ResponseMemory;
+use crate::forward::rollouts::Rollouts;
 use crate::forward::stop::EntryStop;
 use crate::forward::streams::Streams;
 use crate::peer::Endpoint;
@@ -75,6 +76,8 @@
     pub(super) quarantine: Quarantine,
     /// Origins of streams.
     pub(super) streams: Streams,
+    /// Rollouts.
+    pub(super) rollouts: Rollouts,
     /// Other entries as helpers.
     pub(super) helpers: RefCell<Helpers>,
     /// Number of requests in progress, those of other entries included.
@@ -163,6 +166,7 @@
             limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
             streams: Streams::default(),
+            rollouts: Rollouts::new(rand::random()),
             helpers: RefCell::default(),
             in_progress: Rc::default(),
             helped: Rc::default(),
@@ -264,8 +268,9 @@
         self.limits_mark.set(mark);
     }
 
-    /// Records a request, which adds to the retry budget of its pool.
+    /// Records a request that was admitted for a pool, which adds to the retry budget of the pool.
     pub fn record_request(&self, pool: &PoolName) {
+        self.rollouts.record_arrival(pool);
         let (budget, entry_count) =
             (self.retry_budget(), self.serving_entries.borrow().peak_count());
         self.retry_buckets
--- a/hawthornkeel/src/forward/discovery_client.rs
+++ b/hawthornkeel/src/forward/discovery_client.rs
@@ -17,6 +17,7 @@
 use crate::clock::boot_now;
 use crate::clock::millis;
 use crate::forward::context::Context;
+use crate::forward::rollouts;
 use crate::forward::schedulers::Schedulers;
 use crate::forward::target_calls::log_dropped;
 use crate::peer::Frame;
@@ -54,6 +55,7 @@
         match poll(&context, control, mark).await {
             Some(update) => {
                 let age = update.followed.age_ms.map(Duration::from_millis);
+                rollouts::refresh(&context, control, &update.followed).await;
                 let list_age = update.list_age_ms.map(Duration::from_millis);
                 mark = apply(&context, &schedulers, update, sent).or(mark);
                 if let Some(age) = list_age {
@@ -152,6 +154,7 @@
         context.http_client.retain(is_listed);
         context.update_links();
     }
+    context.update_trials();
     // Limits hold for targets that the list names.
     context.apply_limits(update.limits.as_deref(), update.limits_mark);
     if changed || mark.is_some() {
--- a/hawthornkeel/src/forward/exchange_error.rs
+++ b/hawthornkeel/src/forward/exchange_error.rs
@@ -11,7 +11,8 @@
 pub enum ExchangeError {
     /// The request was not sent, so it can't have run.
     NotSent(String),
-    /// The request was not sent, as its target has meanwhile said that it leaves or wants a pause.
+    /// The request was not sent, as its target has meanwhile said that it leaves or wants a pause, or
+    /// as its pool's rollout no longer lets it go to that version.
     Withheld,
     /// The request was sent on a kept connection that broke, and none could be opened to send it
     /// again; it may have run.
@@ -46,6 +47,9 @@
     pub(super) fn after_sending(self) -> Self {
         match self {
             Self::NotSent(cause) => Self::NotResent(cause),
+            Self::Withheld => {
+                Self::Interrupted("kept connection broke, and the request is withheld")
+            }
             other => other,
         }
     }
@@ -61,7 +65,7 @@
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         match self {
             Self::NotSent(cause) => write!(f, "not sent: {cause}"),
-            Self::Withheld => f.write_str("target wants no request"),
+            Self::Withheld => f.write_str("target may get no request"),
             Self::NotResent(cause) => write!(f, "not sent again: {cause}"),
             Self::Interrupted(cause) => write!(f, "interrupted: {cause}"),
             Self::TimedOut => f.write_str("silent"),
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -60,14 +60,17 @@
 pub struct SendRules<'a> {
     /// Receives the head of every answer, even of one that is rejected.
     pub observe: &'a dyn Fn(StatusCode, &HeaderMap),
-    /// Returns whether the target takes requests; asked before each time that one is sent.
+    /// Returns whether the target takes requests; asked before a connection is opened for one.
     pub may_send: &'a dyn Fn() -> bool,
+    /// Returns whether a request may be sent, and counts it if so; asked right before each time that
+    /// its first byte goes out.
+    pub begin: &'a dyn Fn() -> bool,
 }
 
 impl Default for SendRules<'_> {
     /// Returns rules that allow all and observe nothing.
     fn default() -> Self {
-        Self { observe: &|_, _| {}, may_send: &|| true }
+        Self { observe: &|_, _| {}, may_send: &|| true, begin: &|| true }
     }
 }
 
@@ -170,6 +173,7 @@
         }
         let connection = opened.map_err(|e| if resent { e.after_sending() } else { e })?;
         let sent = self.send_over(connection, address, request, deadline, rules).await;
+        let sent = sent.map_err(|e| if resent { e.after_sending() } else { e });
         sent.map(|response| TargetResponse { resent, ..response })
     }
 
@@ -181,6 +185,12 @@
         deadline: Instant,
         rules: SendRules<'_>,
     ) -> Result<TargetResponse, ExchangeError> {
+        if !(rules.begin)() {
+            if !connection.reused {
+                self.checkin(address, connection, &HeaderMap::new());
+            }
+            return Err(ExchangeError::Withheld);
+        }
         connection.awaited = Some(self.links.await_answer(address));
         let sent = timeout(time_left(deadline), connection.send(&request.data)).await;
         let sent = sent.map_err(|_| ExchangeError::TimedOut)?;
--- a/hawthornkeel/src/forward/measures.rs
+++ b/hawthornkeel/src/forward/measures.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::SoftwareVersion;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::table::access::Denied;
@@ -53,6 +54,19 @@
     metrics::counter!(telemetry::RETRY_GRANTS, "pool" => pool, "granted" => granted).increment(1);
 }
 
+/// Records a request that is sent to a target of a pool in a rollout.
+pub(super) fn rollout_sent(pool: &PoolName, version: &SoftwareVersion) {
+    let (pool, version) = (pool.to_string(), version.to_string());
+    metrics::counter!(telemetry::ROLLOUT_SENT, "pool" => pool, "version" => version).increment(1);
+}
+
+/// Records a failure that a target of a pool in a rollout reports.
+pub(super) fn rollout_failure(pool: &PoolName, version: &SoftwareVersion) {
+    let (pool, version) = (pool.to_string(), version.to_string());
+    metrics::counter!(telemetry::ROLLOUT_FAILURES, "pool" => pool, "version" => version)
+        .increment(1);
+}
+
 /// Records a call that ran pieces of a pool.
 pub(super) fn pieces_called(pool: &PoolName, succeeded: bool, time: Duration) {
     let outcome = if succeeded { "succeeded" } else { "failed" };
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -40,6 +40,7 @@
 mod quarantine;
 mod quarantine_server;
 mod reservation;
+mod rollouts;
 mod silence;
 mod stream_form;
 mod stream_server;
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -173,7 +173,8 @@
     ) -> Result<ChosenTarget, NoTarget> {
         let entry_count = context.serving_entries.borrow().peak_count();
         let centre = preferred_centre(context, request);
-        let query = target_query(request, centre.as_ref(), tried, entry_count);
+        let rule = context.version_rule(request, origin);
+        let query = target_query(request, centre.as_ref(), tried, entry_count, &rule);
         let query = TargetQuery { version: origin.map(|o| &o.version), ..query };
         context.balancer.borrow_mut().choose(boot_now(), &query)
     }
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -34,6 +34,7 @@
 use crate::forward::stages::StageOutputs;
 use crate::forward::stream_form::StreamForm;
 use crate::forward::target_calls::CallKind;
+use crate::forward::target_calls::TargetCall;
 use crate::http::channel::Sender;
 use crate::http::signal::Signal;
 
@@ -287,11 +288,10 @@
             let outgoing =
                 self.request.encode_for(&target, &self.progress.results(), last.as_deref());
             let deadline = self.request.deadline.min(Instant::now() + RESUME_TIMEOUT);
-            let run = target.run();
+            let (run, request) = (target.run(), &self.request);
+            let call = TargetCall { request, target: &target, kind: CallKind::Resumption };
             let result = monoio::select! {
-                result = self.context.send_to_target(&run, CallKind::Resumption, &outgoing, deadline) => {
-                    result
-                }
+                result = self.context.send_to_target(&call, &outgoing, deadline) => result,
                 () = self.disconnected.wait() => return None,
             };
             let result = self.context.check_writer(&run, result).await;
--- a/hawthornkeel/src/forward/streams.rs
+++ b/hawthornkeel/src/forward/streams.rs
@@ -244,7 +244,7 @@
             return Err(Unresumable::Moved);
         }
         let balancer = self.balancer.borrow();
-        match balancer.serves_software(&origin) {
+        match self.serves_stream(&origin) {
             true => Ok(origin),
             // Without a list this entry knows of no target yet.
             false if !balancer.has_list() => Err(Unresumable::Unanswered),
@@ -252,10 +252,15 @@
         }
     }
 
+    /// Returns whether any target with the software of a stream may go on with it.
+    fn serves_stream(&self, origin: &StreamOrigin) -> bool {
+        self.balancer.borrow().serves_software(origin) && !self.is_ended(origin)
+    }
+
     /// Returns the problem of a request that found no target, if that is for its software.
     pub(super) fn software_gone(&self, request: &IncomingRequest) -> Option<Problem> {
         let origin = request.origin.as_ref()?;
-        let is_gone = !self.balancer.borrow().serves_software(origin);
+        let is_gone = !self.serves_stream(origin);
         (is_gone && request.run_status() == RunStatus::NotRun).then(|| Unresumable::Gone.problem())
     }
 }
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -1,11 +1,13 @@
 //! Requests to targets: the only way to send one, so that what an answer says about its target is
 //! known whichever request it answers.
 
+use std::cell::Cell;
 use std::fmt;
 use std::time::Duration;
 use std::time::Instant;
 
 use hawthornkeel_core::fleet::TargetRun;
+use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::limit::RequestRate;
 use hawthornkeel_core::placement::notice::Brittleness;
 use hawthornkeel_core::placement::notice::DroppedNotice;
@@ -64,6 +66,23 @@
     }
 }
 
+/// Request of a caller to a target.
+pub(super) struct TargetCall<'a> {
+    /// Request.
+    pub(super) request: &'a IncomingRequest,
+    /// Target.
+    pub(super) target: &'a ChosenTarget,
+    /// What is asked of the target.
+    pub(super) kind: CallKind,
+}
+
+impl TargetCall<'_> {
+    /// Returns whether the request goes on with a stream.
+    pub(super) fn is_bound(&self) -> bool {
+        self.kind == CallKind::Resumption || self.request.origin.is_some()
+    }
+}
+
 /// Returns what an answer says about its target.
 pub(super) fn answer_notices(status: StatusCode, headers: &HeaderMap) -> AnswerNotices {
     notices::parse(status.as_u16(), |name| headers.get_all(name).iter().map(HeaderValue::as_bytes))
@@ -76,23 +95,30 @@
 }
 
 impl Context {
-    /// Sends a request to a target and reads the head of the response.
+    /// Sends a caller's request to a target and reads the head of the response.
     ///
     /// # Errors
     /// Returns the reason if there is no response before the deadline.
-    pub async fn send_to_target(
+    pub(super) async fn send_to_target(
         &self,
-        run: &TargetRun,
-        kind: CallKind,
-        request: &OutgoingRequest,
+        call: &TargetCall<'_>,
+        outgoing: &OutgoingRequest,
         deadline: Instant,
     ) -> Result<TargetResponse, ExchangeError> {
-        let sent = boot_now();
+        let (run, kind, asked) = (call.target.run(), call.kind, boot_now());
+        let sent = Cell::new(asked);
         let observe = |status: StatusCode, headers: &HeaderMap| {
-            self.record_notices(run, kind, sent, status, headers);
+            self.record_notices(&run, kind, asked, status, headers);
+        };
+        let begin = || {
+            sent.set(boot_now());
+            self.may_send(&run, kind) && self.begin_send(call)
         };
-        let rules = SendRules { observe: &observe, may_send: &|| self.may_send(run, kind) };
-        self.http_client.send_by(run.address, request, deadline, rules).await
+        let may_send = || self.may_send(&run, kind) && self.allows_version(call);
+        let rules = SendRules { observe: &observe, may_send: &may_send, begin: &begin };
+        let response = self.http_client.send_by(run.address, outgoing, deadline, rules).await?;
+        self.record_answer(call, sent.get(), &response);
+        Ok(response)
     }
 
     /// Sends a request of the system itself to a target and returns the complete response.
@@ -109,7 +135,8 @@
         let observe = |status: StatusCode, headers: &HeaderMap| {
             self.record_notices(run, kind, sent, status, headers);
         };
-        let rules = SendRules { observe: &observe, may_send: &|| self.may_send(run, kind) };
+        let may_send = || self.may_send(run, kind);
+        let rules = SendRules { observe: &observe, may_send: &may_send, begin: &may_send };
         internal_request::send_by(&self.http_client, request, rules).await
     }
 
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -72,6 +72,10 @@
 pub const STREAM_RECORDS: &str = "hawthornkeel_stream_records";
 /// Repeats that were asked of the retry budget, by pool and whether it granted them.
 pub const RETRY_GRANTS: &str = "hawthornkeel_retry_grants_total";
+/// Requests that were sent to targets of a pool in a rollout, by pool and version.
+pub const ROLLOUT_SENT: &str = "hawthornkeel_rollout_sent_total";
+/// Failures that targets of a pool in a rollout reported, by pool and version.
+pub const ROLLOUT_FAILURES: &str = "hawthornkeel_rollout_failures_total";
 /// Losses and returns of the links to most targets of a pool, by pool and change.
 pub const LINK_CHANGES: &str = "hawthornkeel_link_changes_total";
 /// Requests that were handed over to another entry, by outcome.
