--- a/hawthornkeel/src/forward/rollouts.rs
+++ b/hawthornkeel/src/forward/rollouts.rs
@@ -300,9 +300,12 @@
 
 /// Applies a grant; a leader that knows a later record is asked for it.
 async fn apply_grant(context: &Rc<Context>, leader: &InstanceName, reply: GrantReply<'_>) {
-    let is_behind = context.rollouts.state.borrow_mut().apply_grant(boot_now(), &reply);
+    let effect = context.rollouts.state.borrow_mut().apply_grant(boot_now(), &reply);
     context.update_trials();
-    if is_behind {
+    if let Some(rollout) = &effect.moved {
+        log_rollout("rollout-moved", rollout);
+    }
+    if effect.is_behind {
         query(context, leader).await;
     }
 }
--- a/hawthornkeel/tests/kept_connections.rs
+++ b/hawthornkeel/tests/kept_connections.rs
@@ -4,6 +4,7 @@
 
 #![allow(clippy::unwrap_used)]
 
+use std::cell::Cell;
 use std::io::Read;
 use std::io::Write;
 use std::net::SocketAddr;
@@ -18,6 +19,7 @@
 use hawthornkeel::forward::exchange_error::ExchangeError;
 use hawthornkeel::forward::http_client::HttpClient;
 use hawthornkeel::forward::http_client::OutgoingRequest;
+use hawthornkeel::forward::http_client::SendRules;
 use hawthornkeel::forward::http_client::TargetResponse;
 use hawthornkeel::forward::response_memory::ResponseMemory;
 use hawthornkeel::runtime;
@@ -113,3 +115,41 @@
     assert!(target.join().unwrap());
     assert!(error.as_ref().is_some_and(|e| !e.is_not_run()), "{error:?}");
 }
+
+// A request whose permission ended while a connection was opened for it was sent nevertheless, or its
+// connection was lost to the next one.
+#[test]
+fn permission_is_asked_before_the_first_byte() {
+    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = listener.local_addr().unwrap();
+    let target = thread::spawn(move || {
+        let (mut stream, _) = listener.accept().unwrap();
+        assert!(read_request(&mut stream));
+        stream.write_all(RESPONSE).unwrap();
+        listener.set_nonblocking(true).unwrap();
+        assert!(listener.accept().is_err());
+    });
+    runtime::block_on(async {
+        let client = HttpClient::new("request-id", ResponseMemory::default());
+        let data = Bytes::from_static(REQUEST);
+        let (id, bodiless, retryable) = (Some(Bytes::from_static(b"r1")), false, true);
+        let request = OutgoingRequest { data, id, bodiless, retryable };
+        for is_allowed in [false, true] {
+            let asked = Cell::new(0);
+            let begin = || {
+                asked.set(asked.get() + 1);
+                is_allowed
+            };
+            let rules = SendRules { begin: &begin, ..SendRules::default() };
+            let result = client.send_by(address, &request, Instant::now() + LIMIT, rules).await;
+            match is_allowed {
+                true => assert_eq!(result.unwrap().status.as_u16(), 200),
+                false => assert_eq!(result.err(), Some(ExchangeError::Withheld)),
+            }
+            // It is also the place where requests are counted.
+            assert_eq!(asked.get(), 1);
+        }
+    })
+    .unwrap();
+    target.join().unwrap();
+}
--- a/hawthornkeel_core/src/rollout/entry.rs
+++ b/hawthornkeel_core/src/rollout/entry.rs
@@ -58,6 +58,15 @@
     pub grant: Option<RolloutGrant>,
 }
 
+/// What the answer to a report tells beside the grant.
+#[derive(Clone, Debug, Default, Eq, PartialEq)]
+pub struct GrantEffect {
+    /// Whether this entry does not know the latest record.
+    pub is_behind: bool,
+    /// Rollout, if it has entered another phase.
+    pub moved: Option<KnownRollout>,
+}
+
 /// Rollouts of all pools as one entry knows them.
 #[derive(Clone, Debug, Default)]
 pub struct EntryRollouts {
@@ -208,11 +217,15 @@
         })
     }
 
-    /// Applies the answer to a report, and returns whether it tells that this entry does not know the
-    /// latest record. Answers to reports before the last one that was answered change nothing.
-    pub fn apply_grant(&mut self, now: Instant, reply: &GrantReply<'_>) -> bool {
+    /// Applies the answer to a report. Answers to reports before the last one that was answered change
+    /// nothing.
+    pub fn apply_grant(&mut self, now: Instant, reply: &GrantReply<'_>) -> GrantEffect {
         let rollout = self.running_mut(reply.pool).filter(|r| r.id == reply.id);
-        rollout.is_some_and(|r| r.apply_grant(now, reply.sent, reply.sequence, reply.grant))
+        let Some(rollout) = rollout else { return GrantEffect::default() };
+        let before = rollout.phase;
+        let is_behind = rollout.apply_grant(now, reply.sent, reply.sequence, reply.grant);
+        let moved = (rollout.phase != before).then(|| known(rollout));
+        GrantEffect { is_behind, moved }
     }
 
     /// Returns whether the grant of a pool has expired since this was last asked, during its trial.
