Rollouts: no borrow of the rollouts is held while a report is sent

Cause: clippy saw a borrow whose explicit drop it does not follow. Change: the report is made by a method of its own. Measured: clippy of the workspace with warnings denied passes.

--- a/hawthornkeel/src/forward/rollouts.rs
+++ b/hawthornkeel/src/forward/rollouts.rs
@@ -14,6 +14,7 @@
 use hawthornkeel_core::rollout::entry::KnownRollout;
 use hawthornkeel_core::rollout::entry::RolloutNews;
 use hawthornkeel_core::rollout::message::RolloutQuery;
+use hawthornkeel_core::rollout::message::RolloutReport;
 use hawthornkeel_core::rollout::message::RolloutView;
 use hawthornkeel_core::rollout::versions::VersionRule;
 use hawthornkeel_core::streams::origin::StreamOrigin;
@@ -72,6 +73,10 @@
         }
     }
 
+    fn report(&self, now: Instant, pool: &PoolName, old_running: u32) -> Option<RolloutReport> {
+        self.state.borrow_mut().report(now, pool, old_running, rand::random())
+    }
+
     fn is_empty(&self) -> bool {
         self.state.borrow().is_empty()
     }
@@ -277,9 +282,7 @@
     let KnownRollout { pool, id, version, .. } = rollout;
     let old_running = context.balancer.borrow().running_at_others(pool, version);
     let sent = boot_now();
-    let mut rollouts = context.rollouts.state.borrow_mut();
-    let report = rollouts.report(sent, pool, old_running, rand::random());
-    drop(rollouts);
+    let report = context.rollouts.report(sent, pool, old_running);
     let (Some(report), Some(mut to)) = (report, context.report_to(failures)) else { return false };
     let sequence = report.sequence;
     let frame = Frame::Rollout(RolloutFrame::Report(report));
