--- a/hawthornkeel/src/forward/hedging.rs
+++ b/hawthornkeel/src/forward/hedging.rs
@@ -8,7 +8,6 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::placement::hedging::HedgeDenial;
@@ -33,6 +32,7 @@
 use crate::forward::request::IncomingRequest;
 use crate::forward::silence::Waiting;
 use crate::forward::target_calls::CallKind;
+use crate::forward::target_calls::TargetCall;
 
 /// Result of an exchange; a response to return to the caller has its body read.
 type Exchange = Result<TargetResponse, ExchangeError>;
@@ -164,7 +164,7 @@
     ) -> Attempt<'a> {
         let outgoing = self.outgoing(request, progress, &target);
         request.may_have_run.set(true);
-        let future = Box::pin(exchange(&self.context, request, target.run(), outgoing, heard));
+        let future = Box::pin(exchange(&self.context, request, target.clone(), outgoing, heard));
         Attempt { target, future, started: Instant::now(), ended: None }
     }
 
@@ -347,11 +347,12 @@
 async fn exchange(
     context: &Context,
     request: &IncomingRequest,
-    run: TargetRun,
+    target: ChosenTarget,
     outgoing: OutgoingRequest,
     heard: &Cell<Instant>,
 ) -> Exchange {
-    let sent = context.send_to_target(&run, CallKind::Request, &outgoing, request.deadline);
+    let call = TargetCall { request, target: &target, kind: CallKind::Request };
+    let sent = context.send_to_target(&call, &outgoing, request.deadline);
     let mut response = sent.await?;
     heard.set(Instant::now());
     if is_answer(&response) {
--- a/hawthornkeel/src/forward/measures.rs
+++ b/hawthornkeel/src/forward/measures.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::SoftwareVersion;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
 use hawthornkeel_core::placement::hedging::HedgeDenial;
@@ -70,6 +71,19 @@
     metrics::counter!(telemetry::HEDGES_DENIED, "pool" => pool, "reason" => reason).increment(1);
 }
 
+/// Records a request that is sent to a target of a pool in a rollout.
+pub(super) fn rollout_sent(pool: &PoolName, version: &SoftwareVersion) {
+    let (pool, version) = (pool.to_string(), version.to_string());
+    metrics::counter!(telemetry::ROLLOUT_SENT, "pool" => pool, "version" => version).increment(1);
+}
+
+/// Records a failure that a target of a pool in a rollout reports.
+pub(super) fn rollout_failure(pool: &PoolName, version: &SoftwareVersion) {
+    let (pool, version) = (pool.to_string(), version.to_string());
+    metrics::counter!(telemetry::ROLLOUT_FAILURES, "pool" => pool, "version" => version)
+        .increment(1);
+}
+
 /// Records a call that ran pieces of a pool.
 pub(super) fn pieces_called(pool: &PoolName, succeeded: bool, time: Duration) {
     let outcome = if succeeded { "succeeded" } else { "failed" };
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -78,6 +78,10 @@
 pub const HEDGES_WON: &str = "hawthornkeel_forward_hedges_won_total";
 /// Hedges of forwarded requests that were due and not sent, by pool and reason.
 pub const HEDGES_DENIED: &str = "hawthornkeel_forward_hedges_denied_total";
+/// Requests that were sent to targets of a pool in a rollout, by pool and version.
+pub const ROLLOUT_SENT: &str = "hawthornkeel_rollout_sent_total";
+/// Failures that targets of a pool in a rollout reported, by pool and version.
+pub const ROLLOUT_FAILURES: &str = "hawthornkeel_rollout_failures_total";
 /// Losses and returns of the links to most targets of a pool, by pool and change.
 pub const LINK_CHANGES: &str = "hawthornkeel_link_changes_total";
 /// Requests that were handed over to another entry, by outcome.
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -16,3 +16,4 @@
 
 mod brittle;
 mod partition;
+mod versions;
