--- a/hawthornkeel_core/src/rollout/mod.rs
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -3,4 +3,5 @@
 
 pub mod controller;
 pub mod message;
+pub mod order;
 pub mod record;
--- a/hawthornkeel_core/src/state/clock.rs
+++ b/hawthornkeel_core/src/state/clock.rs
@@ -35,6 +35,16 @@
         self.last_timestamp = Some(timestamp);
         self.now
     }
+
+    /// Returns the time that has elapsed since `earlier`, a time of this clock, at `wall` on a wall
+    /// clock.
+    ///
+    /// The wall clock counts only from the last timestamp on: this clock may be behind wall clocks by
+    /// idle time that it has not counted.
+    pub fn elapsed_since(&self, earlier: WallTime, wall: WallTime) -> Duration {
+        let idle = self.last_timestamp.map(|last| wall.since(last)).unwrap_or_default();
+        self.now.since(earlier).saturating_add(idle)
+    }
 }
 
 /// Returns the time `duration` after `time`, saturating at the numeric limit.
--- a/hawthornkeel_core/src/state/mod.rs
+++ b/hawthornkeel_core/src/state/mod.rs
@@ -14,6 +14,8 @@
 pub mod published;
 pub mod take_out;
 
+use std::time::Duration;
+
 use serde::Deserialize;
 use serde::Serialize;
 
@@ -28,6 +30,7 @@
 use crate::state::documents::Documents;
 use crate::state::fencing::FencingCounter;
 use crate::state::published::PublishedState;
+use crate::time::WallTime;
 
 /// Replicated state machine.
 ///
@@ -109,6 +112,11 @@
         }
     }
 
+    /// Returns the time since `earlier`, a time of the replicated state, as the wall clock tells it.
+    pub fn elapsed_since(&self, earlier: WallTime, wall: WallTime) -> Duration {
+        self.clock.elapsed_since(earlier, wall)
+    }
+
     /// Returns the rollouts.
     pub fn rollouts(&self) -> &Rollouts {
         &self.rollouts
