Rollouts: control side, gate for older builds and the operators' API

Cause: records of rollouts existed, but nothing proposed, served or read them. Change: RolloutServer at control instances answers entries from the applied state, runs the controller while it leads, and serves operators' calls behind a read barrier; orders at other instances are passed to the leader. An order is proposed only once every other member has offered the protocol at its last connection. Steps of a running rollout are proposed without asking again, as the log holds its order.

--- a/hawthornkeel/src/forward/discovery_server.rs
+++ b/hawthornkeel/src/forward/discovery_server.rs
@@ -265,7 +265,18 @@
         poll.entries_mark.is_some_and(|mark| mark != entries_mark(&self.serving()))
     }
 
-    fn serving(&self) -> Vec<ServingEntry> {
+    /// Returns the list of targets, or `None` before one was read.
+    pub fn target_list(&self) -> Option<TargetList> {
+        self.inner.list_time.get().map(|_| self.inner.target_list.borrow().clone())
+    }
+
+    /// Returns the signal for changes of the targets and the entries.
+    pub fn changes(&self) -> &EventCount {
+        &self.inner.changed
+    }
+
+    /// Returns the entries that serve callers.
+    pub fn serving(&self) -> Vec<ServingEntry> {
         self.inner.presence.borrow().serving(boot_now())
     }
 
--- a/hawthornkeel/src/forward/operators.rs
+++ b/hawthornkeel/src/forward/operators.rs
@@ -29,6 +29,7 @@
 use crate::control::directory::ControlDirectory;
 use crate::control::fan_out::call_all;
 use crate::control::follow::StateFollower;
+use crate::forward::rollout_requests::RolloutRequests;
 use crate::http::message::Head;
 use crate::http::message::Request;
 use crate::http::message::Response;
@@ -51,7 +52,7 @@
 ///
 /// An order that lay unread while this instance stood still is read together with the close of the
 /// operator who gave up waiting for it.
-const CLOSE_DELAY: Duration = Duration::from_millis(50);
+pub(super) const CLOSE_DELAY: Duration = Duration::from_millis(50);
 /// Retry delay for an order that was not committed.
 const RETRY_AFTER: Duration = Duration::from_millis(200);
 /// Maximum size of a document.
@@ -67,6 +68,8 @@
     pub client: ControlClient,
     /// Known control instances.
     pub directory: ControlDirectory,
+    /// Requests about rollouts.
+    pub rollouts: RolloutRequests,
 }
 
 impl Handler for OperatorHandler {
@@ -79,6 +82,10 @@
             Ok(OperatorRequest::SetCentreState(centre, state)) => {
                 self.order_centre(centre, state, caller_left).await
             }
+            Ok(OperatorRequest::BeginRollout) => {
+                self.rollouts.begin(&request.body, caller_left).await
+            }
+            Ok(OperatorRequest::ReadRollout(pool)) => self.rollouts.read(pool).await,
             Err(OperatorRequestError::UnknownPath) => {
                 Problem::not_run(Code::NotFound).into_response()
             }
@@ -208,7 +215,7 @@
     }
 }
 
-fn accepted() -> Response {
+pub(super) fn accepted() -> Response {
     Response::full(StatusCode::OK, "application/json", "{}")
 }
 
@@ -221,7 +228,7 @@
 }
 
 /// Responds that nothing is acknowledged; the operator may retry at any instance.
-fn not_acknowledged(ran: RunStatus, detail: &str) -> Response {
+pub(super) fn not_acknowledged(ran: RunStatus, detail: &str) -> Response {
     let problem = Problem::new(Code::NoQuorum, ran).with_retry_after(RETRY_AFTER);
     problem.with_detail(detail).into_response()
 }
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -38,6 +38,8 @@
 use crate::forward::discovery_server::ControlHandles;
 use crate::forward::discovery_server::DiscoveryServer;
 use crate::forward::operators::OperatorHandler;
+use crate::forward::rollout_requests::RolloutRequests;
+use crate::forward::rollout_server::RolloutServer;
 use crate::forward::server::ForwardServer;
 use crate::http::server::Limits;
 use crate::http::server::ListenError;
@@ -216,19 +218,22 @@
     let (Some(address), Some(control)) = (settings.control.operators, &parts.control) else {
         return Ok(None);
     };
-    if let Some(list) = settings.platform.address {
+    let discovery = settings.platform.address.map(|list| {
         let handles = ControlHandles {
             control: control.clone(),
             watch: parts.watch.clone(),
             directory: parts.directory.clone(),
         };
-        DiscoveryServer::start(settings, endpoint, handles, list);
-    }
+        DiscoveryServer::start(settings, endpoint, handles, list)
+    });
+    let rollouts = RolloutServer::start(endpoint, control, &parts.watch, discovery);
+    let rollouts = rollouts.client(parts.directory.clone());
     let operators = OperatorHandler {
         endpoint: endpoint.clone(),
         follower: parts.admin.follower.clone(),
         client: parts.client.clone(),
         directory: parts.directory.clone(),
+        rollouts: RolloutRequests::new(rollouts.clone()),
     };
     let limits = Limits { max_body: 4 << 20, ..Limits::default() };
     let server = OperatorServer::start(address, limits, operators)?;
--- a/hawthornkeel/src/peer/credentials.rs
+++ b/hawthornkeel/src/peer/credentials.rs
@@ -53,7 +53,7 @@
 
 impl Protocol {
     /// Protocols that this build speaks, in order of preference.
-    const ALL: [Self; 2] = [Self::Rollouts, Self::Base];
+    pub const ALL: [Self; 2] = [Self::Rollouts, Self::Base];
 
     /// Returns the name in the TLS handshake.
     fn name(self) -> &'static [u8] {
@@ -63,8 +63,8 @@
         }
     }
 
-    fn names() -> Vec<Vec<u8>> {
-        Self::ALL.iter().map(|p| p.name().to_vec()).collect()
+    fn names(protocols: &[Self]) -> Vec<Vec<u8>> {
+        protocols.iter().map(|p| p.name().to_vec()).collect()
     }
 
     /// Returns the protocol of an established connection.
@@ -132,14 +132,29 @@
     ///
     /// Fails where a file is missing or invalid or the key doesn't match the certificate.
     pub fn from_settings(settings: &Settings) -> Result<Self, CredentialsError> {
+        Self::with_protocols(settings, &Protocol::ALL)
+    }
+
+    /// Returns the credentials of an instance that offers only some protocols, like an older build.
+    ///
+    /// # Errors
+    ///
+    /// Returns the errors of [`Credentials::from_settings`].
+    pub fn with_protocols(
+        settings: &Settings,
+        protocols: &[Protocol],
+    ) -> Result<Self, CredentialsError> {
         match settings.peers.trust {
-            Trust::Certificates => Self::load(&settings.peers),
-            Trust::Addresses => Self::unauthenticated(&settings.peer_name()),
+            Trust::Certificates => Self::load_with(&settings.peers, protocols),
+            Trust::Addresses => Self::unauthenticated(&settings.peer_name(), protocols),
         }
     }
 
     /// Creates credentials that encrypt without authenticating: the peers' addresses are trusted.
-    fn unauthenticated(name: &InstanceName) -> Result<Self, CredentialsError> {
+    fn unauthenticated(
+        name: &InstanceName,
+        protocols: &[Protocol],
+    ) -> Result<Self, CredentialsError> {
         let generated = self_signed(name).map_err(invalid)?;
         let chain = vec![CertificateDer::from(generated.certificate)];
         let key = PrivateKeyDer::Pkcs8(PrivatePkcs8KeyDer::from(generated.key));
@@ -149,13 +164,13 @@
             .dangerous()
             .with_custom_certificate_verifier(Arc::new(AcceptAnyCertificate(provider.clone())))
             .with_no_client_auth();
-        client.alpn_protocols = Protocol::names();
+        client.alpn_protocols = Protocol::names(protocols);
         client.resumption = Resumption::disabled();
         let mut server = rustls::ServerConfig::builder_with_provider(provider)
             .with_protocol_versions(&[&TLS13])?
             .with_no_client_auth()
             .with_single_cert(chain, key)?;
-        server.alpn_protocols = Protocol::names();
+        server.alpn_protocols = Protocol::names(protocols);
         server.send_tls13_tickets = 0;
         Self::with_quic(client, server)
     }
@@ -166,6 +181,10 @@
     ///
     /// Fails where a file is missing or invalid or the key doesn't match the certificate.
     pub fn load(peers: &Peers) -> Result<Self, CredentialsError> {
+        Self::load_with(peers, &Protocol::ALL)
+    }
+
+    fn load_with(peers: &Peers, protocols: &[Protocol]) -> Result<Self, CredentialsError> {
         let certificate = required_path(&peers.certificate, "certificate")?;
         let key = required_path(&peers.key, "key")?;
         let authority = required_path(&peers.authority, "authority")?;
@@ -176,17 +195,20 @@
         for root in read_certificates(authority)? {
             roots.add(root)?;
         }
-        Self::new(chain, key, Arc::new(roots))
+        Self::new(chain, key, Arc::new(roots), protocols)
     }
 
     fn new(
         chain: Vec<CertificateDer<'static>>,
         key: PrivateKeyDer<'static>,
         roots: Arc<RootCertStore>,
+        protocols: &[Protocol],
     ) -> Result<Self, CredentialsError> {
         let provider = Arc::new(rustls::crypto::ring::default_provider());
-        let client = client_tls(&provider, chain.clone(), key.clone_key(), roots.clone())?;
-        let server = server_tls(&provider, chain, key, roots)?;
+        let mut client = client_tls(&provider, chain.clone(), key.clone_key(), roots.clone())?;
+        let mut server = server_tls(&provider, chain, key, roots)?;
+        client.alpn_protocols = Protocol::names(protocols);
+        server.alpn_protocols = Protocol::names(protocols);
         Self::with_quic(client, server)
     }
 
@@ -244,7 +266,6 @@
         .with_protocol_versions(&[&TLS13])?
         .with_root_certificates(roots)
         .with_client_auth_cert(chain, key)?;
-    config.alpn_protocols = Protocol::names();
     config.resumption = Resumption::disabled();
     Ok(config)
 }
@@ -262,7 +283,6 @@
         .with_protocol_versions(&[&TLS13])?
         .with_client_cert_verifier(verifier)
         .with_single_cert(chain, key)?;
-    config.alpn_protocols = Protocol::names();
     config.send_tls13_tickets = 0;
     Ok(config)
 }
--- a/hawthornkeel/src/peer/endpoint.rs
+++ b/hawthornkeel/src/peer/endpoint.rs
@@ -84,7 +84,19 @@
     ///
     /// Fails where the socket or the credentials can't be used.
     pub fn with_socket(socket: UdpSocket, settings: &Settings) -> Result<Self, PeerError> {
-        let credentials = Credentials::from_settings(settings)?;
+        Self::with_credentials(socket, settings, Credentials::from_settings(settings)?)
+    }
+
+    /// Opens the endpoint on a bound socket, with credentials other than those in the settings.
+    ///
+    /// # Errors
+    ///
+    /// Fails where the socket can't be used.
+    pub fn with_credentials(
+        socket: UdpSocket,
+        settings: &Settings,
+        credentials: Credentials,
+    ) -> Result<Self, PeerError> {
         let source = socket.local_addr()?.ip();
         let config = EndpointConfig::default();
         let runtime = MonoioRuntime::default();
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -88,6 +88,8 @@
 pub const LOG_INDEX: &str = "hawthornkeel_log_index";
 /// Duration of syncs of the log to the disk in seconds.
 pub const SYNC_SECONDS: &str = "hawthornkeel_sync_seconds";
+/// Last rollout of each pool, by pool, version and phase: 1 for the phase that it is in.
+pub const ROLLOUT_PHASE: &str = "hawthornkeel_rollout_phase";
 /// Calls waiting for a target.
 pub const WAITING_CALLS: &str = "hawthornkeel_waiting_calls";
 
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -279,6 +279,11 @@
         }
     }
 
+    /// Deletes the data folder of a control instance that is not running.
+    pub fn remove_data(&self, at: usize) {
+        fs::remove_dir_all(self.root.path().join(format!("data-{}", at + 1))).unwrap();
+    }
+
     /// Waits until a process has ended by itself; returns whether it did within `limit`.
     pub fn wait_exit(&mut self, at: usize, limit: Duration) -> bool {
         let until = Instant::now() + limit;
--- a/hawthornkeel/tests/support/cluster.rs
+++ b/hawthornkeel/tests/support/cluster.rs
@@ -14,7 +14,10 @@
 use hawthornkeel::control::open::open_with;
 use hawthornkeel::control::start;
 use hawthornkeel::control::start::ControlPlane;
+use hawthornkeel::forward::rollout_server::RolloutServer;
 use hawthornkeel::peer::Endpoint;
+use hawthornkeel::peer::credentials::Credentials;
+use hawthornkeel::peer::credentials::Protocol;
 use hawthornkeel_config::settings;
 use hawthornkeel_config::settings::Peer;
 use hawthornkeel_config::settings::Settings;
@@ -56,6 +59,8 @@
 
 struct ClusterInstance {
     spec: InstanceSpec,
+    /// Protocols that it offers to its peers; an older build offers fewer.
+    protocols: &'static [Protocol],
     /// Kept while the instance is down, so that no other test takes its port.
     socket: UdpSocket,
     /// Disk, which keeps its room while the instance is down.
@@ -100,6 +105,7 @@
     pub fn new(specs: Vec<InstanceSpec>) -> Self {
         let create = |spec| ClusterInstance {
             spec,
+            protocols: &Protocol::ALL,
             socket: super::socket(),
             disk: FullDiskIo::default(),
             running: None,
@@ -163,6 +169,12 @@
         self.snapshot_entries = entries;
     }
 
+    /// Sets the protocols that an instance offers from its next start on.
+    pub fn set_protocols(&mut self, name: &str, protocols: &'static [Protocol]) {
+        let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
+        self.instances[at].protocols = protocols;
+    }
+
     /// Sets the tuning of instances started from now on.
     pub fn set_tuning(&mut self, tuning: Tuning) {
         self.tuning = tuning;
@@ -198,10 +210,15 @@
         let socket = instance.socket.try_clone().unwrap();
         let stop = Arc::new(AtomicBool::new(false));
         let (stopped, tuning, disk) = (stop.clone(), self.tuning, instance.disk.clone());
+        let credentials = Credentials::with_protocols(&settings, instance.protocols).unwrap();
         let usage = Arc::new(Usage::default());
         let recorded = usage.clone();
-        let thread =
-            std::thread::spawn(move || serve(&settings, socket, tuning, disk, &stopped, &recorded));
+        let thread = std::thread::spawn(move || {
+            let open = |settings: &Settings| {
+                Endpoint::with_credentials(socket, settings, credentials).unwrap()
+            };
+            serve(&settings, open, tuning, disk, &stopped, &recorded);
+        });
         let at = self.instances.iter().position(|p| p.spec.name == name).unwrap();
         self.instances[at].running = Some(Running { stop, usage, thread });
     }
@@ -270,16 +287,19 @@
 
 fn serve(
     settings: &Settings,
-    socket: UdpSocket,
+    open_endpoint: impl FnOnce(&Settings) -> Endpoint,
     tuning: Tuning,
     disk: FullDiskIo,
     stop: &AtomicBool,
     usage: &Usage,
 ) {
     super::run(async {
-        let endpoint = Endpoint::with_socket(socket, settings).unwrap();
+        let endpoint = open_endpoint(settings);
         let open = || open_with(settings, &endpoint, tuning, disk).unwrap();
         let parts = start::start(settings, &endpoint, settings.control.enabled.then(open));
+        if let Some(control) = &parts.control {
+            RolloutServer::start(&endpoint, control, &parts.watch, None);
+        }
         while !stop.load(Ordering::Relaxed) {
             monoio::time::sleep(POLL_INTERVAL).await;
             usage.record(&endpoint);
