Rollouts: the loop of the control side sleeps between changes

Cause: each pass woke the next one, which kept the thread busy; found by rollout_members, where two groups in one process had no leader for 20 s. Change: only reports wake the loop early. Result: rollout_members (2 tests) and rollout_orders (5 tests) pass.

--- a/hawthornkeel/src/forward/rollout_server.rs
+++ b/hawthornkeel/src/forward/rollout_server.rs
@@ -137,6 +137,11 @@
         let leadership = self.inner.control.lead();
         let actions = match &mut *self.inner.lead.borrow_mut() {
             Some(lead) if leadership.is_leader => lead.report(boot_now(), from, report),
+            None if leadership.is_leader => {
+                // The lease has just begun.
+                self.inner.handled.notify();
+                return self.not_leading();
+            }
             _ => return self.not_leading(),
         };
         let grant = actions.iter().find_map(|action| match action {
@@ -144,6 +149,7 @@
             Action::Propose(_) | Action::Judged { .. } => None,
         });
         self.execute(actions);
+        self.inner.handled.notify();
         RolloutFrame::Grant(grant.flatten())
     }
 
@@ -267,7 +273,6 @@
                 Action::Grant(_) => {}
             }
         }
-        self.inner.handled.notify();
     }
 }
 
