--- a/extra/completions/hawthornkeel.bash
+++ b/extra/completions/hawthornkeel.bash
@@ -5,7 +5,7 @@
     local command=${COMP_WORDS[1]} options='--help --version'
     COMPREPLY=()
     if ((COMP_CWORD == 1)); then
-        options+=' check trial run submit status take-out bring-back keys explain'
+        options+=' check trial run submit status take-out bring-back rollout roll-back rollouts keys explain'
         mapfile -t COMPREPLY < <(compgen -W "$options" -- "$current")
         return
     fi
@@ -14,13 +14,14 @@
             mapfile -t COMPREPLY < <(compgen -f -- "$current")
             return
             ;;
-        --admin | --expected | --listen | --operation | --operator) return ;;
+        --admin | --duration | --expected | --listen | --operation | --operator) return ;;
     esac
     case $command in
         trial) options+=' --listen' ;;
         run) options+=' --settings' ;;
         submit) options+=' --admin --operator --operation --expected' ;;
-        status) options+=' --admin' ;;
+        rollout) options+=' --admin --duration' ;;
+        status | roll-back | rollouts) options+=' --admin' ;;
         take-out | bring-back) options+=' --admin --operator --operation' ;;
     esac
     if [[ $current == -* ]]; then
--- a/hawthornkeel/src/admin.rs
+++ b/hawthornkeel/src/admin.rs
@@ -13,6 +13,8 @@
 use crate::control::admin::SubmitRequest;
 use crate::control::orders::OrderRequest;
 use crate::control::orders::OrderSender;
+use crate::control::rollout_admin::RolloutAdmin;
+use crate::control::rollout_admin::RolloutRequest;
 use crate::entry::context::Context;
 use crate::http::message::Request;
 use crate::http::message::Response;
@@ -31,6 +33,7 @@
     admin: AdminService,
     metrics: PrometheusHandle,
     orders: Option<TargetOrders>,
+    rollouts: Option<RolloutAdmin>,
     stop: StopRequest,
 }
 
@@ -45,14 +48,16 @@
 impl AdminHandler {
     /// Creates the handler.
     ///
-    /// Orders to targets need an instance with both the entry and the control role.
+    /// Orders to targets need an instance with both the entry and the control role, and rollouts one
+    /// that serves the platform's operators.
     pub fn new(
         admin: AdminService,
         metrics: PrometheusHandle,
         orders: Option<TargetOrders>,
+        rollouts: Option<RolloutAdmin>,
         stop: StopRequest,
     ) -> Self {
-        Self { admin, metrics, orders, stop }
+        Self { admin, metrics, orders, rollouts, stop }
     }
 
     async fn route(&self, request: Request) -> Result<Response, Problem> {
@@ -66,10 +71,29 @@
                 Ok(json(&self.admin.bring_back(parse(&request)?).await))
             }
             (Method::POST, "/admin/order") => self.order(parse(&request)?).await,
+            (Method::POST, "/admin/rollout") => self.begin_rollout(parse(&request)?).await,
+            (Method::POST, "/admin/roll-back") => {
+                Ok(json(&self.rollouts()?.roll_back(parse(&request)?).await))
+            }
+            (Method::GET, "/admin/rollouts") => match self.rollouts()?.list().await {
+                Some(list) => Ok(json(&list)),
+                None => Err(Problem::not_run(Code::NoQuorum)),
+            },
             _ => Err(Problem::not_run(Code::NotFound)),
         }
     }
 
+    fn rollouts(&self) -> Result<&RolloutAdmin, Problem> {
+        self.rollouts.as_ref().ok_or_else(|| Problem::not_run(Code::NotFound))
+    }
+
+    async fn begin_rollout(&self, request: RolloutRequest) -> Result<Response, Problem> {
+        match self.rollouts()?.begin(request).await {
+            Ok(response) => Ok(json(&response)),
+            Err(invalid) => Err(Problem::not_run(Code::Invalid).with_detail(invalid.to_string())),
+        }
+    }
+
     async fn take_out(&self, request: CentreRequest) -> CentreResponse {
         match self.admin.take_out(request).await {
             // An order that only this instance knows ends with its process.
--- a/hawthornkeel/src/cli/command.rs
+++ b/hawthornkeel/src/cli/command.rs
@@ -2,12 +2,15 @@
 
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use hawthornkeel_core::ids::OperationNumber;
 use hawthornkeel_core::ids::Version;
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::OperatorName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::SoftwareVersion;
 
 /// Command of the command line.
 #[derive(Clone, Debug, Eq, PartialEq)]
@@ -26,6 +29,12 @@
     TakeOut(CentreOptions),
     /// Brings a data centre back into service.
     BringBack(CentreOptions),
+    /// Begins a rollout.
+    Rollout(RolloutOptions),
+    /// Rolls a rollout back.
+    RollBack(RollBackOptions),
+    /// Shows the rollouts.
+    Rollouts(StatusOptions),
     /// Creates certificates for instances.
     Keys(KeysOptions),
     /// Tells from logs what happened to a request.
@@ -55,6 +64,12 @@
     TakeOut,
     /// `bring-back`.
     BringBack,
+    /// `rollout`.
+    Rollout,
+    /// `roll-back`.
+    RollBack,
+    /// `rollouts`.
+    Rollouts,
     /// `keys`.
     Keys,
     /// `explain`.
@@ -63,7 +78,7 @@
 
 impl Topic {
     /// Topics of all commands.
-    pub const COMMANDS: [Self; 9] = [
+    pub const COMMANDS: [Self; 12] = [
         Self::Check,
         Self::Trial,
         Self::Run,
@@ -71,6 +86,9 @@
         Self::Status,
         Self::TakeOut,
         Self::BringBack,
+        Self::Rollout,
+        Self::RollBack,
+        Self::Rollouts,
         Self::Keys,
         Self::Explain,
     ];
@@ -86,6 +104,9 @@
             Self::Status => "status",
             Self::TakeOut => "take-out",
             Self::BringBack => "bring-back",
+            Self::Rollout => "rollout",
+            Self::RollBack => "roll-back",
+            Self::Rollouts => "rollouts",
             Self::Keys => "keys",
             Self::Explain => "explain",
         }
@@ -146,7 +167,29 @@
     pub operation: OperationNumber,
 }
 
-/// Options of `status`.
+/// Options of `rollout`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RolloutOptions {
+    /// Admin address of an instance.
+    pub admin: SocketAddr,
+    /// Pool.
+    pub pool: PoolName,
+    /// Version that is to get all of the traffic.
+    pub version: SoftwareVersion,
+    /// Time by which the rollout must have ended.
+    pub duration: Duration,
+}
+
+/// Options of `roll-back`.
+#[derive(Clone, Debug, Eq, PartialEq)]
+pub struct RollBackOptions {
+    /// Admin address of an instance.
+    pub admin: SocketAddr,
+    /// Pool.
+    pub pool: PoolName,
+}
+
+/// Options of `status` and `rollouts`.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct StatusOptions {
     /// Admin address of an instance.
--- a/hawthornkeel/src/cli/help.rs
+++ b/hawthornkeel/src/cli/help.rs
@@ -28,6 +28,10 @@
                          where it is left out
 ";
 
+/// Option of commands that only name an instance.
+const ADMIN_OPTION: &str =
+    "  --admin ADDRESS        admin address of an instance, such as 127.0.0.1:9901\n";
+
 /// Prints the help of `topic`.
 ///
 /// # Errors
@@ -72,8 +76,7 @@
         Topic::Status => (
             "status --admin ADDRESS",
             "Shows the versions in force, the data centres and the control instances as JSON.",
-            "  --admin ADDRESS        admin address of an instance, such as 127.0.0.1:9901\n"
-                .to_owned(),
+            ADMIN_OPTION.to_owned(),
         ),
         Topic::TakeOut => (
             "take-out --admin ADDRESS --operator NAME CENTRE",
@@ -85,6 +88,24 @@
             "Brings a data centre back into service.",
             ORDER_OPTIONS.to_owned(),
         ),
+        Topic::Rollout => (
+            "rollout --admin ADDRESS --duration SECONDS POOL VERSION",
+            "Moves the requests to a pool to one version of its targets' software, unless it \
+             proves bad.",
+            format!(
+                "{ADMIN_OPTION}  --duration SECONDS     time by which the rollout must have ended\n"
+            ),
+        ),
+        Topic::RollBack => (
+            "roll-back --admin ADDRESS POOL",
+            "Rolls the running rollout of a pool back; its new version gets no more requests.",
+            ADMIN_OPTION.to_owned(),
+        ),
+        Topic::Rollouts => (
+            "rollouts --admin ADDRESS",
+            "Shows the last rollout of each pool as JSON, with what its judgement has counted.",
+            ADMIN_OPTION.to_owned(),
+        ),
         Topic::Keys => (
             "keys FOLDER NAME...",
             "Makes certificates for instances, signed by the authority in the folder, which is \
@@ -117,6 +138,9 @@
   status                 show the state of an instance
   take-out CENTRE        take a data centre out of service
   bring-back CENTRE      bring a data centre back into service
+  rollout POOL VERSION   move the requests to a pool to one version
+  roll-back POOL         roll the running rollout of a pool back
+  rollouts               show the last rollout of each pool
   keys FOLDER NAME...    make certificates for instances
   explain REQUEST-ID     tell from logs what happened to a request
 
--- a/hawthornkeel/src/cli/mod.rs
+++ b/hawthornkeel/src/cli/mod.rs
@@ -10,6 +10,7 @@
 pub mod orders;
 pub mod output;
 pub mod parse;
+pub mod rollouts;
 pub mod run;
 pub mod trial;
 
@@ -44,6 +45,9 @@
         Command::Status(options) => orders::status(&options),
         Command::TakeOut(options) => orders::take_out(&options),
         Command::BringBack(options) => orders::bring_back(&options),
+        Command::Rollout(options) => rollouts::rollout(&options),
+        Command::RollBack(options) => rollouts::roll_back(&options),
+        Command::Rollouts(options) => rollouts::list(&options),
         Command::Keys(options) => keys::keys(&options),
         Command::Explain(options) => explain::explain(&options),
         Command::Help(topic) => help::print(topic),
--- a/hawthornkeel/src/cli/orders.rs
+++ b/hawthornkeel/src/cli/orders.rs
@@ -102,12 +102,12 @@
     eprintln!("operation {}", order.operation);
 }
 
-fn decode<T: DeserializeOwned>(response: &Bytes) -> Result<T, CliError> {
+pub(super) fn decode<T: DeserializeOwned>(response: &Bytes) -> Result<T, CliError> {
     serde_json::from_slice(response)
         .map_err(|error| CliError::Unknown(format!("the answer can't be read: {error}")))
 }
 
-fn as_text(response: &Bytes) -> Result<&str, CliError> {
+pub(super) fn as_text(response: &Bytes) -> Result<&str, CliError> {
     let text = str::from_utf8(response);
     text.map(str::trim_end).map_err(|_| CliError::Unknown("the answer is not UTF-8".to_owned()))
 }
--- a/hawthornkeel/src/cli/parse.rs
+++ b/hawthornkeel/src/cli/parse.rs
@@ -3,6 +3,7 @@
 use std::ffi::OsString;
 use std::net::SocketAddr;
 use std::path::PathBuf;
+use std::time::Duration;
 
 use hawthornkeel_config::schema;
 use hawthornkeel_core::ids::OperationNumber;
@@ -10,6 +11,8 @@
 use hawthornkeel_core::names::CentreName;
 use hawthornkeel_core::names::InstanceName;
 use hawthornkeel_core::names::OperatorName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::SoftwareVersion;
 use lexopt::Arg;
 use lexopt::Parser;
 use lexopt::ValueExt;
@@ -20,6 +23,8 @@
 use crate::cli::command::ExplainOptions;
 use crate::cli::command::KeysOptions;
 use crate::cli::command::OrderOptions;
+use crate::cli::command::RollBackOptions;
+use crate::cli::command::RolloutOptions;
 use crate::cli::command::RunOptions;
 use crate::cli::command::StatusOptions;
 use crate::cli::command::SubmitOptions;
@@ -39,6 +44,7 @@
 struct Arguments {
     values: Vec<OsString>,
     admin: Option<SocketAddr>,
+    duration: Option<f64>,
     expected: Option<u64>,
     listen: Option<SocketAddr>,
     operation: Option<u64>,
@@ -87,7 +93,8 @@
         Topic::General | Topic::Check | Topic::Keys | Topic::Explain => false,
         Topic::Trial => name == "listen",
         Topic::Run => name == "settings",
-        Topic::Status => name == "admin",
+        Topic::Status | Topic::RollBack | Topic::Rollouts => name == "admin",
+        Topic::Rollout => matches!(name, "admin" | "duration"),
         Topic::Submit => matches!(name, "admin" | "operator" | "operation" | "expected"),
         Topic::TakeOut | Topic::BringBack => matches!(name, "admin" | "operator" | "operation"),
     }
@@ -97,6 +104,7 @@
     fn set(&mut self, name: &str, value: OsString) -> Result<(), CliError> {
         match name {
             "admin" => self.admin = Some(value.parse()?),
+            "duration" => self.duration = Some(value.parse()?),
             "expected" => self.expected = Some(value.parse()?),
             "listen" => self.listen = Some(value.parse()?),
             "operation" => self.operation = Some(value.parse()?),
@@ -125,6 +133,11 @@
             Topic::Status => Command::Status(StatusOptions { admin: self.admin()? }),
             Topic::TakeOut => Command::TakeOut(self.centre()?),
             Topic::BringBack => Command::BringBack(self.centre()?),
+            Topic::Rollout => Command::Rollout(self.rollout()?),
+            Topic::RollBack => {
+                Command::RollBack(RollBackOptions { pool: self.pool()?, admin: self.admin()? })
+            }
+            Topic::Rollouts => Command::Rollouts(StatusOptions { admin: self.admin()? }),
             Topic::Keys => Command::Keys(self.keys()?),
             Topic::Explain => Command::Explain(ExplainOptions {
                 request: self.value("the identity of a request")?.string()?,
@@ -169,6 +182,19 @@
         Ok(CentreOptions { centre: CentreName::new(name), order: self.order()? })
     }
 
+    fn pool(&mut self) -> Result<PoolName, CliError> {
+        Ok(PoolName::new(&self.value("a pool")?.string()?))
+    }
+
+    fn rollout(&mut self) -> Result<RolloutOptions, CliError> {
+        let pool = self.pool()?;
+        let version = SoftwareVersion::new(&self.value("a version")?.string()?);
+        let seconds = self.duration.ok_or_else(|| missing("--duration"))?;
+        let duration = Duration::try_from_secs_f64(seconds)
+            .map_err(|error| CliError::Usage(format!("invalid --duration: {error}")))?;
+        Ok(RolloutOptions { admin: self.admin()?, pool, version, duration })
+    }
+
     fn keys(&mut self) -> Result<KeysOptions, CliError> {
         let folder = PathBuf::from(self.value("a folder")?);
         let mut names = vec![self.instance()?];
--- a/hawthornkeel/src/control/mod.rs
+++ b/hawthornkeel/src/control/mod.rs
@@ -16,6 +16,7 @@
 pub mod open;
 pub mod orders;
 pub mod proposal_queue;
+pub mod rollout_admin;
 pub mod rollout_client;
 mod rollout_state;
 pub mod sources;
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -19,6 +19,8 @@
 use crate::control::open::OpenError;
 use crate::control::open::open_control;
 use crate::control::orders::OrderSender;
+use crate::control::rollout_admin::RolloutAdmin;
+use crate::control::rollout_client::RolloutClient;
 use crate::control::start;
 use crate::control::start::ControlPlane;
 use crate::control::stop::OperatorServer;
@@ -122,11 +124,13 @@
     let control =
         if settings.control.enabled { Some(open_control(&settings, &endpoint)?) } else { None };
     let parts = start::start(&settings, &endpoint, control);
-    let mut servers = Vec::from_iter(serve_operators(&settings, &endpoint, &parts)?);
+    let (operators, rollouts) = serve_operators(&settings, &endpoint, &parts)?.unzip();
+    let mut servers = Vec::from_iter(operators);
     let context = settings.entry.enabled.then(|| open_entry(&settings, &endpoint, &parts));
     if let Some(address) = settings.instance.admin {
         let orders = context.as_ref().and_then(|c| target_orders(&settings, c, &parts));
-        let handler = AdminHandler::new(parts.admin.clone(), metrics, orders, stop.clone());
+        let (admin, rollouts) = (parts.admin.clone(), rollouts.map(RolloutAdmin::new));
+        let handler = AdminHandler::new(admin, metrics, orders, rollouts, stop.clone());
         servers.push(OperatorServer::start(address, Limits::default(), handler)?);
     }
     let election_timeout = Duration::from_millis(settings.control.election_ms);
@@ -210,11 +214,13 @@
 }
 
 /// Serves operators on the platform's paths, and discovery for forwarding entries, if configured.
+///
+/// Returns the server and the client for operators' calls about rollouts.
 fn serve_operators(
     settings: &Settings,
     endpoint: &Endpoint,
     parts: &ControlPlane,
-) -> Result<Option<OperatorServer>, ListenError> {
+) -> Result<Option<(OperatorServer, RolloutClient)>, ListenError> {
     let (Some(address), Some(control)) = (settings.control.operators, &parts.control) else {
         return Ok(None);
     };
@@ -238,7 +244,7 @@
     let limits = Limits { max_body: 4 << 20, ..Limits::default() };
     let server = OperatorServer::start(address, limits, operators)?;
     tracing::info!(event = "operators-served", name = %endpoint.name(), %address);
-    Ok(Some(server))
+    Ok(Some((server, rollouts)))
 }
 
 /// Returns what orders to targets need, if the instance has the control role.
--- a/hawthornkeel/tests/cli_orders.rs
+++ b/hawthornkeel/tests/cli_orders.rs
@@ -168,3 +168,37 @@
     drop(listener);
     assert_eq!(take_out(address).status.code(), Some(4));
 }
+
+/// Rollout as the admin address returns it.
+const RECORD: &str = r#""order":{"pool":"ledger","version":"v2","duration_ms":1500},"id":9,
+"began":5,"phase":"Trial","allowance":0,"replaced":[],"cause":null}"#;
+
+// A command sends another order than was typed, or the exit code hides that nothing was begun.
+#[rstest]
+#[case::begun("recorded", 0)]
+#[case::busy("busy", 3)]
+#[case::completed("completed", 3)]
+fn rollout_orders(#[case] result: &str, #[case] code: i32) {
+    let body = format!(r#"{{"result":"{result}",{RECORD}"#);
+    let (admin, server) = serve_once(Some("200 OK"), &body);
+    let output = run(admin, &["rollout", "ledger", "v2", "--duration", "1.5"]);
+    let request = server.join().expect("the request is whole");
+    assert_eq!(output.status.code(), Some(code));
+    let (head, body) = request.split_once("\r\n\r\n").expect("a head and a body");
+    assert!(head.starts_with("POST /admin/rollout HTTP/1.1\r\n"), "{head}");
+    assert_eq!(body, r#"{"pool":"ledger","version":"v2","duration_ms":1500}"#);
+}
+
+#[rstest]
+#[case::no_pool(r#"{"result":"unknown-pool"}"#, 3)]
+#[case::members(r#"{"result":"unavailable","members":["c"]}"#, 4)]
+#[case::no_quorum(r#"{"result":"not-accepted"}"#, 4)]
+#[case::undecided(r#"{"result":"unknown"}"#, 5)]
+fn roll_back_orders(#[case] response: &str, #[case] code: i32) {
+    let (admin, server) = serve_once(Some("200 OK"), response);
+    let output = run(admin, &["roll-back", "ledger"]);
+    let request = server.join().expect("the request is whole");
+    assert!(request.starts_with("POST /admin/roll-back HTTP/1.1\r\n"), "{request}");
+    assert!(request.ends_with(r#"{"pool":"ledger"}"#), "{request}");
+    assert_eq!(output.status.code(), Some(code));
+}
--- a/hawthornkeel/tests/cli_pages.rs
+++ b/hawthornkeel/tests/cli_pages.rs
@@ -22,7 +22,7 @@
     }
     options.sort();
     options.dedup();
-    assert_eq!(options.len(), 8, "{options:?}");
+    assert_eq!(options.len(), 9, "{options:?}");
     options
 }
 
--- a/hawthornkeel/tests/recorded_messages.rs
+++ b/hawthornkeel/tests/recorded_messages.rs
@@ -10,9 +10,14 @@
 use hawthornkeel::control::codec;
 use hawthornkeel::peer::Frame;
 use hawthornkeel::peer::compression::BodyEncoding;
+use hawthornkeel::peer::rollout_frame::RolloutFrame;
 use hawthornkeel::peer::wire;
+use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::replica::entry::Entry;
 use hawthornkeel_core::replica::entry::Members;
+use hawthornkeel_core::rollout::record::RolloutCommand;
+use hawthornkeel_core::rollout::record::RolloutOrder;
+use hawthornkeel_core::rollout::record::Rollouts;
 use hawthornkeel_core::state::State;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::command::TimestampedCommand;
@@ -127,3 +132,52 @@
     let again = |data: &[u8]| encode(postcard::from_bytes(data).unwrap());
     check("entries", codec::FORMAT_VERSION.into(), &seeds(encode), again);
 }
+
+// A message about rollouts was changed without a new version, so that other builds misread it.
+#[test]
+fn rollout_frames_as_recorded() {
+    let encode = |frame: RolloutFrame| {
+        let data = wire::encode(&Frame::Rollout(frame.clone())).unwrap();
+        assert_eq!(u16::from_le_bytes([data[0], data[1]]), wire::ROLLOUT_VERSION);
+        postcard::to_extend(&frame, Vec::new()).unwrap()
+    };
+    let again = |data: &[u8]| encode(wire::decode_rollout(BodyEncoding::Identity, data).unwrap());
+    check("rollout-frames", wire::ROLLOUT_VERSION.into(), &variants(encode), again);
+}
+
+// A command about a rollout was changed without a new version of the log's entries, or other commands
+// that share an entry with it are lost.
+#[test]
+fn rollout_commands_as_recorded() {
+    let encode = |rollout: RolloutCommand| {
+        let timestamp = WallTime::from_millis(7);
+        let commands = [Command::Fence("t".into()), Command::Rollout(rollout)];
+        let commands = commands.map(|command| TimestampedCommand { timestamp, command });
+        let data = codec::encode_commands(&commands).unwrap();
+        assert_eq!(data[0], codec::ROLLOUT_FORMAT_VERSION);
+        data.to_vec()
+    };
+    let again = |data: &[u8]| {
+        let commands = codec::decode_commands(data).unwrap();
+        codec::encode_commands(&commands).unwrap().to_vec()
+    };
+    check("commands", codec::ROLLOUT_FORMAT_VERSION.into(), &variants(encode), again);
+}
+
+// The rollouts of a snapshot were changed without a new version.
+#[test]
+fn rollout_states_as_recorded() {
+    let encode_state = |state: State| {
+        let data = codec::encode_state(&state).unwrap();
+        assert_eq!(data[0], codec::ROLLOUT_FORMAT_VERSION);
+        data.to_vec()
+    };
+    let encode = |(state, mut rollouts, order): (State, Rollouts, RolloutOrder)| {
+        // A state without rollouts has the format of the released version.
+        let begin = RolloutCommand::Begin(order);
+        rollouts.apply(LogIndex(3), WallTime::from_millis(7), &begin);
+        encode_state(state.with_rollouts(rollouts))
+    };
+    let again = |data: &[u8]| encode_state(codec::decode_state(data).unwrap());
+    check("states", codec::ROLLOUT_FORMAT_VERSION.into(), &seeds(encode), again);
+}
--- a/hawthornkeel/tests/rollout_orders.rs
+++ b/hawthornkeel/tests/rollout_orders.rs
@@ -190,3 +190,37 @@
     (0..CONTROLS).for_each(|at| harness.signal(at, Signal::CONT));
     assert_eq!(must_read(&harness, leader, "ledger"), running("v2"));
 }
+
+// An order of our own operators has another effect than one of the platform's, or a rollout that was
+// taken back is read as running at another instance.
+#[test]
+fn taken_back() {
+    let harness = start(66);
+    let leader = leader(&harness);
+    let admin = |at: usize, line: &str, body: &str| {
+        let length = body.len();
+        let request =
+            format!("{line} HTTP/1.1\r\nHost: a.example\r\nContent-Length: {length}\r\n\r\n{body}");
+        call(harness.admin(at), &request).unwrap()
+    };
+    let begin = r#"{"pool":"ledger","version":"v2","duration_ms":600000}"#;
+    let begun = admin((leader + 1) % CONTROLS, "POST /admin/rollout", begin);
+    assert!(begun.body.contains(r#""result":"recorded""#), "{begun:?}");
+    assert_eq!(order(&harness, leader, ORDER), 200, "a copy");
+    let back = admin((leader + 2) % CONTROLS, "POST /admin/roll-back", r#"{"pool":"ledger"}"#);
+    assert!(back.body.contains(r#""cause":"Ordered""#), "{back:?}");
+    for at in 0..CONTROLS {
+        let expected = (200, r#"{"state":"rolled_back","to":"v2"}"#.to_owned());
+        assert_eq!(must_read(&harness, at, "ledger"), expected);
+    }
+    let listed = admin(leader, "GET /admin/rollouts", "").body;
+    assert!(listed.contains(r#""phase":"RolledBack""#), "{listed}");
+    assert!(harness.settled_logs().contains("event=rollout-ended"), "{}", harness.logs());
+    let series = r#"hawthornkeel_rollout_phase{pool="ledger",version="v2",phase="rolled-back"} 1"#;
+    let metrics = admin(leader, "GET /metrics", "").body;
+    assert!(metrics.contains(series), "{metrics}");
+    assert_eq!(order(&harness, leader, ORDER), 200, "a late copy");
+    assert_eq!(must_read(&harness, leader, "ledger").1, r#"{"state":"rolled_back","to":"v2"}"#);
+    must_order(&harness, &ORDER.replace("v2", "v3"));
+    assert_eq!(must_read(&harness, leader, "ledger"), running("v3"));
+}
