--- a/hawthornkeel/src/forward/rollout_lead.rs
+++ b/hawthornkeel/src/forward/rollout_lead.rs
@@ -47,6 +47,13 @@
     checked: bool,
 }
 
+impl Known {
+    fn is_check_due(&self, now: Instant) -> bool {
+        let is_running = self.record.phase.is_running();
+        !self.checked && is_running && now.since(self.began) >= REPORT_TIMEOUT
+    }
+}
+
 /// Entries of a pool that have not reported about its rollout.
 #[derive(Clone, Debug, Eq, PartialEq)]
 pub struct SilentEntries {
@@ -132,12 +139,15 @@
         self.controller.handle(now, Input::Report { from, report })
     }
 
+    /// Returns whether the entries that don't report about a rollout are to be looked for.
+    pub fn is_check_due(&self, now: Instant) -> bool {
+        self.known.values().any(|known| known.is_check_due(now))
+    }
+
     /// Returns, once for each running rollout, the entries of `serving` that should have reported about
     /// it and have not: those of older builds, whose requests no limit of the trial bounds.
     pub fn silent_entries(&mut self, now: Instant, serving: &[InstanceName]) -> Vec<SilentEntries> {
-        let due = self.known.iter_mut().filter(|(_, k)| {
-            !k.checked && k.record.phase.is_running() && now.since(k.began) >= REPORT_TIMEOUT
-        });
+        let due = self.known.iter_mut().filter(|(_, known)| known.is_check_due(now));
         due.map(|(pool, known)| {
             known.checked = true;
             let is_silent = |name: &&InstanceName| !known.reporters.contains(*name);
--- a/hawthornkeel/src/forward/rollout_server.rs
+++ b/hawthornkeel/src/forward/rollout_server.rs
@@ -27,6 +27,7 @@
 use crate::forward::discovery_server::DiscoveryServer;
 use crate::forward::rollout_clock::RolloutClock;
 use crate::forward::rollout_lead::RolloutLead;
+use crate::forward::rollout_lead::SilentEntries;
 use crate::forward::rollout_metrics::record_phase;
 use crate::peer::Endpoint;
 use crate::peer::Frame;
@@ -249,12 +250,10 @@
         if lead_ref.controller.next_tick().is_some_and(|at| at <= now) {
             actions.extend(lead_ref.controller.handle(now, Input::Tick));
         }
-        let serving: Vec<_> = discovery.map(DiscoveryServer::serving).unwrap_or_default();
-        let names: Vec<_> = serving.into_iter().map(|e| e.name).collect();
-        for silent in lead_ref.silent_entries(now, &names) {
-            let names: Vec<_> = silent.entries.iter().map(InstanceName::as_str).collect();
-            let (pool, id, entries) = (silent.pool, silent.id, names.join(","));
-            tracing::warn!(event = "rollout-entries-silent", %pool, %id, entries);
+        if lead_ref.is_check_due(now) {
+            let serving = discovery.map(DiscoveryServer::serving).unwrap_or_default();
+            let names: Vec<_> = serving.into_iter().map(|e| e.name).collect();
+            lead_ref.silent_entries(now, &names).iter().for_each(log_silent);
         }
         drop(lead);
         self.execute(actions);
@@ -292,6 +291,13 @@
     }
 }
 
+/// Logs the entries that have not reported about a rollout.
+fn log_silent(silent: &SilentEntries) {
+    let names: Vec<_> = silent.entries.iter().map(InstanceName::as_str).collect();
+    let (pool, id, entries) = (&silent.pool, silent.id, names.join(","));
+    tracing::warn!(event = "rollout-entries-silent", %pool, %id, entries);
+}
+
 /// Logs that a rollout has ended, if it was running before.
 fn log_end(before: Option<&RolloutRecord>, record: &RolloutRecord) {
     let was_running = before.is_some_and(|b| b.id == record.id && b.phase.is_running());
