--- a/hawthornkeel_core/src/rollout/mod.rs
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -5,6 +5,7 @@
 pub mod counts;
 pub mod entry;
 pub mod message;
+pub mod order;
 pub mod record;
 pub mod versions;
 
