Balancer: loads and speeds of targets as a bounded factor

Cause: targets were chosen without regard to their load or speed. Change: placement/load.rs keeps the last report (half-life 300 ms) and averages of a minute for each process; placement/ranking.rs ranks the candidates. A target that is clearly overloaded or clearly slower loses up to half of its weight; none gains. Requests without session affinity go to the less loaded of the two candidates with the highest scores, for half of the requests at most. Without reports all factors are one, and the choice is as before.

--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -27,12 +27,19 @@
 use crate::placement::health::TargetOutcome;
 use crate::placement::limit::EntryView;
 use crate::placement::limit::LimitReport;
+use crate::placement::load::PoolLoads;
+use crate::placement::load::ResponseTime;
+use crate::placement::load::StatedLoad;
+use crate::placement::load::TargetLoad;
 use crate::placement::notice::DroppedNotice;
 use crate::placement::notice::Notice;
 use crate::placement::notice::NoticeChange;
 use crate::placement::notice::Notices;
 use crate::placement::notice::TargetNotice;
 use crate::placement::partition::Partitions;
+use crate::placement::ranking::Candidate;
+use crate::placement::ranking::Ranking;
+use crate::placement::ranking::Selected;
 use crate::streams::origin::StreamOrigin;
 use crate::streams::origin::Writer;
 use crate::table::pool::ColdLimit;
@@ -70,6 +77,8 @@
     unreached: IndexMap<TargetName, (Instant, CentreName)>,
     /// What targets have said about themselves.
     notices: Notices,
+    /// Mean loads and speeds of pools.
+    loads: PoolLoads,
     /// Whether a list was received: the targets of the first one don't count as new.
     has_list: bool,
 }
@@ -81,6 +90,8 @@
     health: Health,
     /// What its process has said about itself.
     pub(super) notice: TargetNotice,
+    /// Load and speed of its process.
+    pub(super) load: TargetLoad,
     /// Time of the last answer.
     last_answer: Instant,
     /// Number of this entry's requests in progress.
@@ -112,10 +123,25 @@
             self.targets.insert(listed.name.clone(), target);
         }
         self.has_list = true;
+        self.loads.retain(|pool| self.targets.values().any(|t| t.listed.pool == *pool));
         self.update_partitions();
         dropped
     }
 
+    /// Records the load that a process states in an answer.
+    pub fn record_load(&mut self, now: Instant, run: &TargetRun, load: StatedLoad) {
+        let target = self.targets.get(&run.name).filter(|t| t.listed.run().is_same(run));
+        let Some(Target { listed, load: known, in_flight, .. }) = target else { return };
+        self.loads.record(now, &listed.pool, known, load, in_flight.get());
+    }
+
+    /// Records the time until the response of a process to a request began.
+    pub fn record_latency(&mut self, now: Instant, run: &TargetRun, response: ResponseTime<'_>) {
+        let target = self.targets.get(&run.name).filter(|t| t.listed.run().is_same(run));
+        let Some(Target { listed, load, .. }) = target else { return };
+        self.loads.record_latency(now, &listed.pool, &listed.centre, load, response);
+    }
+
     /// Records what a process says about itself in the answer to a request that was sent at `sent`,
     /// and returns the changes.
     pub fn record_notice(
@@ -244,7 +270,7 @@
 
     /// Returns the data centre of the target that would be chosen.
     pub fn likely_centre(&mut self, now: Instant, query: &TargetQuery<'_>) -> Option<CentreName> {
-        let index = self.best(now, query).ok()?;
+        let Selected { index, .. } = self.best(now, query).ok()?;
         self.targets.get_index(index).map(|(_, t)| t.listed.centre.clone())
     }
 
@@ -257,7 +283,7 @@
         now: Instant,
         query: &TargetQuery<'_>,
     ) -> Result<ChosenTarget, NoTarget> {
-        let index = self.best(now, query)?;
+        let Selected { index, by_load } = self.best(now, query)?;
         let (name, target) = self.targets.get_index_mut(index).ok_or(NoTarget::Empty)?;
         let in_flight = InFlight::new(&target.in_flight);
         let cold = target.is_cold(now, query.cold);
@@ -273,28 +299,44 @@
             born: *born,
             version: version.clone(),
             cold,
+            by_load,
             _in_flight: in_flight,
         })
     }
 
-    /// Returns the index of the target with the highest score.
-    fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<usize, NoTarget> {
-        let mut best: Option<(f64, usize)> = None;
+    /// Returns the target with the highest score, or the less loaded of two for requests that have
+    /// no session to keep.
+    fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<Selected, NoTarget> {
+        let mut ranking = Ranking::default();
         let mut reason = NoTarget::Empty;
         let brittle = self.is_brittle(now, query.pool);
         for index in 0..self.targets.len() {
             let has_room = !brittle || self.has_slot(index);
-            let score = match self.score(now, index, query) {
-                Ok(_) if !has_room => Err(NoTarget::Paused { until: now + SLOT_WAIT }),
-                score => score,
-            };
-            match score {
-                Ok(score) if best.is_none_or(|(b, _)| score > b) => best = Some((score, index)),
-                Ok(_) => {}
+            match self.weight(now, index, query) {
+                Ok(_) if !has_room => {
+                    reason = reason.and(NoTarget::Paused { until: now + SLOT_WAIT });
+                }
+                Ok(weight) => ranking.add(self.candidate(now, index, query.session, weight)),
                 Err(why) => reason = reason.and(why),
             }
         }
-        best.map(|(_, index)| index).ok_or(reason)
+        let best = match query.has_affinity() {
+            true => ranking.first(),
+            false => ranking.less_loaded(query.session, |index| self.pressure(now, index)),
+        };
+        best.ok_or(reason)
+    }
+
+    fn candidate(&self, now: Instant, index: usize, session: u64, weight: f64) -> Candidate {
+        let target = self.targets.get_index(index);
+        let factor = target.map_or(1.0, |(_, t)| t.load.factor(now));
+        let score = target.map_or(0.0, |(name, _)| rendezvous(session, name, weight * factor));
+        Candidate { index, weight, factor, score }
+    }
+
+    fn pressure(&self, now: Instant, index: usize) -> Option<f64> {
+        let (_, target) = self.targets.get_index(index)?;
+        target.load.pressure(now, target.in_flight.get())
     }
 
     /// Returns whether a target of a pool has lately said that rejections end it; the others may not
@@ -347,8 +389,8 @@
         times.iter().max().filter(|_| times.len() >= CUT_OFF_TARGETS).copied()
     }
 
-    /// Returns the score of a target; the highest is chosen.
-    fn score(
+    /// Returns the weight of a target, without what is known of its load.
+    fn weight(
         &mut self,
         now: Instant,
         index: usize,
@@ -390,7 +432,7 @@
         if target.in_flight.get() > BUSY_REQUESTS {
             weight *= f64::from(BUSY_REQUESTS) / f64::from(target.in_flight.get());
         }
-        Ok(rendezvous(query.session, &target.listed.name, weight.max(MIN_WEIGHT * CUT_OFF_WEIGHT)))
+        Ok(weight.max(MIN_WEIGHT * CUT_OFF_WEIGHT))
     }
 }
 
@@ -400,6 +442,7 @@
             listed: listed.clone(),
             health: Health::default(),
             notice: TargetNotice::default(),
+            load: TargetLoad::default(),
             last_answer: Instant::ZERO,
             in_flight: Rc::default(),
             cold_until: now,
--- a/hawthornkeel_core/src/placement/choice.rs
+++ b/hawthornkeel_core/src/placement/choice.rs
@@ -19,7 +19,7 @@
     pub pool: &'a PoolName,
     /// Hash key: equal for requests that share a prompt, otherwise random.
     pub session: u64,
-    /// Preferred data centre.
+    /// Preferred data centre; given for requests without session affinity only.
     pub centre: Option<&'a CentreName>,
     /// Targets that were tried before.
     pub tried: &'a [TargetName],
@@ -31,6 +31,13 @@
     pub version: Option<&'a SoftwareVersion>,
 }
 
+impl TargetQuery<'_> {
+    /// Returns whether requests with the same session should go to the same target.
+    pub(super) fn has_affinity(&self) -> bool {
+        self.centre.is_none()
+    }
+}
+
 /// Chosen target. Its request counts as in progress until this is dropped.
 #[derive(Debug)]
 pub struct ChosenTarget {
@@ -46,6 +53,8 @@
     pub version: SoftwareVersion,
     /// Whether it counted as cold.
     pub cold: bool,
+    /// Whether another one would have been chosen without what is known of loads and speeds.
+    pub by_load: bool,
     pub(super) _in_flight: InFlight,
 }
 
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -10,8 +10,10 @@
 pub mod health;
 pub mod limit;
 pub mod links;
+pub mod load;
 pub mod notice;
 pub mod retries;
 
 mod brittle;
 mod partition;
+mod ranking;
