Entries: read the loads that targets state

Cause: the balancer can use loads, but nothing passed them to it. Change: `Server-Load` is read on every answer that notices are read from, pieces of stages included; latencies of forwarded requests are passed by route. Counter hawthornkeel_target_loads_total and a log line `target-loads` every 10 s tell what was read, what was unreadable and how many choices changed.

--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -6,6 +6,7 @@
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::balancer::NoTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::placement::load::ResponseTime;
 use hawthornkeel_core::placement::retries::MAX_TARGETS;
 use hawthornkeel_core::request::refusal::RunStatus;
 
@@ -171,6 +172,7 @@
         let retry_time = silence::retry_time(context, request, progress);
         request.may_have_run.set(true);
         let run = target.run();
+        let started = Instant::now();
         let sent = context.send_to_target(&run, CallKind::Request, &outgoing, request.deadline);
         let (result, next) = silence::wait(context, request, progress, retry_time, sent).await;
         if next.is_some() {
@@ -179,6 +181,13 @@
         }
         let was_patient = retry_time < request.deadline;
         let failure = result.as_ref().err().cloned();
+        if let Ok(response) = &result
+            && response.status.is_success()
+            && !target.cold
+        {
+            let response = ResponseTime { route: &request.route.name, time: started.elapsed() };
+            context.balancer.borrow_mut().record_latency(boot_now(), &run, response);
+        }
         let outcome = self.record_attempt(request, target, result, was_patient);
         if !matches!(outcome, AttemptOutcome::Responded(_)) {
             tracing::info!(
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -29,6 +29,7 @@
 use crate::control::directory::ControlDirectory;
 use crate::control::watch::Watch;
 use crate::forward::http_client::HttpClient;
+use crate::forward::load_counts::LoadCounts;
 use crate::forward::measures;
 use crate::forward::quarantine::Quarantine;
 use crate::forward::response_memory::ResponseMemory;
@@ -73,6 +74,8 @@
     pub(super) limits_mark: Cell<u64>,
     /// Subjects that end targets.
     pub(super) quarantine: Quarantine,
+    /// What was done with the loads that targets state.
+    pub(super) load_counts: LoadCounts,
     /// Origins of streams.
     pub(super) streams: Streams,
     /// Other entries as helpers.
@@ -162,6 +165,7 @@
             list_read: Cell::default(),
             limits_mark: Cell::default(),
             quarantine: Quarantine::default(),
+            load_counts: LoadCounts::default(),
             streams: Streams::default(),
             helpers: RefCell::default(),
             in_progress: Rc::default(),
--- a/hawthornkeel/src/forward/measures.rs
+++ b/hawthornkeel/src/forward/measures.rs
@@ -3,6 +3,7 @@
 use std::convert::Infallible;
 use std::rc::Rc;
 use std::time::Duration;
+use std::time::Instant;
 
 use hawthornkeel_core::names::PoolName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
@@ -16,6 +17,8 @@
 
 /// Interval at which the state of an entry is measured.
 const STATE_INTERVAL: Duration = Duration::from_secs(1);
+/// Interval between log lines about the loads that targets state.
+const LOAD_LOG_INTERVAL: Duration = Duration::from_secs(10);
 
 /// Records the end of a request.
 pub(super) fn request_ended(request: &IncomingRequest, outcome: &str) {
@@ -63,8 +66,13 @@
 
 /// Measures the state of an entry, without end.
 pub(super) async fn keep_state(context: Rc<Context>) -> Infallible {
+    let mut logged = Instant::now();
     loop {
         monoio::time::sleep(STATE_INTERVAL).await;
+        if logged.elapsed() >= LOAD_LOG_INTERVAL {
+            logged = Instant::now();
+            context.load_counts.log();
+        }
         if let Some(table) = &*context.table.borrow() {
             metrics::gauge!(telemetry::DOCUMENT_VERSION).set(table.version.0 as f64);
         }
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -15,6 +15,7 @@
 pub mod internal_request;
 pub mod link_watch;
 pub mod list_reader;
+mod load_counts;
 pub mod operators;
 pub mod outcome;
 pub mod progress;
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -16,6 +16,7 @@
 
 use crate::clock::boot_now;
 use crate::forward::context::Context;
+use crate::forward::load_counts::LoadEvent;
 use crate::forward::measures;
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::JobError;
@@ -175,7 +176,11 @@
         let centre = preferred_centre(context, request);
         let query = target_query(request, centre.as_ref(), tried, entry_count);
         let query = TargetQuery { version: origin.map(|o| &o.version), ..query };
-        context.balancer.borrow_mut().choose(boot_now(), &query)
+        let chosen = context.balancer.borrow_mut().choose(boot_now(), &query);
+        if chosen.as_ref().is_ok_and(|c| c.by_load) {
+            context.load_counts.record(LoadEvent::Choice);
+        }
+        chosen
     }
 
     /// Logs the end of the request.
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -7,12 +7,16 @@
 
 use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::placement::limit::RequestRate;
+use hawthornkeel_core::placement::load::StatedLoad;
 use hawthornkeel_core::placement::notice::Brittleness;
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
 use hawthornkeel_core::placement::notice::PauseWait;
 use hawthornkeel_core::placement::notice::return_delay;
+use hawthornkeel_platform::fields;
+use hawthornkeel_platform::load;
+use hawthornkeel_platform::load::LoadField;
 use hawthornkeel_platform::notices;
 use hawthornkeel_platform::notices::AnswerNotices;
 use hawthornkeel_platform::notices::BrittleField;
@@ -33,10 +37,14 @@
 use crate::forward::internal_request;
 use crate::forward::internal_request::InternalRequest;
 use crate::forward::internal_request::InternalResponse;
+use crate::forward::load_counts::LoadEvent;
 use crate::forward::plan;
 use crate::forward::request::IncomingRequest;
 use crate::telemetry;
 
+/// Stated speed of a machine on which work takes the normal time.
+const NORMAL_SPEED: f64 = 100.0;
+
 /// What is asked of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallKind {
@@ -161,6 +169,22 @@
         for change in changes {
             log_change(run, kind, status, change);
         }
+        self.record_load(run, headers);
+    }
+
+    /// Records the load that a target states; a value that can't be read withdraws nothing.
+    fn record_load(&self, run: &TargetRun, headers: &HeaderMap) {
+        let values = headers.get_all(fields::LOAD).iter().map(HeaderValue::as_bytes);
+        match load::parse(values) {
+            Some(LoadField::Stated(load::StatedLoad { running, waiting, slots, speed })) => {
+                let speed = speed.map(|s| f64::from(s) / NORMAL_SPEED);
+                let load = StatedLoad { running, waiting, slots, speed };
+                self.balancer.borrow_mut().record_load(boot_now(), run, load);
+                self.load_counts.record(LoadEvent::Read);
+            }
+            Some(LoadField::Unreadable) => self.load_counts.record(LoadEvent::Unreadable),
+            None => {}
+        }
     }
 
     /// Returns the time after which the caller of a request should come back, if all targets of its
--- a/hawthornkeel/src/telemetry.rs
+++ b/hawthornkeel/src/telemetry.rs
@@ -42,6 +42,8 @@
 pub const LIST_AGE: &str = "hawthornkeel_list_age_seconds";
 /// What targets have said about themselves that changed how an entry uses them, by notice.
 pub const TARGET_NOTICES: &str = "hawthornkeel_target_notices_total";
+/// Loads that targets have stated, by event: read, unreadable, or a choice that they changed.
+pub const TARGET_LOADS: &str = "hawthornkeel_target_loads_total";
 /// Requests refused because all targets of their pool had asked for a pause.
 pub const PAUSED_REFUSALS: &str = "hawthornkeel_paused_refusals_total";
 /// Runs that their targets broke off, by pool and by how far the answer had come.
