Entries: implausible loads count as unreadable; test at the edge

Change: a load that contradicts the platform's list is counted as unreadable. metrics_page.rs checks that loads in answers to requests and to pieces of stages are read and that garbage is counted.

--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -179,8 +179,11 @@
             Some(LoadField::Stated(load::StatedLoad { running, waiting, slots, speed })) => {
                 let speed = speed.map(|s| f64::from(s) / NORMAL_SPEED);
                 let load = StatedLoad { running, waiting, slots, speed };
-                self.balancer.borrow_mut().record_load(boot_now(), run, load);
-                self.load_counts.record(LoadEvent::Read);
+                let is_plausible = self.balancer.borrow_mut().record_load(boot_now(), run, load);
+                self.load_counts.record(match is_plausible {
+                    true => LoadEvent::Read,
+                    false => LoadEvent::Unreadable,
+                });
             }
             Some(LoadField::Unreadable) => self.load_counts.record(LoadEvent::Unreadable),
             None => {}
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -74,6 +74,8 @@
     pub engine: FakeEngine,
     /// What it writes in versioned streams.
     pub writer: FakeWriter,
+    /// Value of `Server-Load` in its answers.
+    pub load: Option<&'static str>,
     /// Requests that it runs at the same time.
     pub slots: FakeSlots,
 }
@@ -129,6 +131,10 @@
                             }
                             None => response,
                         };
+                        let response = match fake.load {
+                            Some(value) => response.with_header("server-load", value),
+                            None => response,
+                        };
                         match fake.leaving {
                             true => response.with_header("server-leaving", "1"),
                             false => response,
--- a/hawthornkeel/tests/metrics_page.rs
+++ b/hawthornkeel/tests/metrics_page.rs
@@ -101,6 +101,35 @@
     assert!(grown(attempts) >= 11.0, "{after}");
 }
 
+// Nothing read the loads that targets state.
+#[test]
+fn stated_loads_are_read() {
+    let harness = start(206);
+    let set = |load: &'static str| {
+        for target in ["i-plain", "i-other", "i-stage"] {
+            harness.set_target(target, |t| t.load = Some(load));
+        }
+    };
+    let series = |event: &str| format!("hawthornkeel_target_loads_total{{event=\"{event}\"}}");
+    let call = |path: &str, id: &str| {
+        let fields = fields(id) + "Pieces: 2\r\nPiece-Key: a\r\n";
+        assert_eq!(harness.call("GET", path, &fields, "").status, 200, "{}", harness.logs());
+    };
+    set("1,0,4,120");
+    call("/lots/1", "read");
+    wait_for(&harness, ENTRY, &series("read"), 1.0);
+    // The pieces of a stage and the request itself have an answer each.
+    call("/review/1", "staged");
+    wait_for(&harness, ENTRY, &series("read"), 3.0);
+    assert_eq!(value(&page(&harness, ENTRY), &series("unreadable")), 0.0);
+    for (number, load) in ["1,-1,4", "99999999999,0,4", "1,0", "1,0,4000"].into_iter().enumerate() {
+        set(load);
+        call("/lots/1", &format!("unreadable-{number}"));
+    }
+    wait_for(&harness, ENTRY, &series("unreadable"), 4.0);
+    harness.wait_for_log("event=target-loads");
+}
+
 /// Returns the values of the labels of a series, but for the bounds of buckets.
 fn label_values(series: &str) -> Vec<&str> {
     let Some((_, labels)) = series.split_once('{') else { return Vec::new() };
