--- a/hawthornkeel/tests/metrics_page.rs
+++ b/hawthornkeel/tests/metrics_page.rs
@@ -104,7 +104,7 @@
 // Nothing read the loads that targets state.
 #[test]
 fn stated_loads_are_read() {
-    let harness = start(206);
+    let harness = start(216);
     let set = |load: &'static str| {
         for target in ["i-plain", "i-other", "i-stage"] {
             harness.set_target(target, |t| t.load = Some(load));
--- a/hawthornkeel_core/src/placement/load.rs
+++ b/hawthornkeel_core/src/placement/load.rs
@@ -22,15 +22,12 @@
 /// Time in which the belief in the last report halves.
 const REPORT_HALF_LIFE: Duration = Duration::from_millis(300);
 /// Age from which on the last report tells nothing: a hundredth of the belief would be left.
-const OVERLOAD_EXPONENT: i32 = 3;
 const REPORT_TTL: Duration = Duration::from_secs(2);
 /// Time in which the weight of a sample in the averages halves.
 ///
-/// An entry of 83 that send 330 requests a second to 90 targets hears of each every 23 s. With 60 s
-/// in place of 120 s the busiest target kept 1.35 times the mean in a model of that pool, with 120 s
-/// 1.27.
+/// An entry of 83 that send 330 requests a second to 90 targets hears of each every 23 s, so a
+/// shorter time would leave it with two or three samples.
 const AVERAGE_HALF_LIFE: Duration = Duration::from_secs(120);
-
 /// Interval within which further reports tell nothing new about the average load.
 const SAMPLE_INTERVAL: Duration = Duration::from_millis(500);
 /// Time without samples after which the averages begin to lose their effect.
@@ -42,12 +39,10 @@
 /// A number of requests varies by its square root, and the loads of targets by about a fifth:
 /// together, a report of `n` requests counts for `n / 25` times that assumption.
 const LOAD_PRIOR: f64 = 25.0;
-
 /// Samples that the assumption of an ordinary speed counts for.
 ///
 /// Stated speeds vary by about a quarter within a second, and machines differ by about an eighth.
 const SPEED_PRIOR: f64 = 4.0;
-
 /// Weight of the latency of a call among the samples of the speed, as work differs in size.
 const LATENCY_WEIGHT: f64 = 0.25;
 /// Logarithm of the largest factor by which one sample may differ from the mean.
@@ -57,9 +52,13 @@
 /// Exponent of the overload in the weight.
 ///
 /// With an exponent of `e` and an overload `x` before, `x` to the power of `1 / (1 + e)` is left.
-
+const OVERLOAD_EXPONENT: i32 = 3;
 /// Relative time of work from which on a target is clearly slower.
 const SLOWER: f64 = 1.04;
+/// Least relative time of work that one report counts for.
+const MIN_WORK_TIME: f64 = 0.25;
+/// Largest relative time of work that one report counts for.
+const MAX_WORK_TIME: f64 = 4.0;
 /// Waiting requests for each slot from which on the last report counts as overload.
 const CLEAR_QUEUE: f64 = 0.25;
 /// Least factor in the weight of a target.
@@ -351,6 +350,14 @@
         self.averaged = now;
     }
 
+    /// Returns the expected time of work by the last report and the average.
+    fn work_time(&self, now: Instant) -> f64 {
+        let usual = 1.0 + (self.slow - 1.0) * self.freshness(now);
+        let Some(last) = &self.last else { return usual };
+        let (trust, stated) = (last.belief(now), last.load.speed.unwrap_or(usual));
+        stated.clamp(MIN_WORK_TIME, MAX_WORK_TIME) * trust + usual * (1.0 - trust)
+    }
+
     /// Returns how much of the averages still holds, from zero to one.
     fn freshness(&self, now: Instant) -> f64 {
         let age = now.since(self.averaged);
@@ -362,7 +369,22 @@
     }
 }
 
+impl PartialEq for TargetLoad {
+    /// Returns whether both share one belief.
+    fn eq(&self, other: &Self) -> bool {
+        Rc::ptr_eq(&self.0, &other.0)
+    }
+}
+
+impl Eq for TargetLoad {}
+
 impl TargetLoad {
+    /// Returns the time that work is expected to take at `now`, relative to a normal machine of the
+    /// pool; one if the target has stated no load.
+    pub fn work_time(&self, now: Instant) -> f64 {
+        self.0.borrow().work_time(now)
+    }
+
     /// Returns the factor in the target's weight: one, or less if it is clearly overloaded or
     /// clearly slower than the others of its pool.
     pub(super) fn factor(&self, now: Instant) -> f64 {
@@ -381,18 +403,14 @@
     pub(super) fn pressure(&self, now: Instant, in_flight: u32) -> Option<f64> {
         let belief = self.0.borrow();
         let last = belief.last.as_ref().filter(|_| belief.load >= IMPLAUSIBLE_LOAD)?;
-        let (trust, fresh) = (last.belief(now), belief.freshness(now));
+        let trust = last.belief(now);
         let slots = f64::from(last.load.slots.max(1));
         let sent = f64::from(in_flight) - f64::from(last.in_flight);
         let stated = (last.load.occupancy() + sent / slots).max(0.0);
-        let usual = belief.occupancy.with_prior(0.0, 0.0);
-        let usual = if usual.is_finite() { usual } else { 0.0 };
+        let usual = belief.occupancy.with_prior(0.0, f64::MIN_POSITIVE);
         let occupancy = stated * trust + usual * (1.0 - trust);
         let occupancy = occupancy.max(f64::from(in_flight) / slots);
-        let slow = 1.0 + (belief.slow - 1.0) * fresh;
-        let speed = last.load.speed.unwrap_or(slow).clamp(0.25, 4.0);
-        let speed = speed * trust + slow * (1.0 - trust);
-        Some(speed * (1.0 + occupancy))
+        Some(belief.work_time(now) * (1.0 + occupancy))
     }
 }
 
--- a/hawthornkeel_core/src/placement/partition.rs
+++ b/hawthornkeel_core/src/placement/partition.rs
@@ -136,6 +136,7 @@
             name: t.listed.name.clone(),
             centre: t.listed.centre.clone(),
             notice: t.notice.clone(),
+            load: t.load.clone(),
         };
         own.filter(|(_, t)| self.is_usable(t)).map(|(_, t)| info(t)).collect()
     }
--- a/hawthornkeel_core/src/stages/action.rs
+++ b/hawthornkeel_core/src/stages/action.rs
@@ -5,6 +5,7 @@
 
 use crate::names::CentreName;
 use crate::names::TargetName;
+use crate::placement::load::TargetLoad;
 use crate::placement::notice::TargetNotice;
 use crate::stages::job::Handle;
 use crate::stages::job::Job;
@@ -65,6 +66,8 @@
     pub centre: CentreName,
     /// What it has said about itself, shared with the balancer.
     pub notice: TargetNotice,
+    /// Its load and speed, shared with the balancer.
+    pub load: TargetLoad,
 }
 
 /// Input of a scheduler.
--- a/hawthornkeel_core/src/stages/dispatch.rs
+++ b/hawthornkeel_core/src/stages/dispatch.rs
@@ -71,7 +71,8 @@
             let remote = (!local(a)).cmp(&!local(b));
             // Rotating the targets spreads the load of this pool and of those that read its results
             // evenly over the data centres.
-            remote.then(a.is_lagging().cmp(&b.is_lagging())).then(a.last_end.cmp(&b.last_end))
+            let lagging = a.is_lagging(self.now).cmp(&b.is_lagging(self.now));
+            remote.then(lagging).then(a.last_end.cmp(&b.last_end))
         });
         best.map(|(name, _)| name.clone())
     }
--- a/hawthornkeel_core/src/stages/scheduler.rs
+++ b/hawthornkeel_core/src/stages/scheduler.rs
@@ -218,6 +218,7 @@
             let notice = info.notice.clone();
             let mut worker = worker.unwrap_or_else(|| Worker::new(info.centre, notice));
             worker.notice = info.notice;
+            worker.load = info.load;
             self.workers.insert(info.name, worker);
         }
     }
--- a/hawthornkeel_core/src/stages/worker.rs
+++ b/hawthornkeel_core/src/stages/worker.rs
@@ -3,6 +3,7 @@
 use std::time::Duration;
 
 use crate::names::CentreName;
+use crate::placement::load::TargetLoad;
 use crate::placement::notice::TargetNotice;
 use crate::stages::scheduler::CallNumber;
 use crate::time::Instant;
@@ -30,6 +31,8 @@
     pub(super) centre: CentreName,
     /// What it has said about itself, shared with the balancer.
     pub(super) notice: TargetNotice,
+    /// Its load and speed, shared with the balancer.
+    pub(super) load: TargetLoad,
     /// Call in progress.
     pub(super) call: Option<CallNumber>,
     /// Time at which that call is expected to end.
@@ -51,6 +54,7 @@
         Self {
             centre,
             notice,
+            load: TargetLoad::default(),
             call: None,
             busy_until: Instant::ZERO,
             slowdown: 1.0,
@@ -105,9 +109,9 @@
         self.failures > 0
     }
 
-    /// Returns whether its calls take notably longer than expected.
-    pub(super) fn is_lagging(&self) -> bool {
-        self.slowdown > LAGGING_RATIO
+    /// Returns whether its calls take notably longer than expected, or work does by what it states.
+    pub(super) fn is_lagging(&self, now: Instant) -> bool {
+        self.slowdown > LAGGING_RATIO || self.load.work_time(now) > LAGGING_RATIO
     }
 
     /// Records a call that was answered.
--- a/hawthornkeel_core/tests/number_bounds.rs
+++ b/hawthornkeel_core/tests/number_bounds.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 
 use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::placement::load::TargetLoad;
 use hawthornkeel_core::placement::notice::TargetNotice;
 use hawthornkeel_core::stages::job::Job;
 use hawthornkeel_core::stages::job::JobId;
@@ -36,6 +37,7 @@
         name: "t".into(),
         centre: CentreName::new("a"),
         notice: TargetNotice::default(),
+        load: TargetLoad::default(),
     };
     scheduler.handle(NOW, Input::Workers(vec![worker]));
     scheduler
