Balancer: targets in data centres without entries take overflow

Cause: a target that states less than half of the mean was not preferred for its load. Change: a target is not preferred once its reports were due to state ten requests and stated fewer than a seventh of them.

--- a/hawthornkeel_core/src/placement/load.rs
+++ b/hawthornkeel_core/src/placement/load.rs
@@ -112,8 +112,16 @@
 /// Factor by which the stated slots may differ from those in the platform's list, and the running
 /// requests from the slots.
 const MAX_SLOT_RATIO: u32 = 4;
-/// Load relative to the mean of the pool below which a target is not believed.
+/// Load relative to the mean of the pool below which a target with an equal part of the sessions is
+/// not believed.
 const IMPLAUSIBLE_LOAD: f64 = 0.5;
+/// Load relative to the mean of the pool below which no target is believed.
+///
+/// A target in a data centre without entries may have a fifth of the mean, as entries prefer their own.
+const IDLE_LOAD: f64 = 0.15;
+/// Requests that reports of an ordinary target would have stated together, from which on one is not
+/// believed: fewer than a seventh of ten are stated by chance in less than one of 1,000 cases.
+const IDLE_EVIDENCE: f64 = 10.0;
 
 /// What an entry believes about the load and the speed of one process; clones share it.
 #[derive(Clone, Debug, Default)]
@@ -136,6 +144,8 @@
     load: f64,
     /// Time of work relative to the pool.
     slow: f64,
+    /// Whether it states less load than the choice of targets can explain.
+    states_idle: bool,
 }
 
 impl Default for Belief {
@@ -149,6 +159,7 @@
             factor: 1.0,
             load: 1.0,
             slow: 1.0,
+            states_idle: false,
         }
     }
 }
@@ -338,6 +349,9 @@
             true => self.occupancy.with_prior(mean, prior) / mean,
             false => 1.0,
         };
+        let Average { sum, weight, .. } = self.occupancy;
+        self.states_idle =
+            weight * pool.requests.mean >= IDLE_EVIDENCE && sum < weight * mean * IDLE_LOAD;
         self.slow = self.slowness.with_prior(0.0, SPEED_PRIOR).exp();
         let overload = (OVERLOADED / self.load.max(OVERLOADED)).powi(OVERLOAD_EXPONENT);
         let slowness = if self.slow > SLOWER { 1.0 / self.slow } else { 1.0 };
@@ -402,7 +416,7 @@
     /// that is lower than the choice of targets can explain.
     pub(super) fn pressure(&self, now: Instant, in_flight: u32) -> Option<f64> {
         let belief = self.0.borrow();
-        let last = belief.last.as_ref().filter(|_| belief.load >= IMPLAUSIBLE_LOAD)?;
+        let last = belief.last.as_ref().filter(|_| !belief.states_idle)?;
         let trust = last.belief(now);
         let slots = f64::from(last.load.slots.max(1));
         let sent = f64::from(in_flight) - f64::from(last.in_flight);
--- a/hawthornkeel_core/tests/load_simulation/mod.rs
+++ b/hawthornkeel_core/tests/load_simulation/mod.rs
@@ -51,6 +51,8 @@
 #[derive(Clone, Copy, Debug)]
 pub struct Case {
     pub entries: usize,
+    /// Number of data centres that have entries.
+    pub entry_centres: usize,
     pub targets: usize,
     pub slots: u32,
     /// Time of work on the slower third of the machines, relative to the others.
@@ -224,7 +226,8 @@
         let entry = self.rng.random_range(0..self.case.entries);
         let session = (!self.sessions.is_empty()).then(|| self.pick_session());
         let key = session.map_or_else(|| self.rng.random(), |s| self.sessions[s].key);
-        let centre = session.is_none().then(|| CentreName::new(CENTRES[entry % 3]));
+        let centre =
+            session.is_none().then(|| CentreName::new(CENTRES[entry % self.case.entry_centres]));
         let query = TargetQuery {
             pool: &self.pool,
             session: key,
--- a/hawthornkeel_core/tests/target_load.rs
+++ b/hawthornkeel_core/tests/target_load.rs
@@ -23,6 +23,7 @@
 /// Engines with sessions, a third of them slower.
 const ENGINES: Case = Case {
     entries: 83,
+    entry_centres: 3,
     targets: 90,
     slots: 16,
     slow: 1.3,
@@ -38,6 +39,7 @@
 /// Plain service whose machines change their speed all the time.
 const PLAIN: Case = Case {
     entries: 83,
+    entry_centres: 3,
     targets: 3,
     slots: 6,
     slow: 1.0,
@@ -95,6 +97,15 @@
     assert!(after.p50 <= before.p50 * 1.2 && after.p99 <= before.p99 * 1.3, "{after:?}");
 }
 
+// Entries left targets in other data centres idle while the one in their own had a queue.
+#[test]
+fn other_centres_take_overflow() {
+    let case = Case { entries: 8, entry_centres: 1, ..PLAIN };
+    let (before, after) = (with(Reports::None, case), with(Reports::True, case));
+    assert!(after.busiest < before.busiest - 0.2, "{before:?} {after:?}");
+    assert!(after.p99 < before.p99 * 0.8, "{before:?} {after:?}");
+}
+
 #[test]
 fn entries_next_to_targets_gain() {
     let case = Case { entries: 8, ..PLAIN };
