--- a/hawthornkeel_core/benches/decision.rs
+++ b/hawthornkeel_core/benches/decision.rs
@@ -14,6 +14,13 @@
 use criterion::Criterion;
 use criterion::criterion_group;
 use criterion::criterion_main;
+use hawthornkeel_core::fleet::ListedTarget;
+use hawthornkeel_core::fleet::TargetList;
+use hawthornkeel_core::names::CentreName;
+use hawthornkeel_core::names::PoolName;
+use hawthornkeel_core::names::TargetName;
+use hawthornkeel_core::placement::balancer::Balancer;
+use hawthornkeel_core::placement::balancer::TargetQuery;
 use hawthornkeel_core::routing::Decision;
 use hawthornkeel_core::routing::LoadReport;
 use hawthornkeel_core::routing::Router;
@@ -101,12 +108,56 @@
     });
 }
 
+/// Creates a balancer that knows a pool of targets.
+fn balancer(size: u16) -> Balancer {
+    let listed = |number: u16| ListedTarget {
+        name: TargetName::new(&format!("t{number}")),
+        pool: PoolName::new("pool"),
+        address: ([10, 0, 0, 1], 8_000 + number).into(),
+        centre: CentreName::new("a"),
+        born: None,
+        version: "v1".into(),
+        slots: 16,
+        leaving: false,
+        cold_ms: 0,
+    };
+    let mut balancer = Balancer::default();
+    balancer.update(at(0), &TargetList { targets: (0..size).map(listed).collect(), mark: 1 });
+    balancer
+}
+
+/// Measures the choice of a target for a forwarded request with a session.
+fn forward(criterion: &mut Criterion) {
+    let mut group = criterion.benchmark_group("choose_forwarded");
+    let pool = PoolName::new("pool");
+    for size in [90, 1_500] {
+        let mut balancer = balancer(size);
+        let mut session = 0;
+        group.bench_function(BenchmarkId::from_parameter(size), |b| {
+            b.iter(|| {
+                session += 1;
+                let query = TargetQuery {
+                    pool: &pool,
+                    session,
+                    centre: None,
+                    tried: &[],
+                    cold: None,
+                    entries: 83,
+                    version: None,
+                };
+                balancer.choose(at(1), black_box(&query)).map(|c| c.cold)
+            });
+        });
+    }
+    group.finish();
+}
+
 criterion_group! {
     name = decisions;
     config = Criterion::default()
         .measurement_time(Duration::from_secs(2))
         .warm_up_time(Duration::from_millis(500))
         .sample_size(50);
-    targets = send, send_with_exclusion, wait, report
+    targets = send, send_with_exclusion, wait, report, forward
 }
 criterion_main!(decisions);
