Balancer: the last stated speed counts relative to the pool

Cause: the last stated speed counted as an absolute figure and the average as one relative to the pool, so that in a pool whose machines all state 130 the target heard last looked slow. Change: both are relative. The factor of a pool without samples can't become zero.

--- a/hawthornkeel_core/src/placement/load.rs
+++ b/hawthornkeel_core/src/placement/load.rs
@@ -168,6 +168,8 @@
 struct LastReport {
     load: StatedLoad,
     heard: Instant,
+    /// Time that work took then, relative to the pool.
+    work_time: Option<f64>,
     /// This entry's requests in progress at that time.
     in_flight: u32,
 }
@@ -264,7 +266,9 @@
         }
         let Some(pool) = self.0.get_mut(&listed.pool) else { return true };
         let mut belief = target.0.borrow_mut();
-        belief.last = Some(LastReport { load, heard: now, in_flight });
+        let log = load.speed.map(|s| s.max(f64::MIN_POSITIVE).ln());
+        let work_time = log.filter(|_| pool.speed.count > 0).map(|l| (l - pool.speed.mean).exp());
+        belief.last = Some(LastReport { load, heard: now, work_time, in_flight });
         let is_new = |at: Instant| now.since(at) >= SAMPLE_INTERVAL;
         if !belief.sampled.is_none_or(is_new) {
             return true;
@@ -274,8 +278,7 @@
         pool.requests.add(occupancy * f64::from(load.slots));
         pool.occupancy.add(occupancy);
         belief.occupancy.add(now, occupancy, 1.0);
-        if let Some(speed) = load.speed {
-            let log = speed.max(f64::MIN_POSITIVE).ln();
+        if let Some(log) = log {
             pool.speed.add(log);
             belief.slowness.add(now, bounded_ratio(log - pool.speed.mean), 1.0);
         }
@@ -357,7 +360,7 @@
         let slowness = if self.slow > SLOWER { 1.0 / self.slow } else { 1.0 };
         self.factor = (overload * slowness).max(MIN_FACTOR);
         if self.load < IMPLAUSIBLE_LOAD {
-            self.factor = self.factor.min(pool.factor.mean);
+            self.factor = self.factor.min(pool.factor.mean.max(MIN_FACTOR));
         } else {
             pool.factor.add(self.factor);
         }
@@ -368,7 +371,7 @@
     fn work_time(&self, now: Instant) -> f64 {
         let usual = 1.0 + (self.slow - 1.0) * self.freshness(now);
         let Some(last) = &self.last else { return usual };
-        let (trust, stated) = (last.belief(now), last.load.speed.unwrap_or(usual));
+        let (trust, stated) = (last.belief(now), last.work_time.unwrap_or(usual));
         stated.clamp(MIN_WORK_TIME, MAX_WORK_TIME) * trust + usual * (1.0 - trust)
     }
 
