--- a/hawthornkeel_core/tests/load_simulation/mod.rs
+++ b/hawthornkeel_core/tests/load_simulation/mod.rs
@@ -177,7 +177,7 @@
             balancer
         };
         let target = |n: usize| Target {
-            slow: if n % 3 == 0 { case.slow } else { 1.0 },
+            slow: if n.is_multiple_of(3) { case.slow } else { 1.0 },
             momentary: 1.0,
             next_change: 0,
             running: 0,
