--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -38,6 +38,7 @@
 mod helper_client;
 mod helper_server;
 mod limit_server;
+mod load_counts;
 mod measures;
 mod plan;
 mod proofs;
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -9,12 +9,17 @@
 use hawthornkeel_core::fleet::TargetRun;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::limit::RequestRate;
+use hawthornkeel_core::placement::load::ResponseTime;
+use hawthornkeel_core::placement::load::StatedLoad;
 use hawthornkeel_core::placement::notice::Brittleness;
 use hawthornkeel_core::placement::notice::DroppedNotice;
 use hawthornkeel_core::placement::notice::Notice;
 use hawthornkeel_core::placement::notice::NoticeChange;
 use hawthornkeel_core::placement::notice::PauseWait;
 use hawthornkeel_core::placement::notice::return_delay;
+use hawthornkeel_platform::fields;
+use hawthornkeel_platform::load;
+use hawthornkeel_platform::load::LoadField;
 use hawthornkeel_platform::notices;
 use hawthornkeel_platform::notices::AnswerNotices;
 use hawthornkeel_platform::notices::BrittleField;
@@ -35,10 +40,14 @@
 use crate::forward::internal_request;
 use crate::forward::internal_request::InternalRequest;
 use crate::forward::internal_request::InternalResponse;
+use crate::forward::load_counts::LoadEvent;
 use crate::forward::plan;
 use crate::forward::request::IncomingRequest;
 use crate::telemetry;
 
+/// Stated speed of a machine on which work takes the normal time.
+const NORMAL_SPEED: f64 = 100.0;
+
 /// What is asked of a target.
 #[derive(Clone, Copy, Debug, Eq, PartialEq)]
 pub enum CallKind {
@@ -118,6 +127,12 @@
         let rules = SendRules { observe: &observe, may_send: &may_send, begin: &begin };
         let response = self.http_client.send_by(run.address, outgoing, deadline, rules).await?;
         self.record_answer(call, sent.get(), &response);
+        if response.status.is_success() && !call.target.cold && kind == CallKind::Request {
+            let now = boot_now();
+            let time = now.since(sent.get());
+            let response = ResponseTime { route: &call.request.route.name, time };
+            self.balancer.borrow_mut().record_latency(now, &run, response);
+        }
         Ok(response)
     }
 
@@ -188,6 +203,25 @@
         for change in changes {
             log_change(run, kind, status, change);
         }
+        self.record_load(run, headers);
+    }
+
+    /// Records the load that a target states; a value that can't be read withdraws nothing.
+    fn record_load(&self, run: &TargetRun, headers: &HeaderMap) {
+        let values = headers.get_all(fields::LOAD).iter().map(HeaderValue::as_bytes);
+        match load::parse(values) {
+            Some(LoadField::Stated(load::StatedLoad { running, waiting, slots, speed })) => {
+                let speed = speed.map(|s| f64::from(s) / NORMAL_SPEED);
+                let load = StatedLoad { running, waiting, slots, speed };
+                let is_plausible = self.balancer.borrow_mut().record_load(boot_now(), run, load);
+                self.load_counts.record(match is_plausible {
+                    true => LoadEvent::Read,
+                    false => LoadEvent::Unreadable,
+                });
+            }
+            Some(LoadField::Unreadable) => self.load_counts.record(LoadEvent::Unreadable),
+            None => {}
+        }
     }
 
     /// Returns the time after which the caller of a request should come back, if all targets of its
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -80,6 +80,8 @@
     pub writer: FakeWriter,
     /// Number of its requests whose connection was closed while they ran.
     pub disconnects: usize,
+    /// Value of `Server-Load` in its answers.
+    pub load: Option<&'static str>,
     /// Requests that it runs at the same time.
     pub slots: FakeSlots,
 }
@@ -138,6 +140,10 @@
                             }
                             None => response,
                         };
+                        let response = match fake.load {
+                            Some(value) => response.with_header("server-load", value),
+                            None => response,
+                        };
                         match fake.leaving {
                             true => response.with_header("server-leaving", "1"),
                             false => response,
--- a/hawthornkeel_core/src/placement/balancer.rs
+++ b/hawthornkeel_core/src/placement/balancer.rs
@@ -27,12 +27,19 @@
 use crate::placement::health::TargetOutcome;
 use crate::placement::limit::EntryView;
 use crate::placement::limit::LimitReport;
+use crate::placement::load::PoolLoads;
+use crate::placement::load::ResponseTime;
+use crate::placement::load::StatedLoad;
+use crate::placement::load::TargetLoad;
 use crate::placement::notice::DroppedNotice;
 use crate::placement::notice::Notice;
 use crate::placement::notice::NoticeChange;
 use crate::placement::notice::Notices;
 use crate::placement::notice::TargetNotice;
 use crate::placement::partition::Partitions;
+use crate::placement::ranking::Candidate;
+use crate::placement::ranking::Ranking;
+use crate::placement::ranking::Selected;
 use crate::placement::versions::Departed;
 use crate::placement::versions::Rank;
 use crate::streams::origin::StreamOrigin;
@@ -74,6 +81,8 @@
     pub(super) notices: Notices,
     /// Requests that run at targets which the list no longer names.
     pub(super) departed: Departed,
+    /// Mean loads and speeds of pools.
+    loads: PoolLoads,
     /// Whether a list was received: the targets of the first one don't count as new.
     has_list: bool,
 }
@@ -85,6 +94,8 @@
     pub(super) health: Health,
     /// What its process has said about itself.
     pub(super) notice: TargetNotice,
+    /// Load and speed of its process.
+    pub(super) load: TargetLoad,
     /// Time of the last answer.
     last_answer: Instant,
     /// Number of this entry's requests in progress.
@@ -117,10 +128,25 @@
         }
         self.departed.add(known.into_values());
         self.has_list = true;
+        self.loads.retain(|pool| self.targets.values().any(|t| t.listed.pool == *pool));
         self.update_partitions();
         dropped
     }
 
+    /// Records the load that a process states in an answer; returns false if it can't be true.
+    pub fn record_load(&mut self, now: Instant, run: &TargetRun, load: StatedLoad) -> bool {
+        let target = self.targets.get(&run.name).filter(|t| t.listed.run().is_same(run));
+        let Some(Target { listed, load: known, in_flight, .. }) = target else { return true };
+        self.loads.record(now, listed, known, load, in_flight.get())
+    }
+
+    /// Records the time until the response of a process to a request began.
+    pub fn record_latency(&mut self, now: Instant, run: &TargetRun, response: ResponseTime<'_>) {
+        let target = self.targets.get(&run.name).filter(|t| t.listed.run().is_same(run));
+        let Some(Target { listed, load, .. }) = target else { return };
+        self.loads.record_latency(now, &listed.pool, &listed.centre, load, response);
+    }
+
     /// Records what a process says about itself in the answer to a request that was sent at `sent`,
     /// and returns the changes.
     pub fn record_notice(
@@ -249,7 +275,7 @@
 
     /// Returns the data centre of the target that would be chosen.
     pub fn likely_centre(&mut self, now: Instant, query: &TargetQuery<'_>) -> Option<CentreName> {
-        let (index, _) = self.best(now, query).ok()?;
+        let (Selected { index, .. }, _) = self.best(now, query).ok()?;
         self.targets.get_index(index).map(|(_, t)| t.listed.centre.clone())
     }
 
@@ -262,7 +288,7 @@
         now: Instant,
         query: &TargetQuery<'_>,
     ) -> Result<ChosenTarget, NoTarget> {
-        let (index, rank) = self.best(now, query)?;
+        let (Selected { index, by_load }, rank) = self.best(now, query)?;
         let (name, target) = self.targets.get_index_mut(index).ok_or(NoTarget::Empty)?;
         let in_flight = InFlight::new(&target.in_flight);
         let cold = target.is_cold(now, query.cold);
@@ -279,33 +305,57 @@
             version: version.clone(),
             cold,
             fall_back: rank.is_fall_back(query.rule),
+            by_load,
             _in_flight: Rc::new(in_flight),
         })
     }
 
-    /// Returns the index and the rank of the target with the highest score among those of the first
-    /// rank.
-    fn best(&mut self, now: Instant, query: &TargetQuery<'_>) -> Result<(usize, Rank), NoTarget> {
-        let mut best: Option<(Rank, f64, usize)> = None;
+    /// Returns the target with the highest score among those of the first rank, or the less loaded of
+    /// two for requests that have no session to keep, and the rank.
+    fn best(
+        &mut self,
+        now: Instant,
+        query: &TargetQuery<'_>,
+    ) -> Result<(Selected, Rank), NoTarget> {
+        let (mut ranking, mut first) = (Ranking::default(), None);
         let mut reason = NoTarget::Empty;
         let brittle = self.is_brittle(now, query.pool);
         let last_resort = self.opens_last_resort(now, query.pool, query.rule);
         for index in 0..self.targets.len() {
             let Some(rank) = self.rank(now, index, query, last_resort) else { continue };
             let has_room = !brittle || self.has_slot(index);
-            let score = match self.score(now, index, query) {
-                Ok(_) if !has_room => Err(NoTarget::Paused { until: now + SLOT_WAIT }),
-                score => score,
-            };
-            match score {
-                Ok(score) if best.is_none_or(|(r, b, _)| rank < r || rank == r && score > b) => {
-                    best = Some((rank, score, index));
+            match self.weight(now, index, query) {
+                Ok(_) if !has_room => {
+                    reason = reason.and(NoTarget::Paused { until: now + SLOT_WAIT });
+                }
+                Ok(weight) => {
+                    if first.is_none_or(|f| rank < f) {
+                        (ranking, first) = (Ranking::default(), Some(rank));
+                    }
+                    if first == Some(rank) {
+                        ranking.add(self.candidate(now, index, query.session, weight));
+                    }
                 }
-                Ok(_) => {}
                 Err(why) => reason = reason.and(why),
             }
         }
-        best.map(|(rank, _, index)| (index, rank)).ok_or(reason)
+        let best = match query.has_affinity() {
+            true => ranking.first(),
+            false => ranking.less_loaded(query.session, |index| self.pressure(now, index)),
+        };
+        best.zip(first).ok_or(reason)
+    }
+
+    fn candidate(&self, now: Instant, index: usize, session: u64, weight: f64) -> Candidate {
+        let target = self.targets.get_index(index);
+        let factor = target.map_or(1.0, |(_, t)| t.load.factor(now));
+        let score = target.map_or(0.0, |(name, _)| rendezvous(session, name, weight * factor));
+        Candidate { index, weight, factor, score }
+    }
+
+    fn pressure(&self, now: Instant, index: usize) -> Option<f64> {
+        let (_, target) = self.targets.get_index(index)?;
+        target.load.pressure(now, target.in_flight.get())
     }
 
     /// Records the outcome of a call to a target.
@@ -344,8 +394,8 @@
         times.iter().max().filter(|_| times.len() >= CUT_OFF_TARGETS).copied()
     }
 
-    /// Returns the score of a target; the highest is chosen.
-    fn score(
+    /// Returns the weight of a target, without what is known of its load.
+    fn weight(
         &mut self,
         now: Instant,
         index: usize,
@@ -387,7 +437,7 @@
         if target.in_flight.get() > BUSY_REQUESTS {
             weight *= f64::from(BUSY_REQUESTS) / f64::from(target.in_flight.get());
         }
-        Ok(rendezvous(query.session, &target.listed.name, weight.max(MIN_WEIGHT * CUT_OFF_WEIGHT)))
+        Ok(weight.max(MIN_WEIGHT * CUT_OFF_WEIGHT))
     }
 }
 
@@ -397,6 +447,7 @@
             listed: listed.clone(),
             health: Health::default(),
             notice: TargetNotice::default(),
+            load: TargetLoad::default(),
             last_answer: Instant::ZERO,
             in_flight: Rc::default(),
             cold_until: now,
--- a/hawthornkeel_core/src/placement/choice.rs
+++ b/hawthornkeel_core/src/placement/choice.rs
@@ -20,7 +20,7 @@
     pub pool: &'a PoolName,
     /// Hash key: equal for requests that share a prompt, otherwise random.
     pub session: u64,
-    /// Preferred data centre.
+    /// Preferred data centre; given for requests without session affinity only.
     pub centre: Option<&'a CentreName>,
     /// Targets that were tried before.
     pub tried: &'a [TargetName],
@@ -34,6 +34,13 @@
     pub rule: &'a VersionRule,
 }
 
+impl TargetQuery<'_> {
+    /// Returns whether requests with the same session should go to the same target.
+    pub(super) fn has_affinity(&self) -> bool {
+        self.centre.is_none()
+    }
+}
+
 /// Chosen target. Its request counts as in progress until this and all clones are dropped.
 #[derive(Clone, Debug)]
 pub struct ChosenTarget {
@@ -51,6 +58,8 @@
     pub cold: bool,
     /// Whether it was chosen as no target of the version that the rule asks for could get the request.
     pub fall_back: bool,
+    /// Whether another one would have been chosen without what is known of loads and speeds.
+    pub by_load: bool,
     pub(super) _in_flight: Rc<InFlight>,
 }
 
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -11,9 +11,11 @@
 pub mod hedging;
 pub mod limit;
 pub mod links;
+pub mod load;
 pub mod notice;
 pub mod retries;
 
 mod brittle;
 mod partition;
+mod ranking;
 mod versions;
