Tests: the order of a caller who has left is looked for after it was read

Cause: change_of_leader waited for any 503 in the logs, which another instance had written before, so it passed as well while orders of callers who had left were begun. Change: it waits until the suspended instance has answered that order. Result: it fails with handling that ignores callers who left (read 200 in place of 404), and passes without that change, with the other 5 tests of rollout_orders.

--- a/hawthornkeel/tests/rollout_orders.rs
+++ b/hawthornkeel/tests/rollout_orders.rs
@@ -170,7 +170,9 @@
         assert!(state.is_none_or(|s| s.0 == 503 || s == running("v2")), "older state");
     }
     assert_eq!(must_read(&harness, old, "ledger"), running("v2"));
-    harness.wait_for_log("path=/Rollouts.Begin status=503");
+    eventually(&harness, "order not read", || {
+        harness.log(old).contains("path=/Rollouts.Begin status=").then_some(())
+    });
     assert_eq!(must_read(&harness, other, "annex").0, 404, "given for a caller who had left");
 }
 
