Rollouts: budget, judgement and timing at the leader

Cause: the controller of rollouts decided nothing.

Change: a budget over all entries (charges by process, allowance in blocks, whole recorded allowance inherited by a new leader, returns shown by report numbers), sequential tests by pool and route with each single new target left out, and the timing of trial, switch, completion and roll-back.

--- a/hawthornkeel_core/src/rollout/mod.rs
+++ b/hawthornkeel_core/src/rollout/mod.rs
@@ -1,6 +1,12 @@
 //! Rollouts: the traffic of a pool moves to one version of its targets' software while that version
 //! is judged, and moves back if the version is bad.
 
+pub mod budget;
 pub mod controller;
+pub mod counts;
+pub mod histogram;
+pub mod judge;
 pub mod message;
 pub mod record;
+pub mod run;
+pub mod sequential;
