Rollouts: the switch waits for the spread of the arrivals; exposure checked for every way

Cause: with 8 requests a second, the rate of the last seconds may be low by chance, so that the switch began too early: 0.154 of the requests beyond the slack (bound 0.1) went to the new version in the worst of 150 rollouts. Good versions were not checked for it, although a bad one that no test finds would be treated alike.

Change: the larger of the recent and the mean rate, and three standard deviations beyond the factor of 1.3. The check of the exposure holds for all ways.

--- a/hawthornkeel_core/src/rollout/run.rs
+++ b/hawthornkeel_core/src/rollout/run.rs
@@ -30,6 +30,9 @@
 const LATEST_COMPLETION: Duration = Duration::from_millis(300);
 /// Factor over the expected requests that the exposure must cover for a switch before the latest one.
 const SWITCH_MARGIN: f64 = 1.3;
+/// Standard deviations of the number of requests that it must cover in addition. With 8 requests a second
+/// and the factor alone, 1 of 150 simulated rollouts sent 0.154 of the requests beyond the slack.
+const SWITCH_DEVIATIONS: f64 = 3.0;
 /// Factor over the requests of the latest switch that the trial leaves of the exposure. Their number
 /// varies by a few percent, but entries learn of the switch a tenth of its time after it begins.
 const RESERVE_MARGIN: f64 = 1.0;
@@ -238,10 +241,14 @@
 
     /// Returns whether the exposure covers all requests from the time `ahead` until the deadline.
     fn covers(&self, now: Instant, ahead: Duration) -> bool {
-        let rate = self.budget.rate();
-        let left = self.ends_at.since(now + ahead).as_secs_f64();
+        let duration = Duration::from_millis(self.record.order.duration_ms);
+        let elapsed = duration.saturating_sub(self.ends_at.since(now)).as_secs_f64();
+        // With little traffic, the rate of the last seconds may be low by chance.
+        let mean = self.budget.arrivals() as f64 / elapsed.max(1.0);
+        let requests = self.budget.rate().max(mean) * self.ends_at.since(now + ahead).as_secs_f64();
+        let needed = SWITCH_MARGIN * requests + SWITCH_DEVIATIONS * requests.sqrt();
         // Without a rate there is nothing to go by but the latest switch.
-        rate > 0.0 && self.budget.exposure_left(self.expected(now)) >= SWITCH_MARGIN * rate * left
+        self.budget.rate() > 0.0 && self.budget.exposure_left(self.expected(now)) >= needed
     }
 
     /// Returns the requests expected between the order and the deadline.
--- a/hawthornkeel_core/tests/rollout_judge.rs
+++ b/hawthornkeel_core/tests/rollout_judge.rs
@@ -95,11 +95,12 @@
     assert_eq!(back + done, runs, "a rollout has not ended by its deadline");
     let over_budget = outcomes.iter().filter(|o| o.over_budget > 0).count();
     assert_eq!(over_budget, 0, "trials over their budget");
+    // A good version might have been a bad one that no test can find.
+    assert!(exposed <= 0.1, "exposed: {exposed}");
     if way.is_sound() {
         let first = outcomes.iter().find(|o| o.phase == RolloutPhase::RolledBack);
         assert!(back * 1000 <= runs, "{back} of {runs} sound rollouts rolled back: {first:?}");
     } else {
-        assert!(exposed <= 0.1, "exposed: {exposed}");
         assert!(longest <= 5_000, "still sent {longest} ms after the 50th bad response");
     }
 }
