Responses: one without a length is broken if its request was not written whole

Cause: the failed write of a request consumes the reset of its connection, so the read after it returns what had arrived and then an ordinary end. HttpClient::response took such an end for that of the body, although `send` had stated that the request was not written whole. An orderly end within the upload did the same. A marked refusal of this form was taken for "not run".

Change: a response whose end only the connection tells, to a request that was not written whole, is a broken exchange with unknown outcome from its head on, for all readers of this client: callers' requests, streams, pieces, reports and lists. Responses with a length or chunks may still be complete, and responses that have no body (HEAD, 204, 304) are.

Ruled out: the pipeline's client reads no response before it has written its request, and refuses one without a length; lists and reports are GET requests that fit into the socket's buffer.

--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -264,6 +264,12 @@
             .map_err(|_| ExchangeError::Interrupted("response has invalid body framing"))?
         {
             _ if no_body => Body::Done,
+            // A failed write consumes the reset, after which the connection seems to end in order.
+            BodyLength::Absent if !written => {
+                return Err(ExchangeError::Interrupted(
+                    "response without a length before the whole request was written",
+                ));
+            }
             BodyLength::Absent => Body::UntilClose(0),
             BodyLength::Fixed(0) => Body::Done,
             length => {
