Responses: a status outside 100 to 599 is a broken exchange

Cause: the HTTP library accepts statuses up to 999, and 600 and 999 were passed on to callers and to the readers of pieces, reports and lists as responses. 000, 099 and two or four digits were broken exchanges already.

Change: framing::read_response_head rejects what is outside 100..=599, for both clients. It also rejects 101: no request asks for another protocol, so what follows is not a response, yet it was read as the final one. Other interim responses are skipped as before.

Test: `statuses` in tests/broken_responses.rs, a table of 9 statuses and 7 readers.

--- a/hawthornkeel/src/http/framing.rs
+++ b/hawthornkeel/src/http/framing.rs
@@ -110,19 +110,30 @@
 /// Reads a response head of at most `max` bytes.
 ///
 /// # Errors
-/// Fails where the connection is closed, or the head is too large or malformed.
+/// Fails where the connection is closed, the head is too large or malformed, or its status is not
+/// that of a response.
 pub async fn read_response_head(
     reader: &mut Reader,
     max: usize,
 ) -> Result<ResponseHead, ReadError> {
     let mut head = read_head(reader, max).await?;
     match ResponseHeadDecoder.decode(&mut head) {
-        Ok(Decoded::Some(parts)) => Ok(parts),
+        Ok(Decoded::Some(parts)) => check_status(parts),
         Ok(_) => Err(ReadError::Malformed("incomplete head")),
         Err(error) => Err(head_error(&error)),
     }
 }
 
+/// Rejects statuses that the HTTP library accepts up to 999, and a change of the protocol, which no
+/// request asks for and behind which no response follows.
+fn check_status(head: ResponseHead) -> Result<ResponseHead, ReadError> {
+    match head.status.as_u16() {
+        101 => Err(ReadError::Malformed("protocol was changed without a request")),
+        100..=599 => Ok(head),
+        _ => Err(ReadError::Malformed("status is out of range")),
+    }
+}
+
 /// Reads up to the end of a head and returns its bytes.
 async fn read_head(reader: &mut Reader, max: usize) -> Result<BytesMut, ReadError> {
     let mut scanned = 0;
--- a/hawthornkeel/tests/broken_responses.rs
+++ b/hawthornkeel/tests/broken_responses.rs
@@ -1,10 +1,12 @@
-//! Incomplete responses end as broken exchanges.
+//! Incomplete responses and invalid status codes end as broken exchanges.
 //!
 //! Guards against partial bodies that are returned as complete because the failed write of the
-//! request consumed the reset.
+//! request consumed the reset, and against statuses outside 100 to 599.
 
 #![allow(clippy::unwrap_used)]
 
+mod cut_target;
+
 use std::io::Read;
 use std::io::Write;
 use std::net::Shutdown;
@@ -36,6 +38,10 @@
 use hawthornkeel::target::error::CallError;
 use rstest::rstest;
 
+use crate::cut_target::Answer;
+use crate::cut_target::Close;
+use crate::cut_target::CutTarget;
+
 const LIMIT: Duration = Duration::from_secs(5);
 /// Size of an upload that socket buffers can't hold.
 const UPLOAD_BYTES: usize = 24 << 20;
@@ -211,3 +217,32 @@
     let length = if fields.contains("14") { 14 } else { 7 };
     assert_eq!(got, Ok(length));
 }
+
+/// A status that is no response's was passed on, or left open whether the request had run.
+#[rstest]
+fn statuses(
+    #[values("whole", "once", "stream", "pieces", "report", "list", "own")] reader: &str,
+    #[values("000", "099", "99", "1000", "600", "999", "101", "200", "100 A\r\n\r\nHTTP/1.1 200")]
+    status: &'static str,
+) {
+    let id = "X-Request-Id: 00000000000000000000000000000000/0/0";
+    let bytes =
+        format!("HTTP/1.1 {status} A\r\n{id}\r\nContent-Length: {}\r\n\r\n{BODY}", BODY.len());
+    // What follows an unrequested change of the protocol must not be taken for the response.
+    let bytes = if status == "101" {
+        format!("HTTP/1.1 101 A\r\n\r\n{}", bytes.replace("101", "200"))
+    } else {
+        bytes
+    };
+    let target = CutTarget::start(move |_, _| Answer {
+        bytes: bytes.clone().into_bytes(),
+        close: Some(Close::End),
+    });
+    let got = runtime::block_on(exchange(target.address, reader, &Bytes::from("{}"))).unwrap();
+    match status.ends_with("200") {
+        // The list's page has no targets, which is an error of its own.
+        true if reader == "list" => assert!(!matches!(got, Err((false, _))), "{got:?}"),
+        true => assert_eq!(got, Ok(BODY.len())),
+        false => assert!(matches!(got, Err((false, _))), "{got:?}"),
+    }
+}
