Responses: the system's own requests have identifiers, so a late second copy is told

Cause: pieces, releases of results, reports and pages of the list were sent without an identifier on kept connections, and HttpClient checks the echo only where the request has one. A second copy of an earlier response that came once the next request was sent was taken for the response to that.

Change: each internal request has a random identifier. Its response on a kept connection must echo it; a connection whose target doesn't echo is not kept, as for callers' requests. The first response on a connection that a probe opened needs no echo, as no earlier one can be there; without this, each probed connection to such a target would cost a request that is sent twice.

Cost: a list server or a target that doesn't echo gets a new connection for each internal request.

--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -250,7 +250,7 @@
             (Some(echo), Some(id)) if echo != id.as_ref() => {
                 return Err(ExchangeError::Interrupted("response belongs to another request"));
             }
-            (None, Some(_)) if connection.reused => {
+            (None, Some(_)) if connection.had_response() => {
                 return Err(ExchangeError::Interrupted(
                     "response on a reused connection has no request identifier",
                 ));
--- a/hawthornkeel/src/forward/internal_request.rs
+++ b/hawthornkeel/src/forward/internal_request.rs
@@ -1,10 +1,14 @@
 //! HTTP requests of the system itself to the platform and to targets.
+//!
+//! Each has an identifier of its own: a late second response on a kept connection is told by it, and
+//! connections to targets that don't echo it are not kept.
 
 use std::net::SocketAddr;
 use std::time::Instant;
 
 use bytes::Bytes;
 use bytes::BytesMut;
+use hawthornkeel_platform::fields;
 
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::http_client::HttpClient;
@@ -59,20 +63,22 @@
     request: &InternalRequest<'_>,
     rules: SendRules<'_>,
 ) -> Result<InternalResponse, ExchangeError> {
-    let outgoing =
-        OutgoingRequest { data: encode(request), id: None, bodiless: false, retryable: true };
+    let id = format!("{:016x}", rand::random::<u64>());
+    let data = encode(request, &id);
+    let outgoing = OutgoingRequest { data, id: Some(id.into()), bodiless: false, retryable: true };
     let sent = client.send_by(request.address, &outgoing, request.deadline, rules);
     let mut response = sent.await?;
     let body = response.read_to_end(request.deadline).await?;
     let (status, resent) = (response.status.as_u16(), response.resent);
-    let not_run = response.headers.contains_key(hawthornkeel_platform::fields::NOT_RUN) && !resent;
+    let not_run = response.headers.contains_key(fields::NOT_RUN) && !resent;
     response.finish();
     Ok(InternalResponse { status, not_run, resent, body })
 }
 
-fn encode(request: &InternalRequest<'_>) -> Bytes {
+fn encode(request: &InternalRequest<'_>, id: &str) -> Bytes {
     let method = if request.body.is_some() { "POST" } else { "GET" };
     let mut text = format!("{method} {} HTTP/1.1\r\nhost: {}\r\n", request.path, request.address);
+    text.push_str(&format!("{}: {id}\r\n", fields::REQUEST_ID));
     for (name, value) in request.fields {
         text.push_str(&format!("{name}: {value}\r\n"));
     }
--- a/hawthornkeel/src/forward/target_connection.rs
+++ b/hawthornkeel/src/forward/target_connection.rs
@@ -87,6 +87,12 @@
         std::future::poll_fn(|cx| std::task::Poll::Ready(fill.as_mut().poll(cx).is_pending())).await
     }
 
+    /// Returns whether something was received before the current exchange; not so on a connection that
+    /// a probe has opened.
+    pub(super) fn had_response(&self) -> bool {
+        self.received_before > 0
+    }
+
     /// Records that something was received.
     pub(super) fn record_heard(&self) {
         if let Some(awaited) = &self.awaited {
--- a/hawthornkeel/tests/cut_target/mod.rs
+++ b/hawthornkeel/tests/cut_target/mod.rs
@@ -123,7 +123,7 @@
 }
 
 /// Reads a request whose body, if any, has a length.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
+pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
     let mut line = String::new();
     reader.read_line(&mut line).ok()?;
     let path = line.split(' ').nth(1)?.to_owned();
