--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -249,6 +249,7 @@
         path if path.starts_with("/events/next-") => next_answer(path),
         "/events/drip" if first => dripping_event(),
         "/events/drip" => event_stream(false),
+        "/pausing/drip" => dripping_event(),
         "/events/silent" => silent_body(EVENT_HALVES),
         "/events/silent-middle" => silent_body(EVENT_MIDDLES),
         "/lots/silent" | "/sign/silent" => silent_body(ANSWER_HALVES),
--- a/hawthornkeel/tests/silent_second.rs
+++ b/hawthornkeel/tests/silent_second.rs
@@ -133,3 +133,20 @@
     assert!(started.elapsed() < Duration::from_secs(4), "{:?}", started.elapsed());
     assert_eq!(harness.requests("GET /events/drip").len(), 2);
 }
+
+/// Guards against a stream that goes on beyond its deadline while its target trickles bytes that
+/// complete no event, on a route of one attempt and on one whose budget carries no retry.
+#[test]
+fn dripping_event_ends() {
+    let harness = start_with_budget(229, "retry_slack = 0\nretry_ratio = 0.0");
+    for path in ["/pausing/drip", "/events/drip"] {
+        let started = Instant::now();
+        let got = harness.call("GET", path, KEY, "");
+        // The deadline of both routes is 5 s.
+        let took = started.elapsed().as_secs_f64();
+        assert!((4.9..6.0).contains(&took), "{path} {took} {got:?}\n{}", harness.logs());
+        assert!(got.body.contains("data: a\n\n") && !got.body.contains("id: 2"), "{got:?}");
+        assert!(!got.body.ends_with("0\r\n\r\n"), "{got:?}");
+        assert_eq!(harness.requests(&format!("GET {path}?")).len(), 1);
+    }
+}
