--- a/hawthornkeel/tests/cut_target/mod.rs
+++ b/hawthornkeel/tests/cut_target/mod.rs
@@ -123,7 +123,7 @@
 }
 
 /// Reads a request whose body, if any, has a length.
-fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
+pub fn read_request(reader: &mut BufReader<TcpStream>) -> Option<Received> {
     let mut line = String::new();
     reader.read_line(&mut line).ok()?;
     let path = line.split(' ').nth(1)?.to_owned();
@@ -133,7 +133,7 @@
         reader.read_line(&mut field).ok()?;
         let Some((name, value)) = field.trim_end().split_once(": ") else { break };
         match name.to_ascii_lowercase().as_str() {
-            "request-id" => id = value.to_owned(),
+            "request-id" | "x-request-id" => id = value.to_owned(),
             "content-length" => length = value.parse().ok()?,
             _ => {}
         }
