Responses: connections to targets that don't echo identifiers of internal requests are kept again

Cause: kept no connection whose target doesn't echo the identifier of a request of the system itself.

Change: an echo that differs is refused on every connection; a missing one is refused only for callers' requests, whose targets all echo.

--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -65,12 +65,14 @@
     /// Returns whether a request may be sent, and counts it if so; asked right before each time that
     /// its first byte goes out.
     pub begin: &'a dyn Fn() -> bool,
+    /// Whether a response on a kept connection must echo the identifier of its request.
+    pub needs_echo: bool,
 }
 
 impl Default for SendRules<'_> {
     /// Returns rules that allow all and observe nothing.
     fn default() -> Self {
-        Self { observe: &|_, _| {}, may_send: &|| true, begin: &|| true }
+        Self { observe: &|_, _| {}, may_send: &|| true, begin: &|| true, needs_echo: true }
     }
 }
 
@@ -197,7 +199,7 @@
         self.record_link(&connection, &sent);
         let (head, written) = sent.inspect_err(|e| connection.record_exceeded(e))?;
         (rules.observe)(head.status, &head.headers);
-        self.response(address, connection, head, request, written)
+        self.response(address, connection, head, request, written, rules)
     }
 
     /// Records what the first exchange on a new connection tells of its link.
@@ -254,13 +256,14 @@
         head: ResponseHead,
         request: &OutgoingRequest,
         written: bool,
+        rules: SendRules<'_>,
     ) -> Result<TargetResponse, ExchangeError> {
         let echo = head.headers.get(self.id_field).map(|v| v.as_bytes());
         let echoed = match (echo, &request.id) {
             (Some(echo), Some(id)) if echo != id.as_ref() => {
                 return Err(ExchangeError::Interrupted("response belongs to another request"));
             }
-            (None, Some(_)) if connection.had_response() => {
+            (None, Some(_)) if rules.needs_echo && connection.had_response() => {
                 return Err(ExchangeError::Interrupted(
                     "response on a reused connection has no request identifier",
                 ));
@@ -289,7 +292,7 @@
         };
         let persistent =
             head.version == Version::HTTP_11 && !has_connection_option(&head.headers, "close");
-        let identified = echoed || request.id.is_none();
+        let identified = echoed || request.id.is_none() || !rules.needs_echo;
         let declared = matches!(&body, Body::Framed(framed) if framed.has_length());
         Ok(TargetResponse {
             status: head.status,
--- a/hawthornkeel/src/forward/internal_request.rs
+++ b/hawthornkeel/src/forward/internal_request.rs
@@ -1,7 +1,7 @@
 //! HTTP requests of the system itself to the platform and to targets.
 //!
-//! Each has an identifier of its own: a late second response on a kept connection is told by it, and
-//! connections to targets that don't echo it are not kept.
+//! Each has an identifier of its own, by which a late second response on a kept connection is told if its
+//! target echoes it. Not all targets of stages do, and a connection for each call would cost them too much.
 
 use std::net::SocketAddr;
 use std::time::Instant;
@@ -66,6 +66,7 @@
     let id = format!("{:016x}", rand::random::<u64>());
     let data = encode(request, &id);
     let outgoing = OutgoingRequest { data, id: Some(id.into()), bodiless: false, retryable: true };
+    let rules = SendRules { needs_echo: false, ..rules };
     let sent = client.send_by(request.address, &outgoing, request.deadline, rules);
     let mut response = sent.await?;
     let body = response.read_to_end(request.deadline).await?;
--- a/hawthornkeel/src/forward/target_calls.rs
+++ b/hawthornkeel/src/forward/target_calls.rs
@@ -124,7 +124,12 @@
             self.may_send(&run, kind) && self.begin_send(call)
         };
         let may_send = || self.may_send(&run, kind) && self.allows_version(call);
-        let rules = SendRules { observe: &observe, may_send: &may_send, begin: &begin };
+        let rules = SendRules {
+            observe: &observe,
+            may_send: &may_send,
+            begin: &begin,
+            ..SendRules::default()
+        };
         let response = self.http_client.send_by(run.address, outgoing, deadline, rules).await?;
         self.record_answer(call, sent.get(), &response);
         if response.status.is_success() && !call.target.cold && kind == CallKind::Request {
@@ -151,7 +156,12 @@
             self.record_notices(run, kind, sent, status, headers);
         };
         let may_send = || self.may_send(run, kind);
-        let rules = SendRules { observe: &observe, may_send: &may_send, begin: &may_send };
+        let rules = SendRules {
+            observe: &observe,
+            may_send: &may_send,
+            begin: &may_send,
+            ..SendRules::default()
+        };
         internal_request::send_by(&self.http_client, request, rules).await
     }
 
