Review: a core whose machines are replaced one after the other loses its quorum

Cause: a voter that is gone for good keeps its vote for 6 s, longer than catch_up_s, and a planned stop hands it to nobody.

--- /dev/null
+++ b/review/stand-2/main.rs
@@ -0,0 +1,15 @@
+//! Cases of the second review that are shown with the project's own processes.
+//! Exit status: 1 if the rule was broken, 0 if it held, 2 if the case could not run.
+
+mod core_replaced;
+mod fleet;
+
+fn main() {
+    let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
+    let case = std::env::args().nth(1).unwrap_or_default();
+    let run = || match case.as_str() {
+        "core-replaced" => core_replaced::run(trouble),
+        _ => 2,
+    };
+    std::process::exit(std::panic::catch_unwind(run).unwrap_or(2));
+}
