Review: a slow stream goes on elsewhere while its runner still works on it

Cause: an entry gives a stream up that is silent for 0.4 of its callers' patience, closes the channel and resumes at another target. That the first target has ended is taken for granted; not every one drops a request when its channel closes.

Nothing is fixed.

--- a/review/stand-2/main.rs
+++ b/review/stand-2/main.rs
@@ -4,6 +4,7 @@
 mod cold_runner;
 mod core_replaced;
 mod fleet;
+mod slow_runner;
 
 fn main() {
     let trouble = std::env::var("TROUBLE").map_or(true, |t| t != "0");
@@ -11,6 +12,7 @@
     let run = || match case.as_str() {
         "cold-runner" => cold_runner::run(trouble),
         "core-replaced" => core_replaced::run(trouble),
+        "slow-runner" => slow_runner::run(trouble),
         _ => 2,
     };
     std::process::exit(std::panic::catch_unwind(run).unwrap_or(2));
