--- a/review/stand-2/slow_runner.rs
+++ b/review/stand-2/slow_runner.rs
@@ -23,11 +23,13 @@
 /// Model runners, of which the first turns slow: a share of 0.25.
 const RUNNERS: usize = 4;
 /// Pause between two events of a runner that is not slow, in seconds; on time are 0.3 s.
-const PAUSE: f64 = 0.28;
+const PAUSE: f64 = 0.1;
 /// How many times as long a slow runner takes, and for how many seconds.
 const SLOWDOWN: f64 = 5.0;
 const SLOW_TIME: f64 = 6.5;
-const EVENTS: usize = 8;
+/// Time until its first event, in seconds; on time are 0.8 s.
+const FIRST: f64 = 0.25;
+const EVENTS: usize = 10;
 const REQUESTS: usize = 60;
 /// Time for which the runner before may still work, in seconds.
 const TOLERANCE: f64 = 0.4;
@@ -86,7 +88,7 @@
              Weight-Versions: 1\r\nTransfer-Encoding: chunked\r\n\r\n",
             echo(request)
         );
-        sleep(0.04);
+        sleep(if slow.load(Ordering::Relaxed) { FIRST * SLOWDOWN } else { FIRST });
         let mut sent = writer.write_all(head.as_bytes());
         for number in last + 1..=EVENTS {
             let event = format!("id: {number}\ndata: event {number} of {name}\n\n");
