Membership: a silent voter loses its vote to a learner after two election timeouts

What callers saw: two of three control machines were replaced one after the other, each by one that had run for 4.5 s (catch_up_s is 4).

Cause: a voter that is gone kept its vote until the leader had not heard it for 6 s, counted anew by each leader, although a learner had had the whole log for seconds. The new machine was counted on after 4 s, so two votes of three belonged to machines that no longer existed.

In the logs the leader has voters 1, 2, 3 from 33.1 s, when instance 1 stopped and instance 4 had joined, to 37.8 s, when instance 2 stopped; then no leader.

The silent voter becomes a learner in place of being removed: a short absence changes who votes, and not who is a member, so entries keep their list of control instances. It is removed after 6 s of silence, as before. Vacant votes are filled before other changes. Each change is still a single one, committed before the next.

--- a/hawthornkeel/src/control/start.rs
+++ b/hawthornkeel/src/control/start.rs
@@ -22,10 +22,15 @@
 /// Divisor of the snapshot interval that gives the entries retained for slow followers.
 const RETAIN_DIVISOR: u64 = 10;
 
-/// Time without a reply after which a voter is replaced by another replica.
+/// Time without a reply after which another replica gets the vote of a voter, in election timeouts.
 ///
-/// Longer than a restart, so that a restart doesn't change the members.
-const REPLACE_AFTER: Duration = Duration::from_secs(6);
+/// A new replica that has caught up can only be counted on once it has the vote of the lost one.
+const REPLACE_TIMEOUTS: u32 = 2;
+
+/// Time without a reply after which a replica without a vote is removed.
+///
+/// Longer than a restart, after which it doesn't have to be added again.
+const REMOVE_AFTER: Duration = Duration::from_secs(6);
 
 /// Handles of the control plane at an instance.
 #[derive(Clone)]
@@ -58,6 +63,11 @@
     ControlPlane { control, watch, client, directory, admin }
 }
 
+/// Returns the time without a reply after which another replica gets the vote of a voter.
+fn replace_after(settings: &Settings) -> Duration {
+    Duration::from_millis(settings.control.election_ms) * REPLACE_TIMEOUTS
+}
+
 /// Returns the policy for promoting learners to voters.
 fn voter_policy(settings: &Settings) -> VoterPolicy {
     match settings.peers.trust {
@@ -65,7 +75,8 @@
         // This number of voters keeps a quorum after the tolerated loss of disks.
         Trust::Addresses => VoterPolicy::Open {
             max_voters: 2 * settings.control.lost_disks + 1,
-            replace_after: REPLACE_AFTER,
+            replace_after: replace_after(settings),
+            remove_after: REMOVE_AFTER,
         },
     }
 }
--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -199,6 +199,25 @@
         self.spawn(self.processes.len() - 1);
     }
 
+    /// Starts a further control instance with an empty disk; the first ones are its seeds.
+    ///
+    /// It is the last process and the last control instance.
+    pub fn add_control(&mut self, host: u8) {
+        let first = self.processes[0].ip.clone();
+        let ip = format!("{}{host}", first.trim_end_matches('1'));
+        let to_own = |line: &str| match line.starts_with("seeds") {
+            true => line.to_owned(),
+            false => line
+                .replace(&format!("{first}:"), &format!("{ip}:"))
+                .replace("/data-1\"", &format!("/data-{host}\"")),
+        };
+        let settings = fs::read_to_string(self.root.path().join(format!("{first}.toml"))).unwrap();
+        let settings: Vec<_> = settings.lines().map(to_own).collect();
+        let settings = settings.join("\n").replace("[control]", "[control]\nfound = false");
+        self.operators.push(addr(&ip, self.operators[0].port()));
+        self.add(&ip, &settings, None);
+    }
+
     /// Starts a process that is not running.
     pub fn spawn(&mut self, at: usize) {
         let log = self.open_log(at);
--- /dev/null
+++ b/hawthornkeel/tests/replaced_instances.rs
@@ -0,0 +1,96 @@
+//! Control instances that are replaced by new ones at other addresses, one after the other.
+
+mod forward_harness;
+
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+use rustix::process::Signal;
+
+use crate::forward_harness::Harness;
+use crate::forward_harness::document::document;
+use crate::forward_harness::requests::fields;
+use crate::forward_harness::waits::CONTROLS;
+
+/// Time for which a new instance runs before the one that it replaces is lost; `catch_up_s` is 4.
+const SUCCESSOR_TIME: Duration = Duration::from_millis(4_500);
+/// Time after which a process that is to stop is killed; `grace_period_s`.
+const GRACE_TIME: Duration = Duration::from_secs(8);
+/// Time in which the group serves again; `recovery_s`.
+const RECOVERY_TIME: Duration = Duration::from_secs(12);
+
+/// How a control instance is lost.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Loss {
+    /// It stops as planned.
+    Stop,
+    /// It is killed and does not come back.
+    Kill,
+    /// It is killed and comes back with an empty disk.
+    Wipe,
+}
+
+/// Starts three control instances and two entries, which serve.
+fn start(net: u8) -> Harness {
+    let harness = Harness::with_control_instances(net, 3);
+    harness.serve_routes();
+    harness
+}
+
+/// Ends the process `at` and returns once it has ended.
+fn lose(harness: &mut Harness, at: usize, loss: Loss) {
+    match loss {
+        Loss::Stop => {
+            harness.signal(at, Signal::TERM);
+            harness.kill_at(at, Instant::now() + GRACE_TIME);
+        }
+        Loss::Kill => harness.kill(at),
+        Loss::Wipe => {
+            harness.kill(at);
+            harness.remove_data(at);
+            harness.replace_setting(at, "[control]", "[control]\nfound = false");
+            harness.spawn(at);
+        }
+    }
+}
+
+/// Checks that the instances in `controls` take a document, show it and pass it on in time.
+fn check_service(harness: &Harness, controls: &[usize], version: u32) {
+    let until = Instant::now() + RECOVERY_TIME;
+    let wait_for = |what: &str, condition: &dyn Fn() -> bool| {
+        while !condition() {
+            assert!(Instant::now() < until, "{what}:\n{}", harness.logs());
+            thread::sleep(Duration::from_millis(50));
+        }
+    };
+    let text = document(version, "/lots/");
+    let accepts = |at: usize| {
+        harness.try_replace_document(at, &text).is_some_and(|response| response.status == 200)
+    };
+    wait_for("no document is accepted", &|| controls.iter().any(|at| accepts(*at)));
+    let newest = format!("\"version\":{version},");
+    let reads = |at: usize| {
+        let response = harness.try_read_document(at);
+        response.is_some_and(|r| r.status == 200 && r.body.replace(' ', "").contains(&newest))
+    };
+    wait_for("an instance doesn't show the document", &|| controls.iter().all(|at| reads(*at)));
+    harness.call_until(200, "/lots/after", &fields("after"));
+}
+
+/// A lost voter kept its vote for longer than its successor needs, so a second one cost the quorum.
+#[rstest]
+#[case::both_stopped(82, Loss::Stop, Loss::Stop)]
+#[case::both_killed(83, Loss::Kill, Loss::Kill)]
+#[case::second_wiped(84, Loss::Stop, Loss::Wipe)]
+fn replaced_in_turn(#[case] net: u8, #[case] first: Loss, #[case] second: Loss) {
+    let mut harness = start(net);
+    for (at, loss) in [first, second].into_iter().enumerate() {
+        let control = CONTROLS + at;
+        harness.add_control(u8::try_from(control + CONTROLS).unwrap());
+        thread::sleep(SUCCESSOR_TIME);
+        lose(&mut harness, at, loss);
+    }
+    check_service(&harness, &[2, 3, 4], 2);
+}
--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -68,6 +68,8 @@
     Add(Node),
     /// Promotes a learner that has caught up to a voter.
     Promote(ReplicaId),
+    /// Makes a voter other than the leader a learner.
+    Demote(ReplicaId),
     /// Removes a member other than the leader.
     ///
     /// A removed replica that is still running announces itself, is added again as a learner, and
--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -51,55 +51,67 @@
         let Some(change) = self.next_repair() else { return };
         if let Some(members) = self.members_after(&change) {
             self.set_members(members);
+            self.replicate();
         }
     }
 
     /// Returns the next change that repairs the membership, if one is needed.
+    ///
+    /// Vacant votes come first: until they are filled, the group tolerates fewer losses.
     fn next_repair(&mut self) -> Option<MembershipChange> {
         if !self.can_change_members() {
             return None;
         }
         let members = self.log.members();
-        let RoleState::Leader(leader) = &mut self.role_state else { return None };
-        leader.joining.retain(|_, id| members.get(*id).is_none());
-        if let Some((name, id)) = leader.joining.pop() {
-            return Some(MembershipChange::Add(Node { id, name }));
+        if let Some(ready) = members.0.iter().find(|m| self.is_promotable(m, &members)) {
+            return Some(MembershipChange::Promote(ready.node.id));
         }
-        let lost = members.0.iter().find(|m| self.is_replaced(m, &members));
-        if let Some(lost) = lost {
-            return Some(MembershipChange::Remove(lost.node.id));
-        }
-        let ready = members.0.iter().find(|m| self.is_promotable(m, &members))?;
-        Some(MembershipChange::Promote(ready.node.id))
+        let lost = members.0.iter().find_map(|m| self.change_of_lost(m, &members));
+        lost.or_else(|| self.next_addition(&members))
     }
 
-    /// Returns whether an unresponsive member has been replaced by a replica that has caught up.
-    fn is_replaced(&self, member: &Member, members: &Members) -> bool {
-        let replaced = self.is_unresponsive(member.node.id)
-            && same_instance_members(member, members)
-                .any(|other| self.has_caught_up(other.node.id));
-        replaced || self.is_replaceable(member, members)
+    /// Returns the addition of a replica that announced itself and is not a member.
+    fn next_addition(&mut self, members: &Members) -> Option<MembershipChange> {
+        let RoleState::Leader(leader) = &mut self.role_state else { return None };
+        leader.joining.retain(|_, id| members.get(*id).is_none());
+        let (name, id) = leader.joining.pop()?;
+        Some(MembershipChange::Add(Node { id, name }))
     }
 
-    /// Returns whether an unresponsive member is to be replaced by a replica of another instance.
-    ///
-    /// An unresponsive learner can always be removed: it announces itself when it comes back.
-    fn is_replaceable(&self, member: &Member, members: &Members) -> bool {
-        let VoterPolicy::Open { max_voters, replace_after } = self.settings.voter_policy else {
-            return false;
-        };
-        if !self.is_unresponsive_for(member.node.id, replace_after) {
-            return false;
+    /// Returns the change that an unresponsive member calls for, if any.
+    fn change_of_lost(&self, member: &Member, members: &Members) -> Option<MembershipChange> {
+        let id = member.node.id;
+        let is_superseded = self.is_unresponsive(id)
+            && same_instance_members(member, members).any(|m| self.has_caught_up(m.node.id));
+        if is_superseded {
+            return Some(MembershipChange::Remove(id));
         }
-        let spare = |m: &&Member| m.kind == MemberKind::Learner && self.has_caught_up(m.node.id);
+        let VoterPolicy::Open { max_voters, replace_after, remove_after } =
+            self.settings.voter_policy
+        else {
+            return None;
+        };
         match member.kind {
-            MemberKind::Learner => true,
+            // It announces itself when it comes back.
+            MemberKind::Learner => {
+                self.is_unresponsive_for(id, remove_after).then_some(MembershipChange::Remove(id))
+            }
+            // It goes on as a learner when it comes back, and may take the next vacant vote.
             MemberKind::Voter => {
-                members.voters().count() >= max_voters && members.0.iter().any(|m| spare(&m))
+                let is_replaceable = self.is_unresponsive_for(id, replace_after)
+                    && members.voters().count() >= max_voters
+                    && self.has_spare(members);
+                is_replaceable.then_some(MembershipChange::Demote(id))
             }
         }
     }
 
+    /// Returns whether a learner has caught up.
+    fn has_spare(&self, members: &Members) -> bool {
+        let is_spare = |m: &Member| m.kind == MemberKind::Learner && self.has_caught_up(m.node.id);
+        members.0.iter().any(is_spare)
+    }
+
     /// Returns whether a learner is to be promoted, after the replica that it replaces was removed.
     fn is_promotable(&self, member: &Member, members: &Members) -> bool {
         member.kind == MemberKind::Learner
@@ -169,6 +181,10 @@
                 let member = members.0.iter_mut().find(|m| m.node.id == *id)?;
                 member.kind = MemberKind::Voter;
             }
+            MembershipChange::Demote(id) if *id != self.node.id && members.is_voter(*id) => {
+                let member = members.0.iter_mut().find(|m| m.node.id == *id)?;
+                member.kind = MemberKind::Learner;
+            }
             MembershipChange::Remove(id) if *id != self.node.id && members.get(*id).is_some() => {
                 members.0.retain(|m| m.node.id != *id);
             }
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -14,8 +14,11 @@
     Open {
         /// Maximum number of voters. Further replicas remain learners and replace lost voters.
         max_voters: usize,
-        /// Time without a message from a voter after which a learner replaces it.
+        /// Time without a message from a voter after which a learner that has caught up gets its
+        /// vote. The voter becomes a learner.
         replace_after: Duration,
+        /// Time without a message from a learner after which it is removed.
+        remove_after: Duration,
     },
 }
 
--- a/hawthornkeel_core/tests/full_disks.rs
+++ b/hawthornkeel_core/tests/full_disks.rs
@@ -20,7 +20,7 @@
 const LOSS: f64 = 0.03;
 /// Number of blocked disks for each machine.
 const ROUNDS: usize = 2;
-/// Time without a message from a voter after which a learner replaces it.
+/// Time without a message after which a learner replaces a voter, and a learner is removed.
 const REPLACE_AFTER: Duration = Duration::from_millis(3_000);
 /// Time in which a group commits again once all disks have room, in milliseconds.
 const RECOVERY_MILLIS: u64 = 10_000;
@@ -39,7 +39,11 @@
     }
 
     fn open(size: usize, max_voters: usize) -> Self {
-        let policy = VoterPolicy::Open { max_voters, replace_after: REPLACE_AFTER };
+        let policy = VoterPolicy::Open {
+            max_voters,
+            replace_after: REPLACE_AFTER,
+            remove_after: REPLACE_AFTER,
+        };
         Self { size, founders: max_voters, policy }
     }
 
--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -13,9 +13,15 @@
 
 /// Time without a message from a voter after which a learner replaces it.
 const REPLACE_AFTER: Duration = Duration::from_millis(1_500);
+/// Time without a message from a learner after which it is removed.
+const REMOVE_AFTER: Duration = Duration::from_millis(6_000);
 
 fn cluster(seed: u64, size: usize) -> Cluster {
-    let policy = VoterPolicy::Open { max_voters: 3, replace_after: REPLACE_AFTER };
+    let policy = VoterPolicy::Open {
+        max_voters: 3,
+        replace_after: REPLACE_AFTER,
+        remove_after: REMOVE_AFTER,
+    };
     Cluster::with_voter_policy(seed, size, 3, Defect::None, policy)
 }
 
@@ -85,6 +91,38 @@
     }
 }
 
+#[test]
+fn silent_voter_stays_member() {
+    for seed in 0..20 {
+        let mut cluster = cluster(seed, 4);
+        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
+        cluster.run(1_000);
+        cluster.machines[1].isolated = true;
+        assert!(cluster.run_until(10_000, |c| has_voters(c, ["i0", "i2", "i3"])), "seed {seed}");
+        let silent = cluster.machines[1].disk.id;
+        assert!(cluster.checker.members.get(silent).is_some(), "seed {seed}");
+        assert!(cluster.commits_within(0, 2_000), "seed {seed}");
+        cluster.machines[1].isolated = false;
+        let is_current = |c: &Cluster| c.machines[1].applied >= c.checker.known;
+        assert!(cluster.run_until(200, is_current), "seed {seed}");
+        assert_eq!(cluster.checker.fault, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn silent_learner_is_removed() {
+    let mut cluster = cluster(5, 4);
+    let joined = |c: &Cluster| c.checker.members.0.len() == 4;
+    assert!(cluster.run_until(5_000, joined));
+    let learner = cluster.machines[3].disk.id;
+    cluster.kill(3);
+    cluster.run(3_000);
+    assert!(cluster.checker.members.get(learner).is_some());
+    assert!(cluster.run_until(5_000, |c| c.checker.members.get(learner).is_none()));
+    cluster.start(3);
+    assert!(cluster.run_until(2_000, joined));
+}
+
 #[test]
 fn empty_disks_form_no_group() {
     let mut cluster = cluster(7, 3);
