Membership: a vacant vote is filled as soon as the change before it is committed

Cause: between the change that takes a lost voter's vote and the one that gives it to a learner, the group has two voters and needs both. The second change waited for the leader's next heartbeat, about 0.1 s.

Change: the leader looks for the next repair when a change of the members is committed, beside its timer. Only one change is still in progress at a time.

--- a/hawthornkeel_core/src/replica/leadership.rs
+++ b/hawthornkeel_core/src/replica/leadership.rs
@@ -164,8 +164,13 @@
         let Some(index) = leader.quorum_value(&self.log.members(), value) else { return };
         // An entry of an earlier term may still be replaced even if a quorum has it.
         if index > self.commit && self.log.term(index) == Some(self.hard.term) {
+            let changes_members = self.log.members_index() > self.commit;
             self.apply(index);
             self.complete_reads();
+            if changes_members {
+                // A vote is vacant between two changes, so the second one doesn't wait for a timer.
+                self.repair_members();
+            }
         }
     }
 
--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -109,6 +109,20 @@
     }
 }
 
+/// The vote of a lost voter was vacant until the next heartbeat, and all other voters were needed.
+#[test]
+fn vacant_vote_is_filled() {
+    for seed in 0..20 {
+        let mut cluster = cluster(seed, 4);
+        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
+        cluster.run(1_000);
+        cluster.kill(1);
+        assert!(cluster.run_until(10_000, |c| c.voters() == ["i0", "i2"]), "seed {seed}");
+        // A round trip and a sync for each of the two changes; heartbeats are 40 ms apart.
+        assert!(cluster.run_until(20, |c| has_voters(c, ["i0", "i2", "i3"])), "seed {seed}");
+    }
+}
+
 #[test]
 fn silent_learner_is_removed() {
     let mut cluster = cluster(5, 4);
