Membership: a learner gets its vote before the silent voter that it replaces loses its own

What callers saw: nothing yet.

Cause: the vote of the silent voter was taken first. In a group of three, two voters were left until the learner had its vote. If one of the two lost its disk then, the vote that the group needed was gone for good, and the silent voter, once back, had none. Without the change it would have been the quorum.

Change: the learner becomes a fourth voter, then the voter with the longest silence a learner. At each step the loss of any one disk leaves a quorum once the others are back. If the silent voter comes back between the two, one of the four still loses its vote.

--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -57,17 +57,24 @@
 
     /// Returns the next change that repairs the membership, if one is needed.
     ///
-    /// Vacant votes come first: until they are filled, the group tolerates fewer losses.
+    /// A learner gets its vote before the silent voter that it replaces loses its own. With a voter
+    /// fewer, the loss of another disk at that moment would cost the quorum for good, even after
+    /// the silent voter has come back.
     fn next_repair(&mut self) -> Option<MembershipChange> {
         if !self.can_change_members() {
             return None;
         }
         let members = self.log.members();
+        if let Some(surplus) = self.surplus_voter(&members) {
+            return Some(MembershipChange::Demote(surplus));
+        }
+        if let Some(lost) = members.0.iter().find(|m| self.is_removable(m, &members)) {
+            return Some(MembershipChange::Remove(lost.node.id));
+        }
         if let Some(ready) = members.0.iter().find(|m| self.is_promotable(m, &members)) {
             return Some(MembershipChange::Promote(ready.node.id));
         }
-        let lost = members.0.iter().find_map(|m| self.change_of_lost(m, &members));
-        lost.or_else(|| self.next_addition(&members))
+        self.next_addition(&members)
     }
 
     /// Returns the addition of a replica that announced itself and is not a member.
@@ -78,41 +85,33 @@
         Some(MembershipChange::Add(Node { id, name }))
     }
 
-    /// Returns the change that an unresponsive member calls for, if any.
-    fn change_of_lost(&self, member: &Member, members: &Members) -> Option<MembershipChange> {
-        let id = member.node.id;
-        let is_superseded = self.is_unresponsive(id)
-            && same_instance_members(member, members).any(|m| self.has_caught_up(m.node.id));
-        if is_superseded {
-            return Some(MembershipChange::Remove(id));
-        }
-        let VoterPolicy::Open { max_voters, replace_after, remove_after } =
-            self.settings.voter_policy
-        else {
+    /// Returns the voter with the longest silence if there are more voters than allowed.
+    fn surplus_voter(&self, members: &Members) -> Option<ReplicaId> {
+        let VoterPolicy::Open { max_voters, .. } = self.settings.voter_policy else { return None };
+        if members.voters().count() <= max_voters {
             return None;
-        };
-        match member.kind {
-            // It announces itself when it comes back.
-            MemberKind::Learner => {
-                self.is_unresponsive_for(id, remove_after).then_some(MembershipChange::Remove(id))
-            }
-            // It goes on as a learner when it comes back, and may take the next vacant vote.
-            MemberKind::Voter => {
-                let is_replaceable = self.is_unresponsive_for(id, replace_after)
-                    && members.voters().count() >= max_voters
-                    && self.has_spare(members);
-                is_replaceable.then_some(MembershipChange::Demote(id))
-            }
         }
+        let RoleState::Leader(leader) = &self.role_state else { return None };
+        let contacts = members.voters().filter_map(|n| Some((n.id, leader.peers.get(&n.id)?)));
+        contacts.min_by_key(|(_, progress)| progress.last_contact).map(|(id, _)| id)
     }
 
-    /// Returns whether a learner has caught up.
-    fn has_spare(&self, members: &Members) -> bool {
-        let is_spare = |m: &Member| m.kind == MemberKind::Learner && self.has_caught_up(m.node.id);
-        members.0.iter().any(is_spare)
+    /// Returns whether an unresponsive member is to be removed.
+    fn is_removable(&self, member: &Member, members: &Members) -> bool {
+        let id = member.node.id;
+        let is_superseded = self.is_unresponsive(id)
+            && same_instance_members(member, members).any(|m| self.has_caught_up(m.node.id));
+        // A learner announces itself when it comes back.
+        let is_gone = match self.settings.voter_policy {
+            VoterPolicy::Founders => false,
+            VoterPolicy::Open { remove_after, .. } => {
+                member.kind == MemberKind::Learner && self.is_unresponsive_for(id, remove_after)
+            }
+        };
+        is_superseded || is_gone
     }
 
-    /// Returns whether a learner is to be promoted, after the replica that it replaces was removed.
+    /// Returns whether a learner is to be promoted, after a lost replica of its instance was removed.
     fn is_promotable(&self, member: &Member, members: &Members) -> bool {
         member.kind == MemberKind::Learner
             && self.is_vote_eligible(member, members)
@@ -124,10 +123,20 @@
     fn is_vote_eligible(&self, member: &Member, members: &Members) -> bool {
         match self.settings.voter_policy {
             VoterPolicy::Founders => self.settings.founders.contains(&member.node.name),
-            VoterPolicy::Open { max_voters, .. } => members.voters().count() < max_voters,
+            VoterPolicy::Open { max_voters, replace_after, .. } => {
+                let voters = members.voters().count();
+                voters < max_voters
+                    || (voters == max_voters && self.has_silent_voter(replace_after))
+            }
         }
     }
 
+    /// Returns whether there was no message from a voter for `replace_after`.
+    fn has_silent_voter(&self, replace_after: Duration) -> bool {
+        let members = self.log.members();
+        members.voters().any(|n| self.is_unresponsive_for(n.id, replace_after))
+    }
+
     /// Returns whether there was no message from a member for an election timeout.
     fn is_unresponsive(&self, id: ReplicaId) -> bool {
         self.is_unresponsive_for(id, self.settings.election_timeout)
