Membership: a removed instance announces itself to the leader that others name

What callers saw: nothing yet. A control instance that was away for long enough to be removed would, back on its disk, answer 503 to reads and orders for as long as the leader was one that it had never heard of.

Cause: it announces itself to the founders and to the members that its own log has. Only the leader adds it; the others name the leader in their reply, and only a replica with an empty disk used that.

Change: a replica that looks for its group keeps the name of the leader from the last reply and announces itself there as well with its next attempt. No message changes. random_histories plays groups with learners, too: 3 voters of 4 to 6 machines, where members change after silences that many faults exceed.

--- a/hawthornkeel_core/src/replica/bootstrap.rs
+++ b/hawthornkeel_core/src/replica/bootstrap.rs
@@ -69,10 +69,13 @@
     }
 
     /// Announces this replica again, in case it was removed or the entry that added it was lost.
+    ///
+    /// Only the leader adds it, which may be none of the members that this replica knows.
     pub(super) fn request_membership(&mut self) {
         let members = self.log.members();
         let mut names = IndexSet::<InstanceName>::from_iter(self.settings.founders.clone());
         names.extend(members.0.into_iter().map(|m| m.node.name));
+        names.extend(self.named_leader.take());
         names.shift_remove(&self.node.name);
         for name in names {
             self.send_to(&name, None, SyncBarrier::None, Body::Hello);
@@ -100,7 +103,10 @@
 
     /// Handles the reply to a hello.
     pub(super) fn receive_hello_reply(&mut self, from: Node, reply: HelloReply) {
-        let RoleState::Empty(bootstrap) = &mut self.role_state else { return };
+        let RoleState::Empty(bootstrap) = &mut self.role_state else {
+            self.record_named_leader(reply);
+            return;
+        };
         match reply {
             HelloReply::Empty => {
                 bootstrap.empty_founders.insert(from.name, from.id);
@@ -114,6 +120,13 @@
         }
     }
 
+    /// Records the leader that another replica named, for the next announcement.
+    fn record_named_leader(&mut self, reply: HelloReply) {
+        if let HelloReply::Member { leader: Some(leader), .. } = reply {
+            self.named_leader = Some(leader.name);
+        }
+    }
+
     /// Returns the founder that creates the group.
     fn bootstrap_coordinator(&self) -> Option<&InstanceName> {
         self.settings.founders.iter().min()
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -108,6 +108,8 @@
     role_state: RoleState,
     /// Leader of the current term, if known.
     leader: Option<Node>,
+    /// Instance that another replica named as the leader, while this one knows none.
+    named_leader: Option<InstanceName>,
     /// Last contact with a leader, or the start of the process.
     ///
     /// No vote is granted until an election timeout has passed since then.
@@ -146,6 +148,7 @@
             persistence: Persistence::default(),
             role_state: RoleState::Empty(Bootstrap::new(now)),
             leader: None,
+            named_leader: None,
             last_contact: None,
             election_at: now,
             election_deferred: false,
--- a/hawthornkeel_core/tests/lost_disks.rs
+++ b/hawthornkeel_core/tests/lost_disks.rs
@@ -24,7 +24,10 @@
             assert!(cluster.commits_within(round * 100, 3_000), "seed {seed}");
             replace_disk(&mut cluster, round as usize);
             // The next disk is lost immediately after the repair is complete.
-            assert!(cluster.run_until(10_000, |c| c.checker.has_full_membership(3)), "seed {seed}");
+            assert!(
+                cluster.run_until(10_000, |c| c.checker.has_full_membership(3, 3)),
+                "seed {seed}"
+            );
         }
         assert!(cluster.recovers(10_000), "seed {seed}");
         let applied = cluster.machines.iter().map(|m| m.applied).min().unwrap();
--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -3,6 +3,7 @@
 
 mod simulation;
 
+use std::ops::Range;
 use std::time::Duration;
 
 use hawthornkeel_core::replica::Role;
@@ -34,6 +35,21 @@
     ![0, 3].contains(&cluster.voters().len())
 }
 
+/// Isolates leaders for a while until one of `machines` leads; returns whether one does.
+fn elect_among(cluster: &mut Cluster, machines: Range<usize>) -> bool {
+    for _ in 0..20 {
+        cluster.run_until(5_000, |c| c.ready_leader().is_some());
+        let Some(leader) = cluster.leader() else { continue };
+        if machines.contains(&leader) {
+            return true;
+        }
+        cluster.machines[leader].isolated = true;
+        cluster.run(3_000);
+        cluster.machines[leader].isolated = false;
+    }
+    false
+}
+
 #[test]
 fn further_instances_stay_learners() {
     for seed in 0..20 {
@@ -163,6 +179,29 @@
     assert!(cluster.run_until(2_000, joined));
 }
 
+/// A removed instance announced itself only to instances that it knew, none of which was the leader.
+#[test]
+fn removed_instance_finds_leader() {
+    for seed in 0..20 {
+        let mut cluster = cluster(seed, 5);
+        (3..5).for_each(|i| cluster.kill(i));
+        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
+        cluster.run(1_000);
+        let absent = (0..3).find(|i| Some(*i) != cluster.leader()).unwrap();
+        let id = cluster.machines[absent].disk.id;
+        cluster.kill(absent);
+        (3..5).for_each(|i| cluster.start(i));
+        let is_removed = |c: &Cluster| c.checker.members.get(id).is_none();
+        assert!(cluster.run_until(20_000, is_removed), "seed {seed}");
+        // Its leader is an instance that the absent one never knew.
+        assert!(elect_among(&mut cluster, 3..5), "seed {seed}");
+        cluster.start(absent);
+        let is_member = |c: &Cluster| c.checker.members.get(id).is_some();
+        assert!(cluster.run_until(5_000, is_member), "seed {seed}");
+        assert_eq!(cluster.checker.fault, None, "seed {seed}");
+    }
+}
+
 #[test]
 fn empty_disks_form_no_group() {
     let mut cluster = cluster(7, 3);
--- a/hawthornkeel_core/tests/random_histories.rs
+++ b/hawthornkeel_core/tests/random_histories.rs
@@ -6,9 +6,12 @@
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
+use std::time::Duration;
 
 use hawthornkeel_core::replica::Input;
+use hawthornkeel_core::replica::VoterPolicy;
 use rand::Rng;
+use rstest::rstest;
 
 use crate::simulation::Cluster;
 use crate::simulation::Defect;
@@ -16,6 +19,49 @@
 
 const SEEDS: u64 = 2_000;
 const THREADS: usize = 3;
+/// Voters of a group whose other machines are learners that replace lost voters.
+const OPEN_VOTERS: usize = 3;
+
+/// Which machines of a group are voters.
+#[derive(Clone, Copy, Debug, Eq, PartialEq)]
+enum Group {
+    /// All of them.
+    Founders,
+    /// [`OPEN_VOTERS`] of them, by turns.
+    Open,
+}
+
+impl Group {
+    /// Returns the number of machines, which depends on the seed.
+    fn size(self, seed: u64) -> usize {
+        match self {
+            Self::Founders => 3 + (seed % 3) as usize,
+            Self::Open => 4 + (seed % 3) as usize,
+        }
+    }
+
+    /// Returns the number of voters in a group of `size` machines.
+    fn voters(self, size: usize) -> usize {
+        match self {
+            Self::Founders => size,
+            Self::Open => OPEN_VOTERS,
+        }
+    }
+
+    /// Starts the machines. The silences after which members change are shorter than many faults.
+    fn start(self, seed: u64, defect: Defect) -> Cluster {
+        let size = self.size(seed);
+        let policy = match self {
+            Self::Founders => VoterPolicy::Founders,
+            Self::Open => VoterPolicy::Open {
+                max_voters: OPEN_VOTERS,
+                replace_after: Duration::from_millis(500),
+                remove_after: Duration::from_millis(1_500),
+            },
+        };
+        Cluster::with_voter_policy(seed, size, self.voters(size), defect, policy)
+    }
+}
 
 fn number(name: &str) -> Option<u64> {
     std::env::var(name).ok()?.parse().ok()
@@ -64,8 +110,8 @@
 }
 
 /// Runs one seed and returns the cluster, whose checker has the result.
-fn run_seed(seed: u64, defect: Defect) -> Cluster {
-    let mut cluster = Cluster::new(seed, 3 + (seed % 3) as usize, defect);
+fn run_seed(group: Group, seed: u64, defect: Defect) -> Cluster {
+    let mut cluster = group.start(seed, defect);
     let lossy = cluster.rng.random_bool(0.7);
     let share = if lossy { 0.05 } else { 0.0 };
     cluster.fault_rates =
@@ -93,13 +139,14 @@
         cluster.read(any);
         cluster.read(likely);
     }
-    check_convergence(&mut cluster);
+    check_convergence(group, &mut cluster);
     cluster
 }
 
 /// Ends all faults, and checks that the group makes progress and converges.
-fn check_convergence(cluster: &mut Cluster) {
+fn check_convergence(group: Group, cluster: &mut Cluster) {
     const FIRST_COMMAND: u64 = 1_000_000;
+    let size = cluster.machines.len();
     cluster.fault_rates = FaultRates::default();
     cluster.blocked_links.clear();
     for i in 0..cluster.machines.len() {
@@ -113,7 +160,7 @@
         }
         let converged = cluster.checker.accepted.range(FIRST_COMMAND..).next().is_some()
             && cluster.machines.iter().all(|m| m.applied >= cluster.checker.known)
-            && cluster.checker.has_full_membership(cluster.machines.len());
+            && cluster.checker.has_full_membership(group.voters(size), size);
         if converged || cluster.checker.fault.is_some() {
             let applied = cluster.machines.iter().map(|m| m.applied).min().unwrap();
             cluster.checker.check_end(applied);
@@ -126,7 +173,7 @@
 }
 
 /// Runs seeds on several threads, and returns the violations found with their seeds, sorted.
-fn search(seeds: u64, defect: Defect) -> Vec<(u64, String)> {
+fn search(group: Group, seeds: u64, defect: Defect) -> Vec<(u64, String)> {
     let next = AtomicU64::new(0);
     let work = || {
         let mut faults = Vec::new();
@@ -135,7 +182,7 @@
             if seed >= seeds {
                 return faults;
             }
-            if let Some(fault) = run_seed(seed, defect).checker.fault {
+            if let Some(fault) = run_seed(group, seed, defect).checker.fault {
                 faults.push((seed, fault));
             }
         }
@@ -148,22 +195,23 @@
     faults
 }
 
-#[test]
-fn random_faults_cause_no_violation() {
+#[rstest]
+fn random_faults_cause_no_violation(#[values(Group::Founders, Group::Open)] group: Group) {
     let faults = match number("HAWTHORNKEEL_SEED") {
         Some(seed) => {
-            let checker = run_seed(seed, Defect::None).checker;
+            let checker = run_seed(group, seed, Defect::None).checker;
             println!("accepted {}, answered {}", checker.accepted.len(), checker.answered);
             Vec::from_iter(checker.fault.map(|f| (seed, f)))
         }
-        None => search(number("HAWTHORNKEEL_SEEDS").unwrap_or(SEEDS), Defect::None),
+        None => search(group, number("HAWTHORNKEEL_SEEDS").unwrap_or(SEEDS), Defect::None),
     };
     assert!(faults.is_empty(), "{} seeds failed, the first: {:?}", faults.len(), faults[0]);
 }
 
-#[test]
-fn histories_make_progress() {
-    let checkers: Vec<_> = (0..20).map(|seed| run_seed(seed, Defect::None).checker).collect();
+#[rstest]
+fn histories_make_progress(#[values(Group::Founders, Group::Open)] group: Group) {
+    let run = |seed| run_seed(group, seed, Defect::None).checker;
+    let checkers: Vec<_> = (0..20).map(run).collect();
     let accepted: usize = checkers.iter().map(|c| c.accepted.len()).sum();
     let answered: u64 = checkers.iter().map(|c| c.answered).sum();
     println!("accepted {accepted}, answered {answered} over 20 seeds");
@@ -172,7 +220,7 @@
 
 /// Asserts that the checker detects a defect by a violation whose text contains `kind`.
 fn assert_caught(defect: Defect, kind: &str) {
-    let faults = search(300, defect);
+    let faults = search(Group::Founders, 300, defect);
     let caught = faults.iter().find(|(_, f)| f.contains(kind));
     println!("{defect:?}: {} of 300 seeds, such as {caught:?}", faults.len());
     assert!(caught.is_some(), "{defect:?} is not detected: {faults:?}");
--- a/hawthornkeel_core/tests/simulation/checker.rs
+++ b/hawthornkeel_core/tests/simulation/checker.rs
@@ -96,10 +96,11 @@
         lost < (members.voters().count() - 1) / 2
     }
 
-    /// Returns whether the members are exactly `size` voters, none of which lost its disk.
-    pub fn has_full_membership(&self, size: usize) -> bool {
+    /// Returns whether there are exactly `size` members, `voters` of which are voters with the disk
+    /// that they joined with.
+    pub fn has_full_membership(&self, voters: usize, size: usize) -> bool {
         let present = self.members.voters().filter(|n| !self.lost_disks.contains(&n.id));
-        present.count() == size && self.members.0.len() == size
+        present.count() == voters && self.members.0.len() == size
     }
 
     /// Checks that `id`, which granted a vote or acknowledged entries, did not lose its disk.
--- a/hawthornkeel_core/tests/simulation/waits.rs
+++ b/hawthornkeel_core/tests/simulation/waits.rs
@@ -66,7 +66,7 @@
         let size = self.machines.len();
         self.run_until(millis, |c| {
             let current = |m: &Machine| m.applied >= c.checker.known;
-            c.checker.has_full_membership(size) && c.machines.iter().all(current)
+            c.checker.has_full_membership(size, size) && c.machines.iter().all(current)
         })
     }
 }
