Planned stop: a control instance ends once a learner has its vote

A machine whose successor had had its time (catch_up_s) was stopped, and another one was killed right after it: no document was acknowledged or read any more.

Cause: the stopping voter left its vote to the leader's timeout. In that time two voters of three are needed.

Change: after its operators have their responses and its leadership is transferred, a voter falls silent, goes on receiving the log, and ends once the log says that another replica has its vote: after four election timeouts at the latest, and by 0.95 of the grace time. Without learners nothing changes.

--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -265,6 +265,21 @@
         replica.status().members.voters().count() > 1
     }
 
+    /// Gives up the vote of this instance before a planned stop; the replica sends nothing any more.
+    pub fn withdraw(&self) {
+        self.handle(Input::Withdraw);
+    }
+
+    /// Returns whether this instance has a vote that a learner can get.
+    pub fn has_transferable_vote(&self) -> bool {
+        self.inner.replica.borrow().has_transferable_vote()
+    }
+
+    /// Returns whether this instance is a voter, as far as its log tells.
+    pub fn is_voter(&self) -> bool {
+        self.inner.replica.borrow().is_voter()
+    }
+
     /// Stops the control role as planned, after queued saves have been written.
     pub fn stop(&self) {
         self.fail(ControlFailure::Stopped);
@@ -290,7 +305,8 @@
         }
     }
 
-    fn is_leader(&self) -> bool {
+    /// Returns whether this instance leads, by its own knowledge.
+    pub fn is_leader(&self) -> bool {
         !self.has_ended() && self.inner.replica.borrow().status().role == Role::Leader
     }
 
--- a/hawthornkeel/src/control/stop.rs
+++ b/hawthornkeel/src/control/stop.rs
@@ -10,6 +10,7 @@
 use http::Method;
 use monoio::task::JoinHandle;
 
+use crate::clock::boot_now;
 use crate::control::gossip::Gossip;
 use crate::control::node::ControlNode;
 use crate::http::close::OpenConnections;
@@ -160,3 +161,20 @@
     // Leaves time to send the transfer message before the endpoint is closed.
     monoio::time::sleep(POLL_INTERVAL).await;
 }
+
+/// Gives up the vote of this instance, and waits up to `limit` until a learner has it.
+///
+/// Does nothing without learners, and at a leader that could not transfer its leadership.
+pub async fn hand_over_vote(control: &ControlNode, limit: Duration) {
+    if control.is_leader() || !control.has_transferable_vote() {
+        return;
+    }
+    control.withdraw();
+    let begun = boot_now();
+    while control.is_voter() && boot_now().since(begun) < limit {
+        monoio::time::sleep(POLL_INTERVAL).await;
+    }
+    let handed_over = !control.is_voter();
+    let waited_ms = boot_now().since(begun).as_millis();
+    tracing::info!(event = "vote-withdrawn", handed_over, waited_ms);
+}
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -8,6 +8,7 @@
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::lease::LeaseSettings;
 use hawthornkeel_core::orders::OrderSettings;
+use hawthornkeel_core::time::Instant;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::admin::AdminHandler;
@@ -24,6 +25,7 @@
 use crate::control::start;
 use crate::control::start::ControlPlane;
 use crate::control::stop::OperatorServer;
+use crate::control::stop::hand_over_vote;
 use crate::control::stop::keep_transferring;
 use crate::control::stop::stop_servers;
 use crate::control::stop::stop_times;
@@ -137,13 +139,17 @@
     if let Some(control) = parts.control.clone() {
         monoio::spawn(keep_transferring(control, stop.clone(), election_timeout));
     }
+    let stop_began = monoio::spawn(time_of_stop(stop.clone()));
     let failed = control_failure(parts.control.clone());
     let report = monoio::select! {
         report = serve(&settings, context, servers, &parts.admin.gossip, stop) => report?,
         failure = failed => return Err(RunError::Failed(failure)),
     };
     if let Some(control) = &parts.control {
-        wait_transferred(control, stop_times(&settings.control).handover).await;
+        let times = stop_times(&settings.control);
+        wait_transferred(control, times.handover).await;
+        let elapsed = boot_now().since(stop_began.await);
+        hand_over_vote(control, times.vote_wait(elapsed)).await;
     }
     endpoint.close();
     endpoint.wait_closed().await;
@@ -154,6 +160,12 @@
     Ok(report)
 }
 
+/// Returns the time at which a stop is requested.
+async fn time_of_stop(stop: StopRequest) -> Instant {
+    stop.wait().await;
+    boot_now()
+}
+
 /// Serves the metrics on an address of their own, if there is one.
 ///
 /// The instance goes on without them where the address is one of its others or can't be used.
--- a/hawthornkeel/tests/replaced_instances.rs
+++ b/hawthornkeel/tests/replaced_instances.rs
@@ -94,3 +94,14 @@
     }
     check_service(&harness, &[2, 3, 4], 2);
 }
+
+/// A stopped voter left its vote to the group's timeout, in which the loss of another cost the quorum.
+#[test]
+fn loss_right_after_stop() {
+    let mut harness = start(85);
+    harness.add_control(6);
+    thread::sleep(SUCCESSOR_TIME);
+    lose(&mut harness, 0, Loss::Stop);
+    lose(&mut harness, 1, Loss::Kill);
+    check_service(&harness, &[2, 3], 2);
+}
--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -43,6 +43,11 @@
     /// The leader rejects proposals and reads from now on. If no voter is ready within an election
     /// timeout, it resumes as the leader. Other replicas ignore this input.
     TransferLeadership,
+    /// Gives up the vote before a planned stop, so that a learner gets it while this replica runs.
+    ///
+    /// The replica falls silent until the process ends. It goes on receiving the log, in which it
+    /// sees who votes. Leaders ignore this input.
+    Withdraw,
     /// Snapshot of the replicated state, as requested by [`Action::TakeSnapshot`].
     Snapshot {
         /// Index of the last entry included.
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -42,6 +42,10 @@
     /// What stalls one replica mostly stalls the others too. Their timers are all overdue then, so
     /// they would become candidates at the same moment and split the votes.
     pub(super) fn election_due(&mut self) {
+        if self.withdrawn {
+            self.reset_election_timer();
+            return;
+        }
         let is_late = self.now.since(self.election_at) > self.settings.heartbeat_interval / 2;
         if !is_late || self.election_deferred {
             self.start_pre_vote();
--- a/hawthornkeel_core/src/replica/leadership_transfer.rs
+++ b/hawthornkeel_core/src/replica/leadership_transfer.rs
@@ -48,8 +48,8 @@
 
     /// Starts an election at once, at the request of the leader.
     pub(super) fn receive_timeout_now(&mut self) {
-        let is_voter = self.log.members().is_voter(self.node.id);
-        if is_voter && matches!(self.role_state, RoleState::Follower) {
+        let can_lead = !self.withdrawn && self.is_voter();
+        if can_lead && matches!(self.role_state, RoleState::Follower) {
             self.leader = None;
             self.start_election(true);
         }
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -37,6 +37,7 @@
 mod progress;
 mod receive;
 mod replication;
+mod withdrawal;
 
 use std::collections::VecDeque;
 use std::fmt;
@@ -118,6 +119,8 @@
     election_at: Instant,
     /// Whether the pre-vote that is due was put off, as this replica was stalled.
     election_deferred: bool,
+    /// Whether this replica has given up its vote and sends nothing any more.
+    withdrawn: bool,
     commit: LogIndex,
     snapshot: Option<Snapshot>,
     /// Size of the entries applied since the last snapshot, in bytes.
@@ -152,6 +155,7 @@
             last_contact: None,
             election_at: now,
             election_deferred: false,
+            withdrawn: false,
             commit: LogIndex(0),
             snapshot: None,
             applied_bytes: 0,
@@ -213,6 +217,7 @@
             Input::Read(id) => self.read(id),
             Input::ChangeMembers(id, change) => self.change(id, change),
             Input::TransferLeadership => self.start_transfer(),
+            Input::Withdraw => self.withdraw(),
             Input::Snapshot { index, data } => self.store_snapshot(index, data),
         }
         self.finish()
@@ -363,6 +368,10 @@
     /// Finishes an input: saves changes, and sends the messages whose saves are on disk.
     fn finish(&mut self) -> Vec<Action> {
         self.save_log();
+        if self.withdrawn {
+            self.outgoing.clear();
+            self.deferred.clear();
+        }
         self.deferred.extend(self.outgoing.drain(..));
         let term = self.hard.term;
         let mut waiting = VecDeque::new();
--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -28,6 +28,12 @@
 const ORDER_END_FRACTION: f64 = 0.8;
 /// Fraction of the grace time that is left after that for transferring the leadership.
 const HANDOVER_FRACTION: f64 = 0.15;
+/// Fraction of the grace time after which a control instance ends, whoever has its vote.
+const VOTE_END_FRACTION: f64 = 0.95;
+/// Longest time in which a control instance waits until a learner has its vote, in election timeouts.
+///
+/// The leader takes two of them to notice the silence, and the instance learns the outcome by a resend.
+const VOTE_TIMEOUTS: u32 = 4;
 /// Number of recent durations that are kept.
 const MAX_SAMPLES: usize = 32;
 /// Minimum number of durations from which the time of a new request is predicted.
@@ -75,6 +81,10 @@
     pub orders: StopTimes,
     /// Maximum time for which a transfer of the leadership is awaited after that.
     pub handover: Duration,
+    /// Maximum time for which a learner's promotion in place of the instance is awaited after that.
+    pub vote: Duration,
+    /// Time from the request to stop at which that wait ends in any case.
+    pub end: Duration,
 }
 
 impl ControlStop {
@@ -87,7 +97,17 @@
             finish: grace.mul_f64(ORDER_FINISH_FRACTION),
             end: grace.mul_f64(ORDER_END_FRACTION),
         };
-        Self { orders, handover: election_timeout.min(grace.mul_f64(HANDOVER_FRACTION)) }
+        Self {
+            orders,
+            handover: election_timeout.min(grace.mul_f64(HANDOVER_FRACTION)),
+            vote: election_timeout * VOTE_TIMEOUTS,
+            end: grace.mul_f64(VOTE_END_FRACTION),
+        }
+    }
+
+    /// Returns the time for which a learner's promotion may be awaited, `elapsed` after the request.
+    pub fn vote_wait(&self, elapsed: Duration) -> Duration {
+        self.vote.min(self.end.saturating_sub(elapsed))
     }
 }
 
--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -6,6 +6,7 @@
 use std::ops::Range;
 use std::time::Duration;
 
+use hawthornkeel_core::replica::Input;
 use hawthornkeel_core::replica::Role;
 use hawthornkeel_core::replica::VoterPolicy;
 
@@ -202,6 +203,55 @@
     }
 }
 
+/// Returns four machines, three of which vote, and a voter that doesn't lead.
+fn with_follower(seed: u64) -> (Cluster, usize) {
+    let mut cluster = cluster(seed, 4);
+    assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
+    cluster.run(1_000);
+    let follower = (0..3).find(|i| Some(*i) != cluster.leader()).unwrap();
+    (cluster, follower)
+}
+
+/// A voter that ended left its vote to the leader's timeout, in which the group bore no loss.
+#[test]
+fn withdrawn_voter_is_replaced() {
+    for seed in 0..20 {
+        let (mut cluster, stopping) = with_follower(seed);
+        cluster.handle(stopping, Input::Withdraw);
+        let has_vote = |c: &Cluster| c.machines[stopping].replica.as_ref().unwrap().is_voter();
+        assert!(cluster.run_until(4_000, |c| !has_vote(c)), "seed {seed}");
+        cluster.kill(stopping);
+        let other = (0..3).find(|i| *i != stopping).unwrap();
+        cluster.kill(other);
+        assert!(cluster.commits_within(0, 5_000), "seed {seed}");
+        assert_eq!(cluster.checker.fault, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn withdrawn_voter_never_leads() {
+    for seed in 0..20 {
+        let (mut cluster, stopping) = with_follower(seed);
+        cluster.handle(stopping, Input::Withdraw);
+        let leader = cluster.leader().unwrap();
+        cluster.handle(leader, Input::TransferLeadership);
+        cluster.run(100);
+        cluster.kill(leader);
+        assert!(!cluster.run_until(3_000, |c| c.leader() == Some(stopping)), "seed {seed}");
+        assert_eq!(cluster.checker.fault, None, "seed {seed}");
+    }
+}
+
+#[test]
+fn leader_does_not_withdraw() {
+    let (mut cluster, _) = with_follower(1);
+    let leader = cluster.leader().unwrap();
+    cluster.handle(leader, Input::Withdraw);
+    assert!(cluster.commits_within(0, 500));
+    cluster.run(3_000);
+    assert_eq!(cluster.leader(), Some(leader));
+}
+
 #[test]
 fn empty_disks_form_no_group() {
     let mut cluster = cluster(7, 3);
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -43,12 +43,22 @@
 #[case(600.0)]
 fn control_phases(#[case] grace: f64) {
     let grace = seconds(grace);
-    let ControlStop { orders, handover } = ControlStop::within(grace, seconds(0.6));
+    let stop = ControlStop::within(grace, seconds(0.6));
+    let ControlStop { orders, handover, vote, .. } = stop;
     assert_eq!(orders.drain, Duration::ZERO);
     assert!(orders.finish >= grace / 2 && orders.finish < orders.end, "{orders:?}");
     // Time is left to close the endpoint and for the disk.
     assert!(orders.end + handover < grace.mul_f64(0.96), "{orders:?} {handover:?}");
     assert!(handover >= seconds(0.3), "{handover:?}");
+    // Whenever the wait for another voter begins, it leaves that time as well.
+    for elapsed in [Duration::ZERO, orders.finish, orders.end + handover, grace] {
+        let wait = stop.vote_wait(elapsed);
+        assert!(wait <= vote, "{wait:?} after {elapsed:?}");
+        assert!(
+            wait.is_zero() || elapsed + wait < grace.mul_f64(0.96),
+            "{wait:?} after {elapsed:?}"
+        );
+    }
 }
 
 #[test]
