Tests: instances replaced across builds, and this one

Cause: the change of who votes is in the log that an earlier build reads, and nothing played it beside one.

--- a/hawthornkeel/tests/upgrades.rs
+++ b/hawthornkeel/tests/upgrades.rs
@@ -184,11 +184,62 @@
     wrong
 }
 
+/// Returns the voters in the newest line of a process's log that names them.
+fn voters(harness: &Harness, at: usize) -> String {
+    let log = harness.log(at);
+    let newest = log.lines().rfind(|l| l.contains("event=control-role")).unwrap_or_default();
+    newest.rsplit("voters=").next().unwrap_or_default().to_owned()
+}
+
+/// Has an instance of one build replace one of another build, and then go on as the other build.
+fn replaced_across_builds(net: u8, group: Option<&Path>, successor: Option<&Path>) {
+    const HOST: u8 = 9 + CONTROLS as u8;
+    let fakes = FakeTargets::default();
+    let mut harness = Harness::with_program(net, CONTROLS as u8, fakes, group);
+    harness.serve_routes();
+    harness.add_control(HOST);
+    let added = harness.process_count() - 1;
+    harness.kill(added);
+    harness.choose_program(added, successor);
+    harness.spawn(added);
+    eventually(&harness, "the successor doesn't serve", || {
+        harness.try_read_document(CONTROLS).filter(|r| r.status == 200)
+    });
+    harness.kill(0);
+    let (lost, gained) = (format!("127.{net}.0.1"), format!("127.{net}.0.{HOST}"));
+    eventually(&harness, "the successor has no vote", || {
+        let voters = voters(&harness, added);
+        let names: Vec<_> = voters.split(',').map(str::trim).collect();
+        (names.contains(&&*gained) && !names.contains(&&*lost)).then_some(())
+    });
+    // The vote counts: without another one, a quorum is still there.
+    harness.kill(1);
+    let text = document(2, "/lots/");
+    eventually(&harness, "document not acknowledged", || {
+        harness.try_replace_document(2, &text).filter(|r| r.status == 200)
+    });
+    harness.kill(added);
+    harness.choose_program(added, group);
+    harness.spawn(added);
+    harness.choose_program(1, successor);
+    harness.spawn(1);
+    eventually(&harness, "document not in force", || {
+        let holds = |at: usize| {
+            let read = harness.try_read_document(at);
+            read.is_some_and(|r| r.status == 200 && r.body.contains("\"version\":2,"))
+        };
+        [1, 2, CONTROLS].into_iter().all(holds).then_some(())
+    });
+    println!("replaced, group {group:?}, successor {successor:?}: broken 0");
+}
+
 fn main() {
     let Some(earlier) = env::var_os("UPGRADE_FROM").map(PathBuf::from) else {
         println!("upgrades: not run, UPGRADE_FROM names no program of an earlier build");
         return;
     };
+    replaced_across_builds(249, Some(&earlier), None);
+    replaced_across_builds(248, None, Some(&earlier));
     builds_side_by_side(251, Sequence::ControlFirst, &earlier);
     builds_side_by_side(252, Sequence::EntriesFirst, &earlier);
     builds_side_by_side(253, Sequence::Mixed, &earlier);
