Membership: founders keep their votes where fewer voters would do

Evidence: open_members::founders_keep_votes failed, with one voter left of three.

Change: a group has at least as many voters as founders, for promotions and for demotions. So a founder that is gone is replaced there as well; before, the group went on with two.

--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -85,10 +85,9 @@
         Some(MembershipChange::Add(Node { id, name }))
     }
 
-    /// Returns the voter with the longest silence if there are more voters than allowed.
+    /// Returns the voter with the longest silence if a learner was promoted in place of one.
     fn surplus_voter(&self, members: &Members) -> Option<ReplicaId> {
-        let VoterPolicy::Open { max_voters, .. } = self.settings.voter_policy else { return None };
-        if members.voters().count() <= max_voters {
+        if members.voters().count() <= self.settings.open_voters()? {
             return None;
         }
         let RoleState::Leader(leader) = &self.role_state else { return None };
@@ -121,12 +120,12 @@
 
     /// Returns whether the settings allow a learner to become a voter.
     fn is_vote_eligible(&self, member: &Member, members: &Members) -> bool {
+        let voters = members.voters().count();
         match self.settings.voter_policy {
             VoterPolicy::Founders => self.settings.founders.contains(&member.node.name),
-            VoterPolicy::Open { max_voters, replace_after, .. } => {
-                let voters = members.voters().count();
-                voters < max_voters
-                    || (voters == max_voters && self.has_silent_voter(replace_after))
+            VoterPolicy::Open { replace_after, .. } => {
+                let allowed = self.settings.open_voters().unwrap_or_default();
+                voters < allowed || (voters == allowed && self.has_silent_voter(replace_after))
             }
         }
     }
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -12,7 +12,7 @@
     Founders,
     /// Replicas of any control instance, for deployments that replace instances with new ones.
     Open {
-        /// Maximum number of voters. Further replicas remain learners and replace lost voters.
+        /// Maximum number of voters, unless there are more founders. Further replicas remain learners and replace lost voters.
         max_voters: usize,
         /// Time without a message from a voter after which a learner that has caught up gets its
         /// vote. The voter becomes a learner.
@@ -75,6 +75,16 @@
     pub chunk_bytes: usize,
 }
 
+impl ReplicaSettings {
+    /// Returns the number of voters that a group with an open membership has, while none is replaced.
+    pub(super) fn open_voters(&self) -> Option<usize> {
+        match self.voter_policy {
+            VoterPolicy::Founders => None,
+            VoterPolicy::Open { max_voters, .. } => Some(max_voters.max(self.founders.len())),
+        }
+    }
+}
+
 impl Default for ReplicaSettings {
     fn default() -> Self {
         Self {
--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -252,6 +252,23 @@
     assert_eq!(cluster.leader(), Some(leader));
 }
 
+#[test]
+fn founders_keep_votes() {
+    for max_voters in [1, 3] {
+        let policy = VoterPolicy::Open {
+            max_voters,
+            replace_after: REPLACE_AFTER,
+            remove_after: REMOVE_AFTER,
+        };
+        let mut cluster = Cluster::with_voter_policy(2, 4, 3, Defect::None, policy);
+        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "{max_voters}");
+        cluster.run(3_000);
+        assert_eq!(cluster.voters(), ["i0", "i1", "i2"], "{max_voters}");
+        cluster.kill(1);
+        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i2", "i3"])), "{max_voters}");
+    }
+}
+
 #[test]
 fn empty_disks_form_no_group() {
     let mut cluster = cluster(7, 3);
