Planned stop: the time of the request is kept in place of a task that polls for it

Change: the counter of requests keeps the time of the first one. A comment and a doc line follow what the code does now.

--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -8,7 +8,6 @@
 use hawthornkeel_config::settings::Settings;
 use hawthornkeel_core::lease::LeaseSettings;
 use hawthornkeel_core::orders::OrderSettings;
-use hawthornkeel_core::time::Instant;
 use metrics_exporter_prometheus::PrometheusHandle;
 
 use crate::admin::AdminHandler;
@@ -139,7 +138,7 @@
     if let Some(control) = parts.control.clone() {
         monoio::spawn(keep_transferring(control, stop.clone(), election_timeout));
     }
-    let stop_began = monoio::spawn(time_of_stop(stop.clone()));
+    let stopping = stop.clone();
     let failed = control_failure(parts.control.clone());
     let report = monoio::select! {
         report = serve(&settings, context, servers, &parts.admin.gossip, stop) => report?,
@@ -148,8 +147,7 @@
     if let Some(control) = &parts.control {
         let times = stop_times(&settings.control);
         wait_transferred(control, times.handover).await;
-        let elapsed = boot_now().since(stop_began.await);
-        hand_over_vote(control, times.vote_wait(elapsed)).await;
+        hand_over_vote(control, times.vote_wait(stopping.elapsed())).await;
     }
     endpoint.close();
     endpoint.wait_closed().await;
@@ -160,12 +158,6 @@
     Ok(report)
 }
 
-/// Returns the time at which a stop is requested.
-async fn time_of_stop(stop: StopRequest) -> Instant {
-    stop.wait().await;
-    boot_now()
-}
-
 /// Serves the metrics on an address of their own, if there is one.
 ///
 /// The instance goes on without them where the address is one of its others or can't be used.
--- a/hawthornkeel/src/stop.rs
+++ b/hawthornkeel/src/stop.rs
@@ -2,16 +2,20 @@
 
 use std::io;
 use std::sync::Arc;
+use std::sync::OnceLock;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::time::Duration;
 
+use hawthornkeel_core::time::Instant;
 use signal_hook::consts::SIGHUP;
 use signal_hook::consts::SIGINT;
 use signal_hook::consts::SIGTERM;
 use signal_hook::flag;
 
+use crate::clock::boot_now;
+
 /// Interval at which requests to stop are checked.
 const POLL_INTERVAL: Duration = Duration::from_millis(20);
 
@@ -54,6 +58,8 @@
 pub struct StopRequest {
     stop_signalled: Arc<AtomicBool>,
     count: Arc<AtomicUsize>,
+    /// Time at which a stop was first requested.
+    requested_at: Arc<OnceLock<Instant>>,
     reload_signalled: Arc<AtomicBool>,
 }
 
@@ -73,9 +79,15 @@
 
     /// Requests a stop.
     pub fn request(&self) {
+        self.requested_at.get_or_init(boot_now);
         self.count.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Returns the time since a stop was first requested, zero without a request.
+    pub fn elapsed(&self) -> Duration {
+        self.requested_at.get().map_or(Duration::ZERO, |requested| boot_now().since(*requested))
+    }
+
     /// Returns whether a reload was requested since the last call.
     pub fn take_reload(&self) -> bool {
         self.reload_signalled.swap(false, Ordering::Relaxed)
--- a/hawthornkeel_core/src/replica/leadership.rs
+++ b/hawthornkeel_core/src/replica/leadership.rs
@@ -168,7 +168,7 @@
             self.apply(index);
             self.complete_reads();
             if changes_members {
-                // A vote is vacant between two changes, so the second one doesn't wait for a timer.
+                // Amid a replacement all other voters are needed, so its end doesn't wait for a timer.
                 self.repair_members();
             }
         }
--- a/hawthornkeel_core/src/replica/settings.rs
+++ b/hawthornkeel_core/src/replica/settings.rs
@@ -12,7 +12,9 @@
     Founders,
     /// Replicas of any control instance, for deployments that replace instances with new ones.
     Open {
-        /// Maximum number of voters, unless there are more founders. Further replicas remain learners and replace lost voters.
+        /// Maximum number of voters, unless there are more founders.
+        ///
+        /// Further replicas remain learners and replace lost voters.
         max_voters: usize,
         /// Time without a message from a voter after which a learner that has caught up gets its
         /// vote. The voter becomes a learner.
