--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -31,6 +31,14 @@
     cluster.voters() == voters
 }
 
+/// Returns `size` machines, the first three of which vote, after they have settled.
+fn settled_cluster(seed: u64, size: usize) -> Cluster {
+    let mut cluster = cluster(seed, size);
+    assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
+    cluster.run(1_000);
+    cluster
+}
+
 /// Returns whether the first of the two changes of a replacement has been made, but not the second.
 fn is_replacing(cluster: &Cluster) -> bool {
     ![0, 3].contains(&cluster.voters().len())
@@ -68,9 +76,7 @@
 #[test]
 fn learner_replaces_voter() {
     for seed in 0..20 {
-        let mut cluster = cluster(seed, 4);
-        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-        cluster.run(1_000);
+        let mut cluster = settled_cluster(seed, 4);
         assert!(cluster.commits_within(0, 2_000), "seed {seed}");
         cluster.kill(1);
         assert!(cluster.run_until(10_000, |c| has_voters(c, ["i0", "i2", "i3"])), "seed {seed}");
@@ -83,9 +89,7 @@
 
 #[test]
 fn short_stop_changes_nothing() {
-    let mut cluster = cluster(3, 4);
-    assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])));
-    cluster.run(1_000);
+    let mut cluster = settled_cluster(3, 4);
     let follower = (0..3).find(|i| Some(*i) != cluster.leader()).unwrap();
     cluster.kill(follower);
     cluster.run(700);
@@ -97,9 +101,7 @@
 #[test]
 fn replaced_voter_becomes_learner() {
     for seed in 0..20 {
-        let mut cluster = cluster(seed, 4);
-        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-        cluster.run(1_000);
+        let mut cluster = settled_cluster(seed, 4);
         cluster.kill(1);
         assert!(cluster.run_until(10_000, |c| has_voters(c, ["i0", "i2", "i3"])), "seed {seed}");
         cluster.start(1);
@@ -116,9 +118,7 @@
 #[test]
 fn silent_voter_stays_member() {
     for seed in 0..20 {
-        let mut cluster = cluster(seed, 4);
-        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-        cluster.run(1_000);
+        let mut cluster = settled_cluster(seed, 4);
         cluster.machines[1].isolated = true;
         assert!(cluster.run_until(10_000, |c| has_voters(c, ["i0", "i2", "i3"])), "seed {seed}");
         let silent = cluster.machines[1].disk.id;
@@ -135,9 +135,7 @@
 #[test]
 fn replacement_ends_at_once() {
     for seed in 0..20 {
-        let mut cluster = cluster(seed, 4);
-        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-        cluster.run(1_000);
+        let mut cluster = settled_cluster(seed, 4);
         cluster.kill(1);
         assert!(cluster.run_until(10_000, is_replacing), "seed {seed}");
         // A round trip and a sync for each of the two changes; heartbeats are 40 ms apart.
@@ -149,9 +147,7 @@
 #[test]
 fn disk_lost_amid_replacement() {
     for seed in 0..60 {
-        let mut cluster = cluster(seed, 4);
-        assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-        cluster.run(1_000);
+        let mut cluster = settled_cluster(seed, 4);
         cluster.set_can_bootstrap(false);
         cluster.machines[1].isolated = true;
         assert!(cluster.run_until(10_000, is_replacing), "seed {seed}");
@@ -205,9 +201,7 @@
 
 /// Returns four machines, three of which vote, and a voter that doesn't lead.
 fn with_follower(seed: u64) -> (Cluster, usize) {
-    let mut cluster = cluster(seed, 4);
-    assert!(cluster.run_until(5_000, |c| has_voters(c, ["i0", "i1", "i2"])), "seed {seed}");
-    cluster.run(1_000);
+    let mut cluster = settled_cluster(seed, 4);
     let follower = (0..3).find(|i| Some(*i) != cluster.leader()).unwrap();
     (cluster, follower)
 }
