--- a/hawthornkeel_core/tests/open_members.rs
+++ b/hawthornkeel_core/tests/open_members.rs
@@ -201,7 +201,7 @@
 
 /// Returns four machines, three of which vote, and a voter that doesn't lead.
 fn with_follower(seed: u64) -> (Cluster, usize) {
-    let mut cluster = settled_cluster(seed, 4);
+    let cluster = settled_cluster(seed, 4);
     let follower = (0..3).find(|i| Some(*i) != cluster.leader()).unwrap();
     (cluster, follower)
 }
