Tests: a control instance that woke is judged once it has caught up

Cause: superseded_order_obeyed waits until all instances show the newest order, then fails if one shows the other. A follower that wakes shows that state at once if it fell asleep with it, and then goes through the committed orders that it missed. The leader's log ends with 6, so no late order was committed.

Change: the test first waits until the woken instance has the newest position of the others.

--- a/hawthornkeel/tests/late_orders.rs
+++ b/hawthornkeel/tests/late_orders.rs
@@ -46,6 +46,22 @@
     });
 }
 
+/// Returns the position up to which a control instance has put changes in force, by its own lines.
+fn published(log: &str) -> u64 {
+    let newest = log.lines().rfind(|l| l.contains("event=published-in-force"));
+    let index = newest.and_then(|l| l.split("index=").nth(1)?.split(' ').next()?.parse().ok());
+    index.unwrap_or_default()
+}
+
+/// Waits until a control instance that woke has in force what the others had.
+///
+/// Until then it shows the orders that it missed, one after the other.
+fn wait_caught_up(harness: &Harness, at: usize, others: &[usize]) {
+    let newest = others.iter().map(|other| published(&harness.settled_log(*other))).max();
+    let has_newest = || Some(published(&harness.log(at))) >= newest;
+    eventually(harness, "not caught up", || has_newest().then_some(()));
+}
+
 /// Gives one order to each control instance at once, and returns the status of each response.
 fn order_at_once(harness: &Harness, take_outs: [bool; CONTROLS]) -> Vec<Option<u16>> {
     thread::scope(|scope| {
@@ -78,6 +94,7 @@
     must_order(&harness, &others, &order(!take_out));
     harness.signal(frozen, Signal::CONT);
     let until = Instant::now() + SETTLE_TIME;
+    wait_caught_up(&harness, frozen, &others);
     wait_taken_out(&harness, !take_out);
     while Instant::now() < until {
         for at in 0..CONTROLS {
