--- a/hawthornkeel/tests/forward_harness/mod.rs
+++ b/hawthornkeel/tests/forward_harness/mod.rs
@@ -377,6 +377,13 @@
         call(self.operators[control], "GET", "/Configuration.Read", "", "")
     }
 
+    /// Tells whether a control instance shows the document of a version as the one in force.
+    pub fn shows_document(&self, control: usize, version: u32) -> bool {
+        let newest = format!("\"version\":{version},");
+        let response = self.try_read_document(control);
+        response.is_some_and(|r| r.status == 200 && r.body.contains(&newest))
+    }
+
     /// Submits a document until its response is not 503, and returns that status.
     pub fn replace_document(&self, document: &str) -> u16 {
         let until = Instant::now() + TEST_TIMEOUT;
--- a/hawthornkeel/tests/replaced_instances.rs
+++ b/hawthornkeel/tests/replaced_instances.rs
@@ -70,12 +70,9 @@
         harness.try_replace_document(at, &text).is_some_and(|response| response.status == 200)
     };
     wait_for("no document is accepted", &|| controls.iter().any(|at| accepts(*at)));
-    let newest = format!("\"version\":{version},");
-    let reads = |at: usize| {
-        let response = harness.try_read_document(at);
-        response.is_some_and(|r| r.status == 200 && r.body.replace(' ', "").contains(&newest))
-    };
-    wait_for("an instance doesn't show the document", &|| controls.iter().all(|at| reads(*at)));
+    wait_for("an instance doesn't show the document", &|| {
+        controls.iter().all(|at| harness.shows_document(*at, version))
+    });
     harness.call_until(200, "/lots/after", &fields("after"));
 }
 
--- a/hawthornkeel/tests/upgrades.rs
+++ b/hawthornkeel/tests/upgrades.rs
@@ -133,12 +133,10 @@
 
     /// Waits until all control instances have what was acknowledged in force.
     fn wait(&self, harness: &Harness) {
-        let version = format!("\"version\":{},", self.version);
         eventually(harness, "not in force", || {
             let holds = |at| {
-                let read = harness.try_read_document(at);
                 is_taken_out(harness, at, CENTRE) == Some(self.taken_out)
-                    && read.is_some_and(|r| r.status == 200 && r.body.contains(&version))
+                    && harness.shows_document(at, self.version)
             };
             (0..CONTROLS).all(holds).then_some(())
         });
@@ -224,11 +222,7 @@
     harness.choose_program(1, successor);
     harness.spawn(1);
     eventually(&harness, "document not in force", || {
-        let holds = |at: usize| {
-            let read = harness.try_read_document(at);
-            read.is_some_and(|r| r.status == 200 && r.body.contains("\"version\":2,"))
-        };
-        [1, 2, CONTROLS].into_iter().all(holds).then_some(())
+        [1, 2, CONTROLS].into_iter().all(|at| harness.shows_document(at, 2)).then_some(())
     });
     println!("replaced, group {group:?}, successor {successor:?}: broken 0");
 }
