--- a/review/stand-3/common.rs
+++ b/review/stand-3/common.rs
@@ -149,7 +149,12 @@
         format!("{}.{last}", self.net)
     }
 
-    /// Starts the control role of core machine `number` (1 to 3).
+    /// Names the core machines that processes which start from now on are told as seeds.
+    pub fn set_seeds(&mut self, numbers: &[u8]) {
+        self.seeds = numbers.iter().map(|n| format!("{}:{OPERATORS}", self.ip(*n))).collect();
+    }
+
+    /// Starts the control role of core machine `number` (from 1 on).
     pub fn start_core(&mut self, number: u8, bootstrap: bool) {
         let name = format!("core-{number}");
         let data = self.folder.join(format!("data-{number}"));
@@ -216,6 +221,40 @@
         self.processes.insert(name.to_owned(), child);
     }
 
+    /// Sends SIGTERM to the process of a machine.
+    pub fn stop(&mut self, name: &str) {
+        unsafe extern "C" {
+            fn kill(process: i32, signal: i32) -> i32;
+        }
+        if let Some(child) = self.processes.get(name) {
+            // SAFETY: a plain system call; the process is a child of this one.
+            unsafe { kill(child.id() as i32, 15) };
+            self.record.line(&format!("{name} gets SIGTERM"));
+        }
+    }
+
+    /// Waits for the end of the process of a machine, for `limit` at most; returns whether it ended.
+    pub fn wait_end(&mut self, name: &str, limit: Duration) -> bool {
+        let until = Instant::now() + limit;
+        while Instant::now() < until {
+            match self.processes.get_mut(name).map(Child::try_wait) {
+                Some(Ok(None)) => thread::sleep(Duration::from_millis(20)),
+                _ => {
+                    self.processes.remove(name);
+                    self.record.line(&format!("{name} has ended"));
+                    return true;
+                }
+            }
+        }
+        false
+    }
+
+    /// Empties the disk of core machine `number`, whose process has ended.
+    pub fn empty_disk(&self, number: u8) {
+        let _ = fs::remove_dir_all(self.folder.join(format!("data-{number}")));
+        self.record.line(&format!("core-{number} has lost its disk"));
+    }
+
     /// Kills the process of a machine.
     pub fn kill(&mut self, name: &str) {
         if let Some(mut child) = self.processes.remove(name) {
@@ -273,11 +312,16 @@
 
     /// Sends a manifest until a core machine acknowledges it.
     pub fn replace(&self, manifest: &str, limit: Duration) -> bool {
+        self.replace_at(&[1, 2, 3], manifest, limit)
+    }
+
+    /// Sends a manifest to some core machines in turn until one acknowledges it.
+    pub fn replace_at(&self, numbers: &[u8], manifest: &str, limit: Duration) -> bool {
         let until = Instant::now() + limit;
         let fields = [("Content-Type", "application/json")];
         let post = request("POST", "/Configuration.Replace", "op", &fields, manifest.as_bytes());
         for turn in 0_u8.. {
-            let number = turn % 3 + 1;
+            let number = numbers[usize::from(turn) % numbers.len()];
             let address = format!("{}:{OPERATORS}", self.ip(number));
             let answered = exchange(&address, &post, Duration::from_secs(1));
             let status = answered.map(|a| a.status);
@@ -306,7 +350,7 @@
     for _ in 0..200 {
         let (a, b) = (random.next() % 200 + 20, random.next() % 250 + 1);
         let net = format!("127.{a}.{b}");
-        let is_free = (1..=3).chain(11..=18).all(|last| {
+        let is_free = (1..=5).chain(11..=18).all(|last| {
             let tcp = [OPERATORS, CONSUMERS, READY, METRICS];
             let free = |port: &u16| TcpListener::bind(format!("{net}.{last}:{port}")).is_ok();
             tcp.iter().all(free) && UdpSocket::bind(format!("{net}.{last}:{PEERS}")).is_ok()
