--- a/review/stand-3/preempted.rs
+++ b/review/stand-3/preempted.rs
@@ -19,7 +19,7 @@
 /// Time between two events.
 const GAP: Duration = Duration::from_millis(40);
 /// Time for which a run that was preempted waits for memory.
-const PREEMPTED: Duration = Duration::from_millis(1_800);
+const PREEMPTED: Duration = Duration::from_millis(1_500);
 /// Begin and end of the burst, from the time at which the system serves.
 const BURST: (f64, f64) = (4.0, 10.0);
 const END: f64 = 16.0;
@@ -60,7 +60,7 @@
             record.line(&format!(
                 "runner {name} runs {id} from event {}{}",
                 last + 1,
-                if is_short { ", preempted for 1.8 s after its first token" } else { "" }
+                if is_short { ", preempted for 1.5 s after its first token" } else { "" }
             ));
             let head = format!(
                 "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nRequest-Id: {id}\r\n\
