Control: a stopping voter takes part until a learner has its vote

Cause: the stopping voter fell silent so that the leader would miss it, and kept its vote meanwhile (0.9 s). With another one lost, one of three votes was left. Two stops at once had the same effect without a loss.

Ruled out: a shorter silence only moves the moment; waking up when no leader is heard costs an election each time, and two stops still take the quorum away first. A message of its own would be a new form for earlier builds.

Change: the voter announces to each leader that it is about to stop (Hello with the leader's identifier, which members never sent; earlier builds answer it and do nothing), and takes part until the change that takes its vote is committed and the leader of that moment knows that it ends. The leader gives the vote to a learner at once. The wait's limit counts only under a leader that changes no members. A stopping leader without a successor goes on leading.

Why it works: no vote is given up before its replacement is committed, so each loss meets a group that bears one.

--- a/hawthornkeel/src/control/node.rs
+++ b/hawthornkeel/src/control/node.rs
@@ -5,10 +5,12 @@
 use std::collections::VecDeque;
 use std::future::Future;
 use std::rc::Rc;
+use std::time::Duration;
 
 use futures_channel::oneshot;
 use hawthornkeel_core::ids::LogIndex;
 use hawthornkeel_core::names::InstanceName;
+use hawthornkeel_core::replica::HandoverEnd;
 use hawthornkeel_core::replica::Input;
 use hawthornkeel_core::replica::Message;
 use hawthornkeel_core::replica::Node;
@@ -21,6 +23,7 @@
 use hawthornkeel_core::replica::Role;
 use hawthornkeel_core::replica::SaveSeq;
 use hawthornkeel_core::replica::Status;
+use hawthornkeel_core::replica::VoteHandover;
 use hawthornkeel_core::state::State;
 use hawthornkeel_core::state::command::Command;
 use hawthornkeel_core::state::published::PublishedState;
@@ -265,19 +268,22 @@
         replica.status().members.voters().count() > 1
     }
 
-    /// Gives up the vote of this instance before a planned stop; the replica sends nothing any more.
+    /// Asks, before a planned stop, for the vote of this instance to be given to a learner.
+    ///
+    /// The replica takes part as before until a learner has the vote.
     pub fn withdraw(&self) {
         self.handle(Input::Withdraw);
     }
 
-    /// Returns whether this instance has a vote that a learner can get.
-    pub fn has_transferable_vote(&self) -> bool {
-        self.inner.replica.borrow().has_transferable_vote()
+    /// Begins to wait until a learner has the vote, for `limit` under one leader and until `end` in
+    /// any case.
+    pub fn begin_handover(&self, limit: Duration, end: Instant) -> VoteHandover {
+        VoteHandover::begin(&self.inner.replica.borrow(), limit, end)
     }
 
-    /// Returns whether this instance is a voter, as far as its log tells.
-    pub fn is_voter(&self) -> bool {
-        self.inner.replica.borrow().is_voter()
+    /// Returns why that wait ends now, if it does.
+    pub fn handover_ended(&self, handover: &mut VoteHandover) -> Option<HandoverEnd> {
+        handover.ended(boot_now(), &self.inner.replica.borrow())
     }
 
     /// Stops the control role as planned, after queued saves have been written.
--- a/hawthornkeel/src/control/stop.rs
+++ b/hawthornkeel/src/control/stop.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 
 use hawthornkeel_config::settings::Control;
+use hawthornkeel_core::replica::HandoverEnd;
 use hawthornkeel_core::request::refusal::RunStatus;
 use hawthornkeel_core::stop::ControlStop;
 use hawthornkeel_core::stop::StopTimes;
@@ -162,19 +163,26 @@
     monoio::time::sleep(POLL_INTERVAL).await;
 }
 
-/// Gives up the vote of this instance, and waits up to `limit` until a learner has it.
+/// Asks for the vote of this instance to be handed over, and waits until a learner has it.
 ///
-/// Does nothing without learners, and at a leader that could not transfer its leadership.
-pub async fn hand_over_vote(control: &ControlNode, limit: Duration) {
-    if control.is_leader() || !control.has_transferable_vote() {
-        return;
-    }
+/// Ends after `limit` under one leader, and after `left` in any case.
+pub async fn hand_over_vote(control: &ControlNode, limit: Duration, left: Duration) {
     control.withdraw();
     let begun = boot_now();
-    while control.is_voter() && boot_now().since(begun) < limit {
+    let mut handover = control.begin_handover(limit, begun + left);
+    let end = loop {
+        if let Some(end) = control.handover_ended(&mut handover) {
+            break end;
+        }
         monoio::time::sleep(POLL_INTERVAL).await;
+    };
+    let (waited_ms, outcome) = (boot_now().since(begun).as_millis(), end);
+    let handed_over = end == HandoverEnd::HandedOver;
+    if end.leaves_vote() {
+        let leader = control.lead().leader;
+        let leader = leader.as_ref().map(tracing::field::display);
+        tracing::warn!(event = "vote-withdrawn", handed_over, %outcome, leader, waited_ms);
+    } else {
+        tracing::info!(event = "vote-withdrawn", handed_over, %outcome, waited_ms);
     }
-    let handed_over = !control.is_voter();
-    let waited_ms = boot_now().since(begun).as_millis();
-    tracing::info!(event = "vote-withdrawn", handed_over, waited_ms);
 }
--- a/hawthornkeel/src/instance.rs
+++ b/hawthornkeel/src/instance.rs
@@ -147,7 +147,8 @@
     if let Some(control) = &parts.control {
         let times = stop_times(&settings.control);
         wait_transferred(control, times.handover).await;
-        hand_over_vote(control, times.vote_wait(stopping.elapsed())).await;
+        let elapsed = stopping.elapsed();
+        hand_over_vote(control, times.vote_wait(elapsed), times.time_left(elapsed)).await;
     }
     endpoint.close();
     endpoint.wait_closed().await;
--- a/hawthornkeel/tests/replaced_instances.rs
+++ b/hawthornkeel/tests/replaced_instances.rs
@@ -102,3 +102,44 @@
     lose(&mut harness, 1, Loss::Kill);
     check_service(&harness, &[2, 3], 2);
 }
+
+/// A stopping voter fell silent before another one had its vote, so a disk lost meanwhile cost the quorum.
+#[rstest]
+#[case::at_once(86, 0)]
+#[case::while_handing_over(87, 60)]
+#[case::after_half_a_second(88, 500)]
+fn disk_lost_amid_stop(#[case] net: u8, #[case] gap_ms: u64) {
+    let mut harness = start(net);
+    harness.add_control(6);
+    thread::sleep(SUCCESSOR_TIME);
+    lose(&mut harness, 0, Loss::Stop);
+    thread::sleep(Duration::from_millis(gap_ms));
+    lose(&mut harness, 1, Loss::Wipe);
+    check_service(&harness, &[1, 2, 3], 2);
+}
+
+/// Two stopping voters were both silent, which alone cost the quorum.
+#[test]
+fn stops_overlap() {
+    let mut harness = start(89);
+    harness.add_control(6);
+    harness.add_control(7);
+    thread::sleep(SUCCESSOR_TIME);
+    (0..2).for_each(|at| lose(&mut harness, at, Loss::Stop));
+    check_service(&harness, &[2, 3, 4], 2);
+    for at in 0..2 {
+        assert!(harness.wait_exit(at, GRACE_TIME), "{}", harness.settled_log(at));
+        let log = harness.settled_log(at);
+        assert!(log.contains("handed_over=true"), "{log}");
+    }
+}
+
+/// A voter that ended with its vote, as there was no learner, did not say so.
+#[test]
+fn kept_vote_is_logged() {
+    let mut harness = start(91);
+    lose(&mut harness, 0, Loss::Stop);
+    assert!(harness.wait_exit(0, GRACE_TIME));
+    let log = harness.settled_log(0);
+    assert!(log.contains("handed_over=false outcome=no-learner"), "{log}");
+}
--- a/hawthornkeel_core/src/replica/action.rs
+++ b/hawthornkeel_core/src/replica/action.rs
@@ -41,12 +41,13 @@
     /// Requests a leadership transfer before a planned stop, to a voter that has the whole log.
     ///
     /// The leader rejects proposals and reads from now on. If no voter is ready within an election
-    /// timeout, it resumes as the leader. Other replicas ignore this input.
+    /// timeout, it resumes as the leader. Other replicas ignore this input, and so does a leader if
+    /// all other voters are unresponsive or about to stop themselves.
     TransferLeadership,
-    /// Gives up the vote before a planned stop, so that a learner gets it while this replica runs.
+    /// Asks, before a planned stop, for a learner to get the vote of this replica while it runs.
     ///
-    /// The replica falls silent until the process ends. It goes on receiving the log, in which it
-    /// sees who votes. Leaders ignore this input.
+    /// The replica goes on taking part, and sees in the log who votes. A leader leads on until its
+    /// leadership is transferred.
     Withdraw,
     /// Snapshot of the replicated state, as requested by [`Action::TakeSnapshot`].
     Snapshot {
--- a/hawthornkeel_core/src/replica/bootstrap.rs
+++ b/hawthornkeel_core/src/replica/bootstrap.rs
@@ -187,7 +187,7 @@
     }
 
     /// Returns the membership of another replica in this replica's group.
-    fn membership_of(&self, id: ReplicaId) -> Membership {
+    pub(super) fn membership_of(&self, id: ReplicaId) -> Membership {
         let Some(group) = self.hard.group else { return Membership::NonMember };
         let first = self.log.get(log::next(LogIndex(0)));
         if let Some(Payload::Members(members)) = first.map(|e| &e.payload)
--- a/hawthornkeel_core/src/replica/election.rs
+++ b/hawthornkeel_core/src/replica/election.rs
@@ -16,8 +16,11 @@
 
 /// Longest time by which an overdue pre-vote is put off, in election timeouts.
 const MAX_DEFERRAL: f64 = 0.4;
-/// Factor by which a learner waits longer than a voter before it starts a pre-vote.
-const LEARNER_TIMEOUT_FACTOR: u32 = 2;
+/// Factor by which a learner, or a voter that is about to stop, waits longer before it starts a
+/// pre-vote.
+///
+/// It is a candidate nevertheless, as it may be the only one left with the newest entry.
+const LAST_RESORT_FACTOR: u32 = 2;
 
 /// Votes or pre-votes granted to a candidate.
 #[derive(Debug, Default)]
@@ -29,8 +32,8 @@
     /// Resets the election timer to a random time.
     pub(super) fn reset_election_timer(&mut self) {
         let mut timeout = self.settings.election_timeout;
-        if !self.log.members().is_voter(self.node.id) {
-            timeout *= LEARNER_TIMEOUT_FACTOR;
+        if self.leaving || !self.log.members().is_voter(self.node.id) {
+            timeout *= LAST_RESORT_FACTOR;
         }
         let jitter = self.rng.random_range(0.0..1.0);
         self.election_at = self.now + timeout + timeout.mul_f64(jitter);
@@ -42,10 +45,6 @@
     /// What stalls one replica mostly stalls the others too. Their timers are all overdue then, so
     /// they would become candidates at the same moment and split the votes.
     pub(super) fn election_due(&mut self) {
-        if self.withdrawn {
-            self.reset_election_timer();
-            return;
-        }
         let is_late = self.now.since(self.election_at) > self.settings.heartbeat_interval / 2;
         if !is_late || self.election_deferred {
             self.start_pre_vote();
--- a/hawthornkeel_core/src/replica/follower.rs
+++ b/hawthornkeel_core/src/replica/follower.rs
@@ -44,6 +44,7 @@
         self.leader = Some(from.clone());
         self.last_contact = Some(self.now);
         self.reset_election_timer();
+        self.announce_leaving();
         true
     }
 
--- a/hawthornkeel_core/src/replica/membership.rs
+++ b/hawthornkeel_core/src/replica/membership.rs
@@ -14,6 +14,7 @@
 use crate::replica::entry::Node;
 use crate::replica::entry::Payload;
 use crate::replica::entry::ProposalId;
+use crate::replica::progress::Progress;
 use crate::replica::settings::VoterPolicy;
 
 impl Replica {
@@ -57,9 +58,9 @@
 
     /// Returns the next change that repairs the membership, if one is needed.
     ///
-    /// A learner gets its vote before the silent voter that it replaces loses its own. With a voter
-    /// fewer, the loss of another disk at that moment would cost the quorum for good, even after
-    /// the silent voter has come back.
+    /// A learner gets its vote before the voter that it replaces loses its own. With a voter fewer,
+    /// the loss of another disk at that moment would cost the quorum for good, even after a silent
+    /// voter has come back.
     fn next_repair(&mut self) -> Option<MembershipChange> {
         if !self.can_change_members() {
             return None;
@@ -85,14 +86,16 @@
         Some(MembershipChange::Add(Node { id, name }))
     }
 
-    /// Returns the voter with the longest silence if a learner was promoted in place of one.
+    /// Returns the voter that loses its vote if a learner was promoted in place of one: one that is
+    /// about to stop, else the one with the longest silence.
     fn surplus_voter(&self, members: &Members) -> Option<ReplicaId> {
         if members.voters().count() <= self.settings.open_voters()? {
             return None;
         }
         let RoleState::Leader(leader) = &self.role_state else { return None };
         let contacts = members.voters().filter_map(|n| Some((n.id, leader.peers.get(&n.id)?)));
-        contacts.min_by_key(|(_, progress)| progress.last_contact).map(|(id, _)| id)
+        let order = |id, progress: &Progress| (!self.is_leaving(id), progress.last_contact);
+        contacts.min_by_key(|(id, progress)| order(*id, progress)).map(|(id, _)| id)
     }
 
     /// Returns whether an unresponsive member is to be removed.
@@ -113,6 +116,7 @@
     /// Returns whether a learner is to be promoted, after a lost replica of its instance was removed.
     fn is_promotable(&self, member: &Member, members: &Members) -> bool {
         member.kind == MemberKind::Learner
+            && !self.is_leaving(member.node.id)
             && self.is_vote_eligible(member, members)
             && self.has_caught_up(member.node.id)
             && same_instance_members(member, members).next().is_none()
@@ -125,19 +129,20 @@
             VoterPolicy::Founders => self.settings.founders.contains(&member.node.name),
             VoterPolicy::Open { replace_after, .. } => {
                 let allowed = self.settings.open_voters().unwrap_or_default();
-                voters < allowed || (voters == allowed && self.has_silent_voter(replace_after))
+                voters < allowed || (voters == allowed && self.has_lost_voter(replace_after))
             }
         }
     }
 
-    /// Returns whether there was no message from a voter for `replace_after`.
-    fn has_silent_voter(&self, replace_after: Duration) -> bool {
+    /// Returns whether a voter is about to stop, or there was no message from it for `replace_after`.
+    fn has_lost_voter(&self, replace_after: Duration) -> bool {
         let members = self.log.members();
-        members.voters().any(|n| self.is_unresponsive_for(n.id, replace_after))
+        let is_lost = |id| self.is_leaving(id) || self.is_unresponsive_for(id, replace_after);
+        members.voters().any(|n| is_lost(n.id))
     }
 
     /// Returns whether there was no message from a member for an election timeout.
-    fn is_unresponsive(&self, id: ReplicaId) -> bool {
+    pub(super) fn is_unresponsive(&self, id: ReplicaId) -> bool {
         self.is_unresponsive_for(id, self.settings.election_timeout)
     }
 
--- a/hawthornkeel_core/src/replica/message.rs
+++ b/hawthornkeel_core/src/replica/message.rs
@@ -31,6 +31,10 @@
 #[derive(Clone, Debug, Eq, PartialEq, Serialize, Deserialize)]
 pub enum Body {
     /// Announces a replica that is not, or may no longer be, a member of a group.
+    ///
+    /// With the receiver's identifier, which only members know, it announces that the sender is
+    /// about to stop. Builds that don't know this take it for the other announcement, which does
+    /// nothing at a leader that has the sender as a member.
     Hello,
     /// Replies to `Hello`.
     HelloReply(HelloReply),
--- a/hawthornkeel_core/src/replica/mod.rs
+++ b/hawthornkeel_core/src/replica/mod.rs
@@ -24,6 +24,7 @@
 pub mod entry;
 pub mod message;
 pub mod settings;
+pub mod vote_handover;
 
 mod bootstrap;
 mod election;
@@ -85,6 +86,8 @@
 pub use crate::replica::message::Message;
 pub use crate::replica::settings::ReplicaSettings;
 pub use crate::replica::settings::VoterPolicy;
+pub use crate::replica::vote_handover::HandoverEnd;
+pub use crate::replica::vote_handover::VoteHandover;
 
 /// Role of a replica with the state that only this role needs.
 #[derive(Debug)]
@@ -119,8 +122,10 @@
     election_at: Instant,
     /// Whether the pre-vote that is due was put off, as this replica was stalled.
     election_deferred: bool,
-    /// Whether this replica has given up its vote and sends nothing any more.
-    withdrawn: bool,
+    /// Whether this replica is about to stop, and asks the leader to give its vote to a learner.
+    leaving: bool,
+    /// Term whose leader knows that.
+    leaving_known: Option<Term>,
     commit: LogIndex,
     snapshot: Option<Snapshot>,
     /// Size of the entries applied since the last snapshot, in bytes.
@@ -155,7 +160,8 @@
             last_contact: None,
             election_at: now,
             election_deferred: false,
-            withdrawn: false,
+            leaving: false,
+            leaving_known: None,
             commit: LogIndex(0),
             snapshot: None,
             applied_bytes: 0,
@@ -368,10 +374,6 @@
     /// Finishes an input: saves changes, and sends the messages whose saves are on disk.
     fn finish(&mut self) -> Vec<Action> {
         self.save_log();
-        if self.withdrawn {
-            self.outgoing.clear();
-            self.deferred.clear();
-        }
         self.deferred.extend(self.outgoing.drain(..));
         let term = self.hard.term;
         let mut waiting = VecDeque::new();
--- a/hawthornkeel_core/src/replica/progress.rs
+++ b/hawthornkeel_core/src/replica/progress.rs
@@ -44,6 +44,8 @@
     pub(super) acked_at: Option<Instant>,
     /// Time of the last message from the member.
     pub(super) last_contact: Instant,
+    /// Time at which the member last announced that it is about to stop.
+    pub(super) leaving_at: Option<Instant>,
     /// Start of the resend timeout, while a message with entries or a chunk is not acknowledged.
     ///
     /// Time at which it was sent, or of the last progress since.
@@ -61,6 +63,7 @@
             state: ReplicationState::Probe,
             acked_at: None,
             last_contact: now,
+            leaving_at: None,
             sent_at: None,
             inflight: VecDeque::new(),
             inflight_bytes: 0,
--- a/hawthornkeel_core/src/replica/receive.rs
+++ b/hawthornkeel_core/src/replica/receive.rs
@@ -17,8 +17,12 @@
             return;
         }
         match message.body {
+            Body::Hello if message.to.is_some() => self.record_leaving(&message),
             Body::Hello => self.receive_hello(message.from),
-            Body::HelloReply(reply) => self.receive_hello_reply(message.from, reply),
+            Body::HelloReply(reply) => {
+                self.receive_leaving_reply(&message.from, message.term);
+                self.receive_hello_reply(message.from, reply);
+            }
             _ => self.receive_member(message),
         }
     }
--- a/hawthornkeel_core/src/stop.rs
+++ b/hawthornkeel_core/src/stop.rs
@@ -30,9 +30,10 @@
 const HANDOVER_FRACTION: f64 = 0.15;
 /// Fraction of the grace time after which a control instance ends, whoever has its vote.
 const VOTE_END_FRACTION: f64 = 0.95;
-/// Longest time in which a control instance waits until a learner has its vote, in election timeouts.
+/// Longest time in which a control instance waits under one leader until a learner has its vote, in
+/// election timeouts.
 ///
-/// The leader takes two of them to notice the silence, and the instance learns the outcome by a resend.
+/// Long enough for a leader that was just elected to commit, and for a lagging learner to catch up.
 const VOTE_TIMEOUTS: u32 = 4;
 /// Number of recent durations that are kept.
 const MAX_SAMPLES: usize = 32;
@@ -81,7 +82,7 @@
     pub orders: StopTimes,
     /// Maximum time for which a transfer of the leadership is awaited after that.
     pub handover: Duration,
-    /// Maximum time for which a learner's promotion in place of the instance is awaited after that.
+    /// Maximum time for which one leader is given after that to hand the vote over to a learner.
     pub vote: Duration,
     /// Time from the request to stop at which that wait ends in any case.
     pub end: Duration,
@@ -105,9 +106,15 @@
         }
     }
 
-    /// Returns the time for which a learner's promotion may be awaited, `elapsed` after the request.
+    /// Returns the time for which one leader is given to hand the vote over, `elapsed` after the
+    /// request.
     pub fn vote_wait(&self, elapsed: Duration) -> Duration {
-        self.vote.min(self.end.saturating_sub(elapsed))
+        self.vote.min(self.time_left(elapsed))
+    }
+
+    /// Returns the time for which the instance may still wait, `elapsed` after the request.
+    pub fn time_left(&self, elapsed: Duration) -> Duration {
+        self.end.saturating_sub(elapsed)
     }
 }
 
--- a/hawthornkeel_core/tests/planned_stop.rs
+++ b/hawthornkeel_core/tests/planned_stop.rs
@@ -58,6 +58,8 @@
             wait.is_zero() || elapsed + wait < grace.mul_f64(0.96),
             "{wait:?} after {elapsed:?}"
         );
+        let left = stop.time_left(elapsed);
+        assert!(left.is_zero() || elapsed + left < grace.mul_f64(0.96), "{left:?}");
     }
 }
 
