Forward: a silent run is given up only for an answer that has begun

What callers saw: in a burst one target paused its streams for 1.5 s behind the head and the others were full; the entry closed the connection to the one that worked after 1.28 s and asked the others, which refused.

Cause: a run was given up once a retry was granted and a target chosen; whether that takes the request was known only afterwards. The same held for first attempts before the head, and for answers that stop within their body.

Ruled out: a longer patience moves the point; a reserved place (hold-take) exists at model targets only.

Change: the other target is asked beside the silent run, which goes on until the body of the other answer has begun (idempotent requests: until it is whole, as for hedges; forward/race.rs serves both). Each try takes its retry. Of many streams that fall silent, one asks a target first.

Why it works: a refusal, a reset, a cut or a late answer reaches the entry while it still has the first run. What is given up without an answer is bounded by what the caller still waits for.

--- a/hawthornkeel/src/forward/attempts.rs
+++ b/hawthornkeel/src/forward/attempts.rs
@@ -14,7 +14,6 @@
 use crate::forward::broken_runs::AnswerPhase;
 use crate::forward::exchange_error::ExchangeError;
 use crate::forward::handler::ForwardHandler;
-use crate::forward::hedging;
 use crate::forward::http_client::OutgoingRequest;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::outcome::AttemptOutcome;
@@ -25,10 +24,7 @@
 use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
 use crate::forward::request::MIN_TIME_LEFT;
-use crate::forward::silence;
 use crate::forward::stop;
-use crate::forward::target_calls::CallKind;
-use crate::forward::target_calls::TargetCall;
 
 /// Interval at which the choice of a target is repeated while all of them are cold.
 const COLD_POLL_INTERVAL: Duration = Duration::from_millis(40);
@@ -57,25 +53,18 @@
 
 impl ForwardHandler {
     /// Sends a request to one target after the other until one responds or retries are exhausted.
-    ///
-    /// The first is `granted` if a retry was taken from the budget for it.
     pub(super) async fn forward(
         &self,
         request: &IncomingRequest,
         progress: &mut RequestProgress,
-        granted: Option<ChosenTarget>,
     ) -> ForwardOutcome {
         let mut failed = None;
         let mut reached = progress.possible_runs > 0;
-        let mut granted = granted;
         // An attempt that reaches no target leaves its retry to the next one.
-        let mut has_retry = granted.is_some();
+        let mut has_retry = false;
         loop {
             let needs_retry = reached && !has_retry;
-            let next = match granted.take() {
-                Some(target) => Ok(target),
-                None => self.next_target(request, progress, needs_retry).await,
-            };
+            let next = self.next_target(request, progress, needs_retry).await;
             has_retry |= needs_retry;
             let target = match next {
                 Ok(target) => target,
@@ -88,10 +77,10 @@
                 Err(NoAttempt::LinksLost) if failed.is_none() => return ForwardOutcome::LinksLost,
                 Err(_) => return self.exhausted(request, failed),
             };
-            let ended;
-            (ended, granted) = self.attempt(request, progress, target).await;
+            progress.tried.push(target.name.clone());
+            let ended = self.race(request, progress, target).await;
             if ended.iter().any(|e| !matches!(e.outcome, AttemptOutcome::Unreached)) {
-                has_retry = granted.is_some();
+                has_retry = false;
                 reached = true;
             }
             for EndedAttempt { outcome, target } in ended {
@@ -160,37 +149,6 @@
         !request.stays_here.get() && links.is_doubtful(&request.pool.name)
     }
 
-    /// Sends a request to a target, or to two if it is hedged. Returns the attempts that ended, and
-    /// the next target if they were given up for a retry.
-    async fn attempt(
-        &self,
-        request: &IncomingRequest,
-        progress: &mut RequestProgress,
-        target: ChosenTarget,
-    ) -> (Vec<EndedAttempt>, Option<ChosenTarget>) {
-        progress.tried.push(target.name.clone());
-        let context = &self.context;
-        if hedging::applies(context, request) {
-            return self.hedged(request, progress, target).await;
-        }
-        let outgoing = self.outgoing(request, progress, &target);
-        let retry_time = silence::retry_time(context, request, progress);
-        request.may_have_run.set(true);
-        let call = TargetCall { request, target: &target, kind: CallKind::Request };
-        let sent = context.send_to_target(&call, &outgoing, request.deadline);
-        let (result, next) = silence::wait(context, request, progress, retry_time, sent).await;
-        if next.is_some() {
-            // The target's other idle connections may be as silent as this one.
-            context.http_client.discard_idle(target.address);
-        }
-        let was_patient = retry_time < request.deadline;
-        let outcome = self.record_attempt(request, &target, result, was_patient);
-        if outcome.is_not_run() {
-            request.may_have_run.set(progress.possible_runs > 0);
-        }
-        (vec![EndedAttempt { outcome, target }], next)
-    }
-
     /// Encodes a request for a target.
     pub(super) fn outgoing(
         &self,
--- a/hawthornkeel/src/forward/context.rs
+++ b/hawthornkeel/src/forward/context.rs
@@ -21,6 +21,7 @@
 use hawthornkeel_core::placement::hedging::Hedging;
 use hawthornkeel_core::placement::limit::EntryView;
 use hawthornkeel_core::placement::limit::LimitReport;
+use hawthornkeel_core::placement::replacement::AskedTargets;
 use hawthornkeel_core::placement::retries::RetryBucket;
 use hawthornkeel_core::placement::retries::RetryBudget;
 use hawthornkeel_core::stages::job::SchedulerName;
@@ -95,6 +96,8 @@
     /// Hedging: latencies of routes and the share of hedges.
     pub(super) hedging: RefCell<Hedging>,
     retry_buckets: RefCell<IndexMap<PoolName, RetryBucket>>,
+    /// Targets that were asked lately to replace silent streams.
+    pub(super) asked_targets: RefCell<AskedTargets>,
     latencies: RefCell<IndexMap<PoolName, f64>>,
 }
 
@@ -183,6 +186,7 @@
             helped_bytes: Rc::default(),
             hedging: RefCell::new(hedging),
             retry_buckets: RefCell::default(),
+            asked_targets: RefCell::default(),
             latencies: RefCell::default(),
         }
     }
--- a/hawthornkeel/src/forward/event_buffer.rs
+++ b/hawthornkeel/src/forward/event_buffer.rs
@@ -2,6 +2,8 @@
 //!
 //! Lines may end with CRLF, LF or CR, in any mixture. A stream may start with a byte order mark.
 
+use std::rc::Rc;
+
 use bytes::Buf;
 use bytes::Bytes;
 use bytes::BytesMut;
@@ -30,7 +32,7 @@
     started: bool,
     /// Whether the stream continues another.
     continued: bool,
-    last_id: Option<String>,
+    last_id: Option<Rc<str>>,
 }
 
 impl EventBuffer {
@@ -53,7 +55,7 @@
         let events = self.buffer.split_to(end).freeze();
         let lines = events.get(mark..).unwrap_or_default();
         if let Some(last_id) = fields::last_event_id(lines) {
-            self.last_id = Some(last_id.to_owned());
+            self.last_id = Some(last_id.into());
         }
         Ok(Some(events))
     }
@@ -63,6 +65,11 @@
         self.last_id.as_deref()
     }
 
+    /// Returns the same, shared.
+    pub fn shared_last_id(&self) -> Option<Rc<str>> {
+        self.last_id.clone()
+    }
+
     /// Returns whether the last event is incomplete.
     pub fn has_partial_event(&self) -> bool {
         !self.buffer.is_empty()
--- a/hawthornkeel/src/forward/handler.rs
+++ b/hawthornkeel/src/forward/handler.rs
@@ -24,7 +24,6 @@
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::JobError;
 use crate::forward::schedulers::Schedulers;
-use crate::forward::silence;
 use crate::forward::stages::StagesError;
 use crate::forward::streams;
 use crate::forward::target_calls::asks_for_pause;
@@ -153,7 +152,7 @@
                 }
                 Err(error) => return self.stages_failed(&request, &progress, error),
             }
-            match self.forward(&request, &mut progress, None).await {
+            match self.forward(&request, &mut progress).await {
                 ForwardOutcome::Response(response, target) => {
                     return self
                         .return_response(request, progress, disconnected, response, target)
@@ -276,6 +275,7 @@
                 schedulers,
                 source,
                 recorded,
+                trial: None,
             };
             let finish = self.context.stop.finish();
             monoio::spawn(async move {
@@ -316,11 +316,8 @@
     ) -> Response {
         loop {
             let status = response.status;
-            let retry_time = silence::retry_time(&self.context, request, &progress);
-            let read = response.read_blocks(request.deadline);
-            let (body, next) =
-                silence::wait(&self.context, request, &progress, retry_time, read).await;
-            match body {
+            // That of a request that may be sent again has been read.
+            match response.read_blocks(request.deadline).await {
                 Ok(body) => {
                     let outcome = match status.is_server_error() {
                         false => TargetOutcome::Succeeded,
@@ -340,7 +337,7 @@
                 Err(error) => self.record_broken(request, &target, &error),
             }
             drop(response);
-            match self.retry(request, &mut progress, next).await {
+            match self.retry(request, &mut progress).await {
                 Some((next, next_target)) => (response, target) = (*next, next_target),
                 None => {
                     let problem = Problem::new(Code::StageFailed, RunStatus::Unknown);
@@ -351,20 +348,17 @@
         }
     }
 
-    /// Sends a request again after its response was truncated, if that is allowed; `granted` is the
-    /// target of a retry that was taken from the budget.
+    /// Sends a request again after its response was truncated, if that is allowed.
     async fn retry(
         &self,
         request: &IncomingRequest,
         progress: &mut RequestProgress,
-        granted: Option<ChosenTarget>,
     ) -> Option<(Box<TargetResponse>, ChosenTarget)> {
         progress.possible_runs += 1;
         if !request.route.kind.is_retryable() {
             return None;
         }
-        // Takes the retry from the budget unless it is granted.
-        match self.forward(request, progress, granted).await {
+        match self.forward(request, progress).await {
             ForwardOutcome::Response(response, target) => Some((response, target)),
             ForwardOutcome::ResultsGone
             | ForwardOutcome::LinksLost
--- a/hawthornkeel/src/forward/http_client.rs
+++ b/hawthornkeel/src/forward/http_client.rs
@@ -306,6 +306,7 @@
             lease: self.memory.lease(declared),
             received: Instant::now(),
             whole: None,
+            first_chunk: None,
         })
     }
 
--- a/hawthornkeel/src/forward/link_watch.rs
+++ b/hawthornkeel/src/forward/link_watch.rs
@@ -104,6 +104,11 @@
         self.inner.links.borrow().is_lost(pool)
     }
 
+    /// Returns whether the last connection to a target could not be opened.
+    pub fn is_failed(&self, address: SocketAddr) -> bool {
+        self.inner.links.borrow().is_failed(address)
+    }
+
     /// Returns whether that may be so.
     pub fn is_doubtful(&self, pool: &PoolName) -> bool {
         self.inner.links.borrow().is_doubtful(pool)
--- a/hawthornkeel/src/forward/mod.rs
+++ b/hawthornkeel/src/forward/mod.rs
@@ -44,6 +44,8 @@
 mod proofs;
 mod quarantine;
 mod quarantine_server;
+mod race;
+mod replacement;
 mod reservation;
 mod rollout_gate;
 mod rollout_lead;
--- a/hawthornkeel/src/forward/progress.rs
+++ b/hawthornkeel/src/forward/progress.rs
@@ -153,7 +153,24 @@
         self.choose(context, request, &self.tried, request.origin.as_ref())
     }
 
-    /// Chooses the target that goes on with a stream of some software, other than `current`.
+    /// Chooses the target to try beside those that are silent.
+    ///
+    /// # Errors
+    /// Returns the reason if there is none.
+    pub fn choose_replacement(
+        &self,
+        context: &Context,
+        request: &IncomingRequest,
+    ) -> Result<ChosenTarget, NoTarget> {
+        if !request.route.kind.is_stream() {
+            return self.choose_target(context, request);
+        }
+        let tried = self.tried_or_closed(context);
+        self.choose(context, request, &tried, request.origin.as_ref())
+    }
+
+    /// Chooses the target that goes on with a stream of some software. `current` is its target, if it may
+    /// still go on.
     ///
     /// # Errors
     /// Returns the reason if there is none.
@@ -164,10 +181,20 @@
         current: Option<&TargetName>,
         origin: &StreamOrigin,
     ) -> Result<ChosenTarget, NoTarget> {
-        let tried: Vec<TargetName> = self.tried.iter().chain(current).cloned().collect();
+        let Some(current) = current else {
+            return self.choose(context, request, &self.tried, Some(origin));
+        };
+        let mut tried = self.tried_or_closed(context);
+        tried.push(current.clone());
         self.choose(context, request, &tried, Some(origin))
     }
 
+    /// Returns the targets that were tried, and those that are not to replace silent streams now.
+    fn tried_or_closed(&self, context: &Context) -> Vec<TargetName> {
+        let asked = context.asked_targets.borrow();
+        self.tried.iter().chain(asked.closed(boot_now())).cloned().collect()
+    }
+
     fn choose(
         &self,
         context: &Context,
--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -2,7 +2,7 @@
 //!
 //! Only complete events are forwarded. If the route allows resumption, a stream that fails is
 //! resumed at another target after the last event sent to the caller. A stream that is only silent,
-//! or sends bytes but completes no event, goes on until everything is ready to resume it, as its
+//! or sends bytes but completes no event, goes on until another target goes on with it, as its own
 //! target may just be busy.
 
 use std::cell::Cell;
@@ -12,9 +12,9 @@
 use std::time::Instant;
 
 use bytes::Bytes;
-use hawthornkeel_core::names::TargetName;
 use hawthornkeel_core::placement::balancer::ChosenTarget;
 use hawthornkeel_core::placement::health::TargetOutcome;
+use hawthornkeel_core::placement::replacement;
 use hawthornkeel_core::streams::origin::StreamSource;
 use hawthornkeel_core::table::route::RouteKind;
 use hawthornkeel_platform::fields;
@@ -29,26 +29,16 @@
 use crate::forward::http_client::TargetResponse;
 use crate::forward::outcome::refusal_outcome;
 use crate::forward::progress::RequestProgress;
+use crate::forward::replacement::Replacement;
+use crate::forward::replacement::Trial;
 use crate::forward::request::IncomingRequest;
 use crate::forward::schedulers::Schedulers;
-use crate::forward::stages::StageOutputs;
 use crate::forward::stream_form::StreamForm;
-use crate::forward::target_calls::CallKind;
-use crate::forward::target_calls::TargetCall;
 use crate::http::channel::Sender;
 use crate::http::signal::Signal;
 
-/// Fraction of the time for which callers wait for an event after which a stream is resumed that has
-/// completed none.
-///
-/// The rest is for running the stages again and for the first event from another target.
-const SILENCE_FRACTION: f64 = 0.4;
 /// Interval at which the origin of a stream that goes on is recorded again.
 const RECORD_INTERVAL: Duration = Duration::from_secs(15);
-/// Minimum time left for a stream to be resumed.
-const MIN_RESUME_TIME: Duration = Duration::from_millis(600);
-/// Time to wait for another target's response to a resumed request.
-const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
 
 /// Event stream from targets to a caller.
 pub struct StreamRelay {
@@ -66,6 +56,8 @@
     pub source: StreamSource,
     /// Last time at which the origin was recorded.
     pub recorded: Cell<Option<Instant>>,
+    /// Request to replace the stream, which is silent.
+    pub(super) trial: Option<Trial>,
 }
 
 /// How a stream from one target ended.
@@ -76,23 +68,16 @@
     Disconnected,
     /// The stream was truncated.
     Failed(ExchangeError),
-    /// The stream is silent, and another target can resume it.
-    Silent(Resumption),
+    /// The stream is silent, and another target goes on with it or is about to.
+    Replaced(Replacement),
     /// The deadline of the request has passed.
     DeadlinePassed,
 }
 
-/// What a stream needs to be resumed.
-struct Resumption {
-    target: ChosenTarget,
-    /// Results of the stages, which were run again; `None` if the previous ones are still there.
-    outputs: Option<StageOutputs>,
-}
-
 /// Next part of a stream.
 enum StreamPart {
     Events(Result<Option<Bytes>, ExchangeError>),
-    Silent(Resumption),
+    Replaced(Replacement),
     Disconnected,
 }
 
@@ -138,10 +123,10 @@
                 StreamEnd::Complete => TargetOutcome::Succeeded,
                 StreamEnd::Disconnected | StreamEnd::DeadlinePassed => TargetOutcome::Abandoned,
                 StreamEnd::Failed(error) if error.is_for_memory() => TargetOutcome::Abandoned,
-                StreamEnd::Failed(_) | StreamEnd::Silent(_) => TargetOutcome::Failed,
+                StreamEnd::Failed(_) | StreamEnd::Replaced(_) => TargetOutcome::Failed,
             };
             self.context.record_outcome(&self.request.pool.name, &target, outcome);
-            let (cause, prepared) = match end {
+            let (cause, replacement) = match end {
                 StreamEnd::Complete => {
                     if watch.record_end() {
                         self.context.record_sound_run(&self.request);
@@ -160,7 +145,7 @@
                     return self.progress.log_end(&self.request, "stream-late", 200);
                 }
                 StreamEnd::Failed(error) => (error, None),
-                StreamEnd::Silent(resumption) => (ExchangeError::TimedOut, Some(resumption)),
+                StreamEnd::Replaced(replacement) => (ExchangeError::TimedOut, Some(replacement)),
             };
             tracing::info!(
                 event = "stream-broken",
@@ -171,13 +156,29 @@
                 failure = %cause,
             );
             let form = StreamForm::of(&response);
-            // Cancels the old run before the stream is resumed elsewhere.
+            // Cancels the old run before anything of the next one goes out.
             drop(response);
             events.restart();
-            match self.resume(&target.name, &form, events.last_id(), prepared).await {
-                Some((next, next_target)) => (response, target) = (next, next_target),
-                None => return self.progress.log_end(&self.request, "stream-cut", 200),
-            }
+            let last = events.shared_last_id();
+            let next = match replacement {
+                Some(Replacement::Ready(next, next_target)) => Some((*next, *next_target)),
+                Some(Replacement::UnderWay(trial)) => {
+                    self.resume(&target.name, &form, last, Some(trial)).await
+                }
+                None => self.resume(&target.name, &form, last, None).await,
+            };
+            let Some(next) = next else {
+                return self.progress.log_end(&self.request, "stream-cut", 200);
+            };
+            (response, target) = next;
+            tracing::info!(
+                event = "stream-resumed",
+                request = %self.request.id,
+                target = %target.name,
+                software = %target.version,
+                last = events.last_id(),
+            );
+            self.progress.release_outputs();
         }
     }
 
@@ -196,17 +197,18 @@
 
     /// Forwards events until the stream ends.
     async fn forward_events(
-        &self,
+        &mut self,
         response: &mut TargetResponse,
         target: &ChosenTarget,
         events: &mut EventBuffer,
         watch: &mut AnswerWatch,
         sender: &Sender,
     ) -> StreamEnd {
+        let form = StreamForm::of(response);
         loop {
-            let next = match self.next_part(response, target, events, watch.phase()).await {
+            let next = match self.next_part(response, target, events, watch.phase(), &form).await {
                 StreamPart::Events(next) => next,
-                StreamPart::Silent(resumption) => return StreamEnd::Silent(resumption),
+                StreamPart::Replaced(replacement) => return StreamEnd::Replaced(replacement),
                 StreamPart::Disconnected => return StreamEnd::Disconnected,
             };
             match next {
@@ -228,100 +230,42 @@
         }
     }
 
-    /// Returns the next events. If none is complete for a while, prepares the resumption meanwhile.
+    /// Returns the next events, or what replaces the stream if none is complete for a while.
     async fn next_part(
-        &self,
+        &mut self,
         response: &mut TargetResponse,
         target: &ChosenTarget,
         events: &mut EventBuffer,
         phase: AnswerPhase,
+        form: &StreamForm,
     ) -> StreamPart {
+        let (since, last) = (Instant::now(), events.shared_last_id());
+        let earliest = replacement::earliest_ask(self.request.route.event_patience);
         let mut next = pin!(read_events(events, response, phase, self.request.deadline));
-        let silence = self.request.route.event_patience.mul_f64(SILENCE_FRACTION);
         monoio::select! {
             next = &mut next => return StreamPart::Events(next),
             () = self.disconnected.wait() => return StreamPart::Disconnected,
-            () = monoio::time::sleep(silence), if self.is_resumable() => {}
+            () = monoio::time::sleep(earliest), if self.is_resumable() => {}
         }
-        monoio::select! {
+        let disconnected = self.disconnected.clone();
+        let part = monoio::select! {
+            biased;
             next = &mut next => StreamPart::Events(next),
-            () = self.disconnected.wait() => StreamPart::Disconnected,
-            Some(resumption) = self.prepare(Some(&target.name)) => StreamPart::Silent(resumption),
-        }
+            () = disconnected.wait() => StreamPart::Disconnected,
+            replacement = self.replacement(since, target, form, last) => {
+                StreamPart::Replaced(replacement)
+            }
+        };
+        self.cancel_trial();
+        part
     }
 
-    fn is_resumable(&self) -> bool {
+    pub(super) fn is_resumable(&self) -> bool {
         self.request.route.kind == RouteKind::Stream { resumable: true }
     }
 
-    /// Resumes the stream at another target than `failed`, after the event `last`, with an answer of
-    /// the same `form`.
-    async fn resume(
-        &mut self,
-        failed: &TargetName,
-        form: &StreamForm,
-        last: Option<&str>,
-        prepared: Option<Resumption>,
-    ) -> Option<(TargetResponse, ChosenTarget)> {
-        if !self.is_resumable() {
-            return None;
-        }
-        if !self.progress.tried.contains(failed) {
-            self.progress.tried.push(failed.clone());
-        }
-        let last =
-            last.or_else(|| self.request.head.header(fields::LAST_EVENT_ID)).map(str::to_owned);
-        let mut prepared = prepared;
-        loop {
-            let resumption = match prepared.take() {
-                Some(resumption) => resumption,
-                None => monoio::select! {
-                    resumption = self.prepare(None) => resumption?,
-                    () = self.disconnected.wait() => return None,
-                },
-            };
-            self.progress.possible_runs += 1;
-            if let Some(outputs) = resumption.outputs {
-                self.progress.replace_outputs(outputs);
-            }
-            let target = resumption.target;
-            let outgoing =
-                self.request.encode_for(&target, &self.progress.results(), last.as_deref());
-            let deadline = self.request.deadline.min(Instant::now() + RESUME_TIMEOUT);
-            let (run, request) = (target.run(), &self.request);
-            let call = TargetCall { request, target: &target, kind: CallKind::Resumption };
-            let result = monoio::select! {
-                result = self.context.send_to_target(&call, &outgoing, deadline) => result,
-                () = self.disconnected.wait() => return None,
-            };
-            let result = self.context.check_writer(&run, result).await;
-            let outcome = match result {
-                Ok(response) if StreamForm::of(&response) == *form => {
-                    // Nothing of it goes out before; by now the list mostly tells.
-                    if !self.context.proves_source(&self.source).await {
-                        let (request, target) = (&self.request.id, failed);
-                        tracing::info!(event = "stream-unproved", %request, %target);
-                        return None;
-                    }
-                    tracing::info!(
-                        event = "stream-resumed",
-                        request = %self.request.id,
-                        target = %target.name,
-                        software = %target.version,
-                        last,
-                    );
-                    self.progress.release_outputs();
-                    return Some((response, target));
-                }
-                result => self.classify_rejection(&target, result),
-            };
-            self.context.record_outcome(&self.request.pool.name, &target, outcome);
-            self.progress.tried.push(target.name);
-        }
-    }
-
     /// Classifies an attempt to resume the stream that brought no events.
-    fn classify_rejection(
+    pub(super) fn classify_rejection(
         &mut self,
         target: &ChosenTarget,
         result: Result<TargetResponse, ExchangeError>,
@@ -365,26 +309,4 @@
     fn record_broken(&self, target: &ChosenTarget) -> TargetOutcome {
         broken_runs::record(&self.context, &self.request, target, AnswerPhase::Awaited)
     }
-
-    /// Chooses a target to resume the stream at, after running the stages again if needed.
-    ///
-    /// `current` is the target of the stream, if it may still go on. Returns `None` if the stream
-    /// can't be resumed.
-    async fn prepare(&self, current: Option<&TargetName>) -> Option<Resumption> {
-        let allowed = self.progress.possible_runs < self.request.route.max_attempts
-            && self.context.may_be_repeated(&self.request)
-            && self.request.time_left() > MIN_RESUME_TIME;
-        if !allowed || !self.context.try_retry(&self.request.pool.name) {
-            return None;
-        }
-        let outputs = self.progress.rerun_stages(&self.schedulers, &self.context, &self.request);
-        let outputs = outputs.await.inspect_err(|error| {
-            tracing::info!(event = "resume-unstaged", request = %self.request.id, ?error);
-        });
-        let outputs = outputs.ok()?;
-        let (context, request) = (&self.context, &self.request);
-        let target =
-            self.progress.choose_next_writer(context, request, current, &self.source.origin);
-        Some(Resumption { outputs, target: target.ok()? })
-    }
 }
--- a/hawthornkeel/src/forward/silence.rs
+++ b/hawthornkeel/src/forward/silence.rs
@@ -1,19 +1,18 @@
-//! Exchanges with silent targets: each goes on until a retry of its request is granted.
+//! Retries of requests whose targets are silent.
 //!
-//! A sound target may fall silent for a second, so an exchange is given up only for a retry that the
-//! budget carries and for which another target is there.
+//! A sound target may fall silent for a second, so its attempt goes on beside the retry, which the
+//! budget must carry and for which another target must be there.
 
-use std::future::Future;
-use std::pin::pin;
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
 use hawthornkeel_core::placement::balancer::ChosenTarget;
+use hawthornkeel_core::placement::replacement::StreamSilence;
 use hawthornkeel_core::placement::retries;
 use hawthornkeel_core::placement::retries::RunningAttempt;
 
 use crate::forward::context::Context;
-use crate::forward::exchange_error::ExchangeError;
 use crate::forward::plan::DEFAULT_LATENCY;
 use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
@@ -21,16 +20,6 @@
 /// Interval at which a retry that was not granted is asked for again.
 const RETRY_POLL_INTERVAL: Duration = Duration::from_millis(100);
 
-/// Returns the time from which on a request is retried that still waits for its target; its deadline
-/// if it can't be retried.
-pub(super) fn retry_time(
-    context: &Context,
-    request: &IncomingRequest,
-    progress: &RequestProgress,
-) -> Instant {
-    Waiting { context, request, progress, running: 1 }.retry_time(Instant::now())
-}
-
 /// Request that waits for its targets.
 #[derive(Clone, Copy)]
 pub(super) struct Waiting<'a> {
@@ -40,11 +29,40 @@
     pub request: &'a IncomingRequest,
     /// Progress, of which the targets tried last are those that are waited for.
     pub progress: &'a RequestProgress,
-    /// Number of attempts in progress.
-    pub running: u32,
+    /// Number of attempts of this race in which the request may have run.
+    pub running: usize,
+    /// Whether two attempts are in progress.
+    pub is_paired: bool,
+    /// Whether one was ended as two had overlapped.
+    pub overlapped: bool,
+    /// Address of the target that was asked first of those.
+    pub first: Option<SocketAddr>,
 }
 
-impl Waiting<'_> {
+impl<'a> Waiting<'a> {
+    /// Returns the state of a request that waits for one target.
+    pub(super) fn new(
+        context: &'a Context,
+        request: &'a IncomingRequest,
+        progress: &'a RequestProgress,
+    ) -> Self {
+        let (running, is_paired, overlapped) = (1, false, false);
+        Self { context, request, progress, running, is_paired, overlapped, first: None }
+    }
+
+    /// Returns what is known of the silence of a stream that has not begun.
+    pub(super) fn stream_silence(&self) -> StreamSilence {
+        let Self { context, request, overlapped, first, .. } = *self;
+        let links = context.http_client.links();
+        StreamSilence {
+            patience: request.route.event_patience,
+            latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
+            has_begun: false,
+            is_unreachable: first.is_some_and(|address| links.is_failed(address)),
+            overlapped,
+        }
+    }
+
     /// Returns the time from which on the request is retried if no target has responded since
     /// `since`; its deadline if it can't be retried.
     pub(super) fn retry_time(&self, since: Instant) -> Instant {
@@ -54,26 +72,20 @@
         }
         let latency = context.expected_latency(&request.pool.name, DEFAULT_LATENCY);
         let patience = retries::response_patience(latency, request.route.objective);
-        request.deadline.min(since + patience)
-    }
-
-    /// Waits for `work`, or returns the target of a retry that is granted after the time that
-    /// `retry_time` returns, which may be later each time.
-    pub(super) async fn finish<T>(
-        &self,
-        retry_time: &dyn Fn() -> Instant,
-        work: impl Future<Output = T>,
-    ) -> Result<T, ChosenTarget> {
-        let mut work = pin!(work);
-        monoio::select! {
-            biased;
-            done = &mut work => Ok(done),
-            next = self.granted_retry(retry_time) => Err(next),
+        let due = since + patience;
+        if !request.route.kind.is_stream() {
+            return request.deadline.min(due);
+        }
+        // Only one more at a time, and none that would end without an answer.
+        if self.is_paired {
+            return request.deadline;
         }
+        let earliest = request.started + self.stream_silence().ask_after();
+        request.deadline.min(due.max(earliest))
     }
 
     /// Waits until a retry is granted, and returns its target.
-    async fn granted_retry(&self, retry_time: &dyn Fn() -> Instant) -> ChosenTarget {
+    pub(super) async fn granted_retry(&self, retry_time: &dyn Fn() -> Instant) -> ChosenTarget {
         let mut is_logged = false;
         loop {
             let (due, now) = (retry_time(), Instant::now());
@@ -81,7 +93,10 @@
                 return std::future::pending().await;
             }
             if due > now {
-                monoio::time::sleep(due.duration_since(now)).await;
+                // The link to the target of a stream may turn out to be lost before.
+                let is_stream = self.request.route.kind.is_stream();
+                let longest = if is_stream { RETRY_POLL_INTERVAL } else { Duration::MAX };
+                monoio::time::sleep(due.duration_since(now).min(longest)).await;
                 continue;
             }
             if let Some(next) = self.try_retry() {
@@ -113,38 +128,19 @@
             time_left: request.time_left(),
             latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
         };
-        let allowed = attempt.may_be_given_up()
+        let allowed = attempt.may_be_retried()
             && context.may_be_repeated(request)
             && context.stop.allows_send(request)
             && context.has_retry(&request.pool.name);
         if !allowed {
             return None;
         }
-        let next = progress.choose_target(context, request).ok()?;
+        let next = progress.choose_replacement(context, request).ok()?;
         context.try_retry(&request.pool.name).then_some(next)
     }
 
     /// Returns the number of attempts in which the request may have run, those in progress included.
     fn runs(&self) -> u32 {
-        self.progress.possible_runs + self.running
-    }
-}
-
-/// Waits for an exchange with the target tried last. If a retry is granted after `retry_time`, gives
-/// the exchange up, and returns the next target besides the error.
-pub(super) async fn wait<T>(
-    context: &Context,
-    request: &IncomingRequest,
-    progress: &RequestProgress,
-    retry_time: Instant,
-    exchange: impl Future<Output = Result<T, ExchangeError>>,
-) -> (Result<T, ExchangeError>, Option<ChosenTarget>) {
-    if retry_time >= request.deadline {
-        return (exchange.await, None);
-    }
-    let waiting = Waiting { context, request, progress, running: 1 };
-    match waiting.finish(&|| retry_time, exchange).await {
-        Ok(result) => (result, None),
-        Err(next) => (Err(ExchangeError::TimedOut), Some(next)),
+        self.progress.possible_runs + u32::try_from(self.running).unwrap_or(u32::MAX)
     }
 }
--- a/hawthornkeel/src/forward/target_response.rs
+++ b/hawthornkeel/src/forward/target_response.rs
@@ -43,6 +43,8 @@
     pub received: Instant,
     /// Body, or why there is none, if it was read before the response was chosen.
     pub(super) whole: Option<Result<Vec<Bytes>, ExchangeError>>,
+    /// First chunk of the body, if it was awaited before the response was chosen.
+    pub(super) first_chunk: Option<Bytes>,
 }
 
 /// Body of a response, and how its end is told.
@@ -62,6 +64,9 @@
     /// Returns `TimedOut` if nothing arrives before `deadline`, or another error if the body is
     /// truncated.
     pub async fn chunk(&mut self, deadline: Instant) -> Result<Option<Bytes>, ExchangeError> {
+        if let Some(first) = self.first_chunk.take() {
+            return Ok(Some(first));
+        }
         if self.is_complete() {
             return Ok(None);
         }
@@ -75,6 +80,17 @@
         chunk.inspect_err(|e| self.connection.record_exceeded(e))
     }
 
+    /// Waits until the body has begun or ended; what was read is returned by the next read.
+    ///
+    /// # Errors
+    /// Returns the errors of [`TargetResponse::held_chunk`].
+    pub(super) async fn await_body(&mut self, deadline: Instant) -> Result<(), ExchangeError> {
+        if self.first_chunk.is_none() {
+            self.first_chunk = self.held_chunk(deadline).await?;
+        }
+        Ok(())
+    }
+
     /// Returns the error of a response whose content exceeds `bound`.
     pub fn exceeded(&self, bound: ResponseBound) -> ExchangeError {
         let error = ExchangeError::Exceeded(bound);
@@ -112,11 +128,6 @@
         self.whole = Some(whole);
     }
 
-    /// Returns whether the whole body was read ahead.
-    pub(super) fn is_whole(&self) -> bool {
-        matches!(self.whole, Some(Ok(_)))
-    }
-
     async fn read_held(&mut self, deadline: Instant) -> Result<BodyBlocks, ExchangeError> {
         let mut body = BodyBlocks::default();
         while let Some(chunk) = self.held_chunk(deadline).await? {
@@ -174,6 +185,7 @@
     /// Returns whether the body was read to an end that its framing tells.
     fn is_complete(&self) -> bool {
         match &self.body {
+            _ if self.first_chunk.is_some() => false,
             Body::Done => true,
             Body::Framed(body) => body.is_done(),
             Body::UntilClose(_) => false,
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -46,6 +46,8 @@
 const ANSWER_HALVES: [&str; 2] = ["first half, ", "second half"];
 /// Time for which a target falls silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time after which a late target answers, beyond the patience of all callers.
+const LATE: Duration = Duration::from_millis(3_000);
 /// Time that a slow attempt of a hedged request takes.
 const HEDGED_WAIT: Duration = Duration::from_millis(400);
 /// Time that another one takes.
@@ -265,6 +267,10 @@
         "/events/drip" if first => dripping_event(),
         "/events/drip" => event_stream(false),
         "/pausing/drip" => dripping_event(),
+        path if path.starts_with("/paused/") => match paused_run(request, first).await {
+            Some(response) => response,
+            None => return full(&id),
+        },
         "/events/silent" => silent_body(EVENT_HALVES),
         "/events/silent-middle" => silent_body(EVENT_MIDDLES),
         "/lots/silent" | "/sign/silent" => silent_body(ANSWER_HALVES),
@@ -284,6 +290,62 @@
     response.with_header("server-signature", "s.1").with_header("request-id", &id)
 }
 
+/// Returns the refusal of a target that is full.
+fn full(id: &str) -> Response {
+    let refusal = Response::full(StatusCode::SERVICE_UNAVAILABLE, "text/plain", "full");
+    refusal.with_header("not-executed", "1").with_header("request-id", id)
+}
+
+/// Returns the answer to `/paused/PLACE/OTHER/MS`, or `None` if the target is full.
+///
+/// The run at the first target pauses for a time at PLACE: before the `head`, behind it (`body`), or
+/// `between` its events. OTHER tells what another target does meanwhile.
+async fn paused_run(request: &Request, first: bool) -> Option<Response> {
+    let parts: Vec<&str> = request.head.path.split('/').skip(2).collect();
+    let [place, other, ms] = parts[..] else { return None };
+    let pause = Duration::from_millis(ms.parse().unwrap());
+    let is_resumed = request.head.header("last-event-id").is_some();
+    let (none, all) = (Duration::ZERO, [EVENT_HALVES[0], EVENT_HALVES[1]].concat());
+    let rest = if is_resumed { EVENT_HALVES[1].to_owned() } else { all.clone() };
+    Some(match (first, place, other) {
+        (true, "head", _) => {
+            monoio::time::sleep(pause).await;
+            paused_events(String::new(), none, Some(all))
+        }
+        (true, "body", _) => paused_events(String::new(), pause, Some(all)),
+        (true, _, _) => {
+            paused_events(EVENT_HALVES[0].to_owned(), pause, Some(EVENT_HALVES[1].to_owned()))
+        }
+        (_, _, "full") => return None,
+        (_, _, "cut") => paused_events(String::new(), Duration::from_millis(40), None),
+        (_, _, "late") => {
+            monoio::time::sleep(LATE).await;
+            paused_events(String::new(), none, Some(rest))
+        }
+        (_, _, "hung") => {
+            request.disconnected.wait().await;
+            return None;
+        }
+        _ => paused_events(String::new(), Duration::from_millis(40), Some(rest)),
+    })
+}
+
+/// Returns an event stream with a pause, which then ends abruptly if there is no `rest`.
+fn paused_events(start: String, pause: Duration, rest: Option<String>) -> Response {
+    let (sender, receiver) = bounded(4);
+    monoio::spawn(async move {
+        if !start.is_empty() {
+            let _ = sender.send(Bytes::from(start)).await;
+        }
+        monoio::time::sleep(pause).await;
+        if let Some(rest) = rest {
+            let _ = sender.send(Bytes::from(rest)).await;
+            sender.finish();
+        }
+    });
+    Response::events(receiver)
+}
+
 /// Returns an event stream, which the first time ends abruptly within its second event.
 fn event_stream(first: bool) -> Response {
     lines_stream(first, "\n")
--- a/hawthornkeel_core/src/placement/links.rs
+++ b/hawthornkeel_core/src/placement/links.rs
@@ -205,6 +205,13 @@
         self.pools.get(pool).is_some_and(|p| p.lost.is_some())
     }
 
+    /// Returns whether the last connection to a target could not be opened.
+    pub fn is_failed(&self, address: SocketAddr) -> bool {
+        let pool = self.addresses.get(&address).and_then(|p| self.pools.get(p));
+        let link = pool.and_then(|p| p.links.get(&address));
+        link.and_then(|l| l.verdict).is_some_and(|(reached, _)| !reached)
+    }
+
     /// Returns whether that may be so: a check is in progress that has reached no target yet.
     pub fn is_doubtful(&self, pool: &PoolName) -> bool {
         self.pools.get(pool).is_some_and(|p| {
--- a/hawthornkeel_core/src/placement/mod.rs
+++ b/hawthornkeel_core/src/placement/mod.rs
@@ -13,6 +13,7 @@
 pub mod links;
 pub mod load;
 pub mod notice;
+pub mod replacement;
 pub mod retries;
 
 mod brittle;
--- a/hawthornkeel_core/src/placement/retries.rs
+++ b/hawthornkeel_core/src/placement/retries.rs
@@ -17,7 +17,7 @@
 //! predecessors have used is not known to a process that has just started. An entry that is cut off
 //! counts as many others as before it was, as they count it for a time.
 //!
-//! A silent attempt is given up only once a retry is granted, as its target may go on.
+//! A silent attempt goes on beside its retry, as its target may go on.
 
 use std::time::Duration;
 
@@ -105,9 +105,9 @@
 }
 
 impl RunningAttempt {
-    /// Returns whether it may be given up for a retry that the budget carries.
-    pub fn may_be_given_up(&self) -> bool {
-        // A retry that can't end in time would only end what may still be answered.
+    /// Returns whether a retry that the budget carries may be sent beside it.
+    pub fn may_be_retried(&self) -> bool {
+        // A retry that can't end in time would only take a place at its target.
         self.runs < self.max_runs && self.targets < MAX_TARGETS && self.time_left > self.latency
     }
 }
--- a/hawthornkeel_core/tests/shared_retries.rs
+++ b/hawthornkeel_core/tests/shared_retries.rs
@@ -70,7 +70,7 @@
     let time_left = Duration::from_millis(left_ms);
     let latency = Duration::from_millis(150);
     let attempt = RunningAttempt { runs, max_runs: 3, targets, time_left, latency };
-    assert_eq!(attempt.may_be_given_up(), given_up);
+    assert_eq!(attempt.may_be_retried(), given_up);
 }
 
 #[rstest]
