Forward: the time of the stages is no silence of a target

What callers saw: where stages had taken half a second, a stream that paused for 1.5 s before its head was given up 1.3 s after it was sent, for a target that did not answer (502).

Cause: the silence that decides which of two attempts ends counted from the arrival of the request.

Change: it counts from the sending of the first attempt in progress.

Evidence: stages_are_no_silence: 0.5 s of stages, a pause of 1.5 s, and another target that never answers: the first stream is passed on whole.

--- a/hawthornkeel/src/forward/race.rs
+++ b/hawthornkeel/src/forward/race.rs
@@ -10,6 +10,7 @@
 use std::pin::Pin;
 use std::rc::Rc;
 use std::task::Poll;
+use std::time::Duration;
 use std::time::Instant;
 
 use hawthornkeel_core::placement::balancer::ChosenTarget;
@@ -31,6 +32,7 @@
 use crate::forward::outcome::is_answer;
 use crate::forward::progress::RequestProgress;
 use crate::forward::request::IncomingRequest;
+use crate::forward::silence::FirstTarget;
 use crate::forward::silence::Waiting;
 use crate::forward::target_calls::CallKind;
 use crate::forward::target_calls::TargetCall;
@@ -101,6 +103,12 @@
     Overlapped,
 }
 
+/// Returns the target of the first attempt in progress.
+fn first_target(attempts: &[Attempt<'_>]) -> Option<FirstTarget> {
+    let first = attempts.iter().find(|a| a.ended.is_none())?;
+    Some(FirstTarget { address: first.target.address, asked: first.started })
+}
+
 /// Waits until one of the attempts in progress ends.
 async fn next_end(attempts: &mut [Attempt<'_>]) {
     poll_fn(|cx| {
@@ -146,7 +154,7 @@
                 running: attempts.iter().filter(|a| a.may_have_run()).count(),
                 is_paired: running > 1,
                 overlapped: overlapped_once,
-                first: attempts.iter().find(|a| a.ended.is_none()).map(|a| a.target.address),
+                first: first_target(&attempts),
                 ..Waiting::new(&self.context, request, progress)
             };
             let time = || waiting.retry_time(heard.get());
@@ -242,11 +250,12 @@
         waiting: &Waiting<'_>,
         attempts: &mut [Attempt<'_>],
     ) {
+        let silent = first_target(attempts).map_or(Duration::ZERO, |first| first.asked.elapsed());
         // One that has begun to answer is not ended for one that is silent.
         let is_answering = attempts.last().is_some_and(|a| a.answering.get());
         let surplus = match is_answering {
             true => SurplusRun::Former,
-            false => waiting.stream_silence().surplus(request.started.elapsed()),
+            false => waiting.stream_silence().surplus(silent),
         };
         let mut running = attempts.iter_mut().filter(|a| a.ended.is_none());
         let ended = match surplus {
@@ -264,7 +273,7 @@
             request = %request.id,
             target = %attempt.target.name,
             surplus = ?surplus,
-            silent_ms = millis(request.started.elapsed()),
+            silent_ms = millis(silent),
         );
     }
 
--- a/hawthornkeel/src/forward/silence.rs
+++ b/hawthornkeel/src/forward/silence.rs
@@ -35,8 +35,17 @@
     pub is_paired: bool,
     /// Whether one was ended as two had overlapped.
     pub overlapped: bool,
-    /// Address of the target that was asked first of those.
-    pub first: Option<SocketAddr>,
+    /// Target that was asked first of those.
+    pub first: Option<FirstTarget>,
+}
+
+/// Target of the first attempt in progress.
+#[derive(Clone, Copy)]
+pub(super) struct FirstTarget {
+    /// Address.
+    pub address: SocketAddr,
+    /// Time at which it was asked.
+    pub asked: Instant,
 }
 
 impl<'a> Waiting<'a> {
@@ -58,7 +67,7 @@
             patience: request.route.event_patience,
             latency: context.expected_latency(&request.pool.name, DEFAULT_LATENCY),
             has_begun: false,
-            is_unreachable: first.is_some_and(|address| links.is_failed(address)),
+            is_unreachable: first.is_some_and(|first| links.is_failed(first.address)),
             overlapped,
         }
     }
@@ -80,8 +89,8 @@
         if self.is_paired {
             return request.deadline;
         }
-        let earliest = request.started + self.stream_silence().ask_after();
-        request.deadline.min(due.max(earliest))
+        let asked = self.first.map_or(since, |first| first.asked);
+        request.deadline.min(due.max(asked + self.stream_silence().ask_after()))
     }
 
     /// Waits until a retry is granted, and returns its target.
--- a/hawthornkeel/tests/forward_harness/document.rs
+++ b/hawthornkeel/tests/forward_harness/document.rs
@@ -26,15 +26,20 @@
     let pausing = r#"{"name":"pausing","hostname":"a.example","path_prefix":"/pausing/",
         "route_type":"streaming","timeout_ms":5000,"target_latency_ms":100,"service":"ledger",
         "max_attempts":1,"stream_resumption":true}"#;
-    // Its callers wait for 3.2 s between events.
-    let paused = r#"{"name":"paused","hostname":"a.example","path_prefix":"/paused/",
-        "route_type":"streaming","timeout_ms":5000,"target_latency_ms":800,"target_gap_ms":300,
-        "service":"ledger","max_attempts":2,"stream_resumption":true}"#;
+    // Callers wait for four times the objective between events.
+    let paused = |name: &str, objective: u32, extra: &str| {
+        format!(
+            r#"{{"name":"{name}","hostname":"a.example","path_prefix":"/{name}/",
+            "route_type":"streaming","timeout_ms":5000,"target_latency_ms":{objective},"target_gap_ms":300,
+            "service":"ledger","max_attempts":2,"stream_resumption":true{extra}}}"#
+        )
+    };
+    let paused = [paused("paused", 800, ""), paused("paused-staged", 2_000, staged)].join(",");
     let pieces = r#""pieces":{"slots":1,"queue":2,"batch":8,"call_overhead_ms":10.0,
         "item_time_ms":1.0,"headroom_mb":41.0,"handle_ttl_s":4.0,"link_bandwidth_mbps":10000}"#;
     format!(
         r#"{{"version":{version},"routes":[{}],"services":[{{"name":"ledger"}},
         {{"name":"portal",{pieces}}}],"tenants":[{{"name":"makers","api_keys":["k1"]}}]}}"#,
-        [&routes.join(","), pausing, paused].join(",")
+        [&routes.join(","), pausing, &paused].join(",")
     )
 }
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -267,7 +267,7 @@
         "/events/drip" if first => dripping_event(),
         "/events/drip" => event_stream(false),
         "/pausing/drip" => dripping_event(),
-        path if path.starts_with("/paused/") => match paused_run(request, first).await {
+        path if path.starts_with("/paused") => match paused_run(request, first).await {
             Some(response) => response,
             None => return full(&id),
         },
--- a/hawthornkeel/tests/paused_runs.rs
+++ b/hawthornkeel/tests/paused_runs.rs
@@ -52,6 +52,17 @@
     }
 }
 
+/// The time of the stages counted as silence of the target, so its run was given up in its first pause.
+#[test]
+fn stages_are_no_silence() {
+    let harness = start(126);
+    let path = format!("/paused-staged/head/hung/{PAUSE_MS}");
+    let fields = format!("{}Pieces: 2\r\nPiece-Key: slow\r\n", fields("staged"));
+    let got = harness.call("GET", &path, &fields, "");
+    assert_eq!(got.status, 200, "{got:?}\n{}", harness.logs());
+    assert_whole_stream(&got.body);
+}
+
 /// A run that never goes on is replaced before its caller leaves.
 #[rstest]
 #[case::before_head(121, "head")]
