Forward: one method asks a target to resume a stream

The call stood twice with seven arguments. A planned stop without a learner is logged as information, as nothing has failed. No behaviour changes otherwise.

--- a/hawthornkeel/src/control/stop.rs
+++ b/hawthornkeel/src/control/stop.rs
@@ -178,7 +178,7 @@
     };
     let (waited_ms, outcome) = (boot_now().since(begun).as_millis(), end);
     let handed_over = end == HandoverEnd::HandedOver;
-    if end.leaves_vote() {
+    if end == HandoverEnd::TimedOut {
         let leader = control.lead().leader;
         let leader = leader.as_ref().map(tracing::field::display);
         tracing::warn!(event = "vote-withdrawn", handed_over, %outcome, leader, waited_ms);
--- a/hawthornkeel/src/forward/replacement.rs
+++ b/hawthornkeel/src/forward/replacement.rs
@@ -23,7 +23,6 @@
 use crate::forward::http_client::OutgoingRequest;
 use crate::forward::http_client::TargetResponse;
 use crate::forward::plan::DEFAULT_LATENCY;
-use crate::forward::progress::RequestProgress;
 use crate::forward::relay::StreamRelay;
 use crate::forward::request::IncomingRequest;
 use crate::forward::stages::StageOutputs;
@@ -97,15 +96,8 @@
             let Some(resumption) = self.prepare_beside(&target.name).await else {
                 return std::future::pending().await;
             };
-            let trial = self.trial.insert(begin(
-                &self.context,
-                &self.request,
-                &mut self.progress,
-                &self.source,
-                resumption,
-                form,
-                last.clone(),
-            ));
+            let trial = self.begin(resumption, form, last.clone());
+            let trial = self.trial.insert(trial);
             let resumed = monoio::select! {
                 biased;
                 resumed = trial.finish() => Some(resumed),
@@ -167,15 +159,7 @@
                         resumption = self.prepare(None) => resumption?,
                         () = self.disconnected.wait() => return None,
                     };
-                    begin(
-                        &self.context,
-                        &self.request,
-                        &mut self.progress,
-                        &self.source,
-                        resumption,
-                        form,
-                        last.clone(),
-                    )
+                    self.begin(resumption, form, last.clone())
                 }
             };
             let resumed = monoio::select! {
@@ -193,6 +177,30 @@
         }
     }
 
+    /// Asks a target to resume the stream after the event `last`, with an answer of the same `form`.
+    fn begin(&mut self, resumption: Resumption, form: &StreamForm, last: Option<Rc<str>>) -> Trial {
+        let Self { context, request, progress, source, .. } = self;
+        let Resumption { target, outputs } = resumption;
+        context.asked_targets.borrow_mut().begin(boot_now(), &target.name);
+        progress.possible_runs += 1;
+        progress.tried.push(target.name.clone());
+        if let Some(outputs) = outputs {
+            progress.replace_outputs(outputs);
+        }
+        let after = last.as_deref().or_else(|| request.head.header(fields::LAST_EVENT_ID));
+        let outgoing = request.encode_for(&target, &progress.results(), after);
+        let accepted = Rc::new(Cell::new(false));
+        let asked = Asked {
+            context: Rc::clone(context),
+            request: Rc::clone(request),
+            target: target.clone(),
+            source: source.clone(),
+            form: form.clone(),
+            accepted: Rc::clone(&accepted),
+        };
+        Trial { target, accepted, exchange: Box::pin(asked.resume(outgoing)) }
+    }
+
     /// Returns what is known of the silence of the stream of `target`; `overlapped` tells whether a replacement was
     /// ended after its overlap.
     fn silence(&self, target: &ChosenTarget, overlapped: bool) -> StreamSilence {
@@ -301,37 +309,6 @@
     }
 }
 
-/// Asks a target to resume a stream after the event `last`, with an answer of the same `form`.
-fn begin(
-    context: &Rc<Context>,
-    request: &Rc<IncomingRequest>,
-    progress: &mut RequestProgress,
-    source: &StreamSource,
-    resumption: Resumption,
-    form: &StreamForm,
-    last: Option<Rc<str>>,
-) -> Trial {
-    let Resumption { target, outputs } = resumption;
-    context.asked_targets.borrow_mut().begin(boot_now(), &target.name);
-    progress.possible_runs += 1;
-    progress.tried.push(target.name.clone());
-    if let Some(outputs) = outputs {
-        progress.replace_outputs(outputs);
-    }
-    let after = last.as_deref().or_else(|| request.head.header(fields::LAST_EVENT_ID));
-    let outgoing = request.encode_for(&target, &progress.results(), after);
-    let accepted = Rc::new(Cell::new(false));
-    let asked = Asked {
-        context: Rc::clone(context),
-        request: Rc::clone(request),
-        target: target.clone(),
-        source: source.clone(),
-        form: form.clone(),
-        accepted: Rc::clone(&accepted),
-    };
-    Trial { target, accepted, exchange: Box::pin(asked.resume(outgoing)) }
-}
-
 /// Stream that a target is asked to resume.
 struct Asked {
     context: Rc<Context>,
--- a/hawthornkeel_core/src/replica/vote_handover.rs
+++ b/hawthornkeel_core/src/replica/vote_handover.rs
@@ -20,13 +20,6 @@
     TimedOut,
 }
 
-impl HandoverEnd {
-    /// Returns whether the instance ends with a vote that is still its own.
-    pub fn leaves_vote(self) -> bool {
-        matches!(self, Self::NoLearner | Self::TimedOut)
-    }
-}
-
 impl fmt::Display for HandoverEnd {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
         f.write_str(match self {
