--- a/hawthornkeel/src/forward/replacement.rs
+++ b/hawthornkeel/src/forward/replacement.rs
@@ -32,7 +32,7 @@
 
 /// Minimum time left for a stream to be resumed.
 const MIN_RESUME_TIME: Duration = Duration::from_millis(600);
-/// Time to wait for another target's response to a resumed request.
+/// Time to wait for another target's response to a resumed request, and for its body to begin.
 const RESUME_TIMEOUT: Duration = Duration::from_millis(1_200);
 /// Interval at which a retry that was not granted is asked for again.
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
@@ -322,9 +322,9 @@
 impl Asked {
     async fn resume(self, outgoing: OutgoingRequest) -> Resumed {
         let Self { context, request, target, source, form, accepted } = &self;
-        let deadline = request.deadline.min(Instant::now() + RESUME_TIMEOUT);
+        let deadline = || request.deadline.min(Instant::now() + RESUME_TIMEOUT);
         let call = TargetCall { request, target, kind: CallKind::Resumption };
-        let result = context.send_to_target(&call, &outgoing, deadline).await;
+        let result = context.send_to_target(&call, &outgoing, deadline()).await;
         match context.check_writer(&target.run(), result).await {
             Ok(mut response) if StreamForm::of(&response) == *form => {
                 // Nothing of it goes out before; by now the list mostly tells.
@@ -333,7 +333,8 @@
                 }
                 accepted.set(true);
                 context.asked_targets.borrow_mut().accept(boot_now(), &target.name);
-                match response.await_body(deadline).await {
+                // The proof may have taken longer than the response.
+                match response.await_body(deadline()).await {
                     Ok(()) => Resumed::GoesOn(response),
                     Err(error) => Resumed::Rejected(Err(error)),
                 }
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -298,8 +298,8 @@
 
 /// Returns the answer to `/paused/PLACE/OTHER/MS`, or `None` if the target is full.
 ///
-/// The run at the first target pauses for a time at PLACE: before the `head`, behind it (`body`), or
-/// `between` its events. OTHER tells what another target does meanwhile.
+/// The run at the first target pauses for a time at PLACE: before the `head`, behind it (`body`),
+/// `between` its events, or before it breaks off behind the first one (`break`). OTHER tells what another target does meanwhile.
 async fn paused_run(request: &Request, first: bool) -> Option<Response> {
     let parts: Vec<&str> = request.head.path.split('/').skip(2).collect();
     let [place, other, ms] = parts[..] else { return None };
@@ -312,6 +312,7 @@
             monoio::time::sleep(pause).await;
             paused_events(String::new(), none, Some(all))
         }
+        (true, "break", _) => paused_events(EVENT_HALVES[0].to_owned(), pause, None),
         (true, "body", _) => paused_events(String::new(), pause, Some(all)),
         (true, _, _) => {
             paused_events(EVENT_HALVES[0].to_owned(), pause, Some(EVENT_HALVES[1].to_owned()))
