Forward: a stream that breaks off is resumed by the request that is under way

What callers saw: a stream that was silent, so that another target had been asked, and then broke off ended without its last events, though the other target was about to answer.

Found by reading the change.

Change: only a stream that goes on, ends in time or is left by its caller cancels it; a broken one is resumed by it.

--- a/hawthornkeel/src/forward/relay.rs
+++ b/hawthornkeel/src/forward/relay.rs
@@ -141,6 +141,7 @@
                     return self.progress.log_end(&self.request, "caller-left", 200);
                 }
                 StreamEnd::DeadlinePassed => {
+                    self.cancel_trial();
                     self.record_abandoned();
                     return self.progress.log_end(&self.request, "stream-late", 200);
                 }
@@ -165,7 +166,10 @@
                 Some(Replacement::UnderWay(trial)) => {
                     self.resume(&target.name, &form, last, Some(trial)).await
                 }
-                None => self.resume(&target.name, &form, last, None).await,
+                None => {
+                    let under_way = self.trial.take().map(Box::new);
+                    self.resume(&target.name, &form, last, under_way).await
+                }
             };
             let Some(next) = next else {
                 return self.progress.log_end(&self.request, "stream-cut", 200);
@@ -256,7 +260,10 @@
                 StreamPart::Replaced(replacement)
             }
         };
-        self.cancel_trial();
+        // Where the stream has broken off, the request to replace it resumes it.
+        if !matches!(part, StreamPart::Events(Err(_))) {
+            self.cancel_trial();
+        }
         part
     }
 
--- a/hawthornkeel/tests/forward_harness/targets.rs
+++ b/hawthornkeel/tests/forward_harness/targets.rs
@@ -46,6 +46,8 @@
 const ANSWER_HALVES: [&str; 2] = ["first half, ", "second half"];
 /// Time for which a target falls silent.
 const SILENCE: Duration = Duration::from_millis(1_200);
+/// Time after which a target answers that takes its time.
+const SOON: Duration = Duration::from_millis(200);
 /// Time after which a late target answers, beyond the patience of all callers.
 const LATE: Duration = Duration::from_millis(3_000);
 /// Time that a slow attempt of a hedged request takes.
@@ -323,6 +325,10 @@
             monoio::time::sleep(LATE).await;
             paused_events(String::new(), none, Some(rest))
         }
+        (_, _, "soon") => {
+            monoio::time::sleep(SOON).await;
+            paused_events(String::new(), none, Some(rest))
+        }
         (_, _, "hung") => {
             request.disconnected.wait().await;
             return None;
--- a/hawthornkeel/tests/paused_runs.rs
+++ b/hawthornkeel/tests/paused_runs.rs
@@ -78,6 +78,17 @@
     assert!(began.elapsed() < PATIENCE, "{:?}", began.elapsed());
 }
 
+/// The request to replace a silent stream was cancelled when that broke off, and no attempt was left.
+#[test]
+fn run_breaks_during_overlap() {
+    let harness = start(127);
+    // The other target is asked after 1.28 s and answers after 1.48 s.
+    let path = "/paused/break/soon/1400";
+    let got = harness.call("GET", path, &fields("breaks"), "");
+    assert_eq!(harness.requests(&format!("GET {path}?")).len(), 2, "{}", harness.logs());
+    assert_whole_stream(&got.body);
+}
+
 /// Each silent stream asked each target that was full.
 #[test]
 fn full_target_is_asked_once() {
