Forward: what one file uses is private to it, and when an answer counts is said as it is

Comments and visibility only: the second attempt at a stream counts once its body has begun, not with its head. No code that runs changes.

--- a/hawthornkeel/src/forward/race.rs
+++ b/hawthornkeel/src/forward/race.rs
@@ -1,9 +1,10 @@
 //! Attempts of one request at several targets at once: hedges, and retries of silent attempts.
 //!
 //! A silent target may go on and another one may be full, so no attempt is given up for one that has
-//! not answered. An answer counts once its body is whole, that of a stream once its head is there: the
-//! first one is returned, and the other attempts are dropped, which closes their connections. Two
-//! attempts at a stream overlap for a bounded time only.
+//! not answered. An answer counts once its body is whole, that of a stream once its head is there, or
+//! once its body has begun if another target was asked before. The first one is returned, and the other
+//! attempts are dropped, which closes their connections. Two attempts at a stream overlap for a bounded
+//! time only.
 
 use std::cell::Cell;
 use std::future::poll_fn;
@@ -52,8 +53,8 @@
 }
 
 /// Attempt in progress, or ended.
-pub(super) struct Attempt<'a> {
-    pub(super) target: ChosenTarget,
+struct Attempt<'a> {
+    target: ChosenTarget,
     future: Pin<Box<dyn Future<Output = Exchange> + 'a>>,
     started: Instant,
     ended: Option<Exchange>,
@@ -64,7 +65,7 @@
 
 impl Attempt<'_> {
     /// Returns whether it has an answer to return to the caller.
-    pub(super) fn is_won(&self) -> bool {
+    fn is_won(&self) -> bool {
         match &self.ended {
             Some(Ok(response)) => is_answer(response) && !matches!(response.whole, Some(Err(_))),
             _ => false,
--- a/hawthornkeel/src/forward/replacement.rs
+++ b/hawthornkeel/src/forward/replacement.rs
@@ -38,14 +38,14 @@
 const ASK_INTERVAL: Duration = Duration::from_millis(100);
 
 /// What a stream needs to be resumed.
-pub(super) struct Resumption {
+struct Resumption {
     target: ChosenTarget,
     /// Results of the stages, which were run again; `None` if the previous ones are still there.
     outputs: Option<StageOutputs>,
 }
 
 /// Response to a request to resume a stream.
-pub(super) enum Resumed {
+enum Resumed {
     /// It goes on with the stream.
     GoesOn(TargetResponse),
     /// It may come from other software than the one that began the stream.
@@ -57,7 +57,7 @@
 /// Request to resume a stream that is in progress. Dropping it cancels it.
 pub(super) struct Trial {
     /// Target that was asked.
-    pub(super) target: ChosenTarget,
+    target: ChosenTarget,
     exchange: Pin<Box<dyn Future<Output = Resumed>>>,
     /// Whether it has a response that goes on with the stream, whose body has not begun.
     accepted: Rc<Cell<bool>>,
@@ -65,7 +65,7 @@
 
 impl Trial {
     /// Waits for the response.
-    pub(super) async fn finish(&mut self) -> Resumed {
+    async fn finish(&mut self) -> Resumed {
         self.exchange.as_mut().await
     }
 }
@@ -201,8 +201,8 @@
         Trial { target, accepted, exchange: Box::pin(asked.resume(outgoing)) }
     }
 
-    /// Returns what is known of the silence of the stream of `target`; `overlapped` tells whether a replacement was
-    /// ended after its overlap.
+    /// Returns what is known of the silence of the stream of `target`; `overlapped` tells whether a
+    /// replacement was ended after its overlap.
     fn silence(&self, target: &ChosenTarget, overlapped: bool) -> StreamSilence {
         StreamSilence {
             patience: self.request.route.event_patience,
